--- /dev/null
+++ b/Makefile
@@ -0,0 +1,110 @@
+# siskinfork: `make demo` and `make check` set up what they need themselves.
+#
+# One directory a library or program; a directory's *.c and *.cc files are its
+# sources.  Programs: siskind, siskinctl, standin/*_main.c.  Tests: test/*.cc.
+
+CC      = gcc
+CXX     = g++
+B      ?= build
+SAN    ?=
+PKGS    = ck libzmq libcoap-3-notls argtable2 log4c jansson libmicrohttpd \
+          libcurl libsodium msgpack libxxhash
+WARN    = -Wall -Wextra -Wshadow -Wvla
+OPT    ?= -O2 -g
+CPPFLAGS += -D_GNU_SOURCE -I. $(shell pkg-config --cflags $(PKGS))
+CFLAGS  += -std=gnu11 $(OPT) $(WARN) -Wstrict-prototypes $(SAN)
+CXXFLAGS += -std=c++17 $(OPT) $(WARN) -Wno-missing-field-initializers $(SAN)
+LDLIBS   = $(shell pkg-config --libs $(PKGS)) -lpthread -lm
+
+LIBDIRS  = base wire conf plat member core kern
+LIBSRC   = $(wildcard $(LIBDIRS:%=%/*.c)) $(wildcard $(LIBDIRS:%=%/*.cc))
+LIBOBJ   = $(patsubst %,$(B)/%.o,$(LIBSRC))
+LIB      = $(B)/libsiskin.a
+
+# Stand-ins: one program for each standin/NAME_main.c, the other files shared.
+SIMAIN   = $(wildcard standin/*_main.c)
+SISRC    = $(filter-out $(SIMAIN),$(wildcard standin/*.c))
+SIOBJ    = $(patsubst %,$(B)/%.o,$(SISRC))
+SIPROG   = $(patsubst standin/%_main.c,$(B)/si_%,$(SIMAIN))
+
+PROGS    = $(if $(wildcard siskind/*.c),$(B)/siskind) \
+           $(if $(wildcard siskinctl/*.c),$(B)/siskinctl) $(SIPROG)
+BENCH    = $(patsubst bench/%.c,$(B)/%,$(wildcard bench/*.c))
+
+# Each test/*_test.cc is a program; the other files in test/ are shared.
+TESTMAIN = $(wildcard test/*_test.cc)
+TESTSRC  = $(filter-out $(TESTMAIN),$(wildcard test/*.c) $(wildcard test/*.cc))
+TESTOBJ  = $(patsubst %,$(B)/%.o,$(TESTSRC))
+TESTS    = $(patsubst test/%.cc,$(B)/%,$(TESTMAIN))
+
+all: $(LIB) $(PROGS)
+tests: $(TESTS)
+benches: $(BENCH)
+
+$(B)/%.c.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c $< -o $@
+
+$(B)/%.cc.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -c $< -o $@
+
+$(LIB): $(LIBOBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(B)/siskind: $(patsubst %,$(B)/%.o,$(wildcard siskind/*.c)) $(LIB)
+	$(CXX) $(SAN) $^ -o $@ $(LDLIBS)
+
+$(B)/siskinctl: $(patsubst %,$(B)/%.o,$(wildcard siskinctl/*.c)) $(LIB)
+	$(CXX) $(SAN) $^ -o $@ $(LDLIBS)
+
+$(B)/si_%: $(B)/standin/%_main.c.o $(SIOBJ) $(LIB)
+	$(CXX) $(SAN) $^ -o $@ $(LDLIBS)
+
+$(B)/%_test: $(B)/test/%_test.cc.o $(TESTOBJ) $(SIOBJ) $(LIB)
+	$(CXX) $(SAN) $^ -o $@ -lgtest_main -lgtest -lrapidcheck $(LDLIBS)
+
+$(B)/%: $(B)/bench/%.c.o $(SIOBJ) $(LIB)
+	$(CXX) $(SAN) $^ -o $@ $(LDLIBS)
+
+FMT = $(shell git ls-files '*.c' '*.h' '*.cc')
+
+format:
+	clang-format -i $(FMT)
+
+format-check:
+	clang-format --dry-run --Werror $(FMT)
+
+lint:
+	cppcheck --quiet --std=c11 --language=c --error-exitcode=1 -j 8 \
+	    --enable=warning,portability --inline-suppr -I . \
+	    --suppress=missingIncludeSystem --suppress=unknownMacro \
+	    $(filter %.c,$(FMT))
+
+setup:
+	./.ci/setup
+
+# The checks themselves, without installing anything.
+test: all tests
+	./test/run $(B)
+
+check: setup
+	$(MAKE) -j8 test
+
+# The same tests under AddressSanitizer and UndefinedBehaviorSanitizer.
+sanitize:
+	$(MAKE) -j8 B=build-san OPT="-O1 -g" \
+	    SAN="-fsanitize=address,undefined -fno-omit-frame-pointer" test
+
+demo: setup
+	$(MAKE) -j8 all
+	./test/demo $(B)
+
+clean:
+	rm -rf build build-san
+
+.PHONY: all tests benches format format-check lint setup test check sanitize \
+        demo clean
+.SECONDARY:
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/base/base.c
@@ -0,0 +1,111 @@
+/* Time, errors, hashing, random numbers and histograms. */
+#include "base/base.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+ms_t
+clock_now(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    return (ms_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+int
+err_set(err_t *e, int code, const char *step, const char *peer,
+        const char *fmt, ...)
+{
+    va_list ap;
+
+    if (e == NULL) {
+        return code;
+    }
+    e->code = code;
+    snprintf(e->step, sizeof(e->step), "%s", step);
+    snprintf(e->peer, sizeof(e->peer), "%s", peer);
+    va_start(ap, fmt);
+    vsnprintf(e->text, sizeof(e->text), fmt, ap);
+    va_end(ap);
+    return code;
+}
+
+uint64_t
+hash64(const void *p, size_t n, uint64_t seed)
+{
+    return XXH3_64bits_withSeed(p, n, seed);
+}
+
+uint64_t
+hash_mix(uint64_t a, uint64_t b)
+{
+    uint64_t w[2] = {a, b};
+
+    return XXH3_64bits(w, sizeof(w));
+}
+
+uint64_t
+rng_next(rng_t *r)
+{
+    return hash_mix(r->seed, r->count++);
+}
+
+uint32_t
+rng_below(rng_t *r, uint32_t n)
+{
+    return (uint32_t)(((rng_next(r) >> 32) * n) >> 32);
+}
+
+/* Values 0 to 3 have a slot each; then 4 slots for each power of two. */
+static int
+hist_slot(uint64_t v)
+{
+    int log;
+    int i;
+
+    if (v < 4) {
+        return (int)v;
+    }
+    log = 63 - __builtin_clzll(v);
+    i = (log - 1) * 4 + (int)((v >> (log - 2)) & 3);
+    return i < HIST_SLOTS ? i : HIST_SLOTS - 1;
+}
+
+void
+hist_add(hist_t *h, uint64_t v)
+{
+    h->count++;
+    h->sum += v;
+    h->slot[hist_slot(v)]++;
+}
+
+uint64_t
+hist_bound(int i)
+{
+    int log;
+
+    if (i < 4) {
+        return (uint64_t)i;
+    }
+    log = i / 4 + 1;
+    return ((uint64_t)(4 + i % 4 + 1) << (log - 2)) - 1;
+}
+
+uint64_t
+hist_quantile(const hist_t *h, double q)
+{
+    uint64_t want = (uint64_t)(q * (double)h->count);
+    uint64_t seen = 0;
+
+    for (int i = 0; i < HIST_SLOTS; i++) {
+        seen += h->slot[i];
+        if (seen > want || (seen == h->count && seen > 0)) {
+            return hist_bound(i);
+        }
+    }
+    return 0;
+}
