--- /dev/null
+++ b/plat/plat.h
@@ -0,0 +1,107 @@
+/* plat: the client of the platform's key-value service, over HTTP and JSON
+ * (libcurl, jansson).  Calls block; a thread of its own makes them.
+ *
+ * The service, as the stand-in si_platform speaks it (docs/PLATFORM.md):
+ *   GET    /v1/kv/KEY                     200 {"value":"...","revision":7}
+ *                                         404 {"revision":0}
+ *   GET    /v1/kv/KEY?wait=MS&after=REV   the same, held until the key's
+ *                                         revision passes REV or MS is over
+ *   PUT    /v1/kv/KEY?cas=REV             body: value.  200 {"revision":8}
+ *                                         409 {"revision":7}; cas=0: absent
+ *   POST   /v1/lease/NAME?owner=O&ms=N    200 {"owner":"O","ms":N}, taken or
+ *                                         renewed; 409 {"owner":"X"}
+ *   DELETE /v1/lease/NAME?owner=O         200
+ *   GET    /v1/instances                  200 {"instances":[{"name":...,
+ *            "data_centre":...,"state":"live"|"leaving","service_ip":...,
+ *            "return":"ip:port","peer":"ip:port","bulk":"ip:port"}]}
+ *   POST   /v1/instances                  one such object: register or renew
+ *   DELETE /v1/instances/NAME             200
+ * Each call counts, a waiting one as one.
+ */
+#ifndef SISKIN_PLAT_H
+#define SISKIN_PLAT_H
+
+#include "base/base.h"
+#include "conf/conf.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define PLAT_CONFIG_KEY "siskin/config"
+
+typedef struct plat plat_t;
+
+/* A client for one thread.  URL as "http://127.0.0.1:8500". */
+plat_t *plat_new(const char *url);
+void plat_free(plat_t *p);
+/* Calls made so far. */
+uint64_t plat_calls(const plat_t *p);
+
+/* Reads KEY into *VALUE (freed by the caller; NULL when absent) and *REVISION.
+ * WAIT_MS > 0 waits until the revision passes AFTER.  -ETIMEDOUT or
+ * -ECONNREFUSED and the like when the service is out of reach. */
+int plat_get(plat_t *p, const char *key, ms_t wait_ms, uint64_t after,
+             char **value, uint64_t *revision, err_t *e);
+
+/* Compare and swap.  -EAGAIN: another write came first.  -EIO, -ETIMEDOUT:
+ * the outcome is unknown, read back. */
+int plat_put(plat_t *p, const char *key, const char *value, uint64_t cas,
+             uint64_t *revision, err_t *e);
+
+/* Takes or renews a lease.  -EBUSY: another holds it. */
+int plat_lease(plat_t *p, const char *name, const char *owner, ms_t ms,
+               err_t *e);
+int plat_lease_drop(plat_t *p, const char *name, const char *owner, err_t *e);
+
+/* One entry of the lagging list of instances. */
+typedef struct {
+    char name[NAME_LEN];
+    char data_centre[NAME_LEN];
+    bool leaving;
+    char service_ip[48];
+    addr_t return_addr, peer_addr, bulk_addr;
+} plat_instance_t;
+
+#define PLAT_INSTANCES_MAX 1024
+
+int plat_instances(plat_t *p, plat_instance_t *out, size_t cap, size_t *n,
+                   err_t *e);
+int plat_register(plat_t *p, const plat_instance_t *i, err_t *e);
+int plat_deregister(plat_t *p, const char *name, err_t *e);
+
+/* ---- The accepted configuration, as stored under PLAT_CONFIG_KEY ---- */
+
+#define SOURCES_MAX 17 /* a base and 16 data centres */
+
+/* The stored value is JSON: {"version":N,"change_id":"...","hash":"hex",
+ * "base":"...","overlays":{"brno-sal-a":"...",...}}. */
+typedef struct {
+    uint64_t version;
+    uint64_t hash;
+    char change_id[CHANGE_ID_LEN];
+    size_t n;
+    char *file[SOURCES_MAX]; /* "base" and the data centres, sorted */
+    char *text[SOURCES_MAX];
+} conf_bundle_t;
+
+/* JSON to bundle and back.  The hash is checked on reading: -EBADMSG. */
+int bundle_read(conf_bundle_t *b, const char *json, err_t *e);
+char *bundle_write(const conf_bundle_t *b); /* malloc */
+void bundle_free(conf_bundle_t *b);
+/* The checked model of a bundle, with version, hash and change ID set. */
+conf_t *bundle_conf(const conf_bundle_t *b, err_t *e);
+
+/* Writes base and overlays as the next version.  The change ID makes the call
+ * idempotent: when an answer is lost, the key is read back, and a version that
+ * carries the ID counts as success.  -EAGAIN: another operator's version came
+ * first; *THEIRS (if not NULL) receives it, and nothing was written.
+ * EXPECT is the version that the operator edited, 0 for none. */
+int plat_apply(plat_t *p, conf_bundle_t *b, uint64_t expect,
+               conf_bundle_t *theirs, err_t *e);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
