--- /dev/null
+++ b/conf/check.c
@@ -0,0 +1,154 @@
+/* The rules between tables: what no single value can show. */
+#include "conf/model.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char *
+service_name(const draft_t *d, const upstream_draft_t *u)
+{
+    return d->services[u->service].s.name;
+}
+
+static int
+by_id(const void *a, const void *b)
+{
+    const upstream_draft_t *x = a, *y = b;
+
+    return x->u.id < y->u.id ? -1 : x->u.id > y->u.id;
+}
+
+static int
+by_service_and_id(const void *a, const void *b)
+{
+    const upstream_draft_t *x = a, *y = b;
+
+    if (x->service != y->service) {
+        return x->service < y->service ? -1 : 1;
+    }
+    return by_id(a, b);
+}
+
+static int
+check_service(const draft_t *d, uint32_t i, err_t *e)
+{
+    const service_draft_t *s = &d->services[i];
+    char addr[ADDR_STRLEN];
+
+    if (s->s.feed_silent_ms >= s->s.flow_idle_ms) {
+        return toml_fail(e, d->base_file, s->line,
+                         "service %s forgets a flow (flow_idle_ms %u) before "
+                         "it probes a silent feed; expected feed_silent_ms "
+                         "below it",
+                         s->s.name, s->s.flow_idle_ms);
+    }
+    for (uint32_t j = 0; j < i; j++) {
+        if (addr_eq(&d->services[j].s.addr, &s->s.addr)) {
+            return toml_fail(e, d->base_file, s->line,
+                             "services %s and %s both have address %s; "
+                             "expected one for each",
+                             d->services[j].s.name, s->s.name,
+                             addr_text(&s->s.addr, addr));
+        }
+    }
+    return 0;
+}
+
+static int
+check_upstream(const draft_t *d, const upstream_draft_t *u, err_t *e)
+{
+    const conf_service_t *s = &d->services[u->service].s;
+    char addr[ADDR_STRLEN];
+
+    if (s->urgent_slots >= u->u.slots) {
+        return toml_fail(e, u->file, u->line,
+                         "upstream %s has slots %u and %s keeps urgent_slots "
+                         "%u from uploads; expected at least one more",
+                         addr_text(&u->u.addr, addr), u->u.slots, s->name,
+                         s->urgent_slots);
+    }
+    for (uint32_t i = 0; i < d->n_services; i++) {
+        if (addr_eq(&d->services[i].s.addr, &u->u.addr)) {
+            return toml_fail(e, u->file, u->line,
+                             "upstream %s is the address of service %s; "
+                             "expected another",
+                             addr_text(&u->u.addr, addr),
+                             d->services[i].s.name);
+        }
+    }
+    return 0;
+}
+
+/* The upstreams are sorted by id: equal ones are neighbours. */
+static int
+check_twice(const draft_t *d, err_t *e)
+{
+    char addr[ADDR_STRLEN];
+
+    for (uint32_t i = 1; i < d->n_upstreams; i++) {
+        const upstream_draft_t *a = &d->upstreams[i - 1];
+        const upstream_draft_t *b = &d->upstreams[i];
+        if (a->u.id != b->u.id) {
+            continue;
+        }
+        addr_text(&b->u.addr, addr);
+        if (a->service == b->service) {
+            return toml_fail(e, b->file, b->line,
+                             "upstream %s is listed twice, also at %s:%d; "
+                             "expected once",
+                             addr, a->file, a->line);
+        }
+        return toml_fail(e, b->file, b->line,
+                         "upstream %s is in service %s and, at %s:%d, in "
+                         "service %s; expected one service",
+                         addr, service_name(d, b), a->file, a->line,
+                         service_name(d, a));
+    }
+    return 0;
+}
+
+static int
+check_empty(const draft_t *d, err_t *e)
+{
+    for (uint32_t i = 0; i < d->n_services; i++) {
+        if (d->services[i].s.n_upstreams == 0) {
+            return toml_fail(e, d->base_file, d->services[i].line,
+                             "service %s has no upstream in any data centre; "
+                             "expected one at least",
+                             d->services[i].s.name);
+        }
+    }
+    return 0;
+}
+
+int
+draft_check(draft_t *d, err_t *e)
+{
+    int rc;
+
+    for (uint32_t i = 0; i < d->n_services; i++) {
+        rc = check_service(d, i, e);
+        if (rc < 0) {
+            return rc;
+        }
+    }
+    for (uint32_t i = 0; i < d->n_upstreams; i++) {
+        rc = check_upstream(d, &d->upstreams[i], e);
+        if (rc < 0) {
+            return rc;
+        }
+    }
+    if (d->n_upstreams > 0) {
+        qsort(d->upstreams, d->n_upstreams, sizeof(*d->upstreams), by_id);
+    }
+    rc = check_twice(d, e);
+    if (rc < 0) {
+        return rc;
+    }
+    if (d->n_upstreams > 0) {
+        qsort(d->upstreams, d->n_upstreams, sizeof(*d->upstreams),
+              by_service_and_id);
+    }
+    return check_empty(d, e);
+}
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -89,7 +89,10 @@
  * still trusts it in its old place.  0 or -EINVAL with E. */
 int conf_step_check(const conf_t *old, const conf_t *new_, err_t *e);
 
-/* Calls LINE for each difference ("+ service dohled upstream ...").
+/* Calls LINE for each difference, as "SIGN SUBJECT: WHAT" with the sign '+',
+ * '-' or '~': "~ service dohled queue: 4 -> 8",
+ * "+ service dohled upstream 127.2.1.1:5683: brno-sal-a, ...".
+ * Either side may be NULL: nothing is configured there.
  * Returns how many there were. */
 int conf_diff(const conf_t *old, const conf_t *new_,
               void (*line)(void *arg, const char *text), void *arg);
@@ -98,6 +101,13 @@
 
 #define PEERS_MAX 64 /* seed peers named in the settings */
 
+/* A peer that is asked while the platform can't be. */
+typedef struct {
+    char name[NAME_LEN];
+    char data_centre[NAME_LEN];
+    addr_t peer_addr, bulk_addr;
+} settings_peer_t;
+
 typedef struct {
     char name[NAME_LEN]; /* of the instance, unique */
     char data_centre[NAME_LEN];
@@ -111,9 +121,21 @@
     char platform_url[128];
     char peer_key[65]; /* 32 bytes in hexadecimal, shared by instances */
     log_level_t log_level;
+    uint16_t n_peers; /* [[peer]] tables */
+    settings_peer_t peer[PEERS_MAX];
 } settings_t;
 
+/* Reads the file, or its text.  Errors as conf_parse()'s. */
 int settings_read(settings_t *s, const char *file, err_t *e);
+int settings_parse(settings_t *s, const char *file, const char *text,
+                   err_t *e);
+
+/* The whole text of FILE (freed by the caller), at most CONF_TEXT_MAX bytes;
+ * NULL with E. */
+char *conf_read_file(const char *file, err_t *e);
+/* True when TEXT is an overlay, not a base: it names a data centre, which
+ * goes into NAME. */
+bool conf_is_overlay(const char *text, char name[NAME_LEN]);
 
 #ifdef __cplusplus
 }
--- /dev/null
+++ b/conf/diff.c
@@ -0,0 +1,229 @@
+/* What differs between two versions, and whether one may follow the other. */
+#include "conf/model.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+#define TEXT_LEN 256
+
+typedef struct {
+    void (*line)(void *arg, const char *text);
+    void *arg;
+    int n;
+} diff_t;
+
+static void __attribute__((format(printf, 2, 3)))
+say(diff_t *d, const char *fmt, ...)
+{
+    char text[TEXT_LEN * 2];
+    va_list ap;
+
+    va_start(ap, fmt);
+    vsnprintf(text, sizeof(text), fmt, ap);
+    va_end(ap);
+    d->n++;
+    if (d->line != NULL) {
+        d->line(d->arg, text);
+    }
+}
+
+static void
+diff_fields(diff_t *d, const char *subject, const field_t *fields, size_t n,
+            const void *a, const void *b)
+{
+    char x[64], y[64];
+
+    for (size_t i = 0; i < n; i++) {
+        field_text(&fields[i], a, x, sizeof(x));
+        field_text(&fields[i], b, y, sizeof(y));
+        if (strcmp(x, y) != 0) {
+            say(d, "~ %s %s: %s -> %s", subject, fields[i].key, x, y);
+        }
+    }
+}
+
+static const char *
+upstream_subject(const conf_service_t *s, const conf_upstream_t *u, char *buf)
+{
+    char addr[ADDR_STRLEN];
+
+    snprintf(buf, TEXT_LEN, "service %s upstream %s", s->name,
+             addr_text(&u->addr, addr));
+    return buf;
+}
+
+static void
+say_upstream(diff_t *d, char sign, const conf_service_t *s,
+             const conf_upstream_t *u)
+{
+    char subject[TEXT_LEN];
+
+    say(d, "%c %s: %s, slots %u, connections %u, weight %u%s", sign,
+        upstream_subject(s, u, subject), u->data_centre, u->slots,
+        u->connections, u->weight, u->draining ? ", draining" : "");
+}
+
+static void
+diff_upstream(diff_t *d, const conf_service_t *s, const conf_upstream_t *a,
+              const conf_upstream_t *b)
+{
+    char subject[TEXT_LEN];
+
+    upstream_subject(s, a, subject);
+    diff_fields(d, subject, upstream_fields, n_upstream_fields, a, b);
+    if (strcmp(a->data_centre, b->data_centre) != 0) {
+        say(d, "~ %s data_centre: %s -> %s", subject, a->data_centre,
+            b->data_centre);
+    }
+}
+
+/* Those of FROM that TO lacks; TO may be NULL. */
+static void
+say_missing(diff_t *d, char sign, const conf_service_t *from,
+            const conf_service_t *to)
+{
+    for (uint32_t i = 0; i < from->n_upstreams; i++) {
+        const conf_upstream_t *u = &from->upstreams[i];
+        if (to == NULL || conf_upstream(to, u->id) == NULL) {
+            say_upstream(d, sign, from, u);
+        }
+    }
+}
+
+static void
+diff_service(diff_t *d, const conf_service_t *a, const conf_service_t *b)
+{
+    char subject[TEXT_LEN];
+
+    snprintf(subject, sizeof(subject), "service %s", a->name);
+    diff_fields(d, subject, service_fields, n_service_fields, a, b);
+    say_missing(d, '-', a, b);
+    for (uint32_t i = 0; i < a->n_upstreams; i++) {
+        const conf_upstream_t *u = conf_upstream(b, a->upstreams[i].id);
+        if (u != NULL) {
+            diff_upstream(d, a, &a->upstreams[i], u);
+        }
+    }
+    say_missing(d, '+', b, a);
+}
+
+static void
+say_service(diff_t *d, char sign, const conf_service_t *s)
+{
+    char addr[ADDR_STRLEN];
+
+    say(d, "%c service %s: %s", sign, s->name, addr_text(&s->addr, addr));
+    say_missing(d, sign, s, NULL);
+}
+
+static void
+diff_site(diff_t *d, const conf_t *a, const conf_t *b)
+{
+    if (strcmp(a->site, b->site) != 0) {
+        say(d, "~ site name: %s -> %s", a->site, b->site);
+    }
+    if (a->drain_ms != b->drain_ms) {
+        say(d, "~ site drain_ms: %u -> %u", a->drain_ms, b->drain_ms);
+    }
+}
+
+int
+conf_diff(const conf_t *old, const conf_t *new_,
+          void (*line)(void *arg, const char *text), void *arg)
+{
+    static const conf_t none;
+    diff_t d = {line, arg, 0};
+    const conf_t *a = old != NULL ? old : &none;
+    const conf_t *b = new_ != NULL ? new_ : &none;
+
+    if (old != NULL && new_ != NULL) {
+        diff_site(&d, a, b);
+    }
+    for (uint32_t i = 0; i < a->n_services; i++) {
+        const conf_service_t *s = conf_service(b, a->services[i].name);
+        if (s == NULL) {
+            say_service(&d, '-', &a->services[i]);
+        }
+        else {
+            diff_service(&d, &a->services[i], s);
+        }
+    }
+    for (uint32_t i = 0; i < b->n_services; i++) {
+        if (conf_service(a, b->services[i].name) == NULL) {
+            say_service(&d, '+', &b->services[i]);
+        }
+    }
+    return d.n;
+}
+
+/* ---- Steps ---- */
+
+static int
+fail_passes(err_t *e, const char *what, const addr_t *a, const char *from,
+            const char *to)
+{
+    char addr[ADDR_STRLEN];
+
+    return err_set(e, -EINVAL, "step check", "configuration",
+                   "%s %s passes from service %s to %s in one step; expected "
+                   "a version without it between",
+                   what, addr_text(a, addr), from, to);
+}
+
+static int
+check_upstream_step(const conf_t *old, const conf_service_t *s,
+                    const conf_upstream_t *u, err_t *e)
+{
+    for (uint32_t i = 0; i < old->n_services; i++) {
+        const conf_service_t *was = &old->services[i];
+        if (strcmp(was->name, s->name) != 0 &&
+            conf_upstream(was, u->id) != NULL) {
+            return fail_passes(e, "upstream", &u->addr, was->name, s->name);
+        }
+    }
+    return 0;
+}
+
+/* A service's address is how flows and upstreams know the service, so it is
+ * held to the same rule as an upstream's. */
+static int
+check_service_step(const conf_t *old, const conf_service_t *s, err_t *e)
+{
+    const conf_service_t *was = conf_service_at(old, &s->addr);
+    int rc;
+
+    if (was != NULL && strcmp(was->name, s->name) != 0) {
+        return fail_passes(e, "address", &s->addr, was->name, s->name);
+    }
+    for (uint32_t i = 0; i < s->n_upstreams; i++) {
+        rc = check_upstream_step(old, s, &s->upstreams[i], e);
+        if (rc < 0) {
+            return rc;
+        }
+    }
+    return 0;
+}
+
+int
+conf_step_check(const conf_t *old, const conf_t *new_, err_t *e)
+{
+    int rc;
+
+    if (old == NULL) {
+        return 0;
+    }
+    if (strcmp(old->site, new_->site) != 0) {
+        return err_set(e, -EINVAL, "step check", "configuration",
+                       "site %s is in force and the files are of site %s; "
+                       "expected the same site",
+                       old->site, new_->site);
+    }
+    for (uint32_t i = 0; i < new_->n_services; i++) {
+        rc = check_service_step(old, &new_->services[i], e);
+        if (rc < 0) {
+            return rc;
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/conf/fields.c
@@ -0,0 +1,304 @@
+/* Reading and printing of described fields. */
+#include "conf/fields.h"
+#include "conf/conf.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+bool
+name_valid(const char *s)
+{
+    size_t n = strspn(s, "abcdefghijklmnopqrstuvwxyz0123456789-");
+
+    return n > 0 && n < NAME_LEN && s[n] == '\0';
+}
+
+bool
+addr_usable(const addr_t *a)
+{
+    static const uint8_t v4[12] = {[10] = 255, [11] = 255};
+    static const uint8_t zero[16];
+
+    if (memcmp(a->ip, v4, sizeof(v4)) == 0) {
+        return a->ip[12] != 0 && a->ip[12] < 224;
+    }
+    return a->ip[0] != 0xFF && memcmp(a->ip, zero, sizeof(zero)) != 0;
+}
+
+static void *
+member_of(const field_t *f, void *struct_)
+{
+    return (char *)struct_ + f->offset;
+}
+
+static int
+choice_index(const char *const *names, const char *s)
+{
+    for (int i = 0; names[i] != NULL; i++) {
+        if (strcmp(names[i], s) == 0) {
+            return i;
+        }
+    }
+    return -EINVAL;
+}
+
+static void
+join(char *buf, size_t cap, const char *word)
+{
+    size_t n = strlen(buf);
+
+    snprintf(buf + n, cap - n, "%s%s", n > 0 ? ", " : "", word);
+}
+
+/* "a whole number of milliseconds from 1 to 60000" and the like. */
+static void
+expected(const field_t *f, char *buf, size_t cap)
+{
+    char names[96] = "";
+
+    switch (f->kind) {
+    case FIELD_U16:
+    case FIELD_U32:
+        snprintf(buf, cap, "a whole number%s%s from %u to %u",
+                 f->number.unit != NULL ? " of " : "",
+                 f->number.unit != NULL ? f->number.unit : "", f->number.min,
+                 f->number.max);
+        return;
+    case FIELD_BOOL:
+        snprintf(buf, cap, "true or false");
+        return;
+    case FIELD_NAME:
+        snprintf(buf, cap, "1 to %d lower-case letters, digits and '-'",
+                 NAME_LEN - 1);
+        return;
+    case FIELD_TEXT:
+        snprintf(buf, cap, "a string shorter than %zu", f->text.cap);
+        return;
+    case FIELD_ADDR:
+        snprintf(buf, cap, "one host's address and port as \"10.1.2.3:5683\"");
+        return;
+    case FIELD_CHOICE:
+        for (int i = 0; f->choice.names[i] != NULL; i++) {
+            join(names, sizeof(names), f->choice.names[i]);
+        }
+        snprintf(buf, cap, "one of %s", names);
+        return;
+    }
+}
+
+static int
+read_number(const field_t *f, const toml_node_t *n, void *to)
+{
+    int64_t v;
+
+    if (toml_kind(n) != TOML_INTEGER) {
+        return -EINVAL;
+    }
+    v = toml_integer(n);
+    if (v < f->number.min || v > f->number.max) {
+        return -EINVAL;
+    }
+    if (f->kind == FIELD_U16) {
+        *(uint16_t *)to = (uint16_t)v;
+    }
+    else {
+        *(uint32_t *)to = (uint32_t)v;
+    }
+    return 0;
+}
+
+static int
+read_addr(const char *s, addr_t *a)
+{
+    if (addr_parse(a, s) < 0 || !addr_usable(a)) {
+        return -EINVAL;
+    }
+    return 0;
+}
+
+static int
+read_string(const field_t *f, const toml_node_t *n, void *to)
+{
+    const char *s = toml_string(n);
+    int i;
+
+    if (toml_kind(n) != TOML_STRING) {
+        return -EINVAL;
+    }
+    if (f->kind == FIELD_ADDR) {
+        return read_addr(s, to);
+    }
+    if (f->kind == FIELD_CHOICE) {
+        i = choice_index(f->choice.names, s);
+        if (i >= 0) {
+            *(unsigned *)to = (unsigned)i;
+        }
+        return i < 0 ? i : 0;
+    }
+    if (f->kind == FIELD_NAME && !name_valid(s)) {
+        return -EINVAL;
+    }
+    if (f->kind == FIELD_TEXT && strlen(s) >= f->text.cap) {
+        return -EINVAL;
+    }
+    strcpy(to, s);
+    return 0;
+}
+
+static int
+read_value(const field_t *f, const toml_node_t *n, void *to)
+{
+    switch (f->kind) {
+    case FIELD_U16:
+    case FIELD_U32:
+        return read_number(f, n, to);
+    case FIELD_BOOL:
+        if (toml_kind(n) != TOML_BOOLEAN) {
+            return -EINVAL;
+        }
+        *(bool *)to = toml_boolean(n);
+        return 0;
+    case FIELD_NAME:
+    case FIELD_TEXT:
+    case FIELD_ADDR:
+    case FIELD_CHOICE:
+        return read_string(f, n, to);
+    }
+    return -EINVAL;
+}
+
+/* The offending value as the operator wrote it. */
+static void
+given(const toml_node_t *n, char *buf, size_t cap)
+{
+    switch (toml_kind(n)) {
+    case TOML_STRING:
+        snprintf(buf, cap, "\"%.40s\"", toml_string(n));
+        return;
+    case TOML_INTEGER:
+        snprintf(buf, cap, "%lld", (long long)toml_integer(n));
+        return;
+    case TOML_BOOLEAN:
+        snprintf(buf, cap, "%s", toml_boolean(n) ? "true" : "false");
+        return;
+    case TOML_TABLE:
+    case TOML_ARRAY:
+    case TOML_OTHER:
+        snprintf(buf, cap, "%s", toml_kind_text(n));
+        return;
+    }
+}
+
+static int
+read_field(const origin_t *o, const field_t *f, const toml_node_t *table,
+           void *into)
+{
+    const toml_node_t *n = toml_get(table, f->key);
+    char is[64], wanted[128];
+
+    if (n == NULL && !f->required) {
+        return 0;
+    }
+    expected(f, wanted, sizeof(wanted));
+    if (n == NULL) {
+        return toml_fail(o->e, o->file, toml_line(table),
+                         "%s is missing; expected %s", f->key, wanted);
+    }
+    if (read_value(f, n, member_of(f, into)) == 0) {
+        return 0;
+    }
+    given(n, is, sizeof(is));
+    return toml_fail(o->e, o->file, toml_line(n), "%s is %s; expected %s",
+                     f->key, is, wanted);
+}
+
+static bool
+is_known(const char *key, const field_set_t *sets, size_t n,
+         const char *const *also)
+{
+    if (also != NULL && choice_index(also, key) >= 0) {
+        return true;
+    }
+    for (size_t s = 0; s < n; s++) {
+        for (size_t i = 0; i < sets[s].n; i++) {
+            if (strcmp(sets[s].fields[i].key, key) == 0) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+static int
+fail_unknown(const origin_t *o, const toml_node_t *table, size_t key,
+             const field_set_t *sets, size_t n, const char *const *also)
+{
+    char known[200] = "";
+
+    for (size_t s = 0; s < n; s++) {
+        for (size_t i = 0; i < sets[s].n; i++) {
+            join(known, sizeof(known), sets[s].fields[i].key);
+        }
+    }
+    for (size_t i = 0; also != NULL && also[i] != NULL; i++) {
+        join(known, sizeof(known), also[i]);
+    }
+    return toml_fail(o->e, o->file, toml_key_line(table, key),
+                     "unknown key \"%.24s\"; expected %s",
+                     toml_key(table, key), known);
+}
+
+int
+fields_read(const origin_t *o, const toml_node_t *table,
+            const field_set_t *sets, size_t n, const char *const *also)
+{
+    if (toml_kind(table) != TOML_TABLE) {
+        return toml_fail(o->e, o->file, toml_line(table),
+                         "here is %s; expected a table",
+                         toml_kind_text(table));
+    }
+    for (size_t i = 0; i < toml_size(table); i++) {
+        if (!is_known(toml_key(table, i), sets, n, also)) {
+            return fail_unknown(o, table, i, sets, n, also);
+        }
+    }
+    for (size_t s = 0; s < n; s++) {
+        for (size_t i = 0; i < sets[s].n; i++) {
+            int rc = read_field(o, &sets[s].fields[i], table, sets[s].into);
+            if (rc < 0) {
+                return rc;
+            }
+        }
+    }
+    return 0;
+}
+
+void
+field_text(const field_t *f, const void *struct_, char *buf, size_t cap)
+{
+    const void *p = (const char *)struct_ + f->offset;
+    char addr[ADDR_STRLEN];
+
+    switch (f->kind) {
+    case FIELD_U16:
+        snprintf(buf, cap, "%u", *(const uint16_t *)p);
+        return;
+    case FIELD_U32:
+        snprintf(buf, cap, "%u", *(const uint32_t *)p);
+        return;
+    case FIELD_BOOL:
+        snprintf(buf, cap, "%s", *(const bool *)p ? "true" : "false");
+        return;
+    case FIELD_NAME:
+    case FIELD_TEXT:
+        snprintf(buf, cap, "%s", (const char *)p);
+        return;
+    case FIELD_ADDR:
+        snprintf(buf, cap, "%s", addr_text(p, addr));
+        return;
+    case FIELD_CHOICE:
+        snprintf(buf, cap, "%s", f->choice.names[*(const unsigned *)p]);
+        return;
+    }
+}
--- /dev/null
+++ b/conf/fields.h
@@ -0,0 +1,67 @@
+/* fields: what keys a TOML table may hold, as data.  One description serves
+ * to read a table into a struct, to name what was expected, and to compare
+ * two structs.  Private to conf/.
+ */
+#ifndef SISKIN_FIELDS_H
+#define SISKIN_FIELDS_H
+
+#include "conf/toml.h"
+
+typedef enum {
+    FIELD_U16,
+    FIELD_U32,
+    FIELD_BOOL,
+    FIELD_NAME,  /* char[NAME_LEN]: lower-case letters, digits and '-' */
+    FIELD_TEXT,  /* char[text.cap] */
+    FIELD_ADDR,  /* addr_t */
+    FIELD_CHOICE /* an enum, by name */
+} field_kind_t;
+
+typedef struct {
+    const char *key;
+    field_kind_t kind;
+    bool required;
+    size_t offset; /* of the member in the struct */
+    union {
+        struct {
+            uint32_t min, max;
+            const char *unit; /* "milliseconds"; may be NULL */
+        } number;
+        struct {
+            size_t cap;
+        } text;
+        struct {
+            const char *const *names; /* by value; NULL at the end */
+        } choice;
+    };
+} field_t;
+
+/* The fields that one struct takes from a table. */
+typedef struct {
+    const field_t *fields;
+    size_t n;
+    void *into;
+} field_set_t;
+
+#define FIELD_COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+/* Where a table was read: for errors. */
+typedef struct {
+    const char *file;
+    err_t *e;
+} origin_t;
+
+/* Reads TABLE into the structs of SETS.  Keys of no set are errors, but for
+ * those in ALSO (NULL at its end; may be NULL).  0 or -EINVAL. */
+int fields_read(const origin_t *o, const toml_node_t *table,
+                const field_set_t *sets, size_t n, const char *const *also);
+
+/* Writes the value of F in STRUCT_ as an operator would write it. */
+void field_text(const field_t *f, const void *struct_, char *buf, size_t cap);
+
+/* 1 to NAME_LEN - 1 lower-case letters, digits and '-'. */
+bool name_valid(const char *s);
+/* Not 0.0.0.0, broadcast or multicast: an address that one host has. */
+bool addr_usable(const addr_t *a);
+
+#endif
--- /dev/null
+++ b/conf/model.h
@@ -0,0 +1,48 @@
+/* model: the tables of the configuration, described.  Private to conf/. */
+#ifndef SISKIN_MODEL_H
+#define SISKIN_MODEL_H
+
+#include "conf/conf.h"
+#include "conf/fields.h"
+
+/* Members of conf_service_t, and of conf_upstream_t. */
+extern const field_t service_fields[];
+extern const size_t n_service_fields;
+extern const field_t upstream_fields[];
+extern const size_t n_upstream_fields;
+
+/* What an upstream takes from its service's tables unless it says more. */
+typedef struct {
+    uint16_t slots;
+    uint32_t connections;
+} limits_t;
+
+/* A service or an upstream while it is being read. */
+typedef struct {
+    conf_service_t s;
+    limits_t limits;
+    int line;
+} service_draft_t;
+
+typedef struct {
+    conf_upstream_t u;
+    uint32_t service; /* index */
+    const char *file;
+    int line;
+} upstream_draft_t;
+
+typedef struct {
+    const char *base_file;
+    char site[NAME_LEN];
+    uint32_t drain_ms;
+    service_draft_t *services; /* sorted by name */
+    uint32_t n_services;
+    upstream_draft_t *upstreams;
+    uint32_t n_upstreams, cap_upstreams;
+} draft_t;
+
+/* The rules that hold between tables.  Sorts the upstreams by service and
+ * id.  0 or -EINVAL. */
+int draft_check(draft_t *d, err_t *e);
+
+#endif
--- /dev/null
+++ b/test/conf_test.cc
@@ -0,0 +1,350 @@
+// The operators' configuration: what is accepted, what each refusal says and
+// where, and how two versions compare.
+#include "conf/conf.h"
+
+#include <errno.h>
+#include <gtest/gtest.h>
+#include <memory>
+#include <rapidcheck/gtest.h>
+#include <string.h>
+
+typedef std::unique_ptr<conf_t, void (*)(conf_t *)> conf_ptr;
+
+static const std::string base = R"([site]
+name = "moravia"
+
+[service.dohled]
+address = "127.1.0.1:5683"
+protocol = "coap"
+prefer = "balance"
+slots = 2
+connections = 2000
+
+[service.archiv]
+address = "127.1.0.2:5683"
+protocol = "coap"
+prefer = "stability"
+slots = 2
+connections = 2000
+urgent_slots = 1
+)";
+
+static const std::string brno = R"(data_centre = "brno-sal-a"
+
+[[upstream]]
+service = "dohled"
+address = "127.2.1.1:5683"
+
+[[upstream]]
+service = "archiv"
+address = "127.2.1.2:5683"
+)";
+
+static const std::string olomouc = R"(data_centre = "olomouc-sal"
+
+[service.dohled]
+slots = 5
+
+[[upstream]]
+service = "dohled"
+address = "127.2.4.1:5683"
+weight = 20
+draining = true
+)";
+
+static conf_ptr
+parse(const std::vector<std::string> &texts, err_t *e = nullptr)
+{
+    static const char *names[] = {"base.toml", "a.toml", "b.toml"};
+    std::vector<conf_source_t> src;
+    for (size_t i = 0; i < texts.size(); i++) {
+        src.push_back({names[i], texts[i].c_str()});
+    }
+    return conf_ptr(conf_parse(src.data(), src.size(), e), conf_free);
+}
+
+// TEXT with its one FROM replaced by TO.
+static std::string
+edit(std::string text, const std::string &from, const std::string &to)
+{
+    size_t at = text.find(from);
+    EXPECT_NE(std::string::npos, at) << from;
+    return text.replace(at, from.size(), to);
+}
+
+static std::vector<std::string>
+diff(const conf_t *a, const conf_t *b)
+{
+    std::vector<std::string> lines;
+    auto line = [](void *arg, const char *text) {
+        ((std::vector<std::string> *)arg)->push_back(text);
+    };
+    int n = conf_diff(a, b, line, &lines);
+    EXPECT_EQ((size_t)n, lines.size());
+    return lines;
+}
+
+typedef std::vector<std::string> lines_t;
+
+TEST(Conf, BaseAndOverlaysBecomeOneModel)
+{
+    err_t e = {};
+    conf_ptr c = parse({base, brno, olomouc}, &e);
+    ASSERT_TRUE(c) << e.peer << ": " << e.text;
+    EXPECT_STREQ("moravia", c->site);
+    ASSERT_EQ(2u, c->n_services);
+    const conf_service_t *s = conf_service(c.get(), "dohled");
+    ASSERT_TRUE(s);
+    EXPECT_EQ(PREFER_BALANCE, s->prefer);
+    EXPECT_EQ(s, conf_service_at(c.get(), &s->addr));
+    ASSERT_EQ(2u, s->n_upstreams);
+    EXPECT_LT(s->upstreams[0].id, s->upstreams[1].id);
+    for (uint32_t i = 0; i < 2; i++) {
+        const conf_upstream_t *u = &s->upstreams[i];
+        bool far = strcmp(u->data_centre, "olomouc-sal") == 0;
+        EXPECT_EQ(u, conf_upstream(s, u->id));
+        EXPECT_EQ(far ? 5 : 2, u->slots);
+        EXPECT_EQ(far ? 20 : 10, u->weight);
+        EXPECT_EQ(far, u->draining);
+        EXPECT_EQ(2000u, u->connections);
+    }
+    EXPECT_EQ(nullptr, conf_service(c.get(), "mesa-control"));
+    EXPECT_EQ(nullptr, conf_upstream(s, 1));
+}
+
+struct bad_t {
+    const char *file; // which text is edited
+    std::string from, to;
+    const char *where, *says;
+};
+
+TEST(Conf, EachFaultIsToldWithItsPlace)
+{
+    const bad_t bads[] = {
+        {"base", "slots = 2", "slotz = 2", "base.toml:8", "\"slotz\""},
+        {"base", "slots = 2", "slots = \"2\"", "base.toml:8", "from 1 to"},
+        {"base", "slots = 2", "slots = 2.5", "base.toml:8", "whole number"},
+        {"base", "slots = 2", "slots = 0", "base.toml:8", "slots is 0"},
+        {"base", "slots = 2", "slots = 70000", "base.toml:8", "10000"},
+        {"base", "slots = 2\n", "", "base.toml:4", "slots is missing"},
+        {"base", "slots = 2", "slots = 2\nrequest_ms = \"5s\"", "base.toml:9",
+         "milliseconds"},
+        {"base", "slots = 2", "slots = 2\nrequest_s = 5", "base.toml:9",
+         "unknown key"},
+        {"base", "slots = 2", "slots = 2\nfeed_silent_ms = 600000",
+         "base.toml:4", "feed_silent_ms below"},
+        {"base", "\"coap\"", "\"tcp\"", "base.toml:6", "udp, coap"},
+        {"base", "127.1.0.1:5683", "127.1.0.1", "base.toml:5", "port"},
+        {"base", "127.1.0.1", "0.0.0.0", "base.toml:5", "one host's"},
+        {"base", "127.1.0.1", "224.0.0.1", "base.toml:5", "one host's"},
+        {"base", "127.1.0.2:", "127.1.0.1:", "base.toml:4", "both have"},
+        {"base", "service.dohled", "service.Dohled", "base.toml:4",
+         "lower-case"},
+        {"base", "name = ", "nom = ", "base.toml:2", "unknown key"},
+        {"base", "[site]\nname = \"moravia\"", "", "base.toml:1", "[site]"},
+        {"base", "[site]", "[site", "base.toml:1", "not valid TOML"},
+        {"base", "urgent_slots = 1", "urgent_slots = 2", "a.toml:7",
+         "urgent_slots"},
+        {"a", "service = \"archiv\"", "service = \"arch\"", "a.toml:8",
+         "not in the base"},
+        {"a", "127.2.1.2", "127.2.1.1", "a.toml:7", "expected one service"},
+        {"a", "127.2.1.2", "127.1.0.2", "a.toml:7", "of service archiv"},
+        {"a", "archiv\"\naddress = \"127.2.1.2",
+         "dohled\"\naddress = "
+         "\"127.2.1.1",
+         "a.toml", "twice"},
+        {"a",
+         "[[upstream]]\nservice = \"archiv\"\naddress = "
+         "\"127.2.1.2:5683\"",
+         "", "base.toml:11", "no upstream"},
+        {"a", "data_centre = \"brno-sal-a\"", "", "a.toml:", "data_centre"},
+        {"b", "olomouc-sal", "brno-sal-a", "b.toml:1", "also in a.toml"},
+        {"b", "[[upstream]]", "[other]", "b.toml", "unknown key"},
+        {"b", "weight = 20", "weight = 101", "b.toml:9", "1 to 100"},
+        {"b", "draining = true", "draining = 1", "b.toml:10", "true or"},
+        {"b", "service.dohled", "service.nic", "b.toml:3", "base"},
+    };
+    for (const bad_t &bad : bads) {
+        std::string b = base, a = brno, o = olomouc;
+        std::string *text = *bad.file == 'a' ? &a : &o;
+        text = strcmp(bad.file, "base") == 0 ? &b : text;
+        *text = edit(*text, bad.from, bad.to);
+        err_t e = {};
+        EXPECT_FALSE(parse({b, a, o}, &e)) << bad.to;
+        EXPECT_EQ(-EINVAL, e.code);
+        EXPECT_EQ(0, strncmp(bad.where, e.peer, strlen(bad.where)))
+            << bad.to << " at " << e.peer << ": " << e.text;
+        EXPECT_TRUE(strstr(e.text, bad.says)) << bad.to << ": " << e.text;
+    }
+}
+
+TEST(Conf, DataCentreWithoutUpstreamsIsRefused)
+{
+    err_t e = {};
+    EXPECT_FALSE(parse({base, brno, "data_centre = \"x\"\n"}, &e));
+    EXPECT_TRUE(strstr(e.text, "has no upstreams")) << e.text;
+    EXPECT_FALSE(parse({base}, &e));
+    EXPECT_TRUE(strstr(e.text, "no upstream in any")) << e.text;
+    EXPECT_FALSE(parse({}, &e));
+    EXPECT_FALSE(parse({base, std::string(CONF_TEXT_MAX, '#')}, &e));
+    EXPECT_TRUE(strstr(e.text, "bytes")) << e.text;
+}
+
+TEST(Conf, DiffNamesEachChange)
+{
+    conf_ptr a = parse({base, brno, olomouc});
+    conf_ptr b = parse({edit(base, "slots = 2", "slots = 2\nqueue = 9"), brno,
+                        edit(olomouc, "weight = 20", "weight = 30")});
+    EXPECT_EQ(lines_t({"~ service dohled queue: 4 -> 9",
+                       "~ service dohled upstream 127.2.4.1:5683 weight: "
+                       "20 -> 30"}),
+              diff(a.get(), b.get()));
+    conf_ptr c = parse({base, brno});
+    EXPECT_EQ(lines_t({"- service dohled upstream 127.2.4.1:5683: "
+                       "olomouc-sal, slots 5, connections 2000, weight 20, "
+                       "draining"}),
+              diff(a.get(), c.get()));
+    EXPECT_EQ(4u, diff(nullptr, c.get()).size());
+    EXPECT_EQ(4u, diff(c.get(), nullptr).size());
+}
+
+// An operator moves a server from the archive to monitoring.  An instance
+// that still has the old version would send it archive uploads; so the
+// address has to be absent for a version.
+TEST(Conf, UpstreamPassesOnlyThroughAVersionWithoutIt)
+{
+    std::string more = brno + "[[upstream]]\nservice = \"archiv\"\n"
+                              "address = \"127.2.1.3:5683\"\n";
+    std::string moved = edit(more, "\"archiv\"\naddress = \"127.2.1.3",
+                             "\"dohled\"\naddress = \"127.2.1.3");
+    conf_ptr a = parse({base, more}), b = parse({base, moved});
+    conf_ptr without = parse({base, brno});
+    err_t e = {};
+    EXPECT_EQ(-EINVAL, conf_step_check(a.get(), b.get(), &e));
+    EXPECT_TRUE(strstr(e.text, "127.2.1.3:5683")) << e.text;
+    EXPECT_EQ(0, conf_step_check(a.get(), without.get(), &e));
+    EXPECT_EQ(0, conf_step_check(without.get(), b.get(), &e));
+    EXPECT_EQ(0, conf_step_check(nullptr, b.get(), &e));
+}
+
+// Two services swap addresses: callers of the one would reach the other.
+TEST(Conf, ServiceAddressPassesOnlyThroughAVersionWithoutIt)
+{
+    std::string swapped = edit(base, "127.1.0.1", "127.1.0.9");
+    swapped = edit(swapped, "127.1.0.2", "127.1.0.1");
+    conf_ptr a = parse({base, brno}), b = parse({swapped, brno});
+    EXPECT_EQ(-EINVAL, conf_step_check(a.get(), b.get(), nullptr));
+    conf_ptr other = parse({edit(base, "moravia", "bogota"), brno});
+    EXPECT_EQ(-EINVAL, conf_step_check(a.get(), other.get(), nullptr));
+}
+
+TEST(Conf, HashTellsTextsApart)
+{
+    conf_source_t ab[] = {{"x", "a"}, {"y", "b"}};
+    conf_source_t ba[] = {{"x", "b"}, {"y", "a"}};
+    conf_source_t joined[] = {{"x", "ab"}, {"y", ""}};
+    conf_source_t named[] = {{"other", "a"}, {"y", "b"}};
+    EXPECT_NE(conf_text_hash(ab, 2), conf_text_hash(ba, 2));
+    EXPECT_NE(conf_text_hash(ab, 2), conf_text_hash(joined, 2));
+    EXPECT_NE(conf_text_hash(ab, 2), conf_text_hash(ab, 1));
+    EXPECT_EQ(conf_text_hash(ab, 2), conf_text_hash(named, 2));
+}
+
+// Each dot of a key opens a table in the one before, each bracket an array:
+// a reader that goes down with them runs out of stack.
+TEST(Conf, DeepNestingIsRefused)
+{
+    for (std::string piece : {"a.", "\"#\".", "a=[", "[", "a={", "[["}) {
+        std::string deep = "x = 1\n";
+        while (deep.size() < CONF_TEXT_MAX - 100) {
+            deep += piece;
+        }
+        EXPECT_FALSE(parse({deep + "a = 1"})) << piece;
+        EXPECT_FALSE(parse({"[" + deep + "a]\n"})) << piece;
+        EXPECT_FALSE(parse({"x = " + deep})) << piece;
+    }
+}
+
+RC_GTEST_PROP(Conf, NoTextBreaksTheReader, (std::string b, std::string o))
+{
+    err_t e = {};
+    conf_ptr c = parse({b.c_str(), o.c_str()}, &e);
+    RC_ASSERT(c || (e.code == -EINVAL && e.text[0] != '\0'));
+}
+
+// Valid texts with a few bytes changed reach further into the reader than
+// made-up ones.  What is accepted equals its copy.
+RC_GTEST_PROP(Conf, NoChangedByteBreaksTheReader, ())
+{
+    std::string texts[] = {base, brno, olomouc};
+    int changes = *rc::gen::inRange(0, 4);
+    for (int i = 0; i < changes; i++) {
+        std::string &t = texts[*rc::gen::inRange(0, 3)];
+        size_t at = *rc::gen::inRange<size_t>(0, t.size());
+        t[at] = (char)*rc::gen::inRange(1, 256);
+    }
+    err_t e = {};
+    conf_ptr c = parse({texts[0], texts[1], texts[2]}, &e);
+    RC_CLASSIFY((bool)c, "accepted");
+    if (!c) {
+        RC_ASSERT(e.code == -EINVAL && e.text[0] != '\0');
+        return;
+    }
+    conf_ptr copy(conf_copy(c.get()), conf_free);
+    RC_ASSERT(conf_diff(c.get(), c.get(), NULL, NULL) == 0);
+    RC_ASSERT(conf_diff(c.get(), copy.get(), NULL, NULL) == 0);
+    RC_ASSERT(conf_step_check(c.get(), copy.get(), NULL) == 0);
+    RC_ASSERT(c->hash == copy->hash);
+}
+
+static const std::string settings = R"(name = "moravia-1"
+data_centre = "brno-sal-a"
+bind_ip = "127.0.1.1"
+return_addr = "127.0.1.1:6000"
+own_addr = "127.0.1.1:6001"
+peer_addr = "127.0.1.1:6002"
+bulk_addr = "127.0.1.1:6003"
+platform_url = "http://127.0.0.1:8500"
+peer_key = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
+[[peer]]
+name = "moravia-2"
+data_centre = "brno-sal-b"
+peer_addr = "127.0.1.2:6002"
+bulk_addr = "127.0.1.2:6003"
+)";
+
+TEST(Settings, AreRead)
+{
+    settings_t s;
+    err_t e = {};
+    char addr[ADDR_STRLEN];
+    ASSERT_EQ(0, settings_parse(&s, "i.toml", settings.c_str(), &e)) << e.text;
+    EXPECT_STREQ("moravia-1", s.name);
+    EXPECT_STREQ("127.0.0.1:6004", addr_text(&s.admin_addr, addr));
+    EXPECT_EQ(LVL_INFO, s.log_level);
+    ASSERT_EQ(1, s.n_peers);
+    EXPECT_STREQ("moravia-2", s.peer[0].name);
+    EXPECT_EQ(-ENOENT, settings_read(&s, "/nonexistent", &e));
+}
+
+TEST(Settings, FaultsAreToldWithTheirPlace)
+{
+    const bad_t bads[] = {
+        {"", "127.0.1.1:6001", "127.0.1.1:6000", "i.toml:5", "differ"},
+        {"", "\"127.0.1.1\"", "\"here\"", "i.toml:3", "IP address"},
+        {"", "http:", "https:", "i.toml:8", "expected it as"},
+        {"", "abcdef\"", "abcdeg\"", "i.toml:9", "hexadecimal"},
+        {"", "name =", "nom =", "i.toml:1", "unknown key"},
+        {"", "[[peer]]", "[peer]", "i.toml:11", "[[peer]]"},
+        {"", "127.0.1.1:6003", "127.0.0.1:6004", "i.toml:7", "admin_addr"},
+    };
+    for (const bad_t &bad : bads) {
+        settings_t s;
+        err_t e = {};
+        std::string text = edit(settings, bad.from, bad.to);
+        EXPECT_EQ(-EINVAL, settings_parse(&s, "i.toml", text.c_str(), &e));
+        EXPECT_STREQ(bad.where, e.peer) << e.text;
+        EXPECT_TRUE(strstr(e.text, bad.says)) << e.text;
+    }
+}
