plat: client of the platform, stored versions, idempotent apply

A change's ID is found again in the version in force or among the changes before it, so that a lost answer is resolved even when another operator has written since. The version that is replaced is kept in a ring of 16 keys, best effort, so that the loser of a race can be told what changed.

--- /dev/null
+++ b/plat/apply.c
@@ -0,0 +1,273 @@
+/* Writing a new version, at most once, never over one that wasn't seen.
+ *
+ * Three failures meet here.  An answer is lost after the write took effect:
+ * the key is read back, and the change ID, in force or among the changes
+ * before, tells that it did.  A writer is paused between read and write while
+ * another writes: compare-and-swap on the revision that it read refuses it.
+ * A write is delayed on its way and arrives after its sender gave up: the
+ * next try has the same revision, so only one of the two can take effect.
+ */
+#include "plat/plat.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define TRIES 5
+#define PAUSE_MS 100 /* before the second try; longer before each later */
+
+static void
+pause_before(int attempt)
+{
+    const struct timespec ts = {.tv_nsec = attempt * PAUSE_MS * 1000000L};
+
+    nanosleep(&ts, NULL);
+}
+
+int
+plat_config(plat_t *p, conf_bundle_t *b, uint64_t *revision, err_t *e)
+{
+    char *json;
+    int rc;
+
+    *b = (conf_bundle_t){0};
+    rc = plat_get(p, PLAT_CONFIG_KEY, 0, 0, &json, revision, e);
+    if (rc < 0 || json == NULL) {
+        return rc;
+    }
+    rc = bundle_read(b, json, e);
+    free(json);
+    return rc;
+}
+
+/* ---- History ---- */
+
+static void
+history_key(char *buf, size_t cap, uint64_t version)
+{
+    snprintf(buf, cap, PLAT_HISTORY_KEY, (unsigned)(version % PLAT_HISTORY));
+}
+
+int
+plat_history(plat_t *p, uint64_t version, conf_bundle_t *b, err_t *e)
+{
+    char key[64];
+    char *json;
+    uint64_t revision;
+    int rc;
+
+    *b = (conf_bundle_t){0};
+    history_key(key, sizeof(key), version);
+    rc = plat_get(p, key, 0, 0, &json, &revision, e);
+    if (rc < 0) {
+        return rc;
+    }
+    if (json != NULL) {
+        rc = bundle_read(b, json, e);
+        free(json);
+    }
+    if (rc == 0 && b->version != version) {
+        bundle_free(b);
+        rc = err_set(e, -ENOENT, "platform read", key,
+                     "version %llu is no longer kept",
+                     (unsigned long long)version);
+    }
+    return rc;
+}
+
+/* Keeps CUR for those who lose the race against its successor and want to
+ * know what changed.  Best effort: without it they see less, not wrong. */
+static void
+keep_history(plat_t *p, const conf_bundle_t *cur)
+{
+    char key[64];
+    char *old, *json = bundle_write(cur);
+    uint64_t revision;
+
+    history_key(key, sizeof(key), cur->version);
+    if (json != NULL && plat_get(p, key, 0, 0, &old, &revision, NULL) == 0) {
+        free(old);
+        plat_put(p, key, json, revision, &revision, NULL);
+    }
+    free(json);
+}
+
+/* ---- Applying ---- */
+
+typedef struct {
+    plat_t *p;
+    conf_bundle_t *b; /* to be applied */
+    uint64_t expect;
+    conf_bundle_t cur; /* in force, as last read */
+    uint64_t revision; /* of CUR */
+    bool unknown;      /* a write was sent and not answered */
+    bool kept;         /* CUR is in the history */
+    err_t *e;
+} apply_t;
+
+/* The version that change ID made, or 0. */
+static uint64_t
+version_of_change(const conf_bundle_t *cur, const char *id)
+{
+    if (strcmp(cur->change_id, id) == 0) {
+        return cur->version;
+    }
+    for (size_t i = 0; i < cur->n_changes; i++) {
+        if (strcmp(cur->changes[i].change_id, id) == 0) {
+            return cur->changes[i].version;
+        }
+    }
+    return 0;
+}
+
+static void
+follow(conf_bundle_t *b, const conf_bundle_t *cur)
+{
+    b->version = cur->version + 1;
+    b->n_changes = 0;
+    if (cur->version == 0) {
+        return;
+    }
+    b->changes[0].version = cur->version;
+    strcpy(b->changes[0].change_id, cur->change_id);
+    b->n_changes = 1;
+    for (size_t i = 0; i < cur->n_changes && i + 1 < CHANGES_MAX; i++) {
+        b->changes[b->n_changes++] = cur->changes[i];
+    }
+}
+
+static int
+check_follows(const conf_bundle_t *b, const conf_bundle_t *cur, err_t *e)
+{
+    conf_t *old = NULL;
+    conf_t *new_ = bundle_conf(b, e);
+    int rc;
+
+    if (new_ == NULL) {
+        return -EINVAL;
+    }
+    if (cur->n > 0) {
+        old = bundle_conf(cur, e);
+    }
+    rc = cur->n > 0 && old == NULL ? -EINVAL : conf_step_check(old, new_, e);
+    conf_free(old);
+    conf_free(new_);
+    return rc;
+}
+
+static int
+write_next(apply_t *a)
+{
+    uint64_t revision;
+    char *json;
+    int rc = check_follows(a->b, &a->cur, a->e);
+
+    if (rc < 0) {
+        return rc;
+    }
+    follow(a->b, &a->cur);
+    json = bundle_write(a->b);
+    if (json == NULL || strlen(json) > PLAT_VALUE_MAX) {
+        free(json);
+        return err_set(a->e, -EINVAL, "apply", "configuration",
+                       "the stored form is too long or no UTF-8; expected at "
+                       "most %d bytes",
+                       PLAT_VALUE_MAX);
+    }
+    if (!a->kept && a->cur.n > 0) {
+        keep_history(a->p, &a->cur);
+        a->kept = true;
+    }
+    rc = plat_put(a->p, PLAT_CONFIG_KEY, json, a->revision, &revision, a->e);
+    free(json);
+    return rc;
+}
+
+/* One round: read, decide, write.  1: not settled, go round again. */
+static int
+apply_round(apply_t *a)
+{
+    uint64_t done;
+    int rc;
+
+    bundle_free(&a->cur);
+    rc = plat_config(a->p, &a->cur, &a->revision, a->e);
+    if (rc < 0) {
+        return a->unknown ? 1 : rc;
+    }
+    done = version_of_change(&a->cur, a->b->change_id);
+    if (done > 0) {
+        a->b->version = done;
+        return 0;
+    }
+    if (a->cur.version < a->expect) {
+        err_set(a->e, -ESTALE, "apply", "platform",
+                "has version %llu; expected %llu or later",
+                (unsigned long long)a->cur.version,
+                (unsigned long long)a->expect);
+        return 1;
+    }
+    if (a->cur.version > a->expect) {
+        return err_set(a->e, -EAGAIN, "apply", "platform",
+                       "version %llu is in force and the files were edited "
+                       "on %llu; nothing was written",
+                       (unsigned long long)a->cur.version,
+                       (unsigned long long)a->expect);
+    }
+    rc = write_next(a);
+    if (rc == -EIO || rc == -ETIMEDOUT) {
+        a->unknown = true;
+    }
+    if (rc == -EAGAIN || rc == -EIO || rc == -ETIMEDOUT) {
+        return 1;
+    }
+    return rc < 0 && a->unknown ? 1 : rc;
+}
+
+static int
+settle(apply_t *a)
+{
+    int rc = 1;
+
+    for (int i = 0; i < TRIES && rc == 1; i++) {
+        if (i > 0) {
+            pause_before(i);
+        }
+        rc = apply_round(a);
+    }
+    if (rc != 1) {
+        return rc;
+    }
+    if (a->unknown) {
+        return err_set(a->e, -EIO, "apply", "platform",
+                       "the write was not answered and can't be read back: "
+                       "the outcome is unknown; run again with change ID %s",
+                       a->b->change_id);
+    }
+    return a->e->code;
+}
+
+int
+plat_apply(plat_t *p, conf_bundle_t *b, uint64_t expect, conf_bundle_t *theirs,
+           err_t *e)
+{
+    err_t why = {0};
+    apply_t a = {.p = p, .b = b, .expect = expect, .e = &why};
+    int rc;
+
+    if (theirs != NULL) {
+        *theirs = (conf_bundle_t){0};
+    }
+    rc = settle(&a);
+    if (rc == -EAGAIN && theirs != NULL && a.cur.version > expect) {
+        *theirs = a.cur;
+        a.cur = (conf_bundle_t){0};
+    }
+    bundle_free(&a.cur);
+    if (rc < 0 && e != NULL) {
+        *e = why;
+    }
+    return rc;
+}
--- /dev/null
+++ b/plat/http.c
@@ -0,0 +1,194 @@
+/* HTTP calls over libcurl. */
+#include "plat/http.h"
+
+#include <curl/curl.h>
+#include <errno.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CONNECT_MS 1000
+#define REPLY_MAX (8 * 1024 * 1024)
+
+struct http {
+    CURL *curl;
+    char url[128];
+    char *body;
+    size_t len, cap;
+};
+
+static pthread_once_t once = PTHREAD_ONCE_INIT;
+
+static void
+init_curl(void)
+{
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+}
+
+http_t *
+http_new(const char *url)
+{
+    http_t *h = calloc(1, sizeof(*h));
+
+    pthread_once(&once, init_curl);
+    if (h == NULL) {
+        return NULL;
+    }
+    snprintf(h->url, sizeof(h->url), "%s", url);
+    h->curl = curl_easy_init();
+    if (h->curl == NULL) {
+        free(h);
+        return NULL;
+    }
+    return h;
+}
+
+void
+http_free(http_t *h)
+{
+    if (h == NULL) {
+        return;
+    }
+    curl_easy_cleanup(h->curl);
+    free(h->body);
+    free(h);
+}
+
+static size_t
+take(char *data, size_t size, size_t n, void *arg)
+{
+    http_t *h = arg;
+    size_t len = size * n;
+    size_t need = h->len + len + 1;
+    char *grown;
+
+    if (need > REPLY_MAX) {
+        return 0;
+    }
+    if (need > h->cap) {
+        grown = realloc(h->body, 2 * need);
+        if (grown == NULL) {
+            return 0;
+        }
+        h->body = grown;
+        h->cap = 2 * need;
+    }
+    memcpy(h->body + h->len, data, len);
+    h->len += len;
+    h->body[h->len] = '\0';
+    return len;
+}
+
+static const char *
+method_name(http_method_t m)
+{
+    switch (m) {
+    case HTTP_GET:
+        return "GET";
+    case HTTP_PUT:
+        return "PUT";
+    case HTTP_POST:
+        return "POST";
+    case HTTP_DELETE:
+        return "DELETE";
+    }
+    return "GET";
+}
+
+static void
+set_options(http_t *h, const char *url, const http_call_t *call)
+{
+    CURL *c = h->curl;
+
+    curl_easy_reset(c);
+    curl_easy_setopt(c, CURLOPT_URL, url);
+    curl_easy_setopt(c, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(c, CURLOPT_PROXY, "");
+    curl_easy_setopt(c, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(c, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_MS);
+    curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+    curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, take);
+    curl_easy_setopt(c, CURLOPT_WRITEDATA, h);
+    if (call->body != NULL || call->method == HTTP_POST) {
+        const char *body = call->body != NULL ? call->body : "";
+        curl_easy_setopt(c, CURLOPT_POSTFIELDS, body);
+        curl_easy_setopt(c, CURLOPT_POSTFIELDSIZE, (long)strlen(body));
+    }
+    curl_easy_setopt(c, CURLOPT_CUSTOMREQUEST, method_name(call->method));
+    /* On a kept connection that turns out dead libcurl sends the call again;
+     * of a write, the first copy may have taken effect. */
+    if (call->method != HTTP_GET) {
+        curl_easy_setopt(c, CURLOPT_FRESH_CONNECT, 1L);
+    }
+}
+
+static int
+error_number(CURLcode rc)
+{
+    switch (rc) {
+    case CURLE_OK:
+        return 0;
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+        return -ECONNREFUSED;
+    case CURLE_OPERATION_TIMEDOUT:
+        return -ETIMEDOUT;
+    case CURLE_OUT_OF_MEMORY:
+        return -ENOMEM;
+    case CURLE_URL_MALFORMAT:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+        return -EINVAL;
+    default:
+        return -EIO;
+    }
+}
+
+int
+http_call(http_t *h, const http_call_t *call, http_reply_t *r, err_t *e)
+{
+    char url[1024];
+    CURLcode rc;
+
+    *r = (http_reply_t){0};
+    h->len = 0;
+    if (take("", 0, 0, h) != 0 || h->body == NULL) {
+        return err_set(e, -ENOMEM, call->step, h->url, "Out of memory.");
+    }
+    if ((size_t)snprintf(url, sizeof(url), "%s%s", h->url, call->path) >=
+        sizeof(url)) {
+        return err_set(e, -EINVAL, call->step, h->url,
+                       "the name is too long; expected a shorter one");
+    }
+    set_options(h, url, call);
+    rc = curl_easy_perform(h->curl);
+    if (rc != CURLE_OK) {
+        return err_set(e, error_number(rc), call->step, h->url, "%s",
+                       curl_easy_strerror(rc));
+    }
+    curl_easy_getinfo(h->curl, CURLINFO_RESPONSE_CODE, &r->status);
+    r->body = h->body;
+    if (r->status >= 500) {
+        return err_set(e, -EIO, call->step, h->url,
+                       "answered with status %ld: %.80s", r->status, r->body);
+    }
+    return 0;
+}
+
+char *
+http_escape(http_t *h, const char *s)
+{
+    return curl_easy_escape(h->curl, s, 0);
+}
+
+void
+http_escape_free(char *s)
+{
+    curl_free(s);
+}
+
+const char *
+http_peer(const http_t *h)
+{
+    return h->url;
+}
--- /dev/null
+++ b/plat/http.h
@@ -0,0 +1,46 @@
+/* http: one call to an HTTP server that speaks JSON, over libcurl.  Used for
+ * the platform and for the admin port of an instance.
+ */
+#ifndef SISKIN_HTTP_H
+#define SISKIN_HTTP_H
+
+#include "base/base.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct http http_t;
+
+typedef enum { HTTP_GET, HTTP_PUT, HTTP_POST, HTTP_DELETE } http_method_t;
+
+typedef struct {
+    http_method_t method;
+    const char *path; /* behind the server's URL, escaped */
+    const char *body; /* NULL: none */
+    ms_t timeout_ms;
+    const char *step; /* for errors */
+} http_call_t;
+
+typedef struct {
+    long status;
+    char *body; /* ends in a NUL; valid until the next call */
+} http_reply_t;
+
+/* URL as "http://127.0.0.1:8500"; for one thread. */
+http_t *http_new(const char *url);
+void http_free(http_t *h);
+/* 0 with any status below 500.  -ECONNREFUSED: the call did not get there;
+ * -ETIMEDOUT, -EIO: it may have taken effect. */
+int http_call(http_t *h, const http_call_t *call, http_reply_t *r, err_t *e);
+/* S with its reserved characters escaped (curl_free), or NULL. */
+char *http_escape(http_t *h, const char *s);
+void http_escape_free(char *s);
+/* The server's URL, to name it in errors. */
+const char *http_peer(const http_t *h);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/plat/plat.h
+++ b/plat/plat.h
@@ -29,6 +29,10 @@
 #endif
 
 #define PLAT_CONFIG_KEY "siskin/config"
+/* Earlier versions, each under the number that its version leaves over. */
+#define PLAT_HISTORY_KEY "siskin/history/%u"
+#define PLAT_HISTORY 16
+#define PLAT_VALUE_MAX (1000 * 1000) /* bytes the service holds in a value */
 
 typedef struct plat plat_t;
 
@@ -74,12 +78,23 @@
 
 #define SOURCES_MAX 17 /* a base and 16 data centres */
 
+/* A version that came before, by the change that made it. */
+typedef struct {
+    uint64_t version;
+    char change_id[CHANGE_ID_LEN];
+} conf_change_t;
+
+#define CHANGES_MAX 16
+
 /* The stored value is JSON: {"version":N,"change_id":"...","hash":"hex",
- * "base":"...","overlays":{"brno-sal-a":"...",...}}. */
+ * "base":"...","overlays":{"brno-sal-a":"...",...},
+ * "changes":[{"version":M,"change_id":"..."},...]}, newest change first. */
 typedef struct {
     uint64_t version;
     uint64_t hash;
     char change_id[CHANGE_ID_LEN];
+    size_t n_changes; /* versions before this one, newest first */
+    conf_change_t changes[CHANGES_MAX];
     size_t n;
     char *file[SOURCES_MAX]; /* "base" and the data centres, sorted */
     char *text[SOURCES_MAX];
@@ -89,6 +104,10 @@
 int bundle_read(conf_bundle_t *b, const char *json, err_t *e);
 char *bundle_write(const conf_bundle_t *b); /* malloc */
 void bundle_free(conf_bundle_t *b);
+/* A bundle, without version and change ID, of a base (SRC[0]) and overlays in
+ * any order.  The texts are checked whole; errors as conf_parse()'s. */
+int bundle_make(conf_bundle_t *b, const conf_source_t *src, size_t n,
+                err_t *e);
 /* The checked model of a bundle, with version, hash and change ID set. */
 conf_t *bundle_conf(const conf_bundle_t *b, err_t *e);
 
@@ -96,7 +115,10 @@
  * idempotent: when an answer is lost, the key is read back, and a version that
  * carries the ID counts as success.  -EAGAIN: another operator's version came
  * first; *THEIRS (if not NULL) receives it, and nothing was written.
- * EXPECT is the version that the operator edited, 0 for none. */
+ * EXPECT is the version that the operator edited, 0 for none.
+ * -EINVAL: B may not follow the version in force, or doesn't check.
+ * -EIO: the outcome is unknown; call again with the same change ID.
+ * On success B has the version, which a later one may have followed. */
 int plat_apply(plat_t *p, conf_bundle_t *b, uint64_t expect,
                conf_bundle_t *theirs, err_t *e);
 
