--- /dev/null
+++ b/core/core.c
@@ -0,0 +1,822 @@
+/* Dispatch: what arrives, where it goes; ticks; statistics. */
+#include "core/state.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HINT_AFTER 3 /* steered datagrams of a flow, until its hint is sent   \
+                      */
+
+core_t *
+core_new(const core_params_t *p, core_emit_t *emit, void *arg)
+{
+    core_t *c = calloc(1, sizeof(*c));
+
+    if (c == NULL) {
+        return NULL;
+    }
+    c->p = *p;
+    c->emit = emit;
+    c->arg = arg;
+    c->rng.seed = p->seed;
+    c->slots = calloc(HOME_SLOTS, sizeof(*c->slots));
+    if (c->slots == NULL || flows_new(c) < 0 || exchanges_new(c) < 0) {
+        core_free(c);
+        return NULL;
+    }
+    for (int i = 0; i < HOME_SLOTS; i++) {
+        c->slots[i].doubt_at = INT64_MIN / 2;
+        c->slots[i].home_since = INT64_MIN / 2;
+    }
+    c->start = c->last_tick = -1;
+    return c;
+}
+
+void
+core_free(core_t *c)
+{
+    if (c == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < c->n_services; i++) {
+        free(c->services[i].buckets);
+        free(c->services[i].ups);
+    }
+    flows_free(c);
+    exchanges_free(c);
+    free(c->services);
+    free(c->ups);
+    free(c->peers);
+    free(c->slots);
+    free(c);
+}
+
+/* ---- Configuration ---- */
+
+static uint16_t
+service_find(const core_t *c, const addr_t *a)
+{
+    for (uint32_t i = 0; i < c->n_services; i++) {
+        if (c->services[i].used && addr_eq(&c->services[i].conf.addr, a)) {
+            return (uint16_t)i;
+        }
+    }
+    return UP_NONE;
+}
+
+static uint16_t
+service_add(core_t *c, const conf_service_t *conf)
+{
+    service_t *s;
+
+    c->services =
+        realloc(c->services, (c->n_services + 1) * sizeof(*c->services));
+    s = &c->services[c->n_services];
+    *s = (service_t){.used = true, .id = addr_id(&conf->addr)};
+    return (uint16_t)c->n_services++;
+}
+
+static void
+take_upstream(core_t *c, uint16_t service, const conf_upstream_t *conf)
+{
+    uint16_t u = up_find_id(c, conf->id);
+
+    if (u != UP_NONE && c->ups[u].service != service) {
+        /* The address has another service now: what is known of its earlier
+         * life is of no use, and its flows have ended there. */
+        feeds_lost(c, u);
+        c->ups[u].used = false;
+        u = UP_NONE;
+    }
+    if (u == UP_NONE) {
+        u = up_add(c, conf, service);
+    }
+    c->ups[u].conf = *conf;
+    c->ups[u].conf_draining = conf->draining;
+    c->ups[u].listed = true;
+    c->services[service].ups[c->services[service].n_ups++] = u;
+}
+
+static void
+take_service(core_t *c, const conf_service_t *conf)
+{
+    uint16_t i = service_find(c, &conf->addr);
+    service_t *s;
+
+    if (i == UP_NONE) {
+        i = service_add(c, conf);
+    }
+    s = &c->services[i];
+    s->conf = *conf;
+    s->conf.upstreams = NULL;
+    s->n_ups = 0;
+    s->ups = realloc(s->ups, (conf->n_upstreams + 1) * sizeof(*s->ups));
+    for (uint32_t k = 0; k < conf->n_upstreams; k++) {
+        take_upstream(c, i, &conf->upstreams[k]);
+    }
+    table_build(c, i);
+}
+
+int
+core_set_conf(core_t *c, ms_t now, const conf_t *conf)
+{
+    if (conf->version <= c->version) {
+        return -ESTALE;
+    }
+    c->now = now;
+    c->version = conf->version;
+    for (uint32_t i = 0; i < c->n_ups; i++) {
+        c->ups[i].listed = false;
+    }
+    for (uint32_t i = 0; i < conf->n_services; i++) {
+        take_service(c, &conf->services[i]);
+    }
+    return 0;
+}
+
+uint64_t
+core_version(const core_t *c)
+{
+    return c->version;
+}
+
+/* ---- Sending ---- */
+
+void
+send_client(core_t *c, uint16_t service, const addr_t *client,
+            const uint8_t *data, size_t len)
+{
+    core_out_t out = {.kind = CORE_TO_CLIENT};
+
+    out.client.service = c->services[service].conf.addr;
+    out.client.client = *client;
+    out.client.data = data;
+    out.client.len = len;
+    c->services[service].stats.datagrams_out++;
+    c->emit(c->arg, &out);
+}
+
+void
+send_upstream(core_t *c, uint16_t u, const addr_t *client, bool own,
+              const uint8_t *data, size_t len)
+{
+    core_out_t out = {.kind = CORE_TO_UPSTREAM};
+
+    out.upstream.upstream = c->ups[u].conf.addr;
+    out.upstream.header.client = *client;
+    out.upstream.header.service = c->services[c->ups[u].service].conf.addr;
+    out.upstream.own = own;
+    out.upstream.data = data;
+    out.upstream.len = len;
+    c->emit(c->arg, &out);
+}
+
+void
+send_steer(core_t *c, const dgram_t *d, uint64_t to)
+{
+    service_t *s = &c->services[d->service];
+    core_out_t out = {.kind = CORE_TO_PEER};
+
+    if (d->hops >= STEER_HOPS) {
+        s->stats.steer_loops++;
+        return;
+    }
+    out.peer.to = to;
+    out.peer.msg.kind = PEER_STEER;
+    out.peer.msg.from = c->p.self;
+    out.peer.msg.steer.hops = (uint8_t)(d->hops + 1);
+    out.peer.msg.steer.version = c->version;
+    out.peer.msg.steer.service = d->h->service;
+    out.peer.msg.steer.client = d->h->client;
+    out.peer.msg.steer.data = d->data;
+    out.peer.msg.steer.len = d->len;
+    s->stats.steered++;
+    c->emit(c->arg, &out);
+}
+
+static void
+send_hint(core_t *c, uint64_t to, const flow_t *f)
+{
+    core_out_t out = {.kind = CORE_TO_PEER};
+
+    out.peer.to = to;
+    out.peer.msg.kind = PEER_HINT;
+    out.peer.msg.from = c->p.self;
+    out.peer.msg.hint.flow = f->key;
+    out.peer.msg.hint.upstream = c->ups[f->up].conf.id;
+    out.peer.msg.hint.lease_ms = HINT_LEASE_MS;
+    c->emit(c->arg, &out);
+}
+
+int
+answer_build(core_t *c, uint8_t *buf, size_t cap, const ex_t *ex, uint8_t code,
+             uint32_t max_age, const char *text)
+{
+    coap_msg_t m = COAP_MSG_INIT;
+
+    m.type = ex->type == COAP_T_CON ? COAP_T_ACK : COAP_T_NON;
+    m.mid = ex->type == COAP_T_CON ? ex->mid : ++c->mid;
+    m.code = code;
+    m.max_age = max_age;
+    m.token_len = ex->token_len;
+    memcpy(m.token, ex->token, ex->token_len);
+    m.payload = (const uint8_t *)text;
+    m.payload_len = strlen(text);
+    return coap_encode(buf, cap, &m);
+}
+
+void
+answer_now(core_t *c, const dgram_t *d, uint8_t code, uint32_t max_age,
+           refuse_t why)
+{
+    uint8_t buf[64];
+    ex_t ex = {
+        .type = d->m->type, .mid = d->m->mid, .token_len = d->m->token_len};
+    const char *text = code == COAP_UNAVAILABLE  ? "not run"
+                       : code == COAP_GW_TIMEOUT ? "outcome unknown"
+                                                 : "start again";
+    int n;
+
+    memcpy(ex.token, d->m->token, sizeof(ex.token));
+    c->services[d->service].stats.refused[why]++;
+    n = answer_build(c, buf, sizeof(buf), &ex, code, max_age, text);
+    if (n > 0) {
+        send_client(c, d->service, &d->h->client, buf, (size_t)n);
+    }
+}
+
+/* Seconds until a refused caller may try again: spread, so that those who
+ * were refused together don't return together. */
+uint32_t
+come_back(core_t *c, const service_t *s)
+{
+    uint32_t least = s->conf.come_back_s > 0 ? s->conf.come_back_s : 1;
+
+    return least + rng_below(&c->rng, least + 1);
+}
+
+class_t
+class_of(const coap_msg_t *m)
+{
+    if (m->code == COAP_GET) {
+        return m->observe != COAP_NONE ? CLASS_FEED : CLASS_READ;
+    }
+    return m->block1 != COAP_NONE ? CLASS_BULK : CLASS_URGENT;
+}
+
+/* ---- Flows at their home ---- */
+
+static flow_t *
+flow_own(core_t *c, uint64_t key)
+{
+    flow_t *f = flow_find(c, key);
+
+    if (f != NULL && (f->flags & FLOW_HELD)) {
+        f->flags &= (uint8_t)~FLOW_HELD;
+        if (f->flags & FLOW_UPLOAD) {
+            c->ups[f->up].uploads++;
+        }
+        else {
+            c->ups[f->up].flows++;
+        }
+    }
+    return f;
+}
+
+/* The upstream for a new flow: the less loaded of the two choices.  A home in
+ * doubt takes the first, as another home would. */
+static uint16_t
+choose_flow(core_t *c, service_t *s, uint64_t key)
+{
+    const bucket_t *b = bucket_of(s, key);
+    bool first = up_eligible(c, b->first);
+    bool second = up_eligible(c, b->second);
+    uint64_t load1, load2;
+
+    if (!first) {
+        return second ? b->second : up_next(c, s, key, b->first);
+    }
+    if (!second || !home_sure(c, key)) {
+        return b->first;
+    }
+    load1 = (uint64_t)c->ups[b->first].flows * c->ups[b->second].conf.weight;
+    load2 = (uint64_t)c->ups[b->second].flows * c->ups[b->first].conf.weight;
+    if (s->conf.prefer == PREFER_STABILITY) {
+        /* Each flow on the second choice needs a copy at the backup; taken
+         * only when the first is a tenth busier. */
+        load2 += load2 / 10 + 1;
+    }
+    return load2 < load1 ? b->second : b->first;
+}
+
+/* An unknown flow of a bucket that changed moments ago, at a home that may
+ * have lost its memory, is more likely an old one: it stays where it was. */
+static uint16_t
+choose_unknown(core_t *c, service_t *s, uint64_t key)
+{
+    uint16_t earlier[EARLIER_MAX];
+    int n = earlier_choices(c, s, key, earlier);
+
+    if (n > 0 && !home_sure(c, key) && up_trusted(c, earlier[n - 1])) {
+        return earlier[n - 1];
+    }
+    return choose_flow(c, s, key);
+}
+
+static void
+maybe_hint(core_t *c, const dgram_t *d, flow_t *f)
+{
+    if (d->from == 0) {
+        return;
+    }
+    if (f->steers < HINT_AFTER) {
+        f->steers++;
+        return;
+    }
+    send_hint(c, d->from, f);
+}
+
+static void
+opaque_at_home(core_t *c, const dgram_t *d)
+{
+    service_t *s = &c->services[d->service];
+    flow_t *f = flow_own(c, d->key);
+
+    if (f != NULL && !up_trusted(c, f->up)) {
+        flow_remove(c, f);
+        f = NULL;
+    }
+    if (f == NULL) {
+        uint16_t up = choose_unknown(c, s, d->key);
+        s->stats.requests[CLASS_OPAQUE]++;
+        if (up == UP_NONE) {
+            s->stats.refused[REFUSE_NONE]++;
+            return;
+        }
+        f = flow_add(c, d->key, d->service, up);
+        if (f == NULL) {
+            up = bucket_of(s, d->key)->first;
+            if (up != UP_NONE && up_trusted(c, up)) {
+                send_upstream(c, up, &d->h->client, false, d->data, d->len);
+            }
+            return;
+        }
+        sync_flow(c, f);
+    }
+    flow_touch(c, f);
+    maybe_hint(c, d, f);
+    send_upstream(c, f->up, &d->h->client, false, d->data, d->len);
+}
+
+/* GET with Observe: opens, refreshes or ends a feed (RFC 7641). */
+static void
+feed_at_home(core_t *c, const dgram_t *d)
+{
+    service_t *s = &c->services[d->service];
+    flow_t *f = flow_own(c, d->key);
+    uint16_t up;
+
+    if (f != NULL && (f->flags & FLOW_UPLOAD)) {
+        f = NULL; /* an upload's pin says nothing about feeds */
+    }
+    if (f != NULL && up_trusted(c, f->up)) {
+        bool same = f->feed == 0 || memcmp(c->feeds[f->feed - 1].token,
+                                           d->m->token, d->m->token_len) == 0;
+        if (!same && !up_eligible(c, f->up)) {
+            up = choose_flow(c, s, d->key);
+            if (up != UP_NONE) {
+                flow_pin(c, f, up);
+            }
+        }
+    }
+    else if (f != NULL) {
+        flow_remove(c, f);
+        f = NULL;
+    }
+    if (f == NULL) {
+        up = choose_unknown(c, s, d->key);
+        s->stats.requests[CLASS_FEED]++;
+        if (up == UP_NONE || !up_room(c, up, CLASS_FEED)) {
+            answer_now(c, d, COAP_UNAVAILABLE, come_back(c, s),
+                       up == UP_NONE ? REFUSE_NONE : REFUSE_FULL);
+            return;
+        }
+        f = flow_find(c, d->key) == NULL ? flow_add(c, d->key, d->service, up)
+                                         : NULL;
+        if (f == NULL) {
+            send_upstream(c, up, &d->h->client, false, d->data, d->len);
+            return;
+        }
+        sync_flow(c, f);
+    }
+    if (d->m->observe == 0) {
+        flow_set_feed(c, f, d);
+    }
+    flow_touch(c, f);
+    send_upstream(c, f->up, &d->h->client, false, d->data, d->len);
+}
+
+/* An ACK, RST or ping goes to the upstream whose message it answers.  When
+ * that isn't known it goes to each that it can be: one that has no such
+ * message ignores it (RFC 7252 4.2). */
+static void
+empty_unknown(core_t *c, const dgram_t *d)
+{
+    service_t *s = &c->services[d->service];
+    const bucket_t *b = bucket_of(s, d->key);
+    uint16_t to[EARLIER_MAX + 2];
+    int n = earlier_choices(c, s, d->key, to);
+
+    to[n++] = b->first;
+    if (b->second != b->first) {
+        to[n++] = b->second;
+    }
+    for (int i = 0; i < n; i++) {
+        if (to[i] != UP_NONE && up_trusted(c, to[i])) {
+            send_upstream(c, to[i], &d->h->client, false, d->data, d->len);
+        }
+    }
+}
+
+static void
+empty_at_home(core_t *c, const dgram_t *d)
+{
+    ex_t *ex = ex_find_answer(c, d->key, d->m->mid);
+    flow_t *f = flow_own(c, d->key);
+
+    if (ex != NULL && ex->up != UP_NONE) {
+        send_upstream(c, ex->up, &d->h->client, true, d->data, d->len);
+        return;
+    }
+    if (f == NULL || (f->flags & FLOW_UPLOAD)) {
+        empty_unknown(c, d);
+        return;
+    }
+    flow_touch(c, f);
+    maybe_hint(c, d, f);
+    send_upstream(c, f->up, &d->h->client, false, d->data, d->len);
+    if (f->up2 != UP_NONE && up_trusted(c, f->up2)) {
+        send_upstream(c, f->up2, &d->h->client, false, d->data, d->len);
+    }
+}
+
+/* ---- Datagrams from callers ---- */
+
+/* Sends D on to its home, or returns false when this is the place to decide.
+ * KEY is the flow's or, for requests, the service's. */
+static bool
+to_home(core_t *c, const dgram_t *d, uint64_t key, bool known)
+{
+    uint64_t home = home_of(c, key);
+    uint64_t earlier;
+
+    if (home == 0 || known) {
+        return false;
+    }
+    if (home != c->p.self) {
+        send_steer(c, d, home);
+        return true;
+    }
+    earlier = earlier_home(c, key);
+    if (earlier != 0 && earlier != c->p.self && earlier != d->from) {
+        send_steer(c, d, earlier);
+        return true;
+    }
+    return false;
+}
+
+static bool
+use_hint(core_t *c, const dgram_t *d)
+{
+    const hint_t *h = hint_find(c, d->key);
+    uint16_t u;
+
+    if (h == NULL) {
+        return false;
+    }
+    u = up_find_id(c, h->upstream);
+    if (u == UP_NONE || c->ups[u].service != d->service || !up_trusted(c, u)) {
+        return false;
+    }
+    c->services[d->service].stats.hinted++;
+    send_upstream(c, u, &d->h->client, false, d->data, d->len);
+    return true;
+}
+
+static void
+opaque_in(core_t *c, const dgram_t *d)
+{
+    flow_t *f = flow_find(c, d->key);
+    bool mine = f != NULL && !(f->flags & FLOW_HELD);
+
+    if (!mine && home_of(c, d->key) != c->p.self && use_hint(c, d)) {
+        return;
+    }
+    if (!to_home(c, d, d->key, mine)) {
+        opaque_at_home(c, d);
+    }
+}
+
+static void
+coap_in(core_t *c, const dgram_t *d)
+{
+    service_t *s = &c->services[d->service];
+    flow_t *f = flow_find(c, d->key);
+    ex_t *ex;
+    bool mine = f != NULL && !(f->flags & FLOW_HELD);
+
+    if (d->m->code == COAP_EMPTY) {
+        mine = (mine && !(f->flags & FLOW_UPLOAD)) ||
+               ex_find_answer(c, d->key, d->m->mid) != NULL;
+        if (!mine && use_hint(c, d)) {
+            return;
+        }
+        if (!to_home(c, d, d->key, mine)) {
+            empty_at_home(c, d);
+        }
+        return;
+    }
+    if (!coap_is_request(d->m)) {
+        s->stats.malformed++; /* upstreams ask callers nothing */
+        return;
+    }
+    if (class_of(d->m) == CLASS_FEED) {
+        if (!to_home(c, d, d->key, mine && !(f->flags & FLOW_UPLOAD))) {
+            feed_at_home(c, d);
+        }
+        return;
+    }
+    ex = ex_find(c, d->key, d->m->mid);
+    if (!to_home(c, d, work_key(s, d->key),
+                 (ex != NULL && ex->state != EX_HELD) ||
+                     (mine && (f->flags & FLOW_UPLOAD)))) {
+        request_at_home(c, d);
+    }
+}
+
+static void
+datagram_in(core_t *c, const spp_t *h, uint64_t from, uint8_t hops,
+            const uint8_t *data, size_t len)
+{
+    uint16_t service = service_find(c, &h->service);
+    coap_msg_t m;
+    dgram_t d = {.service = service,
+                 .h = h,
+                 .from = from,
+                 .hops = hops,
+                 .data = data,
+                 .len = len};
+
+    if (service == UP_NONE) {
+        return;
+    }
+    c->services[service].stats.datagrams_in++;
+    d.key = flow_key(&h->service, &h->client);
+    if (c->services[service].conf.proto == PROTO_UDP) {
+        opaque_in(c, &d);
+        return;
+    }
+    if (coap_decode(&m, data, len) < 0) {
+        c->services[service].stats.malformed++;
+        return;
+    }
+    d.m = &m;
+    coap_in(c, &d);
+}
+
+void
+core_from_client(core_t *c, ms_t now, const addr_t *service,
+                 const addr_t *client, const uint8_t *data, size_t len)
+{
+    spp_t h = {.client = *client, .service = *service};
+
+    c->now = now;
+    datagram_in(c, &h, 0, 0, data, len);
+}
+
+void
+core_from_peer(core_t *c, ms_t now, const peer_msg_t *m)
+{
+    spp_t h;
+
+    c->now = now;
+    switch (m->kind) {
+    case PEER_STEER:
+        h = (spp_t){.client = m->steer.client, .service = m->steer.service};
+        datagram_in(c, &h, m->from, m->steer.hops, m->steer.data,
+                    m->steer.len);
+        return;
+    case PEER_HINT:
+        hint_put(c, m->hint.flow, m->hint.upstream, (ms_t)m->hint.lease_ms);
+        return;
+    case PEER_SYNC:
+        sync_receive(c, m);
+        return;
+    case PEER_SYNC_ACK:
+        sync_acked(c, m);
+        return;
+    case PEER_MEMBER:
+        return;
+    }
+}
+
+/* ---- Datagrams from upstreams ---- */
+
+/* The answer belongs to EX if it has its token, and comes from the upstream
+ * and epoch that got the request. */
+static ex_t *
+answered_exchange(core_t *c, uint64_t key, uint16_t u, const coap_msg_t *m)
+{
+    ex_t *ex = ex_find_token(c, key, m);
+
+    if (ex == NULL || ex->up != u || ex->epoch != c->ups[u].epoch) {
+        return NULL;
+    }
+    return ex;
+}
+
+static void
+coap_reply(core_t *c, uint16_t u, const spp_t *h, const uint8_t *data,
+           size_t len)
+{
+    uint16_t service = c->ups[u].service;
+    service_t *s = &c->services[service];
+    uint64_t key = flow_key(&h->service, &h->client);
+    flow_t *f = flow_find(c, key);
+    coap_msg_t m;
+    ex_t *ex;
+
+    if (coap_decode(&m, data, len) < 0) {
+        s->stats.malformed++;
+        return;
+    }
+    if (f != NULL && f->up == u) {
+        bool pinged = f->feed != 0 && c->feeds[f->feed - 1].pings > 0;
+        flow_touch(c, f);
+        if (m.type == COAP_T_RST && pinged) {
+            return;
+        }
+    }
+    if (!coap_is_response(&m) || m.observe != COAP_NONE) {
+        send_client(c, service, &h->client, data, len);
+        return;
+    }
+    ex = answered_exchange(c, key, u, &m);
+    if (ex != NULL) {
+        request_answer(c, ex, &m, data, len);
+        return;
+    }
+    if (ex_find_token(c, key, &m) != NULL) {
+        s->stats.late_answers++; /* of an earlier life, or after a bar */
+        return;
+    }
+    send_client(c, service, &h->client, data, len);
+}
+
+void
+core_from_upstream(core_t *c, ms_t now, const addr_t *upstream,
+                   const uint8_t *data, size_t len)
+{
+    uint16_t u = up_find(c, upstream);
+    spp_t h;
+    coap_msg_t m;
+
+    c->now = now;
+    if (u == UP_NONE || spp_read(&h, data, len) < 0) {
+        if (c->n_services > 0) {
+            c->services[0].stats.malformed++;
+        }
+        return;
+    }
+    if (addr_id(&h.service) != c->services[c->ups[u].service].id) {
+        c->services[c->ups[u].service].stats.misdirected++;
+        return;
+    }
+    data += SPP_LEN;
+    len -= SPP_LEN;
+    if (addr_eq(&h.client, &c->p.own_addr)) {
+        if (coap_decode(&m, data, len) == 0) {
+            up_from_probe(c, u, &m);
+        }
+        return;
+    }
+    if (c->services[c->ups[u].service].conf.proto == PROTO_COAP) {
+        coap_reply(c, u, &h, data, len);
+        return;
+    }
+    send_client(c, c->ups[u].service, &h.client, data, len);
+}
+
+/* ---- Time ---- */
+
+/* After a pause nothing learned before it may be trusted: upstreams may have
+ * changed their service, and others have taken this instance for dead. */
+static void
+wake(core_t *c)
+{
+    for (uint32_t i = 0; i < c->n_ups; i++) {
+        c->ups[i].trust_until = c->now;
+        c->ups[i].probe_next = c->now;
+    }
+    doubt_all(c);
+}
+
+void
+core_tick(core_t *c, ms_t now)
+{
+    c->now = now;
+    if (c->start < 0) {
+        c->start = c->last_tick = now;
+    }
+    if (now - c->last_tick > TRUST_MS) {
+        wake(c);
+    }
+    c->last_tick = now;
+    if (c->n_services == 0) {
+        return;
+    }
+    up_probe_tick(c);
+    ex_tick(c);
+    flow_sweep(c);
+    sync_flush(c);
+}
+
+void
+core_leave(core_t *c, ms_t now)
+{
+    c->now = now;
+    c->leaving = true;
+}
+
+static bool
+flow_waits(core_t *c, const flow_t *f)
+{
+    return (f->flags & FLOW_USED) && !(f->flags & (FLOW_HELD | FLOW_SYNCED)) &&
+           sync_target(c, f->key) != 0 && sync_target(c, f->key) != c->p.self;
+}
+
+void
+core_pending(const core_t *c, uint32_t *exchanges, uint32_t *pins)
+{
+    core_t *mutable_c = (core_t *)c;
+
+    *exchanges = *pins = 0;
+    LIST_EACH(l, &mutable_c->ex_all)
+    {
+        const ex_t *ex = LIST_OWNER(l, ex_t, all);
+        *exchanges += ex->state == EX_SENT || ex->state == EX_SYNCING ||
+                      ex->state == EX_FENCING;
+    }
+    for (uint32_t i = 0; i < c->p.max_flows; i++) {
+        *pins += flow_waits(mutable_c, &c->flows[i]);
+    }
+}
+
+/* ---- Statistics ---- */
+
+void
+core_stats(const core_t *c, uint32_t service, core_stats_t *out)
+{
+    *out = (core_stats_t){0};
+    if (service < c->n_services) {
+        *out = c->services[service].stats;
+    }
+}
+
+size_t
+core_upstreams(const core_t *c, core_upstream_t *out, size_t cap)
+{
+    size_t n = 0;
+
+    for (uint32_t i = 0; i < c->n_ups && n < cap; i++) {
+        const up_t *u = &c->ups[i];
+        if (!u->used) {
+            continue;
+        }
+        out[n] = (core_upstream_t){.addr = u->conf.addr,
+                                   .draining = u->draining || u->conf_draining,
+                                   .trusted = up_trusted(c, (uint16_t)i),
+                                   .ejected = c->now < u->eject_until,
+                                   .epoch = u->epoch,
+                                   .in_flight = u->in_flight,
+                                   .reported_busy = u->reported,
+                                   .flows = u->flows};
+        memcpy(out[n].service, c->services[u->service].conf.name, NAME_LEN);
+        memcpy(out[n].data_centre, u->conf.data_centre, NAME_LEN);
+        n++;
+    }
+    return n;
+}
+
+void
+core_flows(const core_t *c, uint32_t *flows, uint32_t *hints,
+           uint32_t *exchanges)
+{
+    *flows = c->flow_used;
+    *exchanges = c->ex_used;
+    *hints = 0;
+    for (uint32_t i = 0; i <= c->hint_mask; i++) {
+        *hints += c->hints[i].until > c->now;
+    }
+}
--- /dev/null
+++ b/core/exchanges.c
@@ -0,0 +1,284 @@
+/* Records of requests at their home. */
+#include "core/state.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define READ_KEEP_MS 2000 /* a read's record outlives its answer by this */
+#define RETRY_MS 60       /* between questions to a backup or upstream */
+#define RETRY_MAX 6       /* such questions before giving up */
+
+static uint32_t
+pow2(uint32_t n)
+{
+    uint32_t p = 1;
+
+    while (p < n) {
+        p *= 2;
+    }
+    return p;
+}
+
+int
+exchanges_new(core_t *c)
+{
+    uint32_t heads = pow2(c->p.max_exchanges);
+
+    c->ex_mask = heads - 1;
+    c->exs = calloc(c->p.max_exchanges, sizeof(*c->exs));
+    c->ex_heads = calloc(heads, sizeof(*c->ex_heads));
+    if (c->exs == NULL || c->ex_heads == NULL) {
+        return -ENOMEM;
+    }
+    list_init(&c->ex_all);
+    for (uint32_t i = 0; i < c->p.max_exchanges; i++) {
+        list_init(&c->exs[i].all);
+        c->exs[i].next = i + 2;
+    }
+    c->exs[c->p.max_exchanges - 1].next = 0;
+    c->ex_free = 1;
+    return 0;
+}
+
+void
+exchanges_free(core_t *c)
+{
+    free(c->exs);
+    free(c->ex_heads);
+}
+
+/* The records of one flow are a chain; MATCH picks among them. */
+static ex_t *
+ex_first(core_t *c, uint32_t i, uint64_t key)
+{
+    while (i != 0 && c->exs[i - 1].key != key) {
+        i = c->exs[i - 1].next;
+    }
+    return i == 0 ? NULL : &c->exs[i - 1];
+}
+
+#define EX_EACH(ex, c, k)                                                     \
+    for (ex_t *ex = ex_first(c, c->ex_heads[(k)&c->ex_mask], k); ex != NULL;  \
+         ex = ex_first(c, ex->next, k))
+
+ex_t *
+ex_find(core_t *c, uint64_t key, uint16_t mid)
+{
+    EX_EACH(ex, c, key)
+    {
+        if (ex->mid == mid) {
+            return ex;
+        }
+    }
+    return NULL;
+}
+
+ex_t *
+ex_find_token(core_t *c, uint64_t key, const coap_msg_t *m)
+{
+    EX_EACH(ex, c, key)
+    {
+        if (ex->token_len == m->token_len && ex->state != EX_HELD &&
+            memcmp(ex->token, m->token, m->token_len) == 0) {
+            return ex;
+        }
+    }
+    return NULL;
+}
+
+ex_t *
+ex_find_answer(core_t *c, uint64_t key, uint16_t answer_mid)
+{
+    EX_EACH(ex, c, key)
+    {
+        if (ex->answer_mid == answer_mid && answer_mid != 0) {
+            return ex;
+        }
+    }
+    return NULL;
+}
+
+/* A new record for the request D, or for a held one when D->m is NULL.
+ * NULL when the table is full. */
+ex_t *
+ex_add(core_t *c, const dgram_t *d)
+{
+    uint32_t i = c->ex_free;
+    uint32_t *head = &c->ex_heads[d->key & c->ex_mask];
+    ex_t *ex;
+
+    if (i == 0) {
+        return NULL;
+    }
+    ex = &c->exs[i - 1];
+    c->ex_free = ex->next;
+    *ex = (ex_t){.key = d->key,
+                 .next = *head,
+                 .service = d->service,
+                 .up = UP_NONE,
+                 .born = c->now,
+                 .sent = c->now};
+    list_append(&c->ex_all, &ex->all);
+    *head = i;
+    c->ex_used++;
+    if (d->m == NULL) {
+        return ex;
+    }
+    ex->cls = class_of(d->m);
+    ex->idempotent = d->m->code == COAP_GET;
+    ex->mid = d->m->mid;
+    ex->type = d->m->type;
+    ex->client = d->h->client;
+    ex->token_len = d->m->token_len;
+    memcpy(ex->token, d->m->token, sizeof(ex->token));
+    if (d->len <= EX_BUF) {
+        memcpy(ex->buf, d->data, d->len);
+        ex->len = (uint16_t)d->len;
+    }
+    return ex;
+}
+
+void
+ex_remove(core_t *c, ex_t *ex)
+{
+    uint32_t i = (uint32_t)(ex - c->exs) + 1;
+    uint32_t *link = &c->ex_heads[ex->key & c->ex_mask];
+
+    ex_count(c, ex, false);
+    while (*link != i) {
+        link = &c->exs[*link - 1].next;
+    }
+    *link = ex->next;
+    list_remove(&ex->all);
+    ex->state = EX_FREE;
+    ex->next = c->ex_free;
+    c->ex_free = i;
+    c->ex_used--;
+}
+
+void
+ex_count(core_t *c, ex_t *ex, bool on)
+{
+    service_t *s = &c->services[ex->service];
+    uint16_t *share =
+        &s->share[hash64(ex->client.ip, 16, 0) & (SHARE_SLOTS - 1)];
+
+    if (ex->counted == on) {
+        return;
+    }
+    ex->counted = on;
+    if (on) {
+        c->ups[ex->up].in_flight++;
+        *share += 1;
+        return;
+    }
+    c->ups[ex->up].in_flight--;
+    c->ups[ex->up].finished++;
+    *share -= 1;
+}
+
+static bool
+expired(const core_t *c, const ex_t *ex)
+{
+    ms_t age = c->now - ex->born;
+
+    switch (ex->state) {
+    case EX_SENT:
+    case EX_FENCING:
+    case EX_SYNCING:
+        return false;
+    case EX_DONE:
+    case EX_REFUSED:
+    case EX_HELD:
+    case EX_BARRED:
+    case EX_FREE:
+        break;
+    }
+    return age >= (ex->idempotent ? READ_KEEP_MS : EXCHANGE_MS);
+}
+
+/* The last try at a question went unanswered: what is final then? */
+static void
+give_up_asking(core_t *c, ex_t *ex)
+{
+    if (ex->state == EX_FENCING) {
+        request_unknown(c, ex);
+        return;
+    }
+    request_refuse(c, ex, REFUSE_NONE);
+}
+
+static void
+ask_again(core_t *c, ex_t *ex)
+{
+    if (c->now < ex->retry_at) {
+        return;
+    }
+    if (c->now - ex->sent >= RETRY_MAX * RETRY_MS) {
+        give_up_asking(c, ex);
+        return;
+    }
+    ex->retry_at = c->now + RETRY_MS;
+    if (ex->state == EX_SYNCING) {
+        request_synced(c, ex);
+        return;
+    }
+    for (int i = 0; i < ex->n_fence; i++) {
+        up_cancel(c, ex, ex->fence[i]);
+    }
+}
+
+static void
+check_sent(core_t *c, ex_t *ex)
+{
+    const up_t *u = &c->ups[ex->up];
+    bool restarted = u->epoch != ex->epoch;
+    bool late = c->now - ex->sent >= c->services[ex->service].conf.request_ms;
+    bool lost = u->misses > 3 && !up_trusted(c, ex->up);
+
+    if (!restarted && !late && !(lost && ex->idempotent)) {
+        return;
+    }
+    if (ex->idempotent) {
+        request_retry(c, ex);
+        return;
+    }
+    /* It may have run before the upstream stopped: nobody can say. */
+    request_unknown(c, ex);
+}
+
+static void
+ex_check(core_t *c, ex_t *ex)
+{
+    switch (ex->state) {
+    case EX_FENCING:
+    case EX_SYNCING:
+        ask_again(c, ex);
+        return;
+    case EX_SENT:
+        check_sent(c, ex);
+        return;
+    case EX_DONE:
+    case EX_REFUSED:
+    case EX_HELD:
+    case EX_BARRED:
+        if (expired(c, ex)) {
+            ex_remove(c, ex);
+            return;
+        }
+        sync_ex(c, ex);
+        return;
+    case EX_FREE:
+        return;
+    }
+}
+
+void
+ex_tick(core_t *c)
+{
+    LIST_EACH(l, &c->ex_all)
+    {
+        ex_check(c, LIST_OWNER(l, ex_t, all));
+    }
+}
--- /dev/null
+++ b/core/flows.c
@@ -0,0 +1,332 @@
+/* Flows pinned at their home, feeds to be told of a loss, and hints. */
+#include "core/state.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TENTH_MS 100
+#define HINT_WAYS 4
+#define SWEEP_TICKS 32 /* ticks in which the whole table is looked at */
+#define FEED_PINGS 3   /* unanswered, until a silent feed is given up */
+#define FEED_PING_MS 1000
+
+static uint32_t
+pow2(uint32_t n)
+{
+    uint32_t p = 1;
+
+    while (p < n) {
+        p *= 2;
+    }
+    return p;
+}
+
+int
+flows_new(core_t *c)
+{
+    uint32_t heads = pow2(c->p.max_flows);
+
+    c->flow_mask = heads - 1;
+    c->hint_mask = pow2(c->p.max_hints) - 1;
+    c->flows = calloc(c->p.max_flows, sizeof(*c->flows));
+    c->feeds = calloc(c->p.max_flows, sizeof(*c->feeds));
+    c->flow_heads = calloc(heads, sizeof(*c->flow_heads));
+    c->hints = calloc(c->hint_mask + 1, sizeof(*c->hints));
+    if (c->flows == NULL || c->feeds == NULL || c->flow_heads == NULL ||
+        c->hints == NULL) {
+        return -ENOMEM;
+    }
+    for (uint32_t i = 0; i < c->p.max_flows; i++) {
+        c->flows[i].next = i + 2;
+        c->feeds[i].next_free = i + 2;
+    }
+    c->flows[c->p.max_flows - 1].next = 0;
+    c->feeds[c->p.max_flows - 1].next_free = 0;
+    c->flow_free = c->feed_free = 1;
+    return 0;
+}
+
+void
+flows_free(core_t *c)
+{
+    free(c->flows);
+    free(c->feeds);
+    free(c->flow_heads);
+    free(c->hints);
+}
+
+flow_t *
+flow_find(core_t *c, uint64_t key)
+{
+    uint32_t i = c->flow_heads[key & c->flow_mask];
+
+    while (i != 0) {
+        flow_t *f = &c->flows[i - 1];
+        if (f->key == key) {
+            return f;
+        }
+        i = f->next;
+    }
+    return NULL;
+}
+
+void
+flow_touch(core_t *c, flow_t *f)
+{
+    f->last = (uint32_t)((c->now - c->start) / TENTH_MS);
+    if (f->feed != 0) {
+        c->feeds[f->feed - 1].heard = c->now;
+        c->feeds[f->feed - 1].pings = 0;
+    }
+}
+
+static void
+count_pin(core_t *c, const flow_t *f, int by)
+{
+    up_t *u = &c->ups[f->up];
+
+    if (f->flags & FLOW_HELD) {
+        return;
+    }
+    if (f->flags & FLOW_UPLOAD) {
+        u->uploads += (uint32_t)by;
+    }
+    else {
+        u->flows += (uint32_t)by;
+    }
+}
+
+/* NULL when the table is full: the flow then has no memory and follows the
+ * table's first choice, and the established ones keep theirs. */
+flow_t *
+flow_add(core_t *c, uint64_t key, uint16_t service, uint16_t up)
+{
+    uint32_t i = c->flow_free;
+    uint32_t *head = &c->flow_heads[key & c->flow_mask];
+    flow_t *f;
+
+    if (i == 0) {
+        c->services[service].stats.flow_evicted++;
+        return NULL;
+    }
+    f = &c->flows[i - 1];
+    c->flow_free = f->next;
+    *f = (flow_t){.key = key,
+                  .next = *head,
+                  .up = up,
+                  .up2 = UP_NONE,
+                  .service = service,
+                  .flags = FLOW_USED};
+    *head = i;
+    c->flow_used++;
+    flow_touch(c, f);
+    count_pin(c, f, 1);
+    return f;
+}
+
+static void
+drop_feed(core_t *c, flow_t *f)
+{
+    if (f->feed == 0) {
+        return;
+    }
+    c->feeds[f->feed - 1].next_free = c->feed_free;
+    c->feed_free = f->feed;
+    f->feed = 0;
+    f->flags &= (uint8_t)~FLOW_FEED;
+}
+
+void
+flow_remove(core_t *c, flow_t *f)
+{
+    uint32_t i = (uint32_t)(f - c->flows) + 1;
+    uint32_t *link = &c->flow_heads[f->key & c->flow_mask];
+
+    count_pin(c, f, -1);
+    drop_feed(c, f);
+    while (*link != i) {
+        link = &c->flows[*link - 1].next;
+    }
+    *link = f->next;
+    *f = (flow_t){.next = c->flow_free};
+    c->flow_free = i;
+    c->flow_used--;
+}
+
+void
+flow_pin(core_t *c, flow_t *f, uint16_t up)
+{
+    if (f->up == up) {
+        return;
+    }
+    count_pin(c, f, -1);
+    f->up2 = f->flags & FLOW_FEED ? f->up : UP_NONE;
+    f->up = up;
+    f->flags &= (uint8_t)~FLOW_SYNCED;
+    count_pin(c, f, 1);
+}
+
+void
+flow_set_feed(core_t *c, flow_t *f, const dgram_t *d)
+{
+    feed_t *feed;
+
+    if (f->feed == 0) {
+        if (c->feed_free == 0) {
+            return;
+        }
+        f->feed = c->feed_free;
+        c->feed_free = c->feeds[f->feed - 1].next_free;
+    }
+    feed = &c->feeds[f->feed - 1];
+    *feed = (feed_t){
+        .client = d->h->client, .token_len = d->m->token_len, .heard = c->now};
+    memcpy(feed->token, d->m->token, sizeof(feed->token));
+    f->flags |= FLOW_FEED;
+}
+
+/* ---- Silent and lost feeds ---- */
+
+/* Tells the caller that its feed has ended, as RFC 7641 4.2 does: a
+ * notification with an error code.  The caller registers anew at once,
+ * instead of watching a picture that stands still. */
+static void
+tell_lost(core_t *c, flow_t *f)
+{
+    const feed_t *feed = &c->feeds[f->feed - 1];
+    service_t *s = &c->services[f->service];
+    coap_msg_t m = COAP_MSG_INIT;
+    uint8_t buf[64];
+    int n;
+
+    m.type = COAP_T_NON;
+    m.code = COAP_UNAVAILABLE;
+    m.mid = ++c->mid;
+    m.max_age = 0;
+    m.token_len = feed->token_len;
+    memcpy(m.token, feed->token, feed->token_len);
+    n = coap_encode(buf, sizeof(buf), &m);
+    if (n > 0) {
+        send_client(c, f->service, &feed->client, buf, (size_t)n);
+    }
+    s->stats.silent_flows++;
+}
+
+static void
+end_flow(core_t *c, flow_t *f)
+{
+    if (f->feed != 0 && !(f->flags & FLOW_HELD)) {
+        tell_lost(c, f);
+    }
+    flow_remove(c, f);
+}
+
+void
+feeds_lost(core_t *c, uint16_t up)
+{
+    for (uint32_t i = 0; i < c->p.max_flows; i++) {
+        flow_t *f = &c->flows[i];
+        if ((f->flags & FLOW_USED) && f->up == up && !(f->flags & FLOW_HELD)) {
+            end_flow(c, f);
+        }
+    }
+}
+
+/* Asks the upstream, as the client, for a sign of life (a CoAP ping, RFC 7252
+ * 4.3).  Only that flow is given up when none comes. */
+static void
+check_feed(core_t *c, flow_t *f)
+{
+    feed_t *feed = &c->feeds[f->feed - 1];
+    uint32_t silent = c->services[f->service].conf.feed_silent_ms;
+    coap_msg_t m = COAP_MSG_INIT;
+    uint8_t buf[16];
+    int n;
+
+    if (silent == 0 ||
+        c->now - feed->heard < silent + feed->pings * FEED_PING_MS) {
+        return;
+    }
+    if (feed->pings >= FEED_PINGS) {
+        end_flow(c, f);
+        return;
+    }
+    feed->pings++;
+    m.type = COAP_T_CON;
+    m.mid = ++c->mid;
+    n = coap_encode(buf, sizeof(buf), &m);
+    send_upstream(c, f->up, &feed->client, true, buf, (size_t)n);
+}
+
+static void
+check_flow(core_t *c, flow_t *f)
+{
+    const conf_service_t *s = &c->services[f->service].conf;
+    uint32_t idle =
+        f->flags & FLOW_UPLOAD ? s->upload_idle_ms : s->flow_idle_ms;
+    ms_t silent = c->now - c->start - (ms_t)f->last * TENTH_MS;
+
+    if (silent > (ms_t)idle) {
+        flow_remove(c, f);
+        return;
+    }
+    if (f->flags & FLOW_HELD) {
+        return;
+    }
+    sync_flow(c, f);
+    if (f->feed != 0) {
+        check_feed(c, f);
+    }
+}
+
+/* Looks at a part of the table in each tick. */
+void
+flow_sweep(core_t *c)
+{
+    uint32_t n = c->p.max_flows / SWEEP_TICKS + 1;
+
+    for (uint32_t i = 0; i < n; i++) {
+        flow_t *f = &c->flows[c->sweep];
+        if (f->flags & FLOW_USED) {
+            check_flow(c, f);
+        }
+        c->sweep = (c->sweep + 1) % c->p.max_flows;
+    }
+}
+
+/* ---- Hints ---- */
+
+const hint_t *
+hint_find(core_t *c, uint64_t key)
+{
+    uint32_t set = (uint32_t)(key >> 20) & c->hint_mask & ~(HINT_WAYS - 1u);
+
+    for (uint32_t i = 0; i < HINT_WAYS; i++) {
+        const hint_t *h = &c->hints[set + i];
+        if (h->key == key && c->now < h->until) {
+            return h;
+        }
+    }
+    return NULL;
+}
+
+void
+hint_put(core_t *c, uint64_t key, uint64_t upstream, ms_t lease)
+{
+    uint32_t set = (uint32_t)(key >> 20) & c->hint_mask & ~(HINT_WAYS - 1u);
+    hint_t *oldest = &c->hints[set];
+
+    for (uint32_t i = 0; i < HINT_WAYS; i++) {
+        hint_t *h = &c->hints[set + i];
+        if (h->key == key) {
+            oldest = h;
+            break;
+        }
+        if (h->until < oldest->until) {
+            oldest = h;
+        }
+    }
+    *oldest =
+        (hint_t){.key = key, .upstream = upstream, .until = c->now + lease};
+}
--- /dev/null
+++ b/core/state.h
@@ -0,0 +1,334 @@
+/* The core's state, shared by core's own files only.
+ *
+ *   homes.c      which instance is the home of a key, and who is its backup
+ *   table.c      buckets: a flow's first and second choice, and earlier ones
+ *   upstreams.c  trust, load, ejection, choice of an upstream for new work
+ *   flows.c      pins of flows at their home, hints at other instances
+ *   exchanges.c  records of requests
+ *   sync.c       copies of pins and records for the backup
+ *   request.c    what a home does with a request
+ *   core.c       dispatch, ticks, statistics
+ */
+#ifndef SISKIN_CORE_STATE_H
+#define SISKIN_CORE_STATE_H
+
+#include "core/core.h"
+
+/* ---- homes.c ---- */
+
+#define HOME_SLOTS 4096 /* a key's slot is its top 12 bits */
+
+typedef struct {
+    uint64_t home;     /* first by rank among ACTIVE; 0: none */
+    uint64_t backup;   /* next ACTIVE, or a JOINING one that will be home */
+    uint64_t earlier;  /* the home before this one, 0 if it isn't there */
+    ms_t home_since;   /* when HOME became it, as seen here */
+    ms_t doubt_at;     /* last time that two homes were possible */
+    bool suspect;      /* a member of the first three ranks is SUSPECT */
+    bool backup_joins; /* BACKUP is JOINING and will take over */
+} slot_t;
+
+/* A member as the core needs it. */
+typedef struct {
+    uint64_t id;
+    uint32_t incarnation;
+    member_state_t state;
+} peer_t;
+
+/* ---- table.c ---- */
+
+#define UP_NONE UINT16_MAX
+#define EARLIER_MAX 3 /* earlier first choices remembered for a bucket */
+#define GROUP_UPSTREAMS 64
+
+typedef struct {
+    uint16_t up;      /* upstream index */
+    uint64_t version; /* the version that ended its being first */
+    ms_t until;       /* when that came into force here */
+} earlier_t;
+
+typedef struct {
+    uint16_t first, second;
+    uint8_t n_earlier;
+    earlier_t earlier[EARLIER_MAX];
+} bucket_t;
+
+/* ---- upstreams.c ---- */
+
+typedef struct {
+    bool used;     /* this index is taken */
+    bool listed;   /* in the configuration in force */
+    bool draining; /* by configuration or by its own report */
+    bool conf_draining;
+    uint16_t service; /* index */
+    conf_upstream_t conf;
+
+    bool verified;    /* has ever answered for its service */
+    bool refused;     /* its last answer named another service */
+    uint32_t epoch;   /* its start epoch, 0: not known */
+    ms_t epoch_since; /* start of that epoch, INT64_MIN: long ago */
+    ms_t trust_until;
+    ms_t probe_sent, probe_next;
+    uint16_t probe_seq;
+    uint8_t misses; /* probes in a row without an answer */
+
+    uint32_t in_flight; /* requests forwarded by this home, unanswered */
+    uint32_t uploads;   /* uploads pinned by this home */
+    uint32_t flows;     /* flows pinned by this home */
+    uint32_t reported;  /* busy and queued requests by its last report */
+    uint32_t own_then;  /* IN_FLIGHT when that probe was sent */
+    uint32_t same;      /* reports in a row with that value */
+    uint32_t finished;  /* requests finished since the value changed */
+    ms_t eject_until;
+    uint32_t sheds; /* in a row */
+} up_t;
+
+/* ---- flows.c ---- */
+
+enum {
+    FLOW_FEED = 1,   /* has an entry in feeds */
+    FLOW_UPLOAD = 2, /* a block-wise upload */
+    FLOW_HELD = 4,   /* held for another home */
+    FLOW_SYNCED = 8, /* the sync target has it */
+    FLOW_USED = 16
+};
+
+/* A flow pinned to an upstream; 32 bytes. */
+typedef struct {
+    uint64_t key;
+    uint32_t next; /* chain, index + 1 */
+    uint32_t last; /* last datagram seen, tenths of seconds since start */
+    uint32_t feed; /* index + 1 into feeds, 0: none */
+    uint16_t up;
+    uint16_t up2; /* where older feeds of the flow live, or UP_NONE */
+    uint16_t service;
+    uint8_t flags;
+    uint8_t steers; /* datagrams steered here, to decide on a hint */
+} flow_t;
+
+/* What is needed to tell a caller that its feed is lost. */
+typedef struct {
+    uint32_t next_free; /* index + 1 */
+    addr_t client;
+    uint8_t token_len;
+    uint8_t token[COAP_TOKEN_MAX];
+    ms_t heard;    /* last sign of life from either end */
+    uint8_t pings; /* unanswered */
+} feed_t;
+
+typedef struct {
+    uint64_t key;
+    uint64_t upstream;
+    ms_t until;
+} hint_t;
+
+/* ---- exchanges.c ---- */
+
+#define EX_BUF 576 /* request kept for a retry, then the answer */
+#define FENCE_MAX 4
+
+typedef enum {
+    EX_FREE,
+    EX_FENCING, /* earlier choices are asked to bar it */
+    EX_SYNCING, /* the backup is told before it is forwarded */
+    EX_SENT,    /* forwarded */
+    EX_DONE,    /* answered; BUF holds the answer if it fits */
+    EX_REFUSED, /* refused for good; BUF holds the refusal */
+    EX_HELD,    /* another home forwarded it to UP */
+    EX_BARRED   /* another home has taken it over */
+} ex_state_t;
+
+typedef struct {
+    link_t all;    /* oldest first */
+    uint64_t key;  /* flow key */
+    uint32_t next; /* chain, index + 1 */
+    ex_state_t state;
+    class_t cls;
+    bool idempotent;
+    bool synced;   /* the sync target has the record */
+    bool counted;  /* in its upstream's in_flight and caller's share */
+    uint8_t tries; /* forwards that an upstream shed */
+    uint16_t mid;
+    uint16_t answer_mid; /* of a separate response, 0: none */
+    uint16_t service;
+    uint16_t up;      /* target, UP_NONE: none */
+    uint32_t epoch;   /* of UP when forwarded */
+    uint64_t held_up; /* EX_HELD: the upstream's ID, 0: refused */
+    ms_t born, sent, retry_at;
+    addr_t client;
+    uint8_t token_len;
+    uint8_t token[COAP_TOKEN_MAX];
+    coap_type_t type;
+    uint8_t n_fence;
+    uint16_t fence[FENCE_MAX]; /* upstreams still to answer */
+    uint16_t len;
+    uint8_t buf[EX_BUF];
+} ex_t;
+
+/* ---- a service ---- */
+
+#define SHARE_SLOTS 1024
+
+typedef struct {
+    bool used;
+    conf_service_t conf; /* its upstreams pointer is not used */
+    uint64_t id;
+    uint32_t n_buckets; /* a power of two */
+    bucket_t *buckets;
+    uint16_t *ups; /* indices of its listed upstreams */
+    uint32_t n_ups;
+    uint32_t groups;
+    ms_t groups_since;
+    uint64_t forwarded, retried; /* for the retry budget */
+    uint16_t share[SHARE_SLOTS]; /* requests in progress by caller IP */
+    core_stats_t stats;
+} service_t;
+
+struct core {
+    core_params_t p;
+    core_emit_t *emit;
+    void *arg;
+    ms_t now, start, last_tick;
+    rng_t rng;
+    uint64_t version, lowest;
+    bool leaving;
+
+    slot_t *slots;
+    peer_t *peers;
+    size_t n_peers;
+
+    service_t *services;
+    uint32_t n_services; /* indices used so far */
+    up_t *ups;
+    uint32_t n_ups, cap_ups;
+
+    flow_t *flows;
+    uint32_t *flow_heads, flow_mask, flow_free, flow_used, sweep;
+    feed_t *feeds;
+    uint32_t feed_free;
+    hint_t *hints;
+    uint32_t hint_mask;
+
+    ex_t *exs;
+    uint32_t *ex_heads, ex_mask, ex_free, ex_used;
+    link_t ex_all;
+
+    struct {
+        uint64_t to;
+        peer_msg_t msg;
+    } batch[8];           /* sync messages being filled */
+    uint32_t sync_budget; /* bytes left for paced copies in this tick */
+    uint16_t mid;         /* for messages of our own */
+};
+
+/* A datagram being decided on. */
+typedef struct {
+    uint16_t service;
+    const spp_t *h;
+    uint64_t key;
+    uint64_t from; /* the steering instance, 0: from the caller */
+    uint8_t hops;
+    const uint8_t *data;
+    size_t len;
+    const coap_msg_t *m; /* NULL for a udp service */
+} dgram_t;
+
+/* homes.c */
+slot_t *slot_of(core_t *c, uint64_t key);
+uint64_t home_of(core_t *c, uint64_t key);
+/* Who must hold a copy of what this instance knows of KEY; 0: nobody. */
+uint64_t sync_target(core_t *c, uint64_t key);
+/* True when all that is known here must go to the target, by plan. */
+bool handing_over(core_t *c, uint64_t key);
+bool home_sure(core_t *c, uint64_t key);
+/* The earlier home to ask about what isn't known here; 0: none. */
+uint64_t earlier_home(core_t *c, uint64_t key);
+void doubt_all(core_t *c);
+
+/* table.c */
+bucket_t *bucket_of(service_t *s, uint64_t key);
+void table_build(core_t *c, uint16_t service);
+uint64_t work_key(const service_t *s, uint64_t flow);
+/* Earlier first choices of KEY that another instance may still use, other
+ * than its present first; returns how many were written to OUT. */
+int earlier_choices(core_t *c, service_t *s, uint64_t key, uint16_t *out);
+
+/* upstreams.c */
+uint16_t up_find(core_t *c, const addr_t *a);
+uint16_t up_find_id(core_t *c, uint64_t id);
+uint16_t up_add(core_t *c, const conf_upstream_t *conf, uint16_t service);
+bool up_trusted(const core_t *c, uint16_t u);
+/* Trusted, listed, not draining, not ejected: may get new work. */
+bool up_eligible(const core_t *c, uint16_t u);
+/* Requests at U, in parts of 1000 of its slots. */
+uint32_t up_load(const core_t *c, uint16_t u);
+bool up_room(const core_t *c, uint16_t u, class_t cls);
+/* The next eligible upstream in rank order for KEY, other than NOT. */
+uint16_t up_next(core_t *c, service_t *s, uint64_t key, uint16_t not_);
+void up_probe_tick(core_t *c);
+void up_from_probe(core_t *c, uint16_t u, const coap_msg_t *m);
+void up_shed(core_t *c, uint16_t u);
+void up_cancel(core_t *c, const ex_t *ex, uint16_t u);
+
+/* flows.c */
+int flows_new(core_t *c);
+void flows_free(core_t *c);
+flow_t *flow_find(core_t *c, uint64_t key);
+flow_t *flow_add(core_t *c, uint64_t key, uint16_t service, uint16_t up);
+void flow_remove(core_t *c, flow_t *f);
+void flow_pin(core_t *c, flow_t *f, uint16_t up);
+void flow_touch(core_t *c, flow_t *f);
+void flow_set_feed(core_t *c, flow_t *f, const dgram_t *d);
+void flow_sweep(core_t *c);
+void feeds_lost(core_t *c, uint16_t up);
+const hint_t *hint_find(core_t *c, uint64_t key);
+void hint_put(core_t *c, uint64_t key, uint64_t upstream, ms_t lease);
+
+/* exchanges.c */
+int exchanges_new(core_t *c);
+void exchanges_free(core_t *c);
+ex_t *ex_find(core_t *c, uint64_t key, uint16_t mid);
+ex_t *ex_find_token(core_t *c, uint64_t key, const coap_msg_t *m);
+ex_t *ex_find_answer(core_t *c, uint64_t key, uint16_t answer_mid);
+ex_t *ex_add(core_t *c, const dgram_t *d);
+void ex_remove(core_t *c, ex_t *ex);
+/* Counts EX at its upstream and caller, or ends that. */
+void ex_count(core_t *c, ex_t *ex, bool on);
+void ex_tick(core_t *c);
+
+/* sync.c */
+void sync_add(core_t *c, uint64_t to, const pin_t *pin);
+void sync_flush(core_t *c);
+void sync_flow(core_t *c, flow_t *f);
+void sync_ex(core_t *c, ex_t *ex);
+void sync_receive(core_t *c, const peer_msg_t *m);
+void sync_acked(core_t *c, const peer_msg_t *m);
+void sync_targets_changed(core_t *c);
+
+/* request.c */
+void request_at_home(core_t *c, const dgram_t *d);
+void request_fenced(core_t *c, ex_t *ex, uint16_t u, const char *state,
+                    uint32_t epoch);
+void request_synced(core_t *c, ex_t *ex);
+void request_answer(core_t *c, ex_t *ex, const coap_msg_t *m,
+                    const uint8_t *data, size_t len);
+void request_forward(core_t *c, ex_t *ex);
+void request_retry(core_t *c, ex_t *ex);
+void request_unknown(core_t *c, ex_t *ex);
+void request_refuse(core_t *c, ex_t *ex, refuse_t why);
+
+/* core.c */
+void send_client(core_t *c, uint16_t service, const addr_t *client,
+                 const uint8_t *data, size_t len);
+void send_upstream(core_t *c, uint16_t u, const addr_t *client, bool own,
+                   const uint8_t *data, size_t len);
+void send_steer(core_t *c, const dgram_t *d, uint64_t to);
+/* Builds an answer to a request and returns its length in BUF. */
+int answer_build(core_t *c, uint8_t *buf, size_t cap, const ex_t *ex,
+                 uint8_t code, uint32_t max_age, const char *text);
+void answer_now(core_t *c, const dgram_t *d, uint8_t code, uint32_t max_age,
+                refuse_t why);
+uint32_t come_back(core_t *c, const service_t *s);
+class_t class_of(const coap_msg_t *m);
+
+#endif
--- /dev/null
+++ b/core/sync.c
@@ -0,0 +1,232 @@
+/* Copies of pins and records, so that the next home knows what the table
+ * doesn't tell it. */
+#include "core/state.h"
+
+#include <string.h>
+
+#define BATCHES 8
+#define PIN_BYTES 28         /* about, in a message with others */
+#define MSG_BYTES 70         /* headers and tag of a message */
+#define PACED_BYTES 100      /* each tick, when nothing is handed over */
+#define HAND_OVER_BYTES 4000 /* each tick, when a home moves by plan */
+
+static void
+batch_send(core_t *c, int i)
+{
+    core_out_t out = {.kind = CORE_TO_PEER};
+
+    if (c->batch[i].msg.sync.n == 0) {
+        return;
+    }
+    out.peer.to = c->batch[i].to;
+    out.peer.msg = c->batch[i].msg;
+    c->services[0].stats.sync_sent += c->batch[i].msg.sync.n;
+    c->services[0].stats.sync_bytes +=
+        MSG_BYTES + PIN_BYTES * c->batch[i].msg.sync.n;
+    c->batch[i].msg.sync.n = 0;
+    c->batch[i].to = 0;
+    c->emit(c->arg, &out);
+}
+
+void
+sync_add(core_t *c, uint64_t to, const pin_t *pin)
+{
+    int i = 0;
+
+    while (i < BATCHES && c->batch[i].to != to && c->batch[i].to != 0) {
+        i++;
+    }
+    if (i == BATCHES) {
+        i = (int)(to % BATCHES);
+        batch_send(c, i);
+    }
+    c->batch[i].to = to;
+    c->batch[i].msg.kind = PEER_SYNC;
+    c->batch[i].msg.from = c->p.self;
+    c->batch[i].msg.sync.pin[c->batch[i].msg.sync.n++] = *pin;
+    if (c->batch[i].msg.sync.n == SYNC_MAX) {
+        batch_send(c, i);
+    }
+}
+
+void
+sync_flush(core_t *c)
+{
+    for (int i = 0; i < BATCHES; i++) {
+        batch_send(c, i);
+    }
+    c->sync_budget = c->leaving ? HAND_OVER_BYTES : PACED_BYTES;
+}
+
+static bool
+spend(core_t *c, bool hand_over)
+{
+    if (c->sync_budget < PIN_BYTES) {
+        return false;
+    }
+    if (!hand_over) {
+        c->sync_budget -= PIN_BYTES;
+    }
+    return true;
+}
+
+/* Sends F to the next home if that couldn't work out its pin. */
+void
+sync_flow(core_t *c, flow_t *f)
+{
+    uint64_t to = sync_target(c, f->key);
+    bool over = handing_over(c, f->key);
+    const bucket_t *b = bucket_of(&c->services[f->service], f->key);
+    pin_t pin = {.flow = f->key,
+                 .upstream = c->ups[f->up].conf.id,
+                 .kind = f->flags & FLOW_UPLOAD ? PIN_UPLOAD : PIN_FLOW};
+
+    if (to == 0 || (f->flags & FLOW_SYNCED) || (f->up == b->first && !over) ||
+        !spend(c, over)) {
+        return;
+    }
+    sync_add(c, to, &pin);
+}
+
+/* The same for a record of a non-idempotent request. */
+void
+sync_ex(core_t *c, ex_t *ex)
+{
+    uint64_t key;
+    uint64_t to;
+    bool over;
+    pin_t pin = {.flow = ex->key,
+                 .epoch = ex->epoch,
+                 .mid = ex->mid,
+                 .kind = PIN_EXCHANGE};
+
+    if (ex->idempotent || ex->synced || ex->state == EX_HELD) {
+        return;
+    }
+    key = work_key(&c->services[ex->service], ex->key);
+    to = sync_target(c, key);
+    over = handing_over(c, key);
+    if (to == 0 || (!over && ex->state != EX_SYNCING)) {
+        return;
+    }
+    if (ex->up != UP_NONE && ex->state != EX_REFUSED) {
+        pin.upstream = c->ups[ex->up].conf.id;
+    }
+    sync_add(c, to, &pin);
+}
+
+static void
+hold_flow(core_t *c, const pin_t *pin)
+{
+    flow_t *f = flow_find(c, pin->flow);
+    uint16_t up = up_find_id(c, pin->upstream);
+
+    if (up == UP_NONE) {
+        return;
+    }
+    if (f == NULL) {
+        f = flow_add(c, pin->flow, c->ups[up].service, up);
+        if (f == NULL) {
+            return;
+        }
+        c->ups[up].flows--; /* counted once this is the home */
+        f->flags |= FLOW_HELD;
+        if (pin->kind == PIN_UPLOAD) {
+            f->flags |= FLOW_UPLOAD;
+        }
+        return;
+    }
+    if (f->flags & FLOW_HELD) {
+        f->up = up;
+        flow_touch(c, f);
+    }
+}
+
+static void
+hold_exchange(core_t *c, const pin_t *pin)
+{
+    ex_t *ex = ex_find(c, pin->flow, pin->mid);
+    dgram_t d = {.key = pin->flow};
+
+    if (ex != NULL && ex->state != EX_HELD) {
+        return;
+    }
+    if (ex == NULL) {
+        ex = ex_add(c, &d);
+    }
+    if (ex == NULL) {
+        return;
+    }
+    ex->state = EX_HELD;
+    ex->mid = pin->mid;
+    ex->epoch = pin->epoch;
+    ex->held_up = pin->upstream;
+}
+
+void
+sync_receive(core_t *c, const peer_msg_t *m)
+{
+    core_out_t out = {.kind = CORE_TO_PEER};
+
+    for (int i = 0; i < m->sync.n; i++) {
+        const pin_t *pin = &m->sync.pin[i];
+        if (pin->kind == PIN_EXCHANGE) {
+            hold_exchange(c, pin);
+        }
+        else {
+            hold_flow(c, pin);
+        }
+    }
+    out.peer.to = m->from;
+    out.peer.msg = *m;
+    out.peer.msg.kind = PEER_SYNC_ACK;
+    out.peer.msg.from = c->p.self;
+    c->emit(c->arg, &out);
+}
+
+static void
+ex_acked(core_t *c, const pin_t *pin)
+{
+    ex_t *ex = ex_find(c, pin->flow, pin->mid);
+
+    if (ex == NULL || ex->state == EX_HELD) {
+        return;
+    }
+    ex->synced = true;
+    if (ex->state == EX_SYNCING && ex->up != UP_NONE &&
+        c->ups[ex->up].conf.id == pin->upstream) {
+        request_forward(c, ex);
+    }
+}
+
+void
+sync_acked(core_t *c, const peer_msg_t *m)
+{
+    for (int i = 0; i < m->sync.n; i++) {
+        const pin_t *pin = &m->sync.pin[i];
+        flow_t *f;
+
+        if (pin->kind == PIN_EXCHANGE) {
+            ex_acked(c, pin);
+            continue;
+        }
+        f = flow_find(c, pin->flow);
+        if (f != NULL && c->ups[f->up].conf.id == pin->upstream &&
+            m->from == sync_target(c, pin->flow)) {
+            f->flags |= FLOW_SYNCED;
+        }
+    }
+}
+
+/* The members changed, and with them perhaps who holds the copies. */
+void
+sync_targets_changed(core_t *c)
+{
+    for (uint32_t i = 0; i < c->p.max_flows; i++) {
+        c->flows[i].flags &= (uint8_t)~FLOW_SYNCED;
+    }
+    LIST_EACH(l, &c->ex_all)
+    {
+        LIST_OWNER(l, ex_t, all)->synced = false;
+    }
+}
--- /dev/null
+++ b/core/table.c
@@ -0,0 +1,155 @@
+/* Tables: which upstreams a flow prefers, the same at every instance that has
+ * the version.  A bucket's order of upstreams is their weighted rendezvous
+ * rank, so a change moves the fewest buckets. */
+#include "core/state.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BUCKETS_MIN 256
+#define BUCKETS_PER_UPSTREAM 32
+
+bucket_t *
+bucket_of(service_t *s, uint64_t key)
+{
+    return &s->buckets[key & (s->n_buckets - 1)];
+}
+
+/* Requests of a service meet at one home, which so knows all that is in
+ * progress at its upstreams.  A service with more than GROUP_UPSTREAMS has a
+ * home for each such number; each then knows its share. */
+uint64_t
+work_key(const service_t *s, uint64_t flow)
+{
+    uint64_t group = (flow >> 32) % s->groups;
+
+    return hash_mix(s->id, group);
+}
+
+/* Weighted rendezvous score: -w / ln(u), u uniform in (0, 1). */
+static double
+score(const up_t *u, uint64_t bucket)
+{
+    double x = ((double)(hash_mix(u->conf.id, bucket) >> 11) + 0.5) /
+               (double)(1ull << 53);
+
+    return -(double)u->conf.weight / log(x);
+}
+
+static void
+bucket_rank(core_t *c, service_t *s, uint32_t b, bucket_t *out)
+{
+    double best = -1, next = -1;
+
+    out->first = out->second = UP_NONE;
+    for (uint32_t i = 0; i < s->n_ups; i++) {
+        uint16_t u = s->ups[i];
+        const up_t *up = &c->ups[u];
+        double v;
+
+        if (up->conf_draining) {
+            continue;
+        }
+        v = score(up, b);
+        if (v > best) {
+            next = best;
+            out->second = out->first;
+            best = v;
+            out->first = u;
+        }
+        else if (v > next) {
+            next = v;
+            out->second = u;
+        }
+    }
+}
+
+static void
+remember_earlier(core_t *c, bucket_t *b, uint16_t up)
+{
+    if (up == UP_NONE) {
+        return;
+    }
+    if (b->n_earlier == EARLIER_MAX) {
+        memmove(b->earlier, b->earlier + 1,
+                (EARLIER_MAX - 1) * sizeof(b->earlier[0]));
+        b->n_earlier--;
+    }
+    b->earlier[b->n_earlier++] =
+        (earlier_t){.up = up, .version = c->version, .until = c->now};
+}
+
+static uint32_t
+bucket_count(uint32_t n_ups)
+{
+    uint32_t n = BUCKETS_MIN;
+
+    while (n < n_ups * BUCKETS_PER_UPSTREAM) {
+        n *= 2;
+    }
+    return n;
+}
+
+/* More buckets: bucket B of the old table becomes B and B + old size, which
+ * had the same choices. */
+static void
+grow(service_t *s, uint32_t n)
+{
+    bucket_t *b = calloc(n, sizeof(*b));
+
+    for (uint32_t i = 0; i < n; i++) {
+        if (s->n_buckets > 0) {
+            b[i] = s->buckets[i & (s->n_buckets - 1)];
+        }
+        else {
+            b[i].first = b[i].second = UP_NONE;
+        }
+    }
+    free(s->buckets);
+    s->buckets = b;
+    s->n_buckets = n;
+}
+
+void
+table_build(core_t *c, uint16_t service)
+{
+    service_t *s = &c->services[service];
+    uint32_t n = bucket_count(s->n_ups);
+    uint32_t groups = 1 + (s->n_ups - 1) / GROUP_UPSTREAMS;
+
+    if (n > s->n_buckets) {
+        grow(s, n);
+    }
+    if (groups != s->groups) {
+        s->groups_since = s->groups == 0 ? INT64_MIN / 2 : c->now;
+        s->groups = groups;
+    }
+    for (uint32_t i = 0; i < s->n_buckets; i++) {
+        bucket_t *b = &s->buckets[i];
+        bucket_t fresh = *b;
+
+        bucket_rank(c, s, i, &fresh);
+        if (fresh.first != b->first) {
+            remember_earlier(c, &fresh, b->first);
+        }
+        *b = fresh;
+    }
+}
+
+int
+earlier_choices(core_t *c, service_t *s, uint64_t key, uint16_t *out)
+{
+    const bucket_t *b = bucket_of(s, key);
+    int n = 0;
+
+    for (int i = 0; i < b->n_earlier; i++) {
+        const earlier_t *e = &b->earlier[i];
+        bool past = c->now - e->until >= DOUBT_MS && c->lowest >= e->version;
+
+        if (!past && e->up != b->first && c->ups[e->up].used) {
+            out[n++] = e->up;
+        }
+    }
+    return n;
+}
--- /dev/null
+++ b/core/upstreams.c
@@ -0,0 +1,387 @@
+/* Upstreams: who may be trusted, how loaded each is, and which one to take. */
+#include "core/state.h"
+
+#include <errno.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PROBE_TAG 'P'
+#define CANCEL_TAG 'C'
+#define PROBE_AGAIN_MS 300 /* after a probe went unanswered */
+#define PROBE_LOST_MS 250  /* an answer later than this is a miss */
+#define MISSES_MAX 3       /* no new work after so many in a row */
+#define REPORT_OLD_MS 4000 /* a load report older than this is ignored */
+#define FROZEN_REPORTS 4   /* unchanged so often ... */
+#define FROZEN_FINISHED 4  /* ... while so many requests finished */
+#define SLOW_START_MS 8000 /* a started upstream gets its full share after */
+#define SHEDS_EJECT 3      /* sheds in a row that eject */
+#define EJECT_MS 2000
+#define LOAD_UNIT 1000
+
+uint16_t
+up_find(core_t *c, const addr_t *a)
+{
+    return up_find_id(c, addr_id(a));
+}
+
+uint16_t
+up_find_id(core_t *c, uint64_t id)
+{
+    for (uint32_t i = 0; i < c->n_ups; i++) {
+        if (c->ups[i].used && c->ups[i].conf.id == id) {
+            return (uint16_t)i;
+        }
+    }
+    return UP_NONE;
+}
+
+uint16_t
+up_add(core_t *c, const conf_upstream_t *conf, uint16_t service)
+{
+    up_t *u;
+
+    if (c->n_ups == c->cap_ups) {
+        c->cap_ups = c->cap_ups == 0 ? 64 : 2 * c->cap_ups;
+        c->ups = realloc(c->ups, c->cap_ups * sizeof(*c->ups));
+    }
+    u = &c->ups[c->n_ups];
+    *u = (up_t){.used = true,
+                .service = service,
+                .conf = *conf,
+                .epoch_since = INT64_MIN / 2,
+                .trust_until = INT64_MIN / 2,
+                .eject_until = INT64_MIN / 2,
+                .probe_next = c->now + rng_below(&c->rng, 100)};
+    return (uint16_t)c->n_ups++;
+}
+
+bool
+up_trusted(const core_t *c, uint16_t u)
+{
+    const up_t *up = &c->ups[u];
+
+    return up->verified && !up->refused && c->now < up->trust_until;
+}
+
+static bool
+ejected(const core_t *c, uint16_t u)
+{
+    return c->now < c->ups[u].eject_until;
+}
+
+bool
+up_eligible(const core_t *c, uint16_t u)
+{
+    const up_t *up;
+
+    if (u == UP_NONE) {
+        return false;
+    }
+    up = &c->ups[u];
+    return up->listed && !up->draining && !up->conf_draining &&
+           up->misses < MISSES_MAX && !ejected(c, u) && up_trusted(c, u);
+}
+
+/* Is the report worth anything: recent, and not frozen?  A report that stays
+ * the same while requests come and go is a stuck gauge; believing it sends
+ * everything to the upstream whose gauge stuck low. */
+static bool
+report_usable(const core_t *c, const up_t *up)
+{
+    bool frozen =
+        up->same >= FROZEN_REPORTS && up->finished >= FROZEN_FINISHED;
+
+    return c->now - up->probe_sent < REPORT_OLD_MS && !frozen;
+}
+
+/* Requests in progress at U: this home's, and those of others that its report
+ * shows beyond this home's at that time. */
+static uint32_t
+busy_at(const core_t *c, const up_t *up)
+{
+    uint32_t others = 0;
+
+    if (report_usable(c, up) && up->reported > up->own_then) {
+        others = up->reported - up->own_then;
+    }
+    return up->in_flight + up->uploads + others;
+}
+
+/* A cold upstream looks idle and would draw all new work: its slots count for
+ * a quarter at first, and for more as it warms up. */
+static uint32_t
+warm_slots(const core_t *c, const up_t *up)
+{
+    uint32_t full = up->conf.slots * up->conf.weight * LOAD_UNIT / 4;
+    ms_t age = c->now - up->epoch_since;
+
+    if (age >= SLOW_START_MS) {
+        return 4 * full;
+    }
+    return full + (uint32_t)(3 * full * age / SLOW_START_MS);
+}
+
+uint32_t
+up_load(const core_t *c, uint16_t u)
+{
+    const up_t *up = &c->ups[u];
+    uint64_t busy = busy_at(c, up);
+
+    return (uint32_t)((busy + 1) * LOAD_UNIT * LOAD_UNIT / warm_slots(c, up));
+}
+
+bool
+up_room(const core_t *c, uint16_t u, class_t cls)
+{
+    const up_t *up = &c->ups[u];
+    const conf_service_t *s = &c->services[up->service].conf;
+    uint32_t kept = s->urgent_slots < up->conf.slots ? s->urgent_slots
+                                                     : up->conf.slots - 1;
+    uint32_t busy = busy_at(c, up);
+
+    switch (cls) {
+    case CLASS_URGENT:
+        return busy < up->conf.slots + s->queue;
+    case CLASS_READ:
+        return busy < up->conf.slots + s->queue / 2;
+    case CLASS_BULK:
+        return busy < up->conf.slots - kept;
+    case CLASS_FEED:
+    case CLASS_OPAQUE:
+    case CLASS_COUNT:
+        break;
+    }
+    return up->flows < up->conf.connections;
+}
+
+uint16_t
+up_next(core_t *c, service_t *s, uint64_t key, uint16_t not_)
+{
+    uint64_t bucket = key & (s->n_buckets - 1);
+    uint16_t best = UP_NONE;
+    uint64_t best_score = 0;
+
+    for (uint32_t i = 0; i < s->n_ups; i++) {
+        uint16_t u = s->ups[i];
+        uint64_t score = hash_mix(c->ups[u].conf.id, bucket);
+
+        if (u != not_ && up_eligible(c, u) &&
+            (best == UP_NONE || score > best_score)) {
+            best = u;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+/* ---- Probes and cancellations ---- */
+
+static void
+own_request(core_t *c, uint16_t u, coap_msg_t *m)
+{
+    uint8_t buf[256];
+    int n;
+
+    m->mid = ++c->mid;
+    strcpy(m->path[0], ".well-known");
+    n = coap_encode(buf, sizeof(buf), m);
+    if (n > 0) {
+        send_upstream(c, u, &c->p.own_addr, true, buf, (size_t)n);
+    }
+}
+
+static void
+probe(core_t *c, uint16_t u)
+{
+    up_t *up = &c->ups[u];
+    coap_msg_t m = COAP_MSG_INIT;
+
+    up->probe_seq++;
+    m.type = COAP_T_NON;
+    m.code = COAP_GET;
+    m.token_len = 5;
+    m.token[0] = PROBE_TAG;
+    memcpy(m.token + 1, &u, 2);
+    memcpy(m.token + 3, &up->probe_seq, 2);
+    m.path_n = 2;
+    strcpy(m.path[1], "load");
+    up->probe_sent = c->now;
+    up->own_then = up->in_flight;
+    up->probe_next = c->now + PROBE_LOST_MS;
+    if (up->misses < UINT8_MAX) {
+        up->misses++; /* until the answer comes */
+    }
+    own_request(c, u, &m);
+}
+
+void
+up_probe_tick(core_t *c)
+{
+    for (uint32_t i = 0; i < c->n_ups; i++) {
+        up_t *up = &c->ups[i];
+        bool needed = up->listed || up->flows > 0 || up->in_flight > 0;
+
+        if (up->used && needed && c->now >= up->probe_next) {
+            probe(c, (uint16_t)i);
+        }
+        if (up->verified && c->now >= up->trust_until && up->flows > 0) {
+            feeds_lost(c, (uint16_t)i);
+        }
+    }
+}
+
+static void
+take_report(up_t *up, uint32_t reported)
+{
+    if (reported == up->reported) {
+        up->same++;
+    }
+    else {
+        up->same = 0;
+        up->finished = 0;
+    }
+    up->reported = reported;
+}
+
+/* A new epoch: the upstream has started anew and has lost its feeds, its
+ * uploads and what it knew of duplicates. */
+static void
+take_epoch(core_t *c, uint16_t u, uint32_t epoch, json_int_t age_ms)
+{
+    up_t *up = &c->ups[u];
+    bool restarted = up->epoch != 0 && up->epoch != epoch;
+
+    if (up->epoch == epoch) {
+        return;
+    }
+    up->epoch = epoch;
+    up->epoch_since = restarted ? c->now : INT64_MIN / 2;
+    if (age_ms >= 0) {
+        up->epoch_since = c->now - age_ms;
+    }
+    if (restarted) {
+        feeds_lost(c, u);
+    }
+}
+
+static void
+take_load(core_t *c, uint16_t u, const json_t *j)
+{
+    up_t *up = &c->ups[u];
+    const json_t *age = json_object_get(j, "age_ms");
+    const char *service = json_string_value(json_object_get(j, "service"));
+    addr_t a;
+
+    if (service == NULL || addr_parse(&a, service) < 0) {
+        return;
+    }
+    up->refused = addr_id(&a) != c->services[up->service].id;
+    if (up->refused) {
+        c->services[up->service].stats.misdirected++;
+        return;
+    }
+    take_epoch(c, u, (uint32_t)json_integer_value(json_object_get(j, "epoch")),
+               age != NULL ? json_integer_value(age) : -1);
+    take_report(up,
+                (uint32_t)(json_integer_value(json_object_get(j, "busy")) +
+                           json_integer_value(json_object_get(j, "queued"))));
+    up->draining = json_is_true(json_object_get(j, "draining"));
+    up->verified = true;
+    up->misses = 0;
+    /* Counted from the question: an answer that waited somewhere says how
+     * things were, not how they are. */
+    up->trust_until = up->probe_sent + TRUST_MS;
+    up->probe_next = up->probe_sent + PROBE_MS;
+}
+
+static void
+take_cancelled(core_t *c, uint16_t u, const coap_msg_t *m, const json_t *j)
+{
+    uint32_t index;
+    uint16_t mid;
+    const char *state = json_string_value(json_object_get(j, "state"));
+    uint32_t epoch = (uint32_t)json_integer_value(json_object_get(j, "epoch"));
+    ex_t *ex;
+
+    memcpy(&index, m->token + 1, 4);
+    memcpy(&mid, m->token + 5, 2);
+    if (state == NULL || index >= c->p.max_exchanges) {
+        return;
+    }
+    ex = &c->exs[index];
+    if (ex->state == EX_FENCING && ex->mid == mid) {
+        request_fenced(c, ex, u, state, epoch);
+    }
+}
+
+void
+up_from_probe(core_t *c, uint16_t u, const coap_msg_t *m)
+{
+    up_t *up = &c->ups[u];
+    json_t *j = json_loadb((const char *)m->payload, m->payload_len, 0, NULL);
+
+    if (m->code >> 5 != 2 || j == NULL) {
+        /* Refused: the address serves another service now. */
+        up->refused |= m->code == COAP_CONFLICT || m->code == COAP_NOT_FOUND;
+        json_decref(j);
+        return;
+    }
+    if (m->token_len == 5 && m->token[0] == PROBE_TAG &&
+        memcmp(m->token + 3, &up->probe_seq, 2) == 0) {
+        take_load(c, u, j);
+    }
+    else if (m->token_len == 7 && m->token[0] == CANCEL_TAG) {
+        take_cancelled(c, u, m, j);
+    }
+    json_decref(j);
+}
+
+/* Asks U to bar the request of EX. */
+void
+up_cancel(core_t *c, const ex_t *ex, uint16_t u)
+{
+    coap_msg_t m = COAP_MSG_INIT;
+    uint32_t index = (uint32_t)(ex - c->exs);
+    char client[ADDR_STRLEN];
+
+    m.type = COAP_T_NON;
+    m.code = COAP_DELETE;
+    m.token_len = 7;
+    m.token[0] = CANCEL_TAG;
+    memcpy(m.token + 1, &index, 4);
+    memcpy(m.token + 5, &ex->mid, 2);
+    m.path_n = 2;
+    strcpy(m.path[1], "exchange");
+    snprintf(m.query, sizeof(m.query), "c=%s&m=%u",
+             addr_text(&ex->client, client), ex->mid);
+    own_request(c, u, &m);
+}
+
+/* ---- Ejection ---- */
+
+/* At most a third of a service's upstreams are ejected at once: when all
+ * shed, the service is full, and ejecting them would refuse everything. */
+static bool
+may_eject(const core_t *c, const service_t *s)
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < s->n_ups; i++) {
+        n += ejected(c, s->ups[i]);
+    }
+    return 3 * (n + 1) <= s->n_ups;
+}
+
+void
+up_shed(core_t *c, uint16_t u)
+{
+    up_t *up = &c->ups[u];
+
+    up->sheds++;
+    if (up->sheds >= SHEDS_EJECT && may_eject(c, &c->services[up->service])) {
+        up->eject_until = c->now + EJECT_MS;
+        up->sheds = 0;
+    }
+}
