core: homes, tables, trust, pins, requests

Buffers are pooled apart from records, so that a record kept for 247 s costs about 150 bytes and not 1,300. A home in doubt has a request barred before it says "not run".

--- a/core/core.c
+++ b/core/core.c
@@ -5,8 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define HINT_AFTER 3 /* steered datagrams of a flow, until its hint is sent   \
-                      */
+#define HINT_AFTER                                                            \
+    3 /* steered datagrams of a flow, until its hint is sent                  \
+       */
 
 core_t *
 core_new(const core_params_t *p, core_emit_t *emit, void *arg)
@@ -45,6 +46,8 @@
     }
     flows_free(c);
     exchanges_free(c);
+    map_free(&c->up_map);
+    map_free(&c->service_map);
     free(c->services);
     free(c->ups);
     free(c->peers);
@@ -57,12 +60,9 @@
 static uint16_t
 service_find(const core_t *c, const addr_t *a)
 {
-    for (uint32_t i = 0; i < c->n_services; i++) {
-        if (c->services[i].used && addr_eq(&c->services[i].conf.addr, a)) {
-            return (uint16_t)i;
-        }
-    }
-    return UP_NONE;
+    uint32_t i = map_get(&c->service_map, addr_id(a));
+
+    return i == MAP_NONE ? UP_NONE : (uint16_t)i;
 }
 
 static uint16_t
@@ -74,6 +74,7 @@
         realloc(c->services, (c->n_services + 1) * sizeof(*c->services));
     s = &c->services[c->n_services];
     *s = (service_t){.used = true, .id = addr_id(&conf->addr)};
+    map_put(&c->service_map, s->id, c->n_services);
     return (uint16_t)c->n_services++;
 }
 
@@ -209,11 +210,27 @@
     c->emit(c->arg, &out);
 }
 
+static const char *
+answer_text(uint8_t code)
+{
+    switch (code) {
+    case COAP_UNAVAILABLE:
+        return "not run";
+    case COAP_GW_TIMEOUT:
+        return "outcome unknown";
+    case COAP_TOO_LARGE:
+        return "longer than 1152 bytes: use Block1";
+    default:
+        return "start again";
+    }
+}
+
 int
 answer_build(core_t *c, uint8_t *buf, size_t cap, const ex_t *ex, uint8_t code,
-             uint32_t max_age, const char *text)
+             uint32_t max_age)
 {
     coap_msg_t m = COAP_MSG_INIT;
+    const char *text = answer_text(code);
 
     m.type = ex->type == COAP_T_CON ? COAP_T_ACK : COAP_T_NON;
     m.mid = ex->type == COAP_T_CON ? ex->mid : ++c->mid;
@@ -230,17 +247,14 @@
 answer_now(core_t *c, const dgram_t *d, uint8_t code, uint32_t max_age,
            refuse_t why)
 {
-    uint8_t buf[64];
+    uint8_t buf[96];
     ex_t ex = {
         .type = d->m->type, .mid = d->m->mid, .token_len = d->m->token_len};
-    const char *text = code == COAP_UNAVAILABLE  ? "not run"
-                       : code == COAP_GW_TIMEOUT ? "outcome unknown"
-                                                 : "start again";
     int n;
 
     memcpy(ex.token, d->m->token, sizeof(ex.token));
     c->services[d->service].stats.refused[why]++;
-    n = answer_build(c, buf, sizeof(buf), &ex, code, max_age, text);
+    n = answer_build(c, buf, sizeof(buf), &ex, code, max_age);
     if (n > 0) {
         send_client(c, d->service, &d->h->client, buf, (size_t)n);
     }
@@ -267,23 +281,6 @@
 
 /* ---- Flows at their home ---- */
 
-static flow_t *
-flow_own(core_t *c, uint64_t key)
-{
-    flow_t *f = flow_find(c, key);
-
-    if (f != NULL && (f->flags & FLOW_HELD)) {
-        f->flags &= (uint8_t)~FLOW_HELD;
-        if (f->flags & FLOW_UPLOAD) {
-            c->ups[f->up].uploads++;
-        }
-        else {
-            c->ups[f->up].flows++;
-        }
-    }
-    return f;
-}
-
 /* The upstream for a new flow: the less loaded of the two choices.  A home in
  * doubt takes the first, as another home would. */
 static uint16_t
@@ -327,8 +324,8 @@
 static void
 maybe_hint(core_t *c, const dgram_t *d, flow_t *f)
 {
-    if (d->from == 0) {
-        return;
+    if (d->from == 0 || f->up2 != UP_NONE) {
+        return; /* two upstreams don't fit a hint */
     }
     if (f->steers < HINT_AFTER) {
         f->steers++;
@@ -354,7 +351,7 @@
             s->stats.refused[REFUSE_NONE]++;
             return;
         }
-        f = flow_add(c, d->key, d->service, up);
+        f = flow_add(c, d->key, d->service, up, 0);
         if (f == NULL) {
             up = bucket_of(s, d->key)->first;
             if (up != UP_NONE && up_trusted(c, up)) {
@@ -402,8 +399,9 @@
                        up == UP_NONE ? REFUSE_NONE : REFUSE_FULL);
             return;
         }
-        f = flow_find(c, d->key) == NULL ? flow_add(c, d->key, d->service, up)
-                                         : NULL;
+        f = flow_find(c, d->key) == NULL
+                ? flow_add(c, d->key, d->service, up, 0)
+                : NULL;
         if (f == NULL) {
             send_upstream(c, up, &d->h->client, false, d->data, d->len);
             return;
@@ -504,11 +502,18 @@
     return true;
 }
 
+/* Is F decided on here, even if its home has moved on? */
+static bool
+flow_mine(const core_t *c, const flow_t *f)
+{
+    return f != NULL && !(f->flags & FLOW_HELD) && up_trusted(c, f->up);
+}
+
 static void
 opaque_in(core_t *c, const dgram_t *d)
 {
     flow_t *f = flow_find(c, d->key);
-    bool mine = f != NULL && !(f->flags & FLOW_HELD);
+    bool mine = flow_mine(c, f);
 
     if (!mine && home_of(c, d->key) != c->p.self && use_hint(c, d)) {
         return;
@@ -518,23 +523,37 @@
     }
 }
 
+/* An ACK or RST: for a feed the flow's home knows the upstream, for the late
+ * answer to a request the service's home does. */
+static void
+empty_in(core_t *c, const dgram_t *d, bool mine)
+{
+    uint64_t work = home_of(c, work_key(&c->services[d->service], d->key));
+    bool answer = ex_find_answer(c, d->key, d->m->mid) != NULL;
+
+    if (!mine && !answer && use_hint(c, d)) {
+        return;
+    }
+    if (to_home(c, d, d->key, mine || answer)) {
+        return;
+    }
+    if (!mine && !answer && work != 0 && work != c->p.self &&
+        work != d->from) {
+        send_steer(c, d, work);
+    }
+    empty_at_home(c, d);
+}
+
 static void
 coap_in(core_t *c, const dgram_t *d)
 {
     service_t *s = &c->services[d->service];
     flow_t *f = flow_find(c, d->key);
     ex_t *ex;
-    bool mine = f != NULL && !(f->flags & FLOW_HELD);
+    bool mine = flow_mine(c, f);
 
     if (d->m->code == COAP_EMPTY) {
-        mine = (mine && !(f->flags & FLOW_UPLOAD)) ||
-               ex_find_answer(c, d->key, d->m->mid) != NULL;
-        if (!mine && use_hint(c, d)) {
-            return;
-        }
-        if (!to_home(c, d, d->key, mine)) {
-            empty_at_home(c, d);
-        }
+        empty_in(c, d, mine && !(f->flags & FLOW_UPLOAD));
         return;
     }
     if (!coap_is_request(d->m)) {
@@ -738,6 +757,7 @@
     }
     up_probe_tick(c);
     ex_tick(c);
+    sync_refill(c);
     flow_sweep(c);
     sync_flush(c);
 }
@@ -762,11 +782,9 @@
     core_t *mutable_c = (core_t *)c;
 
     *exchanges = *pins = 0;
-    LIST_EACH(l, &mutable_c->ex_all)
+    LIST_EACH(l, &mutable_c->ex_active)
     {
-        const ex_t *ex = LIST_OWNER(l, ex_t, all);
-        *exchanges += ex->state == EX_SENT || ex->state == EX_SYNCING ||
-                      ex->state == EX_FENCING;
+        *exchanges += 1;
     }
     for (uint32_t i = 0; i < c->p.max_flows; i++) {
         *pins += flow_waits(mutable_c, &c->flows[i]);
--- a/core/core.h
+++ b/core/core.h
@@ -53,6 +53,7 @@
     REFUSE_TABLE,     /* the exchange or flow table is full: not run */
     REFUSE_MID_REUSE, /* a message ID used again too early: not run */
     REFUSE_UNKNOWN,   /* a copy may have run: outcome unknown */
+    REFUSE_TOO_LARGE, /* longer than 1152 bytes without blocks: not run */
     REFUSE_UPLOAD,    /* an upload's upstream is lost: start again (4.08) */
     REFUSE_COUNT
 } refuse_t;
--- a/core/exchanges.c
+++ b/core/exchanges.c
@@ -5,9 +5,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define READ_KEEP_MS 2000 /* a read's record outlives its answer by this */
-#define RETRY_MS 60       /* between questions to a backup or upstream */
-#define RETRY_MAX 6       /* such questions before giving up */
+#define RETRY_MS 60  /* between questions to a backup or upstream */
+#define RETRY_MAX 6  /* such questions before giving up */
+#define BUFS_SHARE 8 /* records for each buffer */
+#define BUFS_KEPT 4  /* a quarter of the buffers is for new requests */
 
 static uint32_t
 pow2(uint32_t n)
@@ -26,14 +27,22 @@
     uint32_t heads = pow2(c->p.max_exchanges);
 
     c->ex_mask = heads - 1;
+    c->n_bufs = c->p.max_exchanges / BUFS_SHARE + 1;
+    c->ex_bufs = calloc(c->n_bufs, sizeof(*c->ex_bufs));
+    c->ex_buf_free = calloc(c->n_bufs, sizeof(*c->ex_buf_free));
     c->exs = calloc(c->p.max_exchanges, sizeof(*c->exs));
     c->ex_heads = calloc(heads, sizeof(*c->ex_heads));
-    if (c->exs == NULL || c->ex_heads == NULL) {
+    if (c->exs == NULL || c->ex_heads == NULL || c->ex_bufs == NULL ||
+        c->ex_buf_free == NULL) {
         return -ENOMEM;
     }
-    list_init(&c->ex_all);
+    for (uint32_t i = 0; i < c->n_bufs; i++) {
+        c->ex_buf_free[c->n_buf_free++] = i + 1;
+    }
+    list_init(&c->ex_active);
+    list_init(&c->ex_kept);
     for (uint32_t i = 0; i < c->p.max_exchanges; i++) {
-        list_init(&c->exs[i].all);
+        list_init(&c->exs[i].in);
         c->exs[i].next = i + 2;
     }
     c->exs[c->p.max_exchanges - 1].next = 0;
@@ -46,9 +55,45 @@
 {
     free(c->exs);
     free(c->ex_heads);
+    free(c->ex_bufs);
+    free(c->ex_buf_free);
+}
+
+/* ---- Buffers ---- */
+
+uint8_t *
+ex_bytes(core_t *c, const ex_t *ex)
+{
+    return c->ex_bufs[ex->buf - 1];
+}
+
+bool
+ex_keep(core_t *c, ex_t *ex, const uint8_t *data, size_t len)
+{
+    if (len > EX_BUF || (ex->buf == 0 && c->n_buf_free == 0)) {
+        return false;
+    }
+    if (ex->buf == 0) {
+        ex->buf = c->ex_buf_free[--c->n_buf_free];
+    }
+    memcpy(ex_bytes(c, ex), data, len);
+    ex->len = (uint16_t)len;
+    return true;
 }
 
-/* The records of one flow are a chain; MATCH picks among them. */
+void
+ex_drop_bytes(core_t *c, ex_t *ex)
+{
+    if (ex->buf != 0) {
+        c->ex_buf_free[c->n_buf_free++] = ex->buf;
+    }
+    ex->buf = 0;
+    ex->len = 0;
+}
+
+/* ---- Finding ---- */
+
+/* The records of one flow are a chain. */
 static ex_t *
 ex_first(core_t *c, uint32_t i, uint64_t key)
 {
@@ -99,8 +144,29 @@
     return NULL;
 }
 
+/* ---- Life of a record ---- */
+
+static bool
+is_active(ex_state_t state)
+{
+    return state == EX_FENCING || state == EX_SYNCING || state == EX_SENT;
+}
+
+/* An answered request keeps its bytes while buffers are plenty; without them
+ * a copy is answered by the upstream's duplicate detection. */
+void
+ex_state(core_t *c, ex_t *ex, ex_state_t state)
+{
+    ex->state = state;
+    list_remove(&ex->in);
+    list_append(is_active(state) ? &c->ex_active : &c->ex_kept, &ex->in);
+    if (!is_active(state) && c->n_buf_free < c->n_bufs / BUFS_KEPT) {
+        ex_drop_bytes(c, ex);
+    }
+}
+
 /* A new record for the request D, or for a held one when D->m is NULL.
- * NULL when the table is full. */
+ * NULL when the table or the buffers are full. */
 ex_t *
 ex_add(core_t *c, const dgram_t *d)
 {
@@ -117,9 +183,9 @@
                  .next = *head,
                  .service = d->service,
                  .up = UP_NONE,
-                 .born = c->now,
                  .sent = c->now};
-    list_append(&c->ex_all, &ex->all);
+    list_init(&ex->in);
+    list_append(&c->ex_active, &ex->in);
     *head = i;
     c->ex_used++;
     if (d->m == NULL) {
@@ -132,9 +198,9 @@
     ex->client = d->h->client;
     ex->token_len = d->m->token_len;
     memcpy(ex->token, d->m->token, sizeof(ex->token));
-    if (d->len <= EX_BUF) {
-        memcpy(ex->buf, d->data, d->len);
-        ex->len = (uint16_t)d->len;
+    if (!ex_keep(c, ex, d->data, d->len)) {
+        ex_remove(c, ex);
+        return NULL;
     }
     return ex;
 }
@@ -150,7 +216,8 @@
         link = &c->exs[*link - 1].next;
     }
     *link = ex->next;
-    list_remove(&ex->all);
+    list_remove(&ex->in);
+    ex_drop_bytes(c, ex);
     ex->state = EX_FREE;
     ex->next = c->ex_free;
     c->ex_free = i;
@@ -178,27 +245,9 @@
     *share -= 1;
 }
 
-static bool
-expired(const core_t *c, const ex_t *ex)
-{
-    ms_t age = c->now - ex->born;
-
-    switch (ex->state) {
-    case EX_SENT:
-    case EX_FENCING:
-    case EX_SYNCING:
-        return false;
-    case EX_DONE:
-    case EX_REFUSED:
-    case EX_HELD:
-    case EX_BARRED:
-    case EX_FREE:
-        break;
-    }
-    return age >= (ex->idempotent ? READ_KEEP_MS : EXCHANGE_MS);
-}
+/* ---- Time ---- */
 
-/* The last try at a question went unanswered: what is final then? */
+/* The last question went unanswered: what is final then? */
 static void
 give_up_asking(core_t *c, ex_t *ex)
 {
@@ -206,7 +255,7 @@
         request_unknown(c, ex);
         return;
     }
-    request_refuse(c, ex, REFUSE_NONE);
+    request_refuse(c, ex, REFUSE_NONE); /* it was never forwarded */
 }
 
 static void
@@ -235,7 +284,7 @@
     const up_t *u = &c->ups[ex->up];
     bool restarted = u->epoch != ex->epoch;
     bool late = c->now - ex->sent >= c->services[ex->service].conf.request_ms;
-    bool lost = u->misses > 3 && !up_trusted(c, ex->up);
+    bool lost = !up_trusted(c, ex->up);
 
     if (!restarted && !late && !(lost && ex->idempotent)) {
         return;
@@ -249,36 +298,36 @@
 }
 
 static void
-ex_check(core_t *c, ex_t *ex)
+check_active(core_t *c, ex_t *ex)
 {
-    switch (ex->state) {
-    case EX_FENCING:
-    case EX_SYNCING:
-        ask_again(c, ex);
-        return;
-    case EX_SENT:
+    if (ex->state == EX_SENT) {
         check_sent(c, ex);
         return;
-    case EX_DONE:
-    case EX_REFUSED:
-    case EX_HELD:
-    case EX_BARRED:
-        if (expired(c, ex)) {
-            ex_remove(c, ex);
-            return;
-        }
-        sync_ex(c, ex);
-        return;
-    case EX_FREE:
-        return;
     }
+    ask_again(c, ex);
 }
 
+/* The kept records are in the order in which they were kept, so those that
+ * have expired come first. */
 void
 ex_tick(core_t *c)
 {
-    LIST_EACH(l, &c->ex_all)
+    LIST_EACH(l, &c->ex_active)
+    {
+        check_active(c, LIST_OWNER(l, ex_t, in));
+    }
+    while (!list_empty(&c->ex_kept)) {
+        ex_t *ex = LIST_OWNER(c->ex_kept.next, ex_t, in);
+        if (c->now - ex->sent < EXCHANGE_MS) {
+            break;
+        }
+        ex_remove(c, ex);
+    }
+    if (!c->leaving && !c->handing) {
+        return;
+    }
+    LIST_EACH(k, &c->ex_kept)
     {
-        ex_check(c, LIST_OWNER(l, ex_t, all));
+        sync_ex(c, LIST_OWNER(k, ex_t, in));
     }
 }
--- a/core/flows.c
+++ b/core/flows.c
@@ -100,7 +100,7 @@
 /* NULL when the table is full: the flow then has no memory and follows the
  * table's first choice, and the established ones keep theirs. */
 flow_t *
-flow_add(core_t *c, uint64_t key, uint16_t service, uint16_t up)
+flow_add(core_t *c, uint64_t key, uint16_t service, uint16_t up, uint8_t flags)
 {
     uint32_t i = c->flow_free;
     uint32_t *head = &c->flow_heads[key & c->flow_mask];
@@ -117,7 +117,7 @@
                   .up = up,
                   .up2 = UP_NONE,
                   .service = service,
-                  .flags = FLOW_USED};
+                  .flags = (uint8_t)(FLOW_USED | flags)};
     *head = i;
     c->flow_used++;
     flow_touch(c, f);
@@ -125,6 +125,18 @@
     return f;
 }
 
+flow_t *
+flow_own(core_t *c, uint64_t key)
+{
+    flow_t *f = flow_find(c, key);
+
+    if (f != NULL && (f->flags & FLOW_HELD)) {
+        f->flags &= (uint8_t)~FLOW_HELD;
+        count_pin(c, f, 1);
+    }
+    return f;
+}
+
 static void
 drop_feed(core_t *c, flow_t *f)
 {
--- a/core/homes.c
+++ b/core/homes.c
@@ -51,13 +51,15 @@
 /* Sure: no second home was possible for DOUBT_MS, so what isn't recorded here
  * was forwarded by nobody.  A home that took over from one that left cleanly
  * or is still there has its records (hand-over, earlier_home()), so only a
- * suspicion counts. */
+ * suspicion counts; but an instance younger than DOUBT_MS may have taken over
+ * from one that was itself in doubt. */
 bool
 home_sure(core_t *c, uint64_t key)
 {
     const slot_t *s = slot_of(c, key);
 
-    return !s->suspect && c->now - s->doubt_at >= DOUBT_MS;
+    return !s->suspect && c->now - s->doubt_at >= DOUBT_MS &&
+           c->now - c->start >= DOUBT_MS;
 }
 
 /* A new home lacks what its predecessor learned; until every copy of an older
@@ -185,6 +187,7 @@
         r.joining->id != c->p.self;
     if (s->backup_joins) {
         s->backup = r.joining->id;
+        c->handing = true;
     }
     else if (home == c->p.self) {
         s->backup = r.active[1] != NULL ? r.active[1]->id : 0;
@@ -213,6 +216,7 @@
 static void
 update_slots(core_t *c)
 {
+    c->handing = false;
     for (uint32_t i = 0; i < HOME_SLOTS; i++) {
         slot_update(c, i);
     }
--- a/core/request.c
+++ b/core/request.c
@@ -14,6 +14,7 @@
 #define TRIES_MAX 2    /* forwards after the first was shed */
 #define RETRY_FLOOR 10 /* retries allowed whatever the budget */
 #define PERCENT 100
+#define FENCE_AGAIN_MS 60 /* until a cancellation is sent again */
 
 static service_t *
 service_of(core_t *c, const ex_t *ex)
@@ -21,44 +22,130 @@
     return &c->services[ex->service];
 }
 
+static bool
+sure_of(core_t *c, const ex_t *ex)
+{
+    service_t *s = service_of(c, ex);
+
+    return home_sure(c, work_key(s, ex->key)) &&
+           c->now - s->groups_since >= DOUBT_MS;
+}
+
+/* ---- Fences ---- */
+
+static void
+fence_add(ex_t *ex, uint16_t u)
+{
+    for (int i = 0; i < ex->n_fence; i++) {
+        if (ex->fence[i] == u) {
+            return;
+        }
+    }
+    if (u != UP_NONE && ex->n_fence < FENCE_MAX) {
+        ex->fence[ex->n_fence++] = u;
+    }
+}
+
+/* Has EX barred at every upstream where a copy may be: the first choice of
+ * the table and of those that others may still use, and, when it is to be
+ * refused, at its target. */
+static void
+start_fence(core_t *c, ex_t *ex)
+{
+    service_t *s = service_of(c, ex);
+    uint16_t earlier[EARLIER_MAX];
+    int n = earlier_choices(c, s, ex->key, earlier);
+    uint16_t first = bucket_of(s, ex->key)->first;
+
+    ex->n_fence = 0;
+    for (int i = 0; i < n; i++) {
+        if (ex->refuse_after || earlier[i] != ex->up) {
+            fence_add(ex, earlier[i]);
+        }
+    }
+    if (ex->refuse_after || first != ex->up) {
+        fence_add(ex, first);
+    }
+    if (ex->refuse_after) {
+        fence_add(ex, ex->up);
+    }
+    ex_state(c, ex, EX_FENCING);
+    ex->sent = c->now;
+    ex->retry_at = c->now + FENCE_AGAIN_MS;
+    s->stats.fenced++;
+    for (int i = 0; i < ex->n_fence; i++) {
+        up_cancel(c, ex, ex->fence[i]);
+    }
+}
+
 /* ---- Final answers ---- */
 
 static void
-answer_final(core_t *c, ex_t *ex, uint8_t code, uint32_t max_age,
-             const char *text)
+send_final(core_t *c, const ex_t *ex)
 {
-    int n = answer_build(c, ex->buf, EX_BUF, ex, code, max_age, text);
+    uint8_t buf[96];
+    int n = answer_build(c, buf, sizeof(buf), ex, ex->final, ex->come_back);
 
-    ex_count(c, ex, false);
-    ex->state = EX_REFUSED;
-    ex->len = n > 0 ? (uint16_t)n : 0;
     if (n > 0) {
-        send_client(c, ex->service, &ex->client, ex->buf, ex->len);
+        send_client(c, ex->service, &ex->client, buf, (size_t)n);
+    }
+}
+
+/* The final answer; a read's record isn't needed any more. */
+static void
+answer_final(core_t *c, ex_t *ex, uint8_t code, uint32_t max_age)
+{
+    ex_count(c, ex, false);
+    ex->final = code;
+    ex->come_back = max_age;
+    send_final(c, ex);
+    if (ex->idempotent) {
+        ex_remove(c, ex);
+        return;
     }
+    ex_drop_bytes(c, ex);
+    ex_state(c, ex, EX_REFUSED);
 }
 
 void
 request_unknown(core_t *c, ex_t *ex)
 {
     service_of(c, ex)->stats.refused[REFUSE_UNKNOWN]++;
-    answer_final(c, ex, COAP_GW_TIMEOUT, COAP_NONE, "outcome unknown");
+    answer_final(c, ex, COAP_GW_TIMEOUT, COAP_NONE);
 }
 
-/* "Not run", if that can be known; "outcome unknown" otherwise. */
-void
-request_refuse(core_t *c, ex_t *ex, refuse_t why)
+static void
+refuse_now(core_t *c, ex_t *ex, refuse_t why)
 {
     service_t *s = service_of(c, ex);
-    uint64_t key = work_key(s, ex->key);
+    bool idempotent = ex->idempotent;
 
-    if (!ex->idempotent && !home_sure(c, key)) {
+    s->stats.refused[why]++;
+    answer_final(c, ex, COAP_UNAVAILABLE, come_back(c, s));
+    if (!idempotent) {
+        ex->up = UP_NONE;
+        sync_ex(c, ex);
+    }
+}
+
+/* "Not run" must stay true.  A sure home refuses by its own word: its record
+ * keeps later copies from running.  Another one has the request barred first
+ * wherever a copy could be; if that can't be had, the outcome is unknown. */
+void
+request_refuse(core_t *c, ex_t *ex, refuse_t why)
+{
+    if (ex->idempotent || sure_of(c, ex)) {
+        refuse_now(c, ex, why);
+        return;
+    }
+    if (ex->refuse_after) {
         request_unknown(c, ex);
         return;
     }
-    s->stats.refused[why]++;
-    answer_final(c, ex, COAP_UNAVAILABLE, come_back(c, s), "not run");
-    ex->up = UP_NONE;
-    sync_ex(c, ex);
+    ex_count(c, ex, false);
+    ex->refuse_after = true;
+    ex->why = why;
+    start_fence(c, ex);
 }
 
 /* ---- Forwarding ---- */
@@ -72,12 +159,12 @@
         request_refuse(c, ex, REFUSE_NONE);
         return;
     }
-    ex->state = EX_SENT;
+    ex_state(c, ex, EX_SENT);
     ex->epoch = c->ups[ex->up].epoch;
     ex->sent = c->now;
     s->forwarded++;
     ex_count(c, ex, true);
-    send_upstream(c, ex->up, &ex->client, true, ex->buf, ex->len);
+    send_upstream(c, ex->up, &ex->client, true, ex_bytes(c, ex), ex->len);
 }
 
 /* Asks the backup to hold the record; forwards when there is nobody to ask.
@@ -88,7 +175,7 @@
 {
     uint64_t key = work_key(service_of(c, ex), ex->key);
 
-    ex->state = EX_SYNCING;
+    ex_state(c, ex, EX_SYNCING);
     if (sync_target(c, key) == 0) {
         request_forward(c, ex);
         return;
@@ -102,7 +189,7 @@
 start_sync(core_t *c, ex_t *ex)
 {
     ex->sent = c->now;
-    ex->retry_at = c->now;
+    ex->retry_at = c->now + FENCE_AGAIN_MS;
     ex->epoch = c->ups[ex->up].epoch;
     request_synced(c, ex);
 }
@@ -110,8 +197,8 @@
 /* ---- Choice of the upstream ---- */
 
 /* The least loaded upstream of the service with room for CLS.  The home sees
- * all requests of the service, so it need not draw lots; FIRST is kept while
- * it isn't clearly busier, since it needs no copy at the backup. */
+ * all requests of the service, so it need not draw lots; FIRST wins a tie,
+ * since it needs no copy at the backup. */
 static uint16_t
 choose_free(core_t *c, service_t *s, uint16_t first, class_t cls)
 {
@@ -178,39 +265,20 @@
     start_sync(c, ex);
 }
 
-static void
-fence_add(ex_t *ex, uint16_t u)
-{
-    if (u != ex->up && u != UP_NONE && ex->n_fence < FENCE_MAX) {
-        ex->fence[ex->n_fence++] = u;
-    }
-}
-
-static void
-start_fence(core_t *c, ex_t *ex)
-{
-    ex->state = EX_FENCING;
-    ex->sent = c->now;
-    ex->retry_at = c->now + 60;
-    service_of(c, ex)->stats.fenced++;
-    for (int i = 0; i < ex->n_fence; i++) {
-        up_cancel(c, ex, ex->fence[i]);
-    }
-}
-
-/* A request unknown to a home that can't be sure to be the only one, or that
- * took over from a home that died: another copy may have been forwarded, and
- * then to a first choice, of this table or an earlier one. */
+/* A request unknown to a home that can't be sure to be the only one: another
+ * copy may have been forwarded, and then to a first choice, of this table or
+ * an earlier one. */
 static void
 open_unsure(core_t *c, ex_t *ex)
 {
     service_t *s = service_of(c, ex);
-    const bucket_t *b = bucket_of(s, ex->key);
+    uint16_t first = bucket_of(s, ex->key)->first;
     uint16_t earlier[EARLIER_MAX];
-    int n = earlier_choices(c, s, ex->key, earlier);
 
-    ex->up =
-        up_eligible(c, b->first) ? b->first : up_next(c, s, ex->key, b->first);
+    ex->up = first;
+    if (!up_eligible(c, first)) {
+        ex->up = up_next(c, s, ex->key, first);
+    }
     if (ex->up == UP_NONE) {
         request_refuse(c, ex, REFUSE_NONE);
         return;
@@ -224,11 +292,7 @@
         request_unknown(c, ex);
         return;
     }
-    fence_add(ex, b->first);
-    for (int i = 0; i < n; i++) {
-        fence_add(ex, earlier[i]);
-    }
-    if (ex->n_fence == 0) {
+    if (ex->up == first && earlier_choices(c, s, ex->key, earlier) == 0) {
         request_forward(c, ex);
         return;
     }
@@ -253,12 +317,18 @@
     if (strcmp(state, "barred") != 0) {
         /* It runs there or has run: a copy brings the answer. */
         ex->up = u;
+        ex->refuse_after = false;
         request_forward(c, ex);
         return;
     }
-    if (ex->n_fence == 0) {
-        start_sync(c, ex);
+    if (ex->n_fence > 0) {
+        return;
     }
+    if (ex->refuse_after) {
+        refuse_now(c, ex, ex->why);
+        return;
+    }
+    start_sync(c, ex);
 }
 
 /* ---- Copies of a known request ---- */
@@ -267,27 +337,38 @@
 static void
 adopt_held(core_t *c, const dgram_t *d, ex_t *ex)
 {
-    uint16_t up = up_find_id(c, ex->held_up);
+    uint64_t held = ex->held_up;
+    uint16_t up = up_find_id(c, held);
     uint32_t epoch = ex->epoch;
-    bool refused = ex->held_up == 0;
 
     ex_remove(c, ex);
     ex = ex_add(c, d);
+    if (ex == NULL) {
+        return; /* no buffer: the caller's next copy may find one */
+    }
     ex->synced = true;
-    if (refused) {
-        answer_final(c, ex, COAP_UNAVAILABLE, come_back(c, service_of(c, ex)),
-                     "not run");
+    if (held == 0) {
+        answer_final(c, ex, COAP_UNAVAILABLE, come_back(c, service_of(c, ex)));
         return;
     }
-    ex->up = up;
     if (up == UP_NONE || !up_trusted(c, up) || c->ups[up].epoch != epoch) {
-        ex->up = UP_NONE;
         request_unknown(c, ex);
         return;
     }
+    ex->up = up;
     request_forward(c, ex);
 }
 
+/* A copy goes only where the first went, and only while that upstream still
+ * remembers it. */
+static void
+copy_to_upstream(core_t *c, const dgram_t *d, const ex_t *ex)
+{
+    if (up_trusted(c, ex->up) && c->ups[ex->up].epoch == ex->epoch) {
+        send_upstream(c, ex->up, &ex->client, true, d->data, d->len);
+    }
+}
+
 static void
 copy_of_known(core_t *c, const dgram_t *d, ex_t *ex)
 {
@@ -307,20 +388,18 @@
     }
     service_of(c, ex)->stats.duplicates++;
     switch (ex->state) {
-    case EX_SENT:
-        if (up_trusted(c, ex->up) && c->ups[ex->up].epoch == ex->epoch) {
-            send_upstream(c, ex->up, &ex->client, true, d->data, d->len);
-        }
+    case EX_REFUSED:
+        send_final(c, ex);
         return;
     case EX_DONE:
-    case EX_REFUSED:
-        if (ex->len > 0) {
-            send_client(c, ex->service, &ex->client, ex->buf, ex->len);
+        if (ex->buf != 0) {
+            send_client(c, ex->service, &ex->client, ex_bytes(c, ex), ex->len);
             return;
         }
-        if (up_trusted(c, ex->up) && c->ups[ex->up].epoch == ex->epoch) {
-            send_upstream(c, ex->up, &ex->client, true, d->data, d->len);
-        }
+        copy_to_upstream(c, d, ex);
+        return;
+    case EX_SENT:
+        copy_to_upstream(c, d, ex);
         return;
     case EX_FENCING:
     case EX_SYNCING:
@@ -333,57 +412,61 @@
 
 /* ---- Uploads ---- */
 
+/* Opens an upload.  NULL: it was refused. */
+static flow_t *
+upload_open(core_t *c, const dgram_t *d)
+{
+    service_t *s = &c->services[d->service];
+    uint16_t first = bucket_of(s, d->key)->first;
+    uint16_t up = first;
+    flow_t *f;
+
+    s->stats.requests[CLASS_BULK]++;
+    if (home_sure(c, work_key(s, d->key))) {
+        up = choose_free(c, s, first, CLASS_BULK);
+    }
+    if (!up_eligible(c, up)) {
+        answer_now(c, d, COAP_UNAVAILABLE, come_back(c, s), REFUSE_FULL);
+        return NULL;
+    }
+    f = flow_add(c, d->key, d->service, up, FLOW_UPLOAD);
+    if (f == NULL) {
+        answer_now(c, d, COAP_UNAVAILABLE, come_back(c, s), REFUSE_TABLE);
+    }
+    return f;
+}
+
 /* A block of an upload goes where its first block went. */
 static void
 upload_block(core_t *c, const dgram_t *d)
 {
     service_t *s = &c->services[d->service];
-    bool first = d->m->block1 >> 4 == 0;
-    flow_t *f = flow_find(c, d->key);
+    uint16_t first = bucket_of(s, d->key)->first;
+    flow_t *f = flow_own(c, d->key);
 
-    if (f != NULL && (f->flags & FLOW_HELD)) {
-        flow_t old = *f;
-        flow_remove(c, f);
-        f = flow_add(c, d->key, d->service, old.up);
-        f->flags |= FLOW_UPLOAD;
-    }
-    if (f != NULL && !up_trusted(c, f->up)) {
+    if (f != NULL && (!up_trusted(c, f->up) || !(f->flags & FLOW_UPLOAD))) {
         flow_remove(c, f);
         f = NULL;
     }
-    if (f == NULL && first) {
-        const bucket_t *b = bucket_of(s, d->key);
-        uint16_t up = home_sure(c, work_key(s, d->key))
-                          ? choose_free(c, s, b->first, CLASS_BULK)
-                          : b->first;
-        if (up == UP_NONE || !up_eligible(c, up)) {
-            answer_now(c, d, COAP_UNAVAILABLE, come_back(c, s), REFUSE_FULL);
-            return;
-        }
-        f = flow_add(c, d->key, d->service, up);
+    if (f == NULL && d->m->block1 >> 4 == 0) {
+        f = upload_open(c, d);
         if (f == NULL) {
-            answer_now(c, d, COAP_UNAVAILABLE, come_back(c, s), REFUSE_TABLE);
             return;
         }
-        c->ups[up].flows--;
-        c->ups[up].uploads++;
-        f->flags |= FLOW_UPLOAD;
     }
-    if (f == NULL) {
-        uint16_t up = bucket_of(s, d->key)->first;
-        if (home_sure(c, work_key(s, d->key)) || !up_trusted(c, up)) {
-            answer_now(c, d, COAP_INCOMPLETE, COAP_NONE, REFUSE_UPLOAD);
-            return;
-        }
-        send_upstream(c, up, &d->h->client, true, d->data, d->len);
+    if (f != NULL) {
+        flow_touch(c, f);
+        send_upstream(c, f->up, &d->h->client, true, d->data, d->len);
         return;
     }
-    flow_touch(c, f);
-    send_upstream(c, f->up, &d->h->client, true, d->data, d->len);
+    if (home_sure(c, work_key(s, d->key)) || !up_trusted(c, first)) {
+        answer_now(c, d, COAP_INCOMPLETE, COAP_NONE, REFUSE_UPLOAD);
+        return;
+    }
+    /* A home that died may have had it at the first choice. */
+    send_upstream(c, first, &d->h->client, true, d->data, d->len);
 }
 
-/* ---- Entry ---- */
-
 static bool
 is_upload_block(const coap_msg_t *m)
 {
@@ -392,11 +475,12 @@
     return m->block1 != COAP_NONE && (m->block1 >> 4 > 0 || more);
 }
 
+/* ---- Entry ---- */
+
 void
 request_at_home(core_t *c, const dgram_t *d)
 {
     service_t *s = &c->services[d->service];
-    uint64_t key = work_key(s, d->key);
     ex_t *ex;
 
     if (is_upload_block(d->m)) {
@@ -409,20 +493,24 @@
         return;
     }
     s->stats.requests[class_of(d->m)]++;
+    if (d->len > EX_BUF) {
+        answer_now(c, d, COAP_TOO_LARGE, COAP_NONE, REFUSE_TOO_LARGE);
+        return;
+    }
     ex = ex_add(c, d);
     if (ex == NULL) {
-        bool sure = home_sure(c, key) || d->m->code == COAP_GET;
+        bool sure =
+            home_sure(c, work_key(s, d->key)) || d->m->code == COAP_GET;
         answer_now(c, d, sure ? COAP_UNAVAILABLE : COAP_GW_TIMEOUT,
                    sure ? come_back(c, s) : COAP_NONE,
                    sure ? REFUSE_TABLE : REFUSE_UNKNOWN);
         return;
     }
-    if (home_sure(c, key) && c->now - s->groups_since >= DOUBT_MS) {
+    if (sure_of(c, ex)) {
         open_sure(c, d, ex);
+        return;
     }
-    else {
-        open_unsure(c, ex);
-    }
+    open_unsure(c, ex);
 }
 
 /* ---- Answers and retries ---- */
@@ -444,14 +532,11 @@
     uint16_t next;
 
     ex_count(c, ex, false);
-    if (ex->tries >= TRIES_MAX || !retry_allowed(s) || ex->len == 0) {
+    if (ex->tries >= TRIES_MAX || !retry_allowed(s) ||
+        (!ex->idempotent && !sure_of(c, ex))) {
         request_refuse(c, ex, REFUSE_FULL);
         return;
     }
-    if (!ex->idempotent && !home_sure(c, work_key(s, ex->key))) {
-        request_unknown(c, ex);
-        return;
-    }
     next = choose_free(c, s, UP_NONE, ex->cls);
     if (next == UP_NONE || next == old) {
         next = up_next(c, s, ex->key, old);
@@ -471,6 +556,23 @@
     start_sync(c, ex);
 }
 
+/* The answer is final; a read's record has done its work. */
+static void
+answer_done(core_t *c, ex_t *ex, const coap_msg_t *m, const uint8_t *data,
+            size_t len)
+{
+    send_client(c, ex->service, &ex->client, data, len);
+    ex->answer_mid = m->type == COAP_T_CON ? m->mid : 0;
+    if (ex->idempotent && ex->answer_mid == 0) {
+        ex_remove(c, ex);
+        return;
+    }
+    if (!ex_keep(c, ex, data, len)) {
+        ex_drop_bytes(c, ex);
+    }
+    ex_state(c, ex, EX_DONE);
+}
+
 /* An answer to EX came from its upstream. */
 void
 request_answer(core_t *c, ex_t *ex, const coap_msg_t *m, const uint8_t *data,
@@ -485,7 +587,7 @@
     if (m->code == COAP_CONFLICT && !ex->idempotent) {
         /* Another home barred it there and answers the caller. */
         ex_count(c, ex, false);
-        ex->state = EX_BARRED;
+        ex_state(c, ex, EX_BARRED);
         return;
     }
     if (m->code == COAP_UNAVAILABLE && ex->state == EX_SENT) {
@@ -497,13 +599,6 @@
         hist_add(&s->stats.wait_ms[ex->cls], (uint64_t)(c->now - ex->sent));
         c->ups[ex->up].sheds = 0;
         ex_count(c, ex, false);
-        ex->state = EX_DONE;
-    }
-    ex->answer_mid = m->type == COAP_T_CON ? m->mid : 0;
-    ex->len = 0;
-    if (len <= EX_BUF) {
-        memcpy(ex->buf, data, len);
-        ex->len = (uint16_t)len;
     }
-    send_client(c, ex->service, &ex->client, data, len);
+    answer_done(c, ex, m, data, len);
 }
--- a/core/state.h
+++ b/core/state.h
@@ -7,6 +7,7 @@
  *   exchanges.c  records of requests
  *   sync.c       copies of pins and records for the backup
  *   request.c    what a home does with a request
+ *   map.c        addresses to indices
  *   core.c       dispatch, ticks, statistics
  */
 #ifndef SISKIN_CORE_STATE_H
@@ -14,6 +15,21 @@
 
 #include "core/core.h"
 
+/* ---- map.c ---- */
+
+#define MAP_NONE UINT32_MAX
+
+/* 64-bit keys (not 0) to indices; open addressing. */
+typedef struct {
+    uint64_t *keys;
+    uint32_t *values;
+    uint32_t mask, used;
+} map_t;
+
+uint32_t map_get(const map_t *m, uint64_t key);
+int map_put(map_t *m, uint64_t key, uint32_t value);
+void map_free(map_t *m);
+
 /* ---- homes.c ---- */
 
 #define HOME_SLOTS 4096 /* a key's slot is its top 12 bits */
@@ -124,7 +140,7 @@
 
 /* ---- exchanges.c ---- */
 
-#define EX_BUF 576 /* request kept for a retry, then the answer */
+#define EX_BUF 1152 /* longest request, RFC 7252 4.6; then the answer */
 #define FENCE_MAX 4
 
 typedef enum {
@@ -132,14 +148,14 @@
     EX_FENCING, /* earlier choices are asked to bar it */
     EX_SYNCING, /* the backup is told before it is forwarded */
     EX_SENT,    /* forwarded */
-    EX_DONE,    /* answered; BUF holds the answer if it fits */
-    EX_REFUSED, /* refused for good; BUF holds the refusal */
+    EX_DONE,    /* answered; the buffer, if any, holds the answer */
+    EX_REFUSED, /* refused for good, with FINAL */
     EX_HELD,    /* another home forwarded it to UP */
     EX_BARRED   /* another home has taken it over */
 } ex_state_t;
 
 typedef struct {
-    link_t all;    /* oldest first */
+    link_t in;     /* ex_active, or ex_kept (oldest first) */
     uint64_t key;  /* flow key */
     uint32_t next; /* chain, index + 1 */
     ex_state_t state;
@@ -154,15 +170,19 @@
     uint16_t up;      /* target, UP_NONE: none */
     uint32_t epoch;   /* of UP when forwarded */
     uint64_t held_up; /* EX_HELD: the upstream's ID, 0: refused */
-    ms_t born, sent, retry_at;
+    ms_t sent, retry_at;
     addr_t client;
     uint8_t token_len;
     uint8_t token[COAP_TOKEN_MAX];
     coap_type_t type;
     uint8_t n_fence;
     uint16_t fence[FENCE_MAX]; /* upstreams still to answer */
-    uint16_t len;
-    uint8_t buf[EX_BUF];
+    bool refuse_after;         /* barred everywhere: say "not run" */
+    refuse_t why;              /* of that refusal */
+    uint8_t final;             /* code of the final answer, EX_REFUSED */
+    uint32_t come_back;        /* its Max-Age */
+    uint16_t len;              /* of what the buffer holds, 0: nothing */
+    uint32_t buf;              /* index + 1 into ex_bufs, 0: none */
 } ex_t;
 
 /* ---- a service ---- */
@@ -192,6 +212,8 @@
     rng_t rng;
     uint64_t version, lowest;
     bool leaving;
+    bool handing; /* a member joins: pins and records move by plan */
+    map_t up_map, service_map; /* addr_id() to index */
 
     slot_t *slots;
     peer_t *peers;
@@ -211,7 +233,9 @@
 
     ex_t *exs;
     uint32_t *ex_heads, ex_mask, ex_free, ex_used;
-    link_t ex_all;
+    link_t ex_active, ex_kept;
+    uint8_t (*ex_bufs)[EX_BUF];
+    uint32_t *ex_buf_free, n_buf_free, n_bufs;
 
     struct {
         uint64_t to;
@@ -274,7 +298,11 @@
 int flows_new(core_t *c);
 void flows_free(core_t *c);
 flow_t *flow_find(core_t *c, uint64_t key);
-flow_t *flow_add(core_t *c, uint64_t key, uint16_t service, uint16_t up);
+flow_t *flow_add(core_t *c, uint64_t key, uint16_t service, uint16_t up,
+                 uint8_t flags);
+/* Finds KEY's flow for its home; a copy held for another home becomes this
+ * one's own. */
+flow_t *flow_own(core_t *c, uint64_t key);
 void flow_remove(core_t *c, flow_t *f);
 void flow_pin(core_t *c, flow_t *f, uint16_t up);
 void flow_touch(core_t *c, flow_t *f);
@@ -292,6 +320,12 @@
 ex_t *ex_find_answer(core_t *c, uint64_t key, uint16_t answer_mid);
 ex_t *ex_add(core_t *c, const dgram_t *d);
 void ex_remove(core_t *c, ex_t *ex);
+/* Moves EX to STATE and to the list that goes with it. */
+void ex_state(core_t *c, ex_t *ex, ex_state_t state);
+uint8_t *ex_bytes(core_t *c, const ex_t *ex);
+/* Keeps DATA in the record's buffer.  False: no buffer is free. */
+bool ex_keep(core_t *c, ex_t *ex, const uint8_t *data, size_t len);
+void ex_drop_bytes(core_t *c, ex_t *ex);
 /* Counts EX at its upstream and caller, or ends that. */
 void ex_count(core_t *c, ex_t *ex, bool on);
 void ex_tick(core_t *c);
@@ -299,6 +333,7 @@
 /* sync.c */
 void sync_add(core_t *c, uint64_t to, const pin_t *pin);
 void sync_flush(core_t *c);
+void sync_refill(core_t *c); /* the budget for paced copies, each tick */
 void sync_flow(core_t *c, flow_t *f);
 void sync_ex(core_t *c, ex_t *ex);
 void sync_receive(core_t *c, const peer_msg_t *m);
@@ -325,7 +360,7 @@
 void send_steer(core_t *c, const dgram_t *d, uint64_t to);
 /* Builds an answer to a request and returns its length in BUF. */
 int answer_build(core_t *c, uint8_t *buf, size_t cap, const ex_t *ex,
-                 uint8_t code, uint32_t max_age, const char *text);
+                 uint8_t code, uint32_t max_age);
 void answer_now(core_t *c, const dgram_t *d, uint8_t code, uint32_t max_age,
                 refuse_t why);
 uint32_t come_back(core_t *c, const service_t *s);
--- a/core/sync.c
+++ b/core/sync.c
@@ -55,18 +55,21 @@
     for (int i = 0; i < BATCHES; i++) {
         batch_send(c, i);
     }
-    c->sync_budget = c->leaving ? HAND_OVER_BYTES : PACED_BYTES;
+}
+
+void
+sync_refill(core_t *c)
+{
+    c->sync_budget = c->leaving || c->handing ? HAND_OVER_BYTES : PACED_BYTES;
 }
 
 static bool
-spend(core_t *c, bool hand_over)
+spend(core_t *c)
 {
     if (c->sync_budget < PIN_BYTES) {
         return false;
     }
-    if (!hand_over) {
-        c->sync_budget -= PIN_BYTES;
-    }
+    c->sync_budget -= PIN_BYTES;
     return true;
 }
 
@@ -82,7 +85,7 @@
                  .kind = f->flags & FLOW_UPLOAD ? PIN_UPLOAD : PIN_FLOW};
 
     if (to == 0 || (f->flags & FLOW_SYNCED) || (f->up == b->first && !over) ||
-        !spend(c, over)) {
+        !spend(c)) {
         return;
     }
     sync_add(c, to, &pin);
@@ -109,6 +112,9 @@
     if (to == 0 || (!over && ex->state != EX_SYNCING)) {
         return;
     }
+    if (ex->state != EX_SYNCING && !spend(c)) {
+        return;
+    }
     if (ex->up != UP_NONE && ex->state != EX_REFUSED) {
         pin.upstream = c->ups[ex->up].conf.id;
     }
@@ -120,20 +126,16 @@
 {
     flow_t *f = flow_find(c, pin->flow);
     uint16_t up = up_find_id(c, pin->upstream);
+    uint8_t flags = FLOW_HELD;
 
     if (up == UP_NONE) {
         return;
     }
+    if (pin->kind == PIN_UPLOAD) {
+        flags |= FLOW_UPLOAD;
+    }
     if (f == NULL) {
-        f = flow_add(c, pin->flow, c->ups[up].service, up);
-        if (f == NULL) {
-            return;
-        }
-        c->ups[up].flows--; /* counted once this is the home */
-        f->flags |= FLOW_HELD;
-        if (pin->kind == PIN_UPLOAD) {
-            f->flags |= FLOW_UPLOAD;
-        }
+        flow_add(c, pin->flow, c->ups[up].service, up, flags);
         return;
     }
     if (f->flags & FLOW_HELD) {
@@ -157,7 +159,7 @@
     if (ex == NULL) {
         return;
     }
-    ex->state = EX_HELD;
+    ex_state(c, ex, EX_HELD);
     ex->mid = pin->mid;
     ex->epoch = pin->epoch;
     ex->held_up = pin->upstream;
@@ -225,8 +227,8 @@
     for (uint32_t i = 0; i < c->p.max_flows; i++) {
         c->flows[i].flags &= (uint8_t)~FLOW_SYNCED;
     }
-    LIST_EACH(l, &c->ex_all)
+    LIST_EACH(l, &c->ex_kept)
     {
-        LIST_OWNER(l, ex_t, all)->synced = false;
+        LIST_OWNER(l, ex_t, in)->synced = false;
     }
 }
--- a/core/upstreams.c
+++ b/core/upstreams.c
@@ -29,12 +29,9 @@
 uint16_t
 up_find_id(core_t *c, uint64_t id)
 {
-    for (uint32_t i = 0; i < c->n_ups; i++) {
-        if (c->ups[i].used && c->ups[i].conf.id == id) {
-            return (uint16_t)i;
-        }
-    }
-    return UP_NONE;
+    uint32_t i = map_get(&c->up_map, id);
+
+    return i == MAP_NONE ? UP_NONE : (uint16_t)i;
 }
 
 uint16_t
@@ -54,6 +51,7 @@
                 .trust_until = INT64_MIN / 2,
                 .eject_until = INT64_MIN / 2,
                 .probe_next = c->now + rng_below(&c->rng, 100)};
+    map_put(&c->up_map, conf->id, c->n_ups);
     return (uint16_t)c->n_ups++;
 }
 
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -52,8 +52,9 @@
 #define COAP_CONTINUE COAP_C(2, 31)
 #define COAP_BAD_REQUEST COAP_C(4, 0)
 #define COAP_NOT_FOUND COAP_C(4, 4)
-#define COAP_INCOMPLETE COAP_C(4, 8)  /* RFC 7959 2.9.2 */
-#define COAP_CONFLICT COAP_C(4, 9)    /* RFC 8132 */
+#define COAP_INCOMPLETE COAP_C(4, 8) /* RFC 7959 2.9.2 */
+#define COAP_CONFLICT COAP_C(4, 9)   /* RFC 8132 */
+#define COAP_TOO_LARGE COAP_C(4, 13)
 #define COAP_UNAVAILABLE COAP_C(5, 3) /* "not run"; Max-Age: come back */
 #define COAP_GW_TIMEOUT COAP_C(5, 4)  /* "outcome unknown" */
 
