--- /dev/null
+++ b/standin/platform.h
@@ -0,0 +1,36 @@
+/* platform: a stand-in for the users' platform: the key-value service with
+ * compare-and-swap, watches and leases, and the lagging list of instances, as
+ * plat/plat.h and docs/PLATFORM.md tell it.  Kept in memory; faults are
+ * switched on at run time.
+ */
+#ifndef SISKIN_STANDIN_PLATFORM_H
+#define SISKIN_STANDIN_PLATFORM_H
+
+#include "base/base.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct {
+    uint16_t port;    /* on 127.0.0.1; 0: any */
+    ms_t list_lag_ms; /* a change of the list is seen so much later */
+    ms_t expire_ms;   /* an instance not renewed so long has vanished */
+} si_platform_params_t;
+
+#define SI_PLATFORM_PARAMS                                                    \
+    {                                                                         \
+        .port = 8500, .list_lag_ms = 2000, .expire_ms = 3000                  \
+    }
+
+typedef struct si_platform si_platform_t;
+
+si_platform_t *si_platform_open(const si_platform_params_t *p, err_t *e);
+uint16_t si_platform_port(const si_platform_t *p);
+void si_platform_close(si_platform_t *p);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
