--- /dev/null
+++ b/standin/client.h
@@ -0,0 +1,98 @@
+/* client: a stand-in for one caller: one socket's worth of CoAP client (RFC
+ * 7252, 7641, 7959) or of opaque datagrams.  Pure, as upstream.h is.
+ *
+ * Lines of the log: "post ..." with the outcome of each non-idempotent
+ * request, "feed ..." when one is established, "broken ..." for a flow that
+ * was cut, "crossed ..." for an answer that isn't the client's own.
+ */
+#ifndef SISKIN_STANDIN_CLIENT_H
+#define SISKIN_STANDIN_CLIENT_H
+
+#include "wire/wire.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define SI_BLOCK_SZX 5 /* blocks of 512 bytes */
+#define SI_BLOCK_LEN 512
+
+typedef enum {
+    SI_FEED,   /* an Observe registration, kept open */
+    SI_POST,   /* acknowledgements, setpoints */
+    SI_UPLOAD, /* Block1 */
+    SI_READ,   /* GET */
+    SI_ECHO,   /* opaque datagrams that come back */
+    SI_KINDS
+} si_kind_t;
+
+extern const char *const si_kind_names[SI_KINDS];
+
+typedef enum {
+    SI_ANSWERED,
+    SI_REFUSED,  /* 5.03: not run */
+    SI_UNKNOWN,  /* 5.04: outcome unknown */
+    SI_RESTART,  /* 4.08: the upload starts again */
+    SI_CONFLICT, /* 4.09: barred */
+    SI_OTHER,    /* another error code */
+    SI_TIMEOUT,  /* no answer to any copy */
+    SI_OUTCOMES
+} si_outcome_t;
+
+extern const char *const si_outcome_names[SI_OUTCOMES];
+
+/* What clients of one kind have seen together. */
+typedef struct {
+    uint64_t sent; /* requests, each with a message ID of its own */
+    uint64_t retransmitted;
+    uint64_t outcome[SI_OUTCOMES];
+    uint64_t established, notified; /* feeds */
+    uint64_t uploaded;              /* whole uploads */
+    uint64_t broken;                /* feeds, uploads, echoes that were cut */
+    uint64_t crossed;               /* answers that aren't the client's own */
+    hist_t ms;                      /* request to answer */
+} si_tally_t;
+
+typedef struct {
+    si_kind_t kind;
+    addr_t service, self;
+    char name[16];   /* begins its payload IDs */
+    ms_t ack_ms;     /* ACK_TIMEOUT */
+    ms_t every_ms;   /* from one answer to the next request */
+    ms_t silence_ms; /* a feed without traffic so long is broken */
+    uint32_t blocks; /* of an upload */
+    uint64_t seed;
+} si_client_params_t;
+
+#define SI_CLIENT_PARAMS                                                      \
+    {                                                                         \
+        .ack_ms = 2000, .every_ms = 500, .silence_ms = 10000, .blocks = 8     \
+    }
+
+typedef struct {
+    void *arg;
+    void (*send)(void *arg, const uint8_t *data, size_t len);
+    void (*log)(void *arg, const char *line); /* may be NULL */
+} si_client_out_t;
+
+typedef struct si_client si_client_t;
+
+si_client_t *si_client_new(const si_client_params_t *p,
+                           const si_client_out_t *out, si_tally_t *tally,
+                           ms_t now);
+void si_client_free(si_client_t *c);
+void si_client_receive(si_client_t *c, ms_t now, const uint8_t *data,
+                       size_t len);
+void si_client_tick(si_client_t *c, ms_t now);
+/* Begins nothing more; a feed is deregistered. */
+void si_client_stop(si_client_t *c);
+/* Nothing waits for an answer. */
+bool si_client_idle(const si_client_t *c);
+/* Gives up what still waits: its outcome is a timeout. */
+void si_client_give_up(si_client_t *c, ms_t now);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/standin/upstream.c
@@ -0,0 +1,949 @@
+/* One upstream: duplicate detection, slots, tombstones, uploads, load. */
+#include "standin/upstream.h"
+#include "standin/feeds.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define EXCHANGES_MAX 65536
+#define UPLOADS_MAX 4096
+#define BUCKETS 4096 /* a power of two */
+#define COLD_FACTOR 5
+#define PAYLOAD_MAX 200
+#define FORBIDDEN COAP_C(4, 3)
+
+typedef enum {
+    EX_QUEUED,
+    EX_RUNNING,
+    EX_DONE,
+    EX_REFUSED, /* shed or late: never starts */
+    EX_BARRED   /* cancelled before it started: never starts */
+} ex_state_t;
+
+/* A request as duplicate detection remembers it, named by client and ID. */
+typedef struct exchange {
+    link_t age;  /* oldest first */
+    link_t work; /* in the queue or among the running */
+    struct exchange *next;
+    spp_t header;
+    uint16_t mid;
+    ex_state_t state;
+    addr_t from; /* the source of the latest copy; the answer goes there */
+    ms_t at, deadline, done_at;
+    uint8_t *request, *answer;
+    size_t request_len, answer_len;
+} exchange_t;
+
+/* A client that has been heard of. */
+typedef struct conn {
+    struct conn *next;
+    addr_t client;
+    ms_t seen;
+} conn_t;
+
+/* A Block1 upload that isn't complete. */
+typedef struct {
+    link_t link;
+    addr_t client;
+    uint32_t next; /* block expected */
+    uint64_t bytes;
+    ms_t at;
+} upload_t;
+
+struct si_upstream {
+    si_upstream_params_t params;
+    si_upstream_out_t out;
+    si_upstream_stats_t stats;
+    si_feeds_t feeds;
+    exchange_t *exchange[BUCKETS];
+    conn_t *conn[BUCKETS];
+    link_t by_age, queue, running, uploads;
+    uint32_t n_exchange, n_conn, n_queue, n_running, n_upload;
+    uint16_t mid;
+    ms_t now;   /* of the current step */
+    ms_t up_at; /* silent before it */
+    ms_t sweep_at;
+    bool draining, frozen;
+    int lie; /* negative: none */
+    ms_t shown_at;
+    uint32_t shown_busy, shown_queued, shown_conn;
+};
+
+static uint32_t
+bucket(const addr_t *client, uint16_t mid)
+{
+    return (uint32_t)hash_mix(addr_id(client), mid) & (BUCKETS - 1);
+}
+
+/* ---- Sending ---- */
+
+static void
+send_coap(si_upstream_t *u, const addr_t *to, const spp_t *header,
+          const coap_msg_t *m)
+{
+    uint8_t b[SPP_LEN + DATAGRAM_MAX];
+    int n = coap_encode(b + SPP_LEN, DATAGRAM_MAX, m);
+
+    if (n < 0) {
+        return;
+    }
+    spp_write(b, header);
+    u->out.send(u->out.arg, to, b, SPP_LEN + (size_t)n);
+}
+
+/* The empty answer to M, of CODE. */
+static coap_msg_t
+answer_to(si_upstream_t *u, const coap_msg_t *m, uint8_t code)
+{
+    coap_msg_t a = COAP_MSG_INIT;
+
+    a.type = m->type == COAP_T_CON ? COAP_T_ACK : COAP_T_NON;
+    a.code = code;
+    a.mid = m->type == COAP_T_CON ? m->mid : u->mid++;
+    a.token_len = m->token_len;
+    memcpy(a.token, m->token, m->token_len);
+    return a;
+}
+
+static void
+answer_text(si_upstream_t *u, const addr_t *to, const spp_t *header,
+            const coap_msg_t *m, uint8_t code, const char *text)
+{
+    coap_msg_t a = answer_to(u, m, code);
+
+    a.payload = (const uint8_t *)text;
+    a.payload_len = strlen(text);
+    send_coap(u, to, header, &a);
+}
+
+/* ---- Duplicate detection ---- */
+
+static exchange_t *
+ex_find(si_upstream_t *u, const addr_t *client, uint16_t mid)
+{
+    exchange_t *x = u->exchange[bucket(client, mid)];
+
+    while (x != NULL &&
+           (x->mid != mid || !addr_eq(&x->header.client, client))) {
+        x = x->next;
+    }
+    return x;
+}
+
+static exchange_t *
+ex_add(si_upstream_t *u, ms_t now, const spp_t *header, uint16_t mid)
+{
+    exchange_t **head = &u->exchange[bucket(&header->client, mid)];
+    exchange_t *x;
+
+    if (u->n_exchange == EXCHANGES_MAX) {
+        return NULL;
+    }
+    x = calloc(1, sizeof(*x));
+    if (x == NULL) {
+        return NULL;
+    }
+    x->header = *header;
+    x->mid = mid;
+    x->at = now;
+    x->next = *head;
+    *head = x;
+    list_init(&x->work);
+    list_append(&u->by_age, &x->age);
+    u->n_exchange++;
+    return x;
+}
+
+static void
+ex_remove(si_upstream_t *u, exchange_t *x)
+{
+    exchange_t **p = &u->exchange[bucket(&x->header.client, x->mid)];
+
+    while (*p != x) {
+        p = &(*p)->next;
+    }
+    *p = x->next;
+    list_remove(&x->age);
+    list_remove(&x->work);
+    free(x->request);
+    free(x->answer);
+    free(x);
+    u->n_exchange--;
+}
+
+static void
+ex_expire(si_upstream_t *u, ms_t now)
+{
+    LIST_EACH(it, &u->by_age)
+    {
+        exchange_t *x = LIST_OWNER(it, exchange_t, age);
+        bool busy = x->state == EX_QUEUED || x->state == EX_RUNNING;
+        if (busy || x->at + SI_EXCHANGE_MS > now) {
+            return;
+        }
+        ex_remove(u, x);
+    }
+}
+
+/* Sends answer A to the request, and keeps it for later copies. */
+static void
+ex_answer(si_upstream_t *u, exchange_t *x, const coap_msg_t *a)
+{
+    uint8_t b[SPP_LEN + DATAGRAM_MAX];
+    int n = coap_encode(b + SPP_LEN, DATAGRAM_MAX, a);
+
+    if (n < 0) {
+        return;
+    }
+    spp_write(b, &x->header);
+    x->answer_len = SPP_LEN + (size_t)n;
+    free(x->answer);
+    x->answer = malloc(x->answer_len);
+    if (x->answer == NULL) {
+        x->answer_len = 0;
+        return;
+    }
+    memcpy(x->answer, b, x->answer_len);
+    u->out.send(u->out.arg, &x->from, x->answer, x->answer_len);
+}
+
+static void
+ex_duplicate(si_upstream_t *u, exchange_t *x, const addr_t *from,
+             const coap_msg_t *m)
+{
+    x->from = *from;
+    if (x->state == EX_BARRED) {
+        u->stats.barred++;
+        answer_text(u, from, &x->header, m, COAP_CONFLICT, "");
+        return;
+    }
+    u->stats.duplicates++;
+    if (x->answer != NULL) {
+        u->out.send(u->out.arg, from, x->answer, x->answer_len);
+    }
+}
+
+/* Refuses a request that has not started; it never will. */
+static void
+ex_refuse(si_upstream_t *u, exchange_t *x, const coap_msg_t *m)
+{
+    coap_msg_t a = answer_to(u, m, COAP_UNAVAILABLE);
+
+    a.max_age = u->params.come_back_s;
+    x->state = EX_REFUSED;
+    ex_answer(u, x, &a);
+}
+
+/* ---- Connections ---- */
+
+static conn_t *
+conn_find(si_upstream_t *u, const addr_t *client)
+{
+    conn_t *c = u->conn[bucket(client, 0)];
+
+    while (c != NULL && !addr_eq(&c->client, client)) {
+        c = c->next;
+    }
+    return c;
+}
+
+/* False when the client is new and there is no place for it. */
+static bool
+conn_touch(si_upstream_t *u, ms_t now, const addr_t *client)
+{
+    conn_t *c = conn_find(u, client);
+    conn_t **head = &u->conn[bucket(client, 0)];
+
+    if (c == NULL) {
+        if (u->draining || u->n_conn >= u->params.connections) {
+            return false;
+        }
+        c = calloc(1, sizeof(*c));
+        if (c == NULL) {
+            return false;
+        }
+        c->client = *client;
+        c->next = *head;
+        *head = c;
+        u->n_conn++;
+    }
+    c->seen = now;
+    return true;
+}
+
+/* Forgets those last seen before THEN. */
+static void
+conn_sweep(si_upstream_t *u, ms_t then)
+{
+    for (int i = 0; i < BUCKETS; i++) {
+        conn_t **p = &u->conn[i];
+        while (*p != NULL) {
+            conn_t *c = *p;
+            if (c->seen >= then) {
+                p = &c->next;
+                continue;
+            }
+            *p = c->next;
+            free(c);
+            u->n_conn--;
+        }
+    }
+}
+
+/* ---- Running requests ---- */
+
+/* The payload ID: the payload's first word. */
+static void
+payload_id(char id[SI_ID_MAX], const coap_msg_t *m)
+{
+    size_t n = 0;
+
+    while (n < m->payload_len && n < SI_ID_MAX - 1 && m->payload[n] > ' ' &&
+           m->payload[n] < 127) {
+        id[n] = (char)m->payload[n];
+        n++;
+    }
+    id[n] = '\0';
+    if (n == 0) {
+        strcpy(id, "-");
+    }
+}
+
+static void
+log_run(si_upstream_t *u, const exchange_t *x, const coap_msg_t *m)
+{
+    char service[ADDR_STRLEN], self[ADDR_STRLEN], client[ADDR_STRLEN];
+    char id[SI_ID_MAX], token[2 * COAP_TOKEN_MAX + 1] = "-", line[400];
+
+    u->stats.executed++;
+    if (u->out.log == NULL) {
+        return;
+    }
+    for (int i = 0; i < m->token_len; i++) {
+        snprintf(token + 2 * i, 3, "%02x", m->token[i]);
+    }
+    payload_id(id, m);
+    snprintf(line, sizeof(line),
+             "run service=%s upstream=%s epoch=%u client=%s mid=%u token=%s "
+             "path=%s id=%s",
+             addr_text(&x->header.service, service),
+             addr_text(&u->params.addr, self), u->params.epoch,
+             addr_text(&x->header.client, client), m->mid, token,
+             m->path_n > 0 ? m->path[0] : "-", id);
+    u->out.log(u->out.arg, line);
+}
+
+/* What every answer carries, so that a caller can tell whose it is. */
+static size_t
+answer_payload(si_upstream_t *u, char out[PAYLOAD_MAX], const char *id,
+               const spp_t *header)
+{
+    char service[ADDR_STRLEN], client[ADDR_STRLEN], self[ADDR_STRLEN];
+    int n = snprintf(out, PAYLOAD_MAX,
+                     "id=%s client=%s service=%s upstream=%s epoch=%u", id,
+                     addr_text(&header->client, client),
+                     addr_text(&u->params.service, service),
+                     addr_text(&u->params.addr, self), u->params.epoch);
+
+    return n < PAYLOAD_MAX ? (size_t)n : PAYLOAD_MAX - 1;
+}
+
+static upload_t *
+upload_find(si_upstream_t *u, const addr_t *client)
+{
+    LIST_EACH(it, &u->uploads)
+    {
+        upload_t *up = LIST_OWNER(it, upload_t, link);
+        if (addr_eq(&up->client, client)) {
+            return up;
+        }
+    }
+    return NULL;
+}
+
+static void
+upload_remove(si_upstream_t *u, upload_t *up)
+{
+    list_remove(&up->link);
+    free(up);
+    u->n_upload--;
+}
+
+/* The client's upload, begun anew by its first block.  NULL: none. */
+static upload_t *
+upload_at(si_upstream_t *u, ms_t now, const addr_t *client, uint32_t num)
+{
+    upload_t *up = upload_find(u, client);
+
+    if (num == 0 && up == NULL && u->n_upload < UPLOADS_MAX) {
+        up = calloc(1, sizeof(*up));
+        if (up == NULL) {
+            return NULL;
+        }
+        up->client = *client;
+        list_append(&u->uploads, &up->link);
+        u->n_upload++;
+    }
+    if (up == NULL) {
+        return NULL;
+    }
+    if (num == 0) {
+        up->next = 0;
+        up->bytes = 0;
+    }
+    up->at = now;
+    return up;
+}
+
+/* Takes one block; gives the answer's code (RFC 7959 2.9). */
+static uint8_t
+upload_block(si_upstream_t *u, ms_t now, const exchange_t *x,
+             const coap_msg_t *m, uint64_t *bytes)
+{
+    uint32_t num = m->block1 >> 4;
+    bool more = m->block1 & 8;
+    upload_t *up = upload_at(u, now, &x->header.client, num);
+
+    if (up == NULL || num > up->next) {
+        return COAP_INCOMPLETE;
+    }
+    if (num == up->next) {
+        up->next++;
+        up->bytes += m->payload_len;
+    }
+    *bytes = up->bytes;
+    if (more) {
+        return COAP_CONTINUE;
+    }
+    upload_remove(u, up);
+    return COAP_CHANGED;
+}
+
+/* Registers a feed, or ends one; gives the answer's Observe value. */
+static uint32_t
+observe(si_upstream_t *u, ms_t now, const exchange_t *x, const coap_msg_t *m)
+{
+    if (m->observe == 1) {
+        si_feeds_remove(&u->feeds, &x->header.client, m);
+        return COAP_NONE;
+    }
+    if (m->observe != 0) {
+        return COAP_NONE;
+    }
+    return si_feeds_add(&u->feeds, now, &x->header, &x->from, m) ? 0
+                                                                 : COAP_NONE;
+}
+
+static void
+ex_finish(si_upstream_t *u, ms_t now, exchange_t *x)
+{
+    coap_msg_t m, a;
+    char id[SI_ID_MAX], text[PAYLOAD_MAX];
+    uint64_t bytes = 0;
+
+    list_remove(&x->work);
+    u->n_running--;
+    x->state = EX_DONE;
+    if (coap_decode(&m, x->request, x->request_len) < 0) {
+        return;
+    }
+    a = answer_to(u, &m, m.code == COAP_GET ? COAP_CONTENT : COAP_CHANGED);
+    payload_id(id, &m);
+    if (m.code == COAP_GET) {
+        a.observe = observe(u, now, x, &m);
+    }
+    else if (m.block1 != COAP_NONE) {
+        a.code = upload_block(u, now, x, &m, &bytes);
+        a.block1 = m.block1;
+        snprintf(id, sizeof(id), "%llu", (unsigned long long)bytes);
+    }
+    a.payload = (const uint8_t *)text;
+    a.payload_len = answer_payload(u, text, id, &x->header);
+    ex_answer(u, x, &a);
+    free(x->request);
+    x->request = NULL;
+}
+
+static void
+ex_start(si_upstream_t *u, ms_t now, exchange_t *x)
+{
+    ms_t took = u->params.service_ms;
+    coap_msg_t m;
+
+    list_remove(&x->work);
+    u->n_queue--;
+    if (coap_decode(&m, x->request, x->request_len) < 0) {
+        x->state = EX_DONE;
+        return;
+    }
+    if (now > x->deadline) {
+        u->stats.late++;
+        ex_refuse(u, x, &m);
+        return;
+    }
+    if (now < u->up_at + u->params.cold_ms) {
+        took *= COLD_FACTOR;
+    }
+    x->state = EX_RUNNING;
+    x->done_at = now + took;
+    list_append(&u->running, &x->work);
+    u->n_running++;
+    log_run(u, x, &m);
+}
+
+static void
+start_queued(si_upstream_t *u, ms_t now)
+{
+    LIST_EACH(it, &u->queue)
+    {
+        if (u->n_running >= u->params.slots) {
+            return;
+        }
+        ex_start(u, now, LIST_OWNER(it, exchange_t, work));
+    }
+}
+
+/* ---- What comes in ---- */
+
+static void
+on_request(si_upstream_t *u, ms_t now, const addr_t *from, const spp_t *header,
+           const coap_msg_t *m, const uint8_t *data, size_t len)
+{
+    exchange_t *x = ex_find(u, &header->client, m->mid);
+    bool room;
+
+    if (x != NULL) {
+        ex_duplicate(u, x, from, m);
+        return;
+    }
+    x = ex_add(u, now, header, m->mid);
+    if (x == NULL) {
+        u->stats.shed++;
+        return;
+    }
+    x->from = *from;
+    x->deadline =
+        m->max_age == COAP_NONE ? MS_NEVER : now + (ms_t)m->max_age * 1000;
+    room = conn_touch(u, now, &header->client) &&
+           u->n_queue < (uint32_t)u->params.queue + u->params.slots;
+    x->request = room ? malloc(len) : NULL;
+    if (x->request == NULL) {
+        u->stats.shed++;
+        ex_refuse(u, x, m);
+        return;
+    }
+    memcpy(x->request, data, len);
+    x->request_len = len;
+    x->state = EX_QUEUED;
+    list_append(&u->queue, &x->work);
+    u->n_queue++;
+    start_queued(u, now);
+}
+
+static void
+log_misdelivered(si_upstream_t *u, const spp_t *header)
+{
+    char service[ADDR_STRLEN], self[ADDR_STRLEN], client[ADDR_STRLEN];
+    char own[ADDR_STRLEN], line[300];
+
+    u->stats.misdelivered++;
+    if (u->out.log == NULL) {
+        return;
+    }
+    snprintf(line, sizeof(line),
+             "misdelivered service=%s upstream=%s own=%s client=%s",
+             addr_text(&header->service, service),
+             addr_text(&u->params.addr, self),
+             addr_text(&u->params.service, own),
+             addr_text(&header->client, client));
+    u->out.log(u->out.arg, line);
+}
+
+static void
+load_refresh(si_upstream_t *u, ms_t now)
+{
+    if (u->frozen || now < u->shown_at + u->params.load_lag_ms) {
+        return;
+    }
+    u->shown_at = now;
+    u->shown_busy = u->n_running;
+    u->shown_queued = u->n_queue;
+    u->shown_conn = u->n_conn;
+}
+
+static void
+on_load(si_upstream_t *u, ms_t now, const addr_t *from, const spp_t *header,
+        const coap_msg_t *m)
+{
+    char service[ADDR_STRLEN], text[PAYLOAD_MAX + 64];
+
+    if (!addr_eq(&header->service, &u->params.service)) {
+        u->stats.probe_mismatch++;
+    }
+    load_refresh(u, now);
+    snprintf(text, sizeof(text),
+             "{\"service\":\"%s\",\"epoch\":%u,\"busy\":%u,\"queued\":%u,"
+             "\"slots\":%u,\"connections\":%u,\"draining\":%s}",
+             addr_text(&u->params.service, service), u->params.epoch,
+             u->lie >= 0 ? (uint32_t)u->lie : u->shown_busy,
+             u->lie >= 0 ? 0 : u->shown_queued, u->params.slots, u->shown_conn,
+             u->draining ? "true" : "false");
+    answer_text(u, from, header, m, COAP_CONTENT, text);
+}
+
+/* "c=IP:PORT&m=MID" */
+static int
+cancel_parse(const char *query, addr_t *client, uint16_t *mid)
+{
+    char text[ADDR_STRLEN];
+    const char *amp = strstr(query, "&m=");
+    size_t n;
+
+    if (strncmp(query, "c=", 2) != 0 || amp == NULL) {
+        return -EINVAL;
+    }
+    n = (size_t)(amp - query - 2);
+    if (n >= sizeof(text)) {
+        return -EINVAL;
+    }
+    memcpy(text, query + 2, n);
+    text[n] = '\0';
+    *mid = (uint16_t)strtoul(amp + 3, NULL, 10);
+    return addr_parse(client, text);
+}
+
+/* Bars the request, unless it has started; gives its state. */
+static const char *
+bar(si_upstream_t *u, ms_t now, const spp_t *header, uint16_t mid)
+{
+    exchange_t *x = ex_find(u, &header->client, mid);
+    coap_msg_t m;
+
+    if (x == NULL) {
+        x = ex_add(u, now, header, mid);
+        if (x == NULL) {
+            return NULL;
+        }
+        x->state = EX_BARRED;
+    }
+    switch (x->state) {
+    case EX_RUNNING:
+        return "running";
+    case EX_DONE:
+        return "done";
+    case EX_REFUSED:
+    case EX_BARRED:
+        return "barred";
+    case EX_QUEUED:
+        break;
+    }
+    list_remove(&x->work);
+    u->n_queue--;
+    x->state = EX_BARRED;
+    if (coap_decode(&m, x->request, x->request_len) == 0) {
+        answer_text(u, &x->from, &x->header, &m, COAP_CONFLICT, "");
+    }
+    return "barred";
+}
+
+static void
+on_cancel(si_upstream_t *u, ms_t now, const addr_t *from, const spp_t *header,
+          const coap_msg_t *m)
+{
+    spp_t target = {.service = u->params.service};
+    const char *state;
+    uint16_t mid;
+    char text[64];
+
+    if (!addr_eq(&header->service, &u->params.service)) {
+        u->stats.probe_mismatch++;
+        answer_text(u, from, header, m, FORBIDDEN, "");
+        return;
+    }
+    if (cancel_parse(m->query, &target.client, &mid) < 0) {
+        answer_text(u, from, header, m, COAP_BAD_REQUEST, "");
+        return;
+    }
+    state = bar(u, now, &target, mid);
+    if (state == NULL) {
+        answer_text(u, from, header, m, COAP_UNAVAILABLE, "");
+        return;
+    }
+    snprintf(text, sizeof(text), "{\"state\":\"%s\",\"epoch\":%u}", state,
+             u->params.epoch);
+    answer_text(u, from, header, m, COAP_DELETED, text);
+}
+
+static void
+on_empty(si_upstream_t *u, ms_t now, const addr_t *from, const spp_t *header,
+         const coap_msg_t *m)
+{
+    coap_msg_t rst = COAP_MSG_INIT;
+
+    if (m->type == COAP_T_ACK || m->type == COAP_T_RST) {
+        conn_touch(u, now, &header->client);
+        si_feeds_answered(&u->feeds, &header->client, m);
+        return;
+    }
+    if (m->type == COAP_T_CON) { /* a ping, RFC 7252 4.3 */
+        rst.type = COAP_T_RST;
+        rst.mid = m->mid;
+        send_coap(u, from, header, &rst);
+    }
+}
+
+/* An opaque datagram: returned behind the upstream's name and epoch. */
+static void
+on_opaque(si_upstream_t *u, ms_t now, const addr_t *from, const spp_t *header,
+          const uint8_t *data, size_t len)
+{
+    uint8_t b[SPP_LEN + PAYLOAD_MAX + DATAGRAM_MAX];
+    char self[ADDR_STRLEN];
+    int n;
+
+    if (!conn_touch(u, now, &header->client)) {
+        u->stats.shed++;
+        return;
+    }
+    u->stats.echoed++;
+    spp_write(b, header);
+    n = snprintf((char *)b + SPP_LEN, PAYLOAD_MAX, "upstream=%s epoch=%u ",
+                 addr_text(&u->params.addr, self), u->params.epoch);
+    memcpy(b + SPP_LEN + n, data, len);
+    u->out.send(u->out.arg, from, b, SPP_LEN + (size_t)n + len);
+}
+
+static void
+on_misdelivered(si_upstream_t *u, const addr_t *from, const spp_t *header,
+                const coap_msg_t *m)
+{
+    log_misdelivered(u, header);
+    if (m != NULL && coap_is_request(m)) {
+        answer_text(u, from, header, m, FORBIDDEN, "");
+    }
+}
+
+void
+si_upstream_receive(si_upstream_t *u, ms_t now, const addr_t *from,
+                    const uint8_t *data, size_t len)
+{
+    spp_t header;
+    coap_msg_t m;
+    bool is_coap, own;
+
+    if (now < u->up_at) {
+        return;
+    }
+    if (spp_read(&header, data, len) < 0 || len > SPP_LEN + DATAGRAM_MAX) {
+        u->stats.malformed++;
+        return;
+    }
+    data += SPP_LEN;
+    len -= SPP_LEN;
+    own = addr_eq(&header.service, &u->params.service);
+    is_coap = coap_decode(&m, data, len) == 0;
+    if (is_coap && m.code == COAP_GET &&
+        coap_path_is(&m, ".well-known", "load")) {
+        on_load(u, now, from, &header, &m);
+    }
+    else if (is_coap && m.code == COAP_DELETE &&
+             coap_path_is(&m, ".well-known", "exchange")) {
+        on_cancel(u, now, from, &header, &m);
+    }
+    else if (!own) {
+        on_misdelivered(u, from, &header, is_coap ? &m : NULL);
+    }
+    else if (u->params.opaque) {
+        on_opaque(u, now, from, &header, data, len);
+    }
+    else if (!is_coap) {
+        u->stats.malformed++;
+    }
+    else if (m.code == COAP_EMPTY) {
+        on_empty(u, now, from, &header, &m);
+    }
+    else if (coap_is_request(&m)) {
+        on_request(u, now, from, &header, &m, data, len);
+    }
+}
+
+/* ---- Time ---- */
+
+static void
+notify(void *arg, const si_feed_t *f, const coap_msg_t *m)
+{
+    si_upstream_t *u = arg;
+    coap_msg_t full = *m;
+    char id[SI_ID_MAX], text[PAYLOAD_MAX];
+    conn_t *c = conn_find(u, &f->header.client);
+
+    if (c != NULL) {
+        c->seen = u->now;
+    }
+    snprintf(id, sizeof(id), "n%u", m->observe);
+    full.payload = (const uint8_t *)text;
+    full.payload_len = answer_payload(u, text, id, &f->header);
+    send_coap(u, &f->from, &f->header, &full);
+}
+
+void
+si_upstream_tick(si_upstream_t *u, ms_t now)
+{
+    u->now = now;
+    if (now < u->up_at) {
+        return;
+    }
+    LIST_EACH(it, &u->running)
+    {
+        exchange_t *x = LIST_OWNER(it, exchange_t, work);
+        if (now >= x->done_at) {
+            ex_finish(u, now, x);
+        }
+    }
+    start_queued(u, now);
+    load_refresh(u, now);
+    si_feeds_tick(&u->feeds, now, notify, u);
+    if (now >= u->sweep_at) {
+        u->sweep_at = now + 1000;
+        ex_expire(u, now);
+        conn_sweep(u, now - u->params.idle_ms);
+    }
+}
+
+/* ---- Life ---- */
+
+static void
+forget(si_upstream_t *u)
+{
+    LIST_EACH(it, &u->by_age)
+    {
+        ex_remove(u, LIST_OWNER(it, exchange_t, age));
+    }
+    LIST_EACH(up, &u->uploads)
+    {
+        upload_remove(u, LIST_OWNER(up, upload_t, link));
+    }
+    conn_sweep(u, MS_NEVER);
+    si_feeds_clear(&u->feeds);
+    u->n_queue = u->n_running = 0;
+    u->shown_busy = u->shown_queued = u->shown_conn = 0;
+}
+
+si_upstream_t *
+si_upstream_new(const si_upstream_params_t *p, const si_upstream_out_t *out,
+                ms_t now)
+{
+    si_upstream_t *u = calloc(1, sizeof(*u));
+
+    if (u == NULL) {
+        return NULL;
+    }
+    u->params = *p;
+    u->out = *out;
+    u->up_at = now;
+    u->lie = -1;
+    list_init(&u->by_age);
+    list_init(&u->queue);
+    list_init(&u->running);
+    list_init(&u->uploads);
+    si_feeds_init(&u->feeds);
+    u->feeds.period_ms = p->feed_ms;
+    u->feeds.con_every = p->con_every;
+    u->feeds.ack_ms = p->ack_ms;
+    u->feeds.max = p->connections;
+    return u;
+}
+
+void
+si_upstream_free(si_upstream_t *u)
+{
+    if (u == NULL) {
+        return;
+    }
+    forget(u);
+    free(u);
+}
+
+void
+si_upstream_restart(si_upstream_t *u, ms_t now, ms_t down_ms,
+                    const addr_t *service)
+{
+    forget(u);
+    u->params.epoch++;
+    u->up_at = now + down_ms;
+    u->draining = false;
+    if (service != NULL) {
+        u->params.service = *service;
+    }
+}
+
+void
+si_upstream_kill(si_upstream_t *u)
+{
+    u->up_at = MS_NEVER;
+}
+
+void
+si_upstream_drain(si_upstream_t *u, bool on)
+{
+    u->draining = on;
+}
+
+void
+si_upstream_freeze(si_upstream_t *u, bool on)
+{
+    u->frozen = on;
+}
+
+void
+si_upstream_lie(si_upstream_t *u, int busy)
+{
+    u->lie = busy;
+}
+
+const si_upstream_params_t *
+si_upstream_params(const si_upstream_t *u)
+{
+    return &u->params;
+}
+
+const si_upstream_stats_t *
+si_upstream_stats(const si_upstream_t *u)
+{
+    return &u->stats;
+}
+
+json_t *
+si_upstream_json(const si_upstream_t *u)
+{
+    char service[ADDR_STRLEN], self[ADDR_STRLEN];
+    const si_upstream_stats_t *s = &u->stats;
+    json_t *o =
+        json_pack("{ssss}", "service", addr_text(&u->params.service, service),
+                  "upstream", addr_text(&u->params.addr, self));
+    const struct {
+        const char *name;
+        uint64_t v;
+    } fields[] = {{"epoch", u->params.epoch},
+                  {"executed", s->executed},
+                  {"duplicates", s->duplicates},
+                  {"barred", s->barred},
+                  {"shed", s->shed},
+                  {"late", s->late},
+                  {"misdelivered", s->misdelivered},
+                  {"probe_mismatch", s->probe_mismatch},
+                  {"malformed", s->malformed},
+                  {"echoed", s->echoed},
+                  {"connections", u->n_conn},
+                  {"feeds", u->feeds.n},
+                  {"notified", u->feeds.notified},
+                  {"feeds_lost", u->feeds.lost}};
+
+    for (size_t i = 0; i < sizeof(fields) / sizeof(fields[0]); i++) {
+        json_object_set_new(o, fields[i].name,
+                            json_integer((json_int_t)fields[i].v));
+    }
+    return o;
+}
--- /dev/null
+++ b/standin/upstream.h
@@ -0,0 +1,88 @@
+/* upstream: a stand-in for one upstream, as docs/UPSTREAM.md asks.  Pure:
+ * datagrams and time come in as arguments, datagrams and lines of the run log
+ * go out through callbacks; si_upstream gives many of them their sockets.
+ */
+#ifndef SISKIN_STANDIN_UPSTREAM_H
+#define SISKIN_STANDIN_UPSTREAM_H
+
+#include "wire/wire.h"
+
+#include <jansson.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define SI_EXCHANGE_MS 247000 /* EXCHANGE_LIFETIME, RFC 7252 4.8.2 */
+#define SI_ID_MAX 40          /* a payload ID and its NUL */
+
+/* What it has to tell the outside. */
+typedef struct {
+    void *arg;
+    void (*send)(void *arg, const addr_t *to, const uint8_t *data, size_t len);
+    void (*log)(void *arg, const char *line); /* may be NULL */
+} si_upstream_out_t;
+
+typedef struct {
+    addr_t service, addr;
+    bool opaque; /* protocol "udp": datagrams are echoed */
+    uint32_t epoch;
+    uint16_t slots;
+    uint16_t queue; /* requests that wait for a slot */
+    uint32_t connections;
+    ms_t service_ms;
+    ms_t cold_ms; /* for so long after the start all takes 5 times as long */
+    ms_t idle_ms; /* a silent connection is forgotten */
+    ms_t load_lag_ms;
+    ms_t feed_ms; /* between notifications */
+    int con_every;
+    ms_t ack_ms;
+    uint32_t come_back_s; /* Max-Age of a refusal */
+} si_upstream_params_t;
+
+#define SI_UPSTREAM_PARAMS                                                    \
+    {                                                                         \
+        .epoch = 1, .slots = 2, .queue = 8, .connections = 2000,              \
+        .service_ms = 20, .idle_ms = 120000, .feed_ms = 500, .con_every = 4,  \
+        .ack_ms = 2000, .come_back_s = 1                                      \
+    }
+
+typedef struct {
+    uint64_t executed, duplicates, barred, shed, late;
+    uint64_t misdelivered; /* for a service that it isn't */
+    uint64_t probe_mismatch, malformed, echoed;
+} si_upstream_stats_t;
+
+typedef struct si_upstream si_upstream_t;
+
+si_upstream_t *si_upstream_new(const si_upstream_params_t *p,
+                               const si_upstream_out_t *out, ms_t now);
+void si_upstream_free(si_upstream_t *u);
+
+void si_upstream_receive(si_upstream_t *u, ms_t now, const addr_t *from,
+                         const uint8_t *data, size_t len);
+/* Each few milliseconds. */
+void si_upstream_tick(si_upstream_t *u, ms_t now);
+
+/* Loses its memory, is silent for DOWN_MS, and starts with the next epoch, as
+ * SERVICE (NULL: the same). */
+void si_upstream_restart(si_upstream_t *u, ms_t now, ms_t down_ms,
+                         const addr_t *service);
+/* Silent until restarted. */
+void si_upstream_kill(si_upstream_t *u);
+void si_upstream_drain(si_upstream_t *u, bool on);
+/* The load endpoint goes on showing what it last showed. */
+void si_upstream_freeze(si_upstream_t *u, bool on);
+/* The load endpoint says BUSY requests; negative: the truth. */
+void si_upstream_lie(si_upstream_t *u, int busy);
+
+const si_upstream_params_t *si_upstream_params(const si_upstream_t *u);
+const si_upstream_stats_t *si_upstream_stats(const si_upstream_t *u);
+/* For the admin port. */
+json_t *si_upstream_json(const si_upstream_t *u);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/standin/verdict.c
@@ -0,0 +1,184 @@
+/* What callers were told against what upstreams ran, by payload ID. */
+#include "standin/verdict.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define VALUE_MAX 64
+
+/* The table is a JSON object: ID to {"runs": n, "outcome": text}. */
+struct si_verdict {
+    json_t *ids;
+    uint64_t misdelivered, crossed, broken;
+};
+
+si_verdict_t *
+si_verdict_new(void)
+{
+    si_verdict_t *v = calloc(1, sizeof(*v));
+
+    if (v != NULL) {
+        v->ids = json_object();
+    }
+    return v;
+}
+
+void
+si_verdict_free(si_verdict_t *v)
+{
+    if (v != NULL) {
+        json_decref(v->ids);
+        free(v);
+    }
+}
+
+/* The value of " KEY=" in LINE; false when it is absent. */
+static bool
+value(char out[VALUE_MAX], const char *line, const char *key)
+{
+    const char *p = strstr(line, key);
+    size_t n;
+
+    if (p == NULL) {
+        return false;
+    }
+    p += strlen(key);
+    n = strcspn(p, " \n");
+    n = n < VALUE_MAX ? n : VALUE_MAX - 1;
+    memcpy(out, p, n);
+    out[n] = '\0';
+    return true;
+}
+
+static json_t *
+entry(si_verdict_t *v, const char *id)
+{
+    json_t *e = json_object_get(v->ids, id);
+
+    if (e == NULL) {
+        e = json_pack("{si}", "runs", 0);
+        json_object_set_new(v->ids, id, e);
+    }
+    return e;
+}
+
+static void
+on_run(si_verdict_t *v, const char *line)
+{
+    char id[VALUE_MAX];
+    json_t *e;
+
+    if (!value(id, line, " id=") || strcmp(id, "-") == 0) {
+        return; /* idempotent: may run again */
+    }
+    e = entry(v, id);
+    json_object_set_new(
+        e, "runs",
+        json_integer(json_integer_value(json_object_get(e, "runs")) + 1));
+}
+
+static void
+on_post(si_verdict_t *v, const char *line)
+{
+    char id[VALUE_MAX], outcome[VALUE_MAX];
+
+    if (value(id, line, " id=") && value(outcome, line, " outcome=")) {
+        json_object_set_new(entry(v, id), "outcome", json_string(outcome));
+    }
+}
+
+static bool
+starts(const char *line, const char *word)
+{
+    return strncmp(line, word, strlen(word)) == 0;
+}
+
+void
+si_verdict_line(si_verdict_t *v, const char *line)
+{
+    if (starts(line, "run ")) {
+        on_run(v, line);
+    }
+    else if (starts(line, "post ")) {
+        on_post(v, line);
+    }
+    v->misdelivered += starts(line, "misdelivered ");
+    v->crossed += starts(line, "crossed ");
+    v->broken += starts(line, "broken ");
+}
+
+typedef enum {
+    FAULT_NONE,
+    FAULT_TWICE,
+    FAULT_FALSE_NOT_RUN,
+    FAULT_NEVER_RAN,
+    FAULT_KINDS
+} fault_t;
+
+static const char *const fault_names[FAULT_KINDS] = {
+    "", "executed twice", "not run but ran", "answered but never ran"};
+
+static bool
+said_not_run(const char *outcome)
+{
+    return strcmp(outcome, "refused") == 0 || strcmp(outcome, "conflict") == 0;
+}
+
+/* What is wrong with one request. */
+static fault_t
+fault(const json_t *e)
+{
+    json_int_t runs = json_integer_value(json_object_get(e, "runs"));
+    const char *outcome = json_string_value(json_object_get(e, "outcome"));
+
+    if (runs > 1) {
+        return FAULT_TWICE;
+    }
+    if (outcome == NULL) {
+        return FAULT_NONE;
+    }
+    if (runs > 0 && said_not_run(outcome)) {
+        return FAULT_FALSE_NOT_RUN;
+    }
+    if (runs == 0 && strcmp(outcome, "answered") == 0) {
+        return FAULT_NEVER_RAN;
+    }
+    return FAULT_NONE;
+}
+
+void
+si_verdict_count(const si_verdict_t *v, si_counts_t *out)
+{
+    uint64_t n[FAULT_KINDS] = {0};
+    const char *id;
+    json_t *e;
+
+    *out = (si_counts_t){.misdelivered = v->misdelivered,
+                         .crossed = v->crossed,
+                         .broken = v->broken};
+    json_object_foreach(v->ids, id, e)
+    {
+        out->posts += json_object_get(e, "outcome") != NULL;
+        out->runs += json_integer_value(json_object_get(e, "runs")) > 0;
+        n[fault(e)]++;
+    }
+    out->twice = n[FAULT_TWICE];
+    out->false_not_run = n[FAULT_FALSE_NOT_RUN];
+    out->never_ran = n[FAULT_NEVER_RAN];
+}
+
+void
+si_verdict_faults(const si_verdict_t *v, FILE *out)
+{
+    const char *id;
+    json_t *e;
+
+    json_object_foreach(v->ids, id, e)
+    {
+        fault_t f = fault(e);
+        if (f != FAULT_NONE) {
+            fprintf(out, "%s: %s\n", id, fault_names[f]);
+        }
+    }
+}
--- /dev/null
+++ b/standin/verdict_main.c
@@ -0,0 +1,94 @@
+/* si_verdict: reads the logs of callers and upstreams and says whether the
+ * promises were kept.  Exits 1 if one wasn't. */
+#include "standin/verdict.h"
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <string.h>
+
+#define LINE_LEN 1024
+
+static int
+read_log(si_verdict_t *v, const char *file)
+{
+    char line[LINE_LEN];
+    FILE *f = fopen(file, "r");
+
+    if (f == NULL) {
+        fprintf(stderr, "si_verdict: %s can't be opened\n", file);
+        return -1;
+    }
+    while (fgets(line, sizeof(line), f) != NULL) {
+        si_verdict_line(v, line);
+    }
+    fclose(f);
+    return 0;
+}
+
+/* The exit status. */
+static int
+print(const si_verdict_t *v, bool allow_broken)
+{
+    si_counts_t c;
+    uint64_t faults;
+
+    si_verdict_count(v, &c);
+    si_verdict_faults(v, stderr);
+    printf("requests told of: %llu\n", (unsigned long long)c.posts);
+    printf("requests run: %llu\n", (unsigned long long)c.runs);
+    printf("executed twice: %llu\n", (unsigned long long)c.twice);
+    printf("not run but ran: %llu\n", (unsigned long long)c.false_not_run);
+    printf("answered but never ran: %llu\n", (unsigned long long)c.never_ran);
+    printf("misdelivered: %llu\n", (unsigned long long)c.misdelivered);
+    printf("crossed answers: %llu\n", (unsigned long long)c.crossed);
+    printf("broken flows: %llu\n", (unsigned long long)c.broken);
+    faults = c.twice + c.false_not_run + c.never_ran + c.misdelivered +
+             c.crossed + (allow_broken ? 0 : c.broken);
+    return faults > 0;
+}
+
+static int
+judge(const struct arg_file *logs, bool allow_broken)
+{
+    si_verdict_t *v = si_verdict_new();
+    int rc = 0;
+
+    if (v == NULL) {
+        return 2;
+    }
+    for (int i = 0; i < logs->count && rc == 0; i++) {
+        rc = read_log(v, logs->filename[i]) < 0 ? 2 : 0;
+    }
+    if (rc == 0) {
+        rc = print(v, allow_broken);
+    }
+    si_verdict_free(v);
+    return rc;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_lit *broken =
+        arg_lit0(NULL, "allow-broken", "print broken flows only");
+    struct arg_lit *help = arg_lit0("h", "help", "print this");
+    struct arg_file *logs =
+        arg_filen(NULL, NULL, "LOG", 1, 64, "logs of callers and upstreams");
+    struct arg_end *end = arg_end(5);
+    void *table[] = {broken, help, logs, end};
+    int errors = arg_parse(argc, argv, table);
+    int rc;
+
+    if (help->count > 0 || errors > 0) {
+        arg_print_errors(stderr, end, "si_verdict");
+        printf("usage: si_verdict");
+        arg_print_syntax(stdout, table, "\n");
+        arg_print_glossary(stdout, table, "  %-20s %s\n");
+        rc = help->count > 0 ? 0 : 2;
+    }
+    else {
+        rc = judge(logs, broken->count > 0);
+    }
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return rc;
+}
--- /dev/null
+++ b/test/standin_test.cc
@@ -0,0 +1,925 @@
+// The stand-ins themselves: a stand-in that is wrong would make the tests of
+// the balancer pass for nothing.
+#include "standin/client.h"
+#include "standin/fabric.h"
+#include "standin/platform.h"
+#include "standin/upstream.h"
+#include "standin/verdict.h"
+
+#include <curl/curl.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using std::string;
+
+static addr_t
+addr(const char *s)
+{
+    addr_t a;
+    EXPECT_EQ(0, addr_parse(&a, s)) << s;
+    return a;
+}
+
+static const addr_t service = addr("127.20.0.1:5683");
+static const addr_t other = addr("127.20.0.2:5684");
+static const addr_t source = addr("127.20.1.1:7000");
+static const addr_t caller = addr("127.20.9.1:4000");
+
+// ---- The platform, over HTTP ----
+
+struct answer {
+    long status; // 0: no answer
+    string body;
+};
+
+static size_t
+on_data(char *data, size_t size, size_t n, void *arg)
+{
+    static_cast<string *>(arg)->append(data, size * n);
+    return size * n;
+}
+
+struct platform {
+    si_platform_t *p;
+    explicit platform(ms_t lag = 0, ms_t expire = 60000)
+    {
+        si_platform_params_t params = {};
+        params.list_lag_ms = lag;
+        params.expire_ms = expire;
+        err_t e = {};
+        p = si_platform_open(&params, &e);
+        EXPECT_NE(nullptr, p) << e.text;
+    }
+    ~platform()
+    {
+        si_platform_close(p);
+    }
+    string
+    url() const
+    {
+        return "http://127.0.0.1:" + std::to_string(si_platform_port(p));
+    }
+    answer
+    call(const char *method, const string &path, const string &body = "") const
+    {
+        answer a = {0, ""};
+        CURL *c = curl_easy_init();
+        string u = url() + path;
+        curl_easy_setopt(c, CURLOPT_URL, u.c_str());
+        curl_easy_setopt(c, CURLOPT_CUSTOMREQUEST, method);
+        if (string(method) != "GET") {
+            curl_easy_setopt(c, CURLOPT_POSTFIELDS, body.c_str());
+        }
+        curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, on_data);
+        curl_easy_setopt(c, CURLOPT_WRITEDATA, &a.body);
+        curl_easy_setopt(c, CURLOPT_NOSIGNAL, 1L);
+        if (curl_easy_perform(c) == CURLE_OK) {
+            curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &a.status);
+        }
+        curl_easy_cleanup(c);
+        return a;
+    }
+};
+
+TEST(Platform, ComparesAndSwapsByKey)
+{
+    platform p;
+    EXPECT_EQ(404, p.call("GET", "/v1/kv/siskin/config").status);
+    EXPECT_EQ("{\"revision\":1}",
+              p.call("PUT", "/v1/kv/siskin/config?cas=0", "a").body);
+    answer lost = p.call("PUT", "/v1/kv/siskin/config?cas=0", "b");
+    EXPECT_EQ(409, lost.status);
+    EXPECT_EQ("{\"revision\":1}", lost.body);
+    EXPECT_EQ(200, p.call("PUT", "/v1/kv/siskin/config?cas=1", "b").status);
+    EXPECT_EQ("{\"revision\":1}", p.call("PUT", "/v1/kv/k?cas=0", "x").body);
+    EXPECT_EQ("{\"value\":\"b\",\"revision\":2}",
+              p.call("GET", "/v1/kv/siskin/config").body);
+}
+
+TEST(Platform, WatchReturnsOnceTheRevisionPasses)
+{
+    platform p;
+    p.call("PUT", "/v1/kv/k?cas=0", "a");
+    answer seen;
+    std::thread watch([&] {
+        seen = p.call("GET", "/v1/kv/k?wait=30000&after=1");
+    });
+    p.call("PUT", "/v1/kv/k?cas=1", "b");
+    watch.join();
+    EXPECT_EQ("{\"value\":\"b\",\"revision\":2}", seen.body);
+}
+
+TEST(Platform, LeaseHasOneOwner)
+{
+    platform p;
+    EXPECT_EQ(200, p.call("POST", "/v1/lease/l?owner=a&ms=60000").status);
+    EXPECT_EQ(200, p.call("POST", "/v1/lease/l?owner=a&ms=60000").status);
+    answer held = p.call("POST", "/v1/lease/l?owner=b&ms=60000");
+    EXPECT_EQ(409, held.status);
+    EXPECT_EQ("{\"owner\":\"a\"}", held.body);
+    EXPECT_EQ(200, p.call("DELETE", "/v1/lease/l?owner=a").status);
+    EXPECT_EQ(200, p.call("POST", "/v1/lease/l?owner=b&ms=0").status);
+    EXPECT_EQ(200, p.call("POST", "/v1/lease/l?owner=a&ms=60000").status)
+        << "the lease had lapsed";
+}
+
+// The write takes effect, and the writer isn't told.
+TEST(Platform, LosesAnswersAfterTheEffect)
+{
+    platform p;
+    p.call("POST", "/v1/switch?lose_answers=1");
+    EXPECT_EQ(0, p.call("PUT", "/v1/kv/k?cas=0", "a").status);
+    EXPECT_EQ("{\"value\":\"a\",\"revision\":1}",
+              p.call("GET", "/v1/kv/k").body);
+    EXPECT_EQ(200, p.call("PUT", "/v1/kv/k?cas=1", "b").status);
+}
+
+TEST(Platform, OutageAndStaleReads)
+{
+    platform p;
+    p.call("PUT", "/v1/kv/k?cas=0", "a");
+    p.call("PUT", "/v1/kv/k?cas=1", "b");
+    p.call("POST", "/v1/switch?outage=1");
+    EXPECT_EQ(0, p.call("GET", "/v1/kv/k").status);
+    EXPECT_EQ(0, p.call("PUT", "/v1/kv/k?cas=2", "c").status);
+    p.call("POST", "/v1/switch?outage=0&stale_reads=1");
+    EXPECT_EQ("{\"value\":\"a\",\"revision\":1}",
+              p.call("GET", "/v1/kv/k").body);
+    EXPECT_EQ("{\"value\":\"b\",\"revision\":2}",
+              p.call("GET", "/v1/kv/k").body);
+}
+
+static const char *const record =
+    "{\"name\":\"i1\",\"data_centre\":\"a\",\"state\":\"live\","
+    "\"service_ip\":\"127.20.2.1\",\"return\":\"127.20.2.1:7001\"}";
+static const char *const none = "{\"instances\":[]}";
+
+TEST(Platform, ListShowsInstancesAfterItsLag)
+{
+    platform now(0), late(3600000);
+    EXPECT_EQ(200, now.call("POST", "/v1/instances", record).status);
+    EXPECT_EQ(200, late.call("POST", "/v1/instances", record).status);
+    EXPECT_EQ(string("{\"instances\":[") + record + "]}",
+              now.call("GET", "/v1/instances").body);
+    EXPECT_EQ(none, late.call("GET", "/v1/instances").body);
+    now.call("DELETE", "/v1/instances/i1");
+    EXPECT_EQ(none, now.call("GET", "/v1/instances").body);
+}
+
+TEST(Platform, InstanceThatIsNotRenewedVanishes)
+{
+    platform p(0, 0);
+    p.call("POST", "/v1/instances", record);
+    EXPECT_EQ(none, p.call("GET", "/v1/instances").body);
+}
+
+// The fabric's health checks don't go through the key-value service: an
+// outage of it must not make the fabric forget instances that live.
+TEST(Platform, FabricSeesInstancesThroughAnOutage)
+{
+    platform p;
+    p.call("POST", "/v1/switch?outage=1");
+    EXPECT_EQ(0, p.call("POST", "/v1/instances", record).status);
+    EXPECT_EQ(0, p.call("GET", "/v1/instances").status);
+    EXPECT_EQ(string("{\"instances\":[") + record + "]}",
+              p.call("GET", "/v1/fabric").body);
+}
+
+TEST(Platform, CountsCallsByKind)
+{
+    platform p;
+    p.call("GET", "/v1/kv/k");
+    p.call("GET", "/v1/kv/k?wait=1&after=0");
+    p.call("PUT", "/v1/kv/k?cas=0", "a");
+    p.call("POST", "/v1/lease/l?owner=a&ms=1");
+    p.call("GET", "/v1/instances");
+    p.call("GET", "/v1/fabric");
+    p.call("POST", "/v1/instances", record);
+    EXPECT_EQ("{\"read\":1,\"watch\":1,\"write\":1,\"lease\":1,\"list\":1,"
+              "\"register\":1}",
+              p.call("GET", "/v1/stats").body);
+}
+
+// ---- The fabric ----
+
+TEST(Fabric, PicksAllButTheLeavingAndRemembersReturnAddresses)
+{
+    std::unique_ptr<si_fabric_t, void (*)(si_fabric_t *)> f(
+        si_fabric_open(nullptr, 1), si_fabric_close);
+    si_target_t t[3], got;
+    EXPECT_FALSE(si_fabric_pick(f.get(), &got));
+    string list = string("{\"instances\":[") + record +
+                  ",{\"name\":\"i2\",\"state\":\"leaving\",\"return\":"
+                  "\"127.20.2.2:7001\"},{\"name\":\"i3\",\"state\":\"live\","
+                  "\"return\":\"127.20.2.3:7001\"}]}";
+    ASSERT_EQ(3, si_fabric_parse(list.c_str(), t, 3));
+    EXPECT_EQ(-EPROTO, si_fabric_parse("[]", t, 3));
+    si_fabric_set(f.get(), t, 3);
+    int seen[4] = {};
+    for (int i = 0; i < 200; i++) {
+        ASSERT_TRUE(si_fabric_pick(f.get(), &got));
+        seen[got.name[1] - '0']++;
+    }
+    EXPECT_GT(seen[1], 50);
+    EXPECT_EQ(0, seen[2]);
+    EXPECT_GT(seen[3], 50);
+    si_fabric_set(f.get(), t + 2, 1);
+    addr_t gone = addr("127.20.2.1:7001"), never = addr("127.20.2.9:7001");
+    EXPECT_TRUE(si_fabric_is_return(f.get(), &gone));
+    EXPECT_FALSE(si_fabric_is_return(f.get(), &never));
+}
+
+// ---- One upstream ----
+
+struct datagram {
+    addr_t to;
+    std::vector<uint8_t> bytes;
+};
+
+struct bed {
+    si_upstream_t *u;
+    std::vector<datagram> sent;
+    std::vector<string> log;
+    ms_t now = 1000;
+
+    static void
+    on_send(void *arg, const addr_t *to, const uint8_t *data, size_t len)
+    {
+        static_cast<bed *>(arg)->sent.push_back(
+            {*to, std::vector<uint8_t>(data, data + len)});
+    }
+    static void
+    on_log(void *arg, const char *line)
+    {
+        static_cast<bed *>(arg)->log.push_back(line);
+    }
+    static si_upstream_params_t
+    defaults()
+    {
+        si_upstream_params_t p = SI_UPSTREAM_PARAMS;
+        p.service = service;
+        p.addr = addr("127.20.3.1:5683");
+        return p;
+    }
+    explicit bed(const si_upstream_params_t &p = defaults())
+    {
+        si_upstream_out_t out = {this, on_send, on_log};
+        u = si_upstream_new(&p, &out, now);
+    }
+    ~bed()
+    {
+        si_upstream_free(u);
+    }
+    void
+    put(const coap_msg_t &m, const addr_t &client = caller,
+        const addr_t &to = service, const addr_t &from = source)
+    {
+        uint8_t b[SPP_LEN + DATAGRAM_MAX];
+        spp_t h = {client, to};
+        spp_write(b, &h);
+        int n = coap_encode(b + SPP_LEN, DATAGRAM_MAX, &m);
+        ASSERT_GT(n, 0);
+        si_upstream_receive(u, now, &from, b, SPP_LEN + (size_t)n);
+    }
+    void
+    run(ms_t ms)
+    {
+        for (ms_t end = now + ms; now < end;) {
+            now += 5;
+            si_upstream_tick(u, now);
+        }
+    }
+    // The I-th datagram sent, decoded; negative: from the end.
+    coap_msg_t
+    got(int i = -1)
+    {
+        coap_msg_t m = COAP_MSG_INIT;
+        spp_t h;
+        size_t k = i < 0 ? sent.size() + (size_t)i : (size_t)i;
+        if (k >= sent.size()) {
+            ADD_FAILURE() << "only " << sent.size() << " datagrams";
+            return m;
+        }
+        const std::vector<uint8_t> &b = sent[k].bytes;
+        EXPECT_EQ(0, spp_read(&h, b.data(), b.size()));
+        EXPECT_EQ(0, coap_decode(&m, b.data() + SPP_LEN, b.size() - SPP_LEN));
+        return m;
+    }
+    string
+    text(int i = -1)
+    {
+        coap_msg_t m = got(i);
+        return string((const char *)m.payload, m.payload_len);
+    }
+    const si_upstream_stats_t &
+    stats()
+    {
+        return *si_upstream_stats(u);
+    }
+};
+
+static coap_msg_t
+request(uint8_t code, uint16_t mid, const char *path, const char *body = "")
+{
+    coap_msg_t m = COAP_MSG_INIT;
+    m.type = COAP_T_CON;
+    m.code = code;
+    m.mid = mid;
+    m.token_len = 2;
+    m.token[0] = (uint8_t)mid;
+    m.path_n = 1;
+    snprintf(m.path[0], COAP_SEG_MAX, "%s", path);
+    m.payload = (const uint8_t *)body;
+    m.payload_len = strlen(body);
+    return m;
+}
+
+static coap_msg_t
+well_known(uint8_t code, const char *what, const char *query = "")
+{
+    coap_msg_t m = request(code, 9999, ".well-known");
+    m.path_n = 2;
+    snprintf(m.path[1], COAP_SEG_MAX, "%s", what);
+    snprintf(m.query, COAP_QUERY_MAX, "%s", query);
+    return m;
+}
+
+TEST(Upstream, RunsARequestOnceAndAnswersEachCopy)
+{
+    bed b;
+    b.put(request(COAP_POST, 7, "ack", "p1"));
+    b.put(request(COAP_POST, 7, "ack", "p1"));
+    EXPECT_TRUE(b.sent.empty());
+    b.run(20);
+    ASSERT_EQ(1u, b.sent.size());
+    EXPECT_EQ(COAP_CHANGED, b.got().code);
+    EXPECT_EQ("id=p1 client=127.20.9.1:4000 service=127.20.0.1:5683 "
+              "upstream=127.20.3.1:5683 epoch=1",
+              b.text());
+    b.run(246000);
+    b.put(request(COAP_POST, 7, "ack", "p1"), caller, service, other);
+    ASSERT_EQ(2u, b.sent.size());
+    EXPECT_TRUE(addr_eq(&other, &b.sent[1].to));
+    EXPECT_EQ(b.sent[0].bytes, b.sent[1].bytes);
+    ASSERT_EQ(1u, b.log.size());
+    EXPECT_EQ("run service=127.20.0.1:5683 upstream=127.20.3.1:5683 epoch=1 "
+              "client=127.20.9.1:4000 mid=7 token=0700 path=ack id=p1",
+              b.log[0]);
+}
+
+// After EXCHANGE_LIFETIME the message ID names another request.
+TEST(Upstream, MessageIdMayBeUsedAgainAfterItsLifetime)
+{
+    bed b;
+    b.put(request(COAP_POST, 7, "ack", "p1"));
+    b.run(SI_EXCHANGE_MS + 1100);
+    b.put(request(COAP_POST, 7, "ack", "p2"));
+    b.run(20);
+    EXPECT_EQ(2u, b.stats().executed);
+}
+
+TEST(Upstream, ShedsWhatItsQueueCannotHold)
+{
+    si_upstream_params_t p = bed::defaults();
+    p.queue = 1;
+    bed b(p);
+    for (uint16_t i = 0; i < 6; i++) {
+        b.put(request(COAP_POST, i, "ack", "p"));
+    }
+    uint64_t shed = b.stats().shed;
+    EXPECT_EQ(1u, shed);
+    EXPECT_EQ(COAP_UNAVAILABLE, b.got().code);
+    EXPECT_EQ(1u, b.got().max_age);
+    b.run(100);
+    EXPECT_EQ(5u, b.stats().executed);
+    // A refused request stays refused.
+    b.put(request(COAP_POST, 5, "ack", "p"));
+    b.run(100);
+    EXPECT_EQ(5u, b.stats().executed);
+    EXPECT_EQ(COAP_UNAVAILABLE, b.got().code);
+}
+
+TEST(Upstream, BarsWhatHasNotStarted)
+{
+    bed b;
+    b.put(well_known(COAP_DELETE, "exchange", "c=127.20.9.1:4000&m=7"));
+    EXPECT_EQ(COAP_DELETED, b.got().code);
+    EXPECT_EQ("{\"state\":\"barred\",\"epoch\":1}", b.text());
+    b.put(request(COAP_POST, 7, "ack", "p1"));
+    EXPECT_EQ(COAP_CONFLICT, b.got().code);
+    b.run(100);
+    EXPECT_EQ(0u, b.stats().executed);
+    EXPECT_EQ(1u, b.stats().barred);
+}
+
+TEST(Upstream, BarsWhatIsQueuedAndTellsOfWhatHasStarted)
+{
+    bed b;
+    b.put(request(COAP_POST, 1, "ack", "p1"));
+    b.put(request(COAP_POST, 2, "ack", "p2"));
+    b.put(request(COAP_POST, 3, "ack", "p3"));
+    b.put(well_known(COAP_DELETE, "exchange", "c=127.20.9.1:4000&m=3"));
+    EXPECT_EQ("{\"state\":\"barred\",\"epoch\":1}", b.text());
+    b.put(well_known(COAP_DELETE, "exchange", "c=127.20.9.1:4000&m=1"));
+    EXPECT_EQ("{\"state\":\"running\",\"epoch\":1}", b.text());
+    b.run(100);
+    b.put(well_known(COAP_DELETE, "exchange", "c=127.20.9.1:4000&m=1"));
+    EXPECT_EQ("{\"state\":\"done\",\"epoch\":1}", b.text());
+    EXPECT_EQ(2u, b.stats().executed);
+    b.put(well_known(COAP_DELETE, "exchange", "c=nobody"));
+    EXPECT_EQ(COAP_BAD_REQUEST, b.got().code);
+}
+
+TEST(Upstream, DoesNotStartAfterTheDeadline)
+{
+    si_upstream_params_t p = bed::defaults();
+    p.slots = 1;
+    p.service_ms = 3000;
+    bed b(p);
+    b.put(request(COAP_POST, 1, "ack", "p1"));
+    coap_msg_t m = request(COAP_POST, 2, "ack", "p2");
+    m.max_age = 1;
+    b.put(m);
+    b.run(10000);
+    EXPECT_EQ(1u, b.stats().executed);
+    EXPECT_EQ(1u, b.stats().late);
+    EXPECT_EQ(COAP_UNAVAILABLE, b.got().code);
+}
+
+TEST(Upstream, ColdStartIsSlower)
+{
+    si_upstream_params_t p = bed::defaults();
+    p.cold_ms = 1000;
+    bed b(p);
+    b.put(request(COAP_POST, 1, "ack", "p1"));
+    b.run(95);
+    EXPECT_TRUE(b.sent.empty());
+    b.run(5);
+    EXPECT_EQ(1u, b.sent.size());
+}
+
+TEST(Upstream, DrainingServesWhomItKnows)
+{
+    bed b;
+    b.put(request(COAP_GET, 1, "state"));
+    si_upstream_drain(b.u, true);
+    b.put(request(COAP_GET, 2, "state"));
+    b.put(request(COAP_GET, 1, "state"), addr("127.20.9.2:1"));
+    EXPECT_EQ(COAP_UNAVAILABLE, b.got().code);
+    b.run(20);
+    EXPECT_EQ(2u, b.stats().executed);
+    EXPECT_EQ(1u, b.stats().shed);
+}
+
+TEST(Upstream, HoldsOnlyItsConnections)
+{
+    si_upstream_params_t p = bed::defaults();
+    p.connections = 2;
+    p.idle_ms = 5000;
+    bed b(p);
+    for (const char *c : {"127.20.9.1:1", "127.20.9.2:1", "127.20.9.3:1"}) {
+        b.put(request(COAP_GET, 1, "state"), addr(c));
+    }
+    EXPECT_EQ(1u, b.stats().shed);
+    b.run(7000);
+    b.put(request(COAP_GET, 1, "state"), addr("127.20.9.4:1"));
+    EXPECT_EQ(1u, b.stats().shed);
+}
+
+TEST(Upstream, RefusesAndCountsWhatIsForAnotherService)
+{
+    bed b;
+    b.put(request(COAP_POST, 1, "ack", "p1"), caller, other);
+    EXPECT_EQ(COAP_C(4, 3), b.got().code);
+    EXPECT_EQ(1u, b.stats().misdelivered);
+    EXPECT_EQ(0u, b.stats().executed);
+    ASSERT_EQ(1u, b.log.size());
+    EXPECT_EQ(0u, b.log[0].find("misdelivered service=127.20.0.2:5684 "));
+    // A probe asks which service this is: no fault.
+    b.put(well_known(COAP_GET, "load"), source, other);
+    EXPECT_EQ(0u, b.text().find("{\"service\":\"127.20.0.1:5683\""));
+    EXPECT_EQ(1u, b.stats().misdelivered);
+    EXPECT_EQ(1u, b.stats().probe_mismatch);
+    b.put(well_known(COAP_DELETE, "exchange", "c=1.2.3.4:5&m=1"), source,
+          other);
+    EXPECT_EQ(COAP_C(4, 3), b.got().code);
+}
+
+TEST(Upstream, LoadCanFreezeAndLie)
+{
+    bed b;
+    b.put(request(COAP_POST, 1, "ack", "p1"));
+    b.put(well_known(COAP_GET, "load"));
+    EXPECT_EQ("{\"service\":\"127.20.0.1:5683\",\"epoch\":1,\"busy\":1,"
+              "\"queued\":0,\"slots\":2,\"connections\":1,\"draining\":false}",
+              b.text());
+    si_upstream_freeze(b.u, true);
+    b.run(100);
+    b.put(well_known(COAP_GET, "load"));
+    EXPECT_NE(string::npos, b.text().find("\"busy\":1"));
+    si_upstream_lie(b.u, 0);
+    b.put(well_known(COAP_GET, "load"));
+    EXPECT_NE(string::npos, b.text().find("\"busy\":0"));
+}
+
+TEST(Upstream, RestartLosesMemoryAndChangesTheEpoch)
+{
+    bed b;
+    b.put(request(COAP_POST, 1, "ack", "p1"));
+    si_upstream_restart(b.u, b.now, 2000, nullptr);
+    b.put(well_known(COAP_GET, "load"));
+    EXPECT_TRUE(b.sent.empty());
+    b.run(2000);
+    b.put(well_known(COAP_GET, "load"));
+    EXPECT_NE(string::npos, b.text().find("\"epoch\":2"));
+    b.put(request(COAP_POST, 1, "ack", "p1"));
+    EXPECT_EQ(2u, b.stats().executed) << "so a balancer must not send it";
+    si_upstream_kill(b.u);
+    size_t before = b.sent.size();
+    b.run(5000);
+    EXPECT_EQ(before, b.sent.size());
+    si_upstream_restart(b.u, b.now, 0, &other);
+    b.put(request(COAP_POST, 1, "ack", "p1"), caller, other);
+    EXPECT_EQ(3u, b.stats().executed);
+}
+
+// ---- Feeds ----
+
+static coap_msg_t
+registration(uint16_t mid, uint32_t observe = 0)
+{
+    coap_msg_t m = request(COAP_GET, mid, "feed");
+    m.token[0] = 1;
+    m.observe = observe;
+    return m;
+}
+
+TEST(Feed, NotifiesTheSourceOfTheLatestRegistration)
+{
+    bed b;
+    b.put(registration(1));
+    b.run(20);
+    EXPECT_EQ(0u, b.got().observe);
+    b.run(500);
+    EXPECT_EQ(1u, b.got().observe);
+    EXPECT_TRUE(addr_eq(&source, &b.sent.back().to));
+    b.put(registration(2), caller, service, other);
+    b.sent.clear();
+    b.run(520);
+    ASSERT_EQ(2u, b.sent.size()) << "an answer and one notification";
+    EXPECT_TRUE(addr_eq(&other, &b.sent[1].to));
+    b.put(registration(3, 1));
+    b.run(20);
+    b.sent.clear();
+    b.run(5000);
+    EXPECT_TRUE(b.sent.empty());
+}
+
+TEST(Feed, LivesOnAcknowledgements)
+{
+    bed b;
+    b.put(registration(1));
+    for (int i = 0; i < 400; i++) {
+        b.run(500);
+        coap_msg_t n = b.got();
+        if (n.type == COAP_T_CON) {
+            coap_msg_t ack = COAP_MSG_INIT;
+            ack.type = COAP_T_ACK;
+            ack.mid = n.mid;
+            b.put(ack);
+        }
+    }
+    EXPECT_GT(b.sent.size(), 390u);
+}
+
+// A client that is gone: after the last retransmission (62 s) the feed ends.
+TEST(Feed, EndsWhenNoNotificationIsAcknowledged)
+{
+    bed b;
+    b.put(registration(1));
+    b.run(70000);
+    b.sent.clear();
+    b.run(5000);
+    EXPECT_TRUE(b.sent.empty());
+}
+
+TEST(Feed, EndsWithAReset)
+{
+    bed b;
+    b.put(registration(1));
+    b.run(600);
+    coap_msg_t rst = COAP_MSG_INIT;
+    rst.type = COAP_T_RST;
+    rst.mid = b.got().mid;
+    b.put(rst);
+    b.sent.clear();
+    b.run(5000);
+    EXPECT_TRUE(b.sent.empty());
+}
+
+// ---- Uploads ----
+
+static coap_msg_t
+block(uint16_t mid, uint32_t num, bool more)
+{
+    coap_msg_t m = request(COAP_POST, mid, "archive", "12345678");
+    m.block1 = num << 4 | (more ? 8 : 0) | SI_BLOCK_SZX;
+    return m;
+}
+
+TEST(Upload, TakesBlocksInOrder)
+{
+    bed b;
+    b.put(block(1, 0, true));
+    b.run(20);
+    EXPECT_EQ(COAP_CONTINUE, b.got().code);
+    EXPECT_EQ(block(1, 0, true).block1, b.got().block1);
+    b.put(block(2, 2, true));
+    b.run(20);
+    EXPECT_EQ(COAP_INCOMPLETE, b.got().code);
+    b.put(block(3, 1, false));
+    b.run(20);
+    EXPECT_EQ(COAP_CHANGED, b.got().code);
+    EXPECT_EQ(0u, b.text().find("id=16 ")) << "bytes received";
+    b.put(block(4, 1, false));
+    b.run(20);
+    EXPECT_EQ(COAP_INCOMPLETE, b.got().code) << "no upload any more";
+}
+
+// ---- Opaque ----
+
+TEST(Opaque, EchoesBehindItsName)
+{
+    si_upstream_params_t p = bed::defaults();
+    p.opaque = true;
+    bed b(p);
+    uint8_t d[SPP_LEN + 2] = {};
+    spp_t h = {caller, service};
+    spp_write(d, &h);
+    memcpy(d + SPP_LEN, "hi", 2);
+    si_upstream_receive(b.u, b.now, &source, d, sizeof(d));
+    ASSERT_EQ(1u, b.sent.size());
+    string text(b.sent[0].bytes.begin() + SPP_LEN, b.sent[0].bytes.end());
+    EXPECT_EQ("upstream=127.20.3.1:5683 epoch=1 hi", text);
+    b.put(well_known(COAP_GET, "load"));
+    EXPECT_NE(string::npos, b.text().find("\"connections\":1"));
+}
+
+// ---- Callers against an upstream, through a relay ----
+
+// A relay with one upstream: what a balancer does in the easiest case.  It
+// loses, repeats and delays datagrams as SEED says.
+struct relay {
+    struct parcel {
+        ms_t at;
+        bool to_upstream;
+        std::vector<uint8_t> bytes;
+    };
+    si_upstream_t *u;
+    si_client_t *c;
+    si_tally_t tally = {};
+    si_verdict_t *verdict = si_verdict_new();
+    std::deque<parcel> wire;
+    rng_t rng;
+    uint32_t lose, repeat; // of 100
+    ms_t now = 1000;
+    bool cut = false;
+    si_client_params_t params = SI_CLIENT_PARAMS;
+
+    static void
+    from_upstream(void *arg, const addr_t *, const uint8_t *data, size_t len)
+    {
+        static_cast<relay *>(arg)->post(false, data + SPP_LEN, len - SPP_LEN);
+    }
+    static void
+    from_client(void *arg, const uint8_t *data, size_t len)
+    {
+        static_cast<relay *>(arg)->post(true, data, len);
+    }
+    static void
+    on_log(void *arg, const char *line)
+    {
+        si_verdict_line(static_cast<relay *>(arg)->verdict, line);
+    }
+    relay(si_kind_t kind, uint64_t seed, uint32_t lose_, uint32_t repeat_,
+          bool opaque = false)
+        : rng{seed, 0}, lose(lose_), repeat(repeat_)
+    {
+        si_upstream_params_t up = bed::defaults();
+        up.opaque = opaque;
+        si_upstream_out_t uo = {this, from_upstream, on_log};
+        u = si_upstream_new(&up, &uo, now);
+        params.kind = kind;
+        params.service = service;
+        params.self = caller;
+        params.seed = seed;
+        snprintf(params.name, sizeof(params.name), "c");
+        si_client_out_t co = {this, from_client, on_log};
+        c = si_client_new(&params, &co, &tally, now);
+    }
+    ~relay()
+    {
+        si_client_free(c);
+        si_upstream_free(u);
+        si_verdict_free(verdict);
+    }
+    void
+    post(bool to_upstream, const uint8_t *data, size_t len)
+    {
+        if (cut || rng_below(&rng, 100) < lose) {
+            return;
+        }
+        std::vector<uint8_t> b(data, data + len);
+        wire.push_back({now + rng_below(&rng, 30), to_upstream, b});
+        if (rng_below(&rng, 100) < repeat) {
+            wire.push_back({now + rng_below(&rng, 5000), to_upstream, b});
+        }
+    }
+    void
+    deliver(const parcel &p)
+    {
+        if (!p.to_upstream) {
+            si_client_receive(c, now, p.bytes.data(), p.bytes.size());
+            return;
+        }
+        std::vector<uint8_t> b(SPP_LEN);
+        spp_t h = {caller, service};
+        spp_write(b.data(), &h);
+        b.insert(b.end(), p.bytes.begin(), p.bytes.end());
+        si_upstream_receive(u, now, &source, b.data(), b.size());
+    }
+    void
+    run(ms_t ms)
+    {
+        for (ms_t end = now + ms; now < end;) {
+            now += 5;
+            std::deque<parcel> due;
+            for (size_t i = wire.size(); i-- > 0;) {
+                if (wire[i].at <= now) {
+                    due.push_front(wire[i]);
+                    wire.erase(wire.begin() + (long)i);
+                }
+            }
+            for (const parcel &p : due) {
+                deliver(p);
+            }
+            si_upstream_tick(u, now);
+            si_client_tick(c, now);
+        }
+    }
+    si_counts_t
+    finish()
+    {
+        si_counts_t n;
+        si_client_stop(c);
+        run(130000);
+        si_client_give_up(c, now);
+        si_verdict_count(verdict, &n);
+        return n;
+    }
+};
+
+// Whatever the network does with datagrams, one upstream that remembers runs
+// each request once, and the caller is told the truth.
+RC_GTEST_PROP(Callers, OneUpstreamRunsEachPostOnce,
+              (uint32_t seed, bool upload))
+{
+    relay r(upload ? SI_UPLOAD : SI_POST, seed, 30, 30);
+    r.run(60000);
+    si_counts_t n = r.finish();
+    RC_ASSERT(n.posts > 0u);
+    RC_ASSERT(n.twice == 0u);
+    RC_ASSERT(n.false_not_run == 0u);
+    RC_ASSERT(n.never_ran == 0u);
+    RC_ASSERT(n.misdelivered == 0u);
+    RC_ASSERT(n.crossed == 0u);
+}
+
+TEST(Callers, UploadCompletes)
+{
+    relay r(SI_UPLOAD, 1, 0, 0);
+    r.run(30000);
+    si_counts_t n = r.finish();
+    EXPECT_GT(r.tally.uploaded, 5u);
+    EXPECT_EQ(0u, n.broken);
+    EXPECT_EQ(0u, n.crossed);
+    EXPECT_EQ(n.posts, n.runs);
+}
+
+TEST(Callers, ReadsAreAnswered)
+{
+    relay r(SI_READ, 1, 0, 0);
+    r.run(10000);
+    EXPECT_GT(r.tally.outcome[SI_ANSWERED], 10u);
+    EXPECT_EQ(0u, r.finish().crossed);
+}
+
+TEST(Callers, FeedIsEstablishedAndHears)
+{
+    relay r(SI_FEED, 1, 0, 0);
+    r.run(100000);
+    EXPECT_EQ(1u, r.tally.established);
+    EXPECT_GT(r.tally.notified, 150u);
+    EXPECT_EQ(0u, r.finish().broken);
+}
+
+// The path goes silent: the caller counts a broken feed and opens anew.
+TEST(Callers, SilentFeedIsBroken)
+{
+    relay r(SI_FEED, 1, 0, 0);
+    r.run(5000);
+    r.cut = true;
+    r.run(11000);
+    r.cut = false;
+    r.run(30000);
+    EXPECT_EQ(1u, r.tally.broken);
+    EXPECT_EQ(2u, r.tally.established);
+}
+
+TEST(Callers, ResetBreaksAFeed)
+{
+    relay r(SI_FEED, 1, 0, 0);
+    r.run(5000);
+    const uint8_t rst[4] = {0x70, 0, 0, 1};
+    si_client_receive(r.c, r.now, rst, sizeof(rst));
+    r.run(5000);
+    EXPECT_EQ(1u, r.tally.broken);
+    EXPECT_EQ(2u, r.tally.established);
+}
+
+TEST(Callers, EchoFlowThatMovesIsBroken)
+{
+    relay r(SI_ECHO, 1, 0, 0, true);
+    r.run(10000);
+    EXPECT_GT(r.tally.outcome[SI_ANSWERED], 10u);
+    EXPECT_EQ(0u, r.tally.broken);
+    si_upstream_restart(r.u, r.now, 0, nullptr);
+    r.run(5000);
+    EXPECT_EQ(1u, r.tally.broken);
+}
+
+TEST(Callers, AnswerOfAnotherClientIsCrossed)
+{
+    relay r(SI_READ, 1, 0, 0);
+    std::vector<uint8_t> sent;
+    while (r.wire.empty()) {
+        r.now += 5;
+        si_client_tick(r.c, r.now);
+    }
+    coap_msg_t m;
+    sent = r.wire[0].bytes;
+    ASSERT_EQ(0, coap_decode(&m, sent.data(), sent.size()));
+    m.type = COAP_T_ACK;
+    m.code = COAP_CONTENT;
+    m.path_n = 0;
+    const char *text = "id=- client=127.20.9.2:4000 service=127.20.0.1:5683";
+    m.payload = (const uint8_t *)text;
+    m.payload_len = strlen(text);
+    uint8_t b[256];
+    int n = coap_encode(b, sizeof(b), &m);
+    ASSERT_GT(n, 0);
+    si_client_receive(r.c, r.now, b, (size_t)n);
+    EXPECT_EQ(1u, r.tally.crossed);
+}
+
+// ---- The verdict ----
+
+static si_counts_t
+judge(std::vector<const char *> lines)
+{
+    si_counts_t n;
+    si_verdict_t *v = si_verdict_new();
+    for (const char *l : lines) {
+        si_verdict_line(v, l);
+    }
+    si_verdict_count(v, &n);
+    si_verdict_free(v);
+    return n;
+}
+
+TEST(Verdict, FindsEachFault)
+{
+    EXPECT_EQ(1u, judge({"run x id=a", "run x id=a"}).twice);
+    EXPECT_EQ(0u, judge({"run x id=-", "run x id=-"}).twice);
+    EXPECT_EQ(1u, judge({"post id=a outcome=refused", "run x id=a"})
+                      .false_not_run);
+    EXPECT_EQ(1u, judge({"run x id=a", "post id=a outcome=conflict"})
+                      .false_not_run);
+    EXPECT_EQ(1u, judge({"post id=a outcome=answered"}).never_ran);
+    EXPECT_EQ(1u, judge({"misdelivered service=s"}).misdelivered);
+    EXPECT_EQ(1u, judge({"crossed client=c"}).crossed);
+    EXPECT_EQ(1u, judge({"broken kind=feed"}).broken);
+    si_counts_t ok = judge({"post id=a outcome=answered", "run x id=a",
+                            "post id=b outcome=unknown", "run x id=b",
+                            "post id=c outcome=timeout",
+                            "post id=d outcome=refused"});
+    EXPECT_EQ(4u, ok.posts);
+    EXPECT_EQ(2u, ok.runs);
+    EXPECT_EQ(0u, ok.twice + ok.false_not_run + ok.never_ran);
+}
