kern: duties with bounded inboxes, and pools of packets

The daemon's micro-kernel: threads that find each other by name, ck_ring inboxes that refuse instead of blocking, eventfd wake-ups, a bounded stop. Found on the way: an eventfd count left unread by a duty that had not slept made its next sleep return at once for ever, so it is always read.

--- /dev/null
+++ b/kern/duty.c
@@ -0,0 +1,247 @@
+/* One duty: its thread, its inbox (a ck_ring) and how it sleeps. */
+#include "kern/duty.h"
+
+#include <ck_ring.h>
+#include <errno.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+struct duty {
+    kern_t *kern;
+    duty_spec_t spec;
+    char name[DUTY_NAME_LEN];
+    pthread_t thread;
+    bool started;
+    bool stopping; /* atomic */
+    bool asleep;   /* atomic */
+    uint64_t full; /* atomic; any sender adds */
+    int wake_fd;
+    ck_ring_t ring;
+    ck_ring_buffer_t *slots;
+};
+
+duty_t *
+duty_new(kern_t *k, const duty_spec_t *spec)
+{
+    duty_t *d = calloc(1, sizeof(*d));
+
+    if (d == NULL) {
+        return NULL;
+    }
+    d->kern = k;
+    d->spec = *spec;
+    snprintf(d->name, sizeof(d->name), "%s", spec->name);
+    d->slots = calloc(spec->inbox, sizeof(*d->slots));
+    d->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    if (d->slots == NULL || d->wake_fd < 0) {
+        duty_free(d);
+        return NULL;
+    }
+    ck_ring_init(&d->ring, spec->inbox);
+    return d;
+}
+
+void
+duty_free(duty_t *d)
+{
+    void *msg;
+
+    while (d->slots != NULL && duty_take(d, &msg, 1) == 1) {
+        if (d->spec.drop != NULL) {
+            d->spec.drop(msg);
+        }
+    }
+    if (d->wake_fd >= 0) {
+        close(d->wake_fd);
+    }
+    free(d->slots);
+    free(d);
+}
+
+static void *
+thread_main(void *arg)
+{
+    duty_t *d = arg;
+
+    d->spec.run(d, d->spec.arg);
+    return NULL;
+}
+
+int
+duty_start(duty_t *d)
+{
+    int rc;
+
+    if (d->spec.run == NULL) {
+        return 0;
+    }
+    rc = pthread_create(&d->thread, NULL, thread_main, d);
+    if (rc != 0) {
+        return -rc;
+    }
+    pthread_setname_np(d->thread, d->name);
+    d->started = true;
+    return 0;
+}
+
+void
+duty_stop(duty_t *d)
+{
+    __atomic_store_n(&d->stopping, true, __ATOMIC_SEQ_CST);
+    duty_wake(d);
+}
+
+int
+duty_join(duty_t *d, const struct timespec *until)
+{
+    if (!d->started) {
+        return 0;
+    }
+    if (pthread_timedjoin_np(d->thread, NULL, until) != 0) {
+        return -ETIMEDOUT;
+    }
+    d->started = false;
+    return 0;
+}
+
+kern_t *
+duty_kern(const duty_t *d)
+{
+    return d->kern;
+}
+
+const char *
+duty_name(const duty_t *d)
+{
+    return d->name;
+}
+
+bool
+duty_stopping(const duty_t *d)
+{
+    return __atomic_load_n(&d->stopping, __ATOMIC_RELAXED);
+}
+
+int
+duty_put(duty_t *d, void *msg)
+{
+    bool done = d->spec.one_sender
+                    ? ck_ring_enqueue_spsc(&d->ring, d->slots, msg)
+                    : ck_ring_enqueue_mpsc(&d->ring, d->slots, msg);
+
+    if (!done) {
+        __atomic_add_fetch(&d->full, 1, __ATOMIC_RELAXED);
+        return -EAGAIN;
+    }
+    return 0;
+}
+
+/* A sender that sees "awake" just before the owner falls asleep would leave
+ * its message lying until the next event.  The fence here and the one in
+ * duty_sleep() order "put, then look" against "say asleep, then look", so at
+ * least one side sees the other. */
+void
+duty_wake(duty_t *d)
+{
+    uint64_t one = 1;
+
+    __atomic_thread_fence(__ATOMIC_SEQ_CST);
+    if (!__atomic_load_n(&d->asleep, __ATOMIC_RELAXED) ||
+        !__atomic_exchange_n(&d->asleep, false, __ATOMIC_SEQ_CST)) {
+        return;
+    }
+    if (write(d->wake_fd, &one, sizeof(one)) < 0) {
+        return; /* the counter is full: it is awake already */
+    }
+}
+
+int
+duty_post(duty_t *d, void *msg)
+{
+    int rc = duty_put(d, msg);
+
+    duty_wake(d);
+    return rc;
+}
+
+size_t
+duty_take(duty_t *d, void **out, size_t n)
+{
+    size_t i = 0;
+
+    if (d->spec.one_sender) {
+        while (i < n && ck_ring_dequeue_spsc(&d->ring, d->slots, &out[i])) {
+            i++;
+        }
+        return i;
+    }
+    while (i < n && ck_ring_dequeue_mpsc(&d->ring, d->slots, &out[i])) {
+        i++;
+    }
+    return i;
+}
+
+bool
+duty_sleep(duty_t *d)
+{
+    __atomic_store_n(&d->asleep, true, __ATOMIC_SEQ_CST);
+    __atomic_thread_fence(__ATOMIC_SEQ_CST);
+    return duty_depth(d) == 0 && !duty_stopping(d);
+}
+
+void
+duty_awake(duty_t *d)
+{
+    uint64_t n;
+
+    __atomic_store_n(&d->asleep, false, __ATOMIC_SEQ_CST);
+    if (read(d->wake_fd, &n, sizeof(n)) < 0) {
+        return; /* nobody woke it */
+    }
+}
+
+void
+duty_wait(duty_t *d, struct pollfd *fds, size_t n, ms_t wait_ms)
+{
+    struct pollfd own;
+
+    if (fds == NULL) {
+        fds = &own;
+        n = 1;
+    }
+    fds[0] = (struct pollfd){.fd = d->wake_fd, .events = POLLIN};
+    if (duty_sleep(d)) {
+        poll(fds, n, (int)wait_ms);
+    }
+    else {
+        poll(fds, n, 0);
+    }
+    duty_awake(d);
+}
+
+int
+duty_fd(const duty_t *d)
+{
+    return d->wake_fd;
+}
+
+unsigned
+duty_depth(const duty_t *d)
+{
+    return ck_ring_size(&d->ring);
+}
+
+unsigned
+duty_capacity(const duty_t *d)
+{
+    return ck_ring_capacity(&d->ring) - 1;
+}
+
+uint64_t
+duty_full(const duty_t *d)
+{
+    return counter_read(&d->full);
+}
--- /dev/null
+++ b/kern/duty.h
@@ -0,0 +1,15 @@
+/* What kern.c needs of a duty; not for other directories. */
+#ifndef SISKIN_DUTY_H
+#define SISKIN_DUTY_H
+
+#include "kern/kern.h"
+
+#include <time.h>
+
+duty_t *duty_new(kern_t *k, const duty_spec_t *spec);
+void duty_free(duty_t *d);
+int duty_start(duty_t *d);
+void duty_stop(duty_t *d);
+int duty_join(duty_t *d, const struct timespec *until);
+
+#endif
--- /dev/null
+++ b/test/kern_test.cc
@@ -0,0 +1,217 @@
+// The micro-kernel: duties find each other, no message is lost or repeated,
+// a full inbox refuses, and a stop reaches a duty that sleeps.
+#include "kern/kern.h"
+
+#include <gtest/gtest.h>
+#include <errno.h>
+#include <sched.h>
+#include <semaphore.h>
+#include <set>
+#include <string.h>
+#include <vector>
+
+static int dropped;
+
+static void
+count_drop(void *)
+{
+    dropped++;
+}
+
+static duty_spec_t
+spec(const char *name, duty_run_t *run, void *arg, unsigned inbox,
+     bool one_sender)
+{
+    return {name, run, arg, inbox, one_sender, count_drop};
+}
+
+TEST(Kern, NamesAreUniqueAndFound)
+{
+    kern_t *k = kern_new();
+    duty_spec_t a = spec("a", nullptr, nullptr, 4, true);
+    EXPECT_EQ(0, kern_add(k, &a));
+    EXPECT_EQ(-EEXIST, kern_add(k, &a));
+    ASSERT_NE(nullptr, kern_find(k, "a"));
+    EXPECT_STREQ("a", duty_name(kern_find(k, "a")));
+    EXPECT_EQ(k, duty_kern(kern_find(k, "a")));
+    EXPECT_EQ(nullptr, kern_find(k, "b"));
+    kern_free(k);
+}
+
+// A caller floods an instance: the inbox is full, the sender is told at once
+// and keeps its message; what was accepted before stays.
+TEST(Kern, FullInboxRefusesAndCounts)
+{
+    for (bool one_sender : {true, false}) {
+        kern_t *k = kern_new();
+        duty_spec_t a = spec("a", nullptr, nullptr, 8, one_sender);
+        ASSERT_EQ(0, kern_add(k, &a));
+        duty_t *d = kern_find(k, "a");
+        int msg[16];
+        unsigned n = duty_capacity(d);
+        for (unsigned i = 0; i < n; i++) {
+            EXPECT_EQ(0, duty_post(d, &msg[i]));
+        }
+        EXPECT_EQ(-EAGAIN, duty_post(d, &msg[n]));
+        EXPECT_EQ(-EAGAIN, duty_post(d, &msg[n]));
+        EXPECT_EQ(2u, duty_full(d));
+        EXPECT_EQ(n, duty_depth(d));
+        void *out[4];
+        EXPECT_EQ(4u, duty_take(d, out, 4));
+        EXPECT_EQ(&msg[0], out[0]);
+        EXPECT_EQ(0, duty_post(d, &msg[n]));
+        dropped = 0;
+        kern_free(k);
+        EXPECT_EQ((int)n - 3, dropped);
+    }
+}
+
+struct echo_t {
+    const char *to;
+    uint64_t left; // messages that it still awaits
+};
+
+// Takes a token, passes it to the other; each sleeps in between, so that one
+// lost wake-up stops both for good.
+static void
+echo_run(duty_t *self, void *arg)
+{
+    echo_t *e = static_cast<echo_t *>(arg);
+    duty_t *to = kern_find(duty_kern(self), e->to);
+    void *msg;
+
+    while (e->left > 0 && !duty_stopping(self)) {
+        if (duty_take(self, &msg, 1) == 1) {
+            e->left--;
+            EXPECT_EQ(0, duty_post(to, msg));
+            continue;
+        }
+        duty_wait(self, nullptr, 0, -1);
+    }
+}
+
+TEST(Kern, NoWakeUpIsLost)
+{
+    kern_t *k = kern_new();
+    echo_t a = {"b", 50000}, b = {"main", 50000}, c = {"a", 50000};
+    duty_spec_t s[] = {spec("a", echo_run, &a, 4, true),
+                       spec("b", echo_run, &b, 4, true),
+                       spec("main", nullptr, nullptr, 4, true)};
+    int token;
+    for (const duty_spec_t &x : s) {
+        ASSERT_EQ(0, kern_add(k, &x));
+    }
+    ASSERT_EQ(0, kern_start(k));
+    ASSERT_EQ(0, duty_post(kern_find(k, "a"), &token));
+    echo_run(kern_find(k, "main"), &c);
+    EXPECT_EQ(0u, c.left);
+    EXPECT_EQ(0, kern_stop(k, 60000));
+    EXPECT_EQ(0u, a.left + b.left);
+    kern_free(k);
+}
+
+struct source_arg_t {
+    uint64_t first, n;
+};
+
+static void
+source_run(duty_t *self, void *arg)
+{
+    source_arg_t *s = static_cast<source_arg_t *>(arg);
+    duty_t *to = kern_find(duty_kern(self), "sink");
+
+    for (uint64_t i = 0; i < s->n; i++) {
+        while (duty_post(to, (void *)(s->first + i)) == -EAGAIN) {
+            sched_yield();
+        }
+    }
+}
+
+TEST(Kern, ManySendersLoseAndRepeatNothing)
+{
+    const uint64_t n = 20000;
+    kern_t *k = kern_new();
+    source_arg_t a = {1, n}, b = {1 + n, n}, c = {1 + 2 * n, n};
+    duty_spec_t s[] = {spec("sink", nullptr, nullptr, 64, false),
+                       spec("a", source_run, &a, 4, true),
+                       spec("b", source_run, &b, 4, true),
+                       spec("c", source_run, &c, 4, true)};
+    for (const duty_spec_t &x : s) {
+        ASSERT_EQ(0, kern_add(k, &x));
+    }
+    ASSERT_EQ(0, kern_start(k));
+    duty_t *sink = kern_find(k, "sink");
+    std::vector<uint64_t> last = {0, n, 2 * n};
+    for (uint64_t got = 0; got < 3 * n;) {
+        void *msg[16];
+        size_t m = duty_take(sink, msg, 16);
+        for (size_t i = 0; i < m; i++) {
+            uint64_t v = (uint64_t)msg[i];
+            EXPECT_EQ(++last[(v - 1) / n], v); // in each sender's order
+        }
+        got += m;
+        if (m == 0) {
+            duty_wait(sink, nullptr, 0, -1);
+        }
+    }
+    EXPECT_EQ(0u, duty_depth(sink));
+    EXPECT_EQ(0, kern_stop(k, 60000));
+    kern_free(k);
+}
+
+static void
+sleep_run(duty_t *self, void *)
+{
+    while (!duty_stopping(self)) {
+        duty_wait(self, nullptr, 0, -1);
+    }
+}
+
+TEST(Kern, StopWakesSleepers)
+{
+    kern_t *k = kern_new();
+    duty_spec_t s = spec("a", sleep_run, nullptr, 4, true);
+    ASSERT_EQ(0, kern_add(k, &s));
+    ASSERT_EQ(0, kern_start(k));
+    EXPECT_EQ(0, kern_stop(k, 60000));
+    kern_free(k);
+}
+
+static void
+block_run(duty_t *, void *arg)
+{
+    sem_wait(static_cast<sem_t *>(arg));
+}
+
+// The platform does not answer while an instance stops: the thread that calls
+// it is still in the call, and the others don't wait for it.
+TEST(Kern, StopIsBounded)
+{
+    kern_t *k = kern_new();
+    sem_t gate;
+    sem_init(&gate, 0, 0);
+    duty_spec_t s = spec("a", block_run, &gate, 4, true);
+    ASSERT_EQ(0, kern_add(k, &s));
+    ASSERT_EQ(0, kern_start(k));
+    EXPECT_EQ(-ETIMEDOUT, kern_stop(k, 10));
+    sem_post(&gate);
+    EXPECT_EQ(0, kern_stop(k, 60000));
+    kern_free(k);
+    sem_destroy(&gate);
+}
+
+TEST(Pool, EachSlotOnceThenNone)
+{
+    pool_t *p = pool_new(5, 100);
+    std::set<void *> got;
+    for (int i = 0; i < 5; i++) {
+        void *slot = pool_get(p);
+        ASSERT_NE(nullptr, slot);
+        memset(slot, i, 100);
+        EXPECT_TRUE(got.insert(slot).second);
+    }
+    EXPECT_EQ(nullptr, pool_get(p));
+    pool_put(p, *got.begin());
+    EXPECT_EQ(*got.begin(), pool_get(p));
+    pool_free(p);
+}
