Makefile: objects under obj/; bench: the bare relay

build/siskind was to be both the program and the directory of its objects, so the link failed ('Is a directory'); siskinctl would have met the same. The relay is the data path's baseline.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 CC      = gcc
 CXX     = g++
 B      ?= build
+O       = $(B)/obj
 SAN    ?=
 PKGS    = ck libzmq libcoap-3-notls argtable2 log4c jansson libmicrohttpd \
           libcurl libsodium msgpack libxxhash
@@ -18,13 +19,13 @@
 
 LIBDIRS  = base wire conf plat member core kern
 LIBSRC   = $(wildcard $(LIBDIRS:%=%/*.c)) $(wildcard $(LIBDIRS:%=%/*.cc))
-LIBOBJ   = $(patsubst %,$(B)/%.o,$(LIBSRC))
+LIBOBJ   = $(patsubst %,$(O)/%.o,$(LIBSRC))
 LIB      = $(B)/libsiskin.a
 
 # Stand-ins: one program for each standin/NAME_main.c, the other files shared.
 SIMAIN   = $(wildcard standin/*_main.c)
 SISRC    = $(filter-out $(SIMAIN),$(wildcard standin/*.c))
-SIOBJ    = $(patsubst %,$(B)/%.o,$(SISRC))
+SIOBJ    = $(patsubst %,$(O)/%.o,$(SISRC))
 SIPROG   = $(patsubst standin/%_main.c,$(B)/si_%,$(SIMAIN))
 
 PROGS    = $(if $(wildcard siskind/*.c),$(B)/siskind) \
@@ -34,18 +35,18 @@
 # Each test/*_test.cc is a program; the other files in test/ are shared.
 TESTMAIN = $(wildcard test/*_test.cc)
 TESTSRC  = $(filter-out $(TESTMAIN),$(wildcard test/*.c) $(wildcard test/*.cc))
-TESTOBJ  = $(patsubst %,$(B)/%.o,$(TESTSRC))
+TESTOBJ  = $(patsubst %,$(O)/%.o,$(TESTSRC))
 TESTS    = $(patsubst test/%.cc,$(B)/%,$(TESTMAIN))
 
 all: $(LIB) $(PROGS)
 tests: $(TESTS)
 benches: $(BENCH)
 
-$(B)/%.c.o: %.c
+$(O)/%.c.o: %.c
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c $< -o $@
 
-$(B)/%.cc.o: %.cc
+$(O)/%.cc.o: %.cc
 	@mkdir -p $(@D)
 	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -c $< -o $@
 
@@ -53,19 +54,19 @@
 	@rm -f $@
 	ar rcs $@ $^
 
-$(B)/siskind: $(patsubst %,$(B)/%.o,$(wildcard siskind/*.c)) $(LIB)
+$(B)/siskind: $(patsubst %,$(O)/%.o,$(wildcard siskind/*.c)) $(LIB)
 	$(CXX) $(SAN) $^ -o $@ $(LDLIBS)
 
-$(B)/siskinctl: $(patsubst %,$(B)/%.o,$(wildcard siskinctl/*.c)) $(LIB)
+$(B)/siskinctl: $(patsubst %,$(O)/%.o,$(wildcard siskinctl/*.c)) $(LIB)
 	$(CXX) $(SAN) $^ -o $@ $(LDLIBS)
 
-$(B)/si_%: $(B)/standin/%_main.c.o $(SIOBJ) $(LIB)
+$(B)/si_%: $(O)/standin/%_main.c.o $(SIOBJ) $(LIB)
 	$(CXX) $(SAN) $^ -o $@ $(LDLIBS)
 
-$(B)/%_test: $(B)/test/%_test.cc.o $(TESTOBJ) $(SIOBJ) $(LIB)
+$(B)/%_test: $(O)/test/%_test.cc.o $(TESTOBJ) $(SIOBJ) $(LIB)
 	$(CXX) $(SAN) $^ -o $@ -lgtest_main -lgtest -lrapidcheck $(LDLIBS)
 
-$(B)/%: $(B)/bench/%.c.o $(SIOBJ) $(LIB)
+$(B)/%: $(O)/bench/%.c.o $(SIOBJ) $(LIB)
 	$(CXX) $(SAN) $^ -o $@ $(LDLIBS)
 
 FMT = $(shell git ls-files '*.c' '*.h' '*.cc')
--- /dev/null
+++ b/bench/relay.c
@@ -0,0 +1,142 @@
+/* relay: the least that a balancer of datagrams can do, as a baseline for
+ * the data path: recvmmsg, the proxy header put before or taken off, sendmmsg.
+ * One thread, no decisions.
+ *
+ * usage: relay SERVICE RETURN UPSTREAM, each as IP:PORT
+ */
+#include "base/base.h"
+#include "wire/wire.h"
+
+#include <errno.h>
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define BATCH 32
+
+typedef struct {
+    uint8_t data[BATCH][SPP_LEN + DATAGRAM_MAX];
+    struct mmsghdr msgs[BATCH];
+    struct iovec iov[BATCH];
+    struct sockaddr_storage remote[BATCH];
+} batch_t;
+
+static batch_t batch;
+static addr_t service, upstream;
+
+static int
+open_udp(const addr_t *a)
+{
+    struct sockaddr_storage ss;
+    socklen_t len = addr_to_sock(a, &ss);
+    int buffer = 1 << 20;
+    int fd = socket(ss.ss_family, SOCK_DGRAM, 0);
+
+    if (fd < 0 || bind(fd, (struct sockaddr *)&ss, len) < 0) {
+        perror("relay: socket");
+        return -1;
+    }
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
+    setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &buffer, sizeof(buffer));
+    return fd;
+}
+
+/* Reads a batch; room for a header is left before each datagram. */
+static int
+read_batch(int fd)
+{
+    for (int i = 0; i < BATCH; i++) {
+        batch.iov[i] = (struct iovec){.iov_base = batch.data[i] + SPP_LEN,
+                                      .iov_len = DATAGRAM_MAX};
+        batch.msgs[i].msg_hdr =
+            (struct msghdr){.msg_name = &batch.remote[i],
+                            .msg_namelen = sizeof(batch.remote[i]),
+                            .msg_iov = &batch.iov[i],
+                            .msg_iovlen = 1};
+    }
+    return recvmmsg(fd, batch.msgs, BATCH, MSG_DONTWAIT, NULL);
+}
+
+static void
+send_batch(int fd, int n)
+{
+    int done = 0;
+
+    while (done < n) {
+        int rc = sendmmsg(fd, batch.msgs + done, (unsigned)(n - done), 0);
+        done += rc > 0 ? rc : 1;
+    }
+}
+
+static void
+to_upstream(int i)
+{
+    spp_t h = {.service = service};
+
+    addr_from_sock(&h.client, &batch.remote[i]);
+    spp_write(batch.data[i], &h);
+    batch.iov[i].iov_base = batch.data[i];
+    batch.iov[i].iov_len = SPP_LEN + batch.msgs[i].msg_len;
+    batch.msgs[i].msg_hdr.msg_namelen =
+        addr_to_sock(&upstream, &batch.remote[i]);
+}
+
+static void
+to_client(int i)
+{
+    spp_t h;
+    uint8_t *data = batch.data[i] + SPP_LEN;
+    size_t len = batch.msgs[i].msg_len;
+
+    if (spp_read(&h, data, len) < 0) {
+        batch.iov[i].iov_len = 0;
+        return;
+    }
+    batch.iov[i].iov_base = data + SPP_LEN;
+    batch.iov[i].iov_len = len - SPP_LEN;
+    batch.msgs[i].msg_hdr.msg_namelen =
+        addr_to_sock(&h.client, &batch.remote[i]);
+}
+
+static void
+relay(int from, int to, void (*change)(int i))
+{
+    int n = read_batch(from);
+
+    for (int i = 0; i < n; i++) {
+        change(i);
+    }
+    if (n > 0) {
+        send_batch(to, n);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    addr_t back;
+    struct pollfd fds[2];
+
+    if (argc != 4 || addr_parse(&service, argv[1]) < 0 ||
+        addr_parse(&back, argv[2]) < 0 || addr_parse(&upstream, argv[3]) < 0) {
+        fprintf(stderr, "usage: relay SERVICE RETURN UPSTREAM\n");
+        return 2;
+    }
+    fds[0] = (struct pollfd){.fd = open_udp(&service), .events = POLLIN};
+    fds[1] = (struct pollfd){.fd = open_udp(&back), .events = POLLIN};
+    if (fds[0].fd < 0 || fds[1].fd < 0) {
+        return 1;
+    }
+    for (;;) {
+        if (poll(fds, 2, -1) < 0 && errno != EINTR) {
+            return 1;
+        }
+        if (fds[0].revents & POLLIN) {
+            relay(fds[0].fd, fds[1].fd, to_upstream);
+        }
+        if (fds[1].revents & POLLIN) {
+            relay(fds[1].fd, fds[0].fd, to_client);
+        }
+    }
+}
