standin: exchanges, connections and uploads in modules of their own

Options and signals of the four programs, which stood in each, are in tool.c; lint found a leak of the callers' slots when the fabric couldn't be opened.

--- a/standin/caller_main.c
+++ b/standin/caller_main.c
@@ -2,12 +2,11 @@
  * and sends each datagram to an instance that the fabric picks. */
 #include "standin/client.h"
 #include "standin/fabric.h"
+#include "standin/tool.h"
 #include "standin/udp.h"
 
-#include <argtable2.h>
 #include <errno.h>
 #include <jansson.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -47,15 +46,6 @@
     uint64_t nowhere; /* datagrams while the fabric's list was empty */
 } run_t;
 
-static volatile sig_atomic_t stop_asked;
-
-static void
-on_signal(int sig)
-{
-    (void)sig;
-    stop_asked = 1;
-}
-
 static void
 send_any(void *arg, const uint8_t *data, size_t len)
 {
@@ -193,7 +183,7 @@
 {
     ms_t end = clock_now() + r->o->run_ms;
 
-    while (!stop_asked && clock_now() < end) {
+    while (!si_stop_asked() && clock_now() < end) {
         step(r);
     }
     for (size_t i = 0; i < r->n; i++) {
@@ -296,7 +286,7 @@
 {
     ms_t end = clock_now() + r->o->run_ms;
 
-    while (!stop_asked && si_fabric_size(r->fabric) == 0 &&
+    while (!si_stop_asked() && si_fabric_size(r->fabric) == 0 &&
            clock_now() < end) {
         usleep(TICK_MS * 1000);
     }
@@ -317,10 +307,11 @@
                 CLIENTS_MAX);
         return 2;
     }
-    r.slot = calloc(total, sizeof(*r.slot));
     r.fabric = si_fabric_open(o->platform, o->seed);
+    r.slot = calloc(total, sizeof(*r.slot));
     if (r.slot == NULL || r.fabric == NULL) {
         fprintf(stderr, "si_caller: out of memory\n");
+        close_all(&r);
         return 1;
     }
     await_fabric(&r);
@@ -337,101 +328,106 @@
     return rc < 0 ? 1 : 0;
 }
 
-static void
-on_signals(void)
+/* The command line; argtable wants its entries in one array. */
+typedef struct {
+    struct arg_str *platform, *service, *from;
+    struct arg_int *kind[SI_KINDS];
+    struct arg_int *seconds, *grace, *every, *ack, *silence, *blocks, *seed;
+    struct arg_file *log;
+    struct arg_lit *json, *help;
+    struct arg_end *end;
+} args_t;
+
+static args_t
+args_new(void)
 {
-    struct sigaction sa = {.sa_handler = on_signal};
+    return (args_t){
+        .platform = arg_str1(NULL, "platform", "URL", "the platform"),
+        .service = arg_str1(NULL, "service", "IP:PORT", "where to send to"),
+        .from = arg_str0(NULL, "from", "IP", "first client (127.9.0.1)"),
+        .kind = {arg_int0(NULL, "feeds", "N", "clients with a live feed"),
+                 arg_int0(NULL, "acks", "N", "clients that POST"),
+                 arg_int0(NULL, "uploads", "N", "clients that upload"),
+                 arg_int0(NULL, "reads", "N", "clients that GET"),
+                 arg_int0(NULL, "echoes", "N", "clients of a udp service")},
+        .seconds = arg_int0(NULL, "seconds", "S", "length of the run (10)"),
+        .grace =
+            arg_int0(NULL, "grace-ms", "MS", "to wait at the end (20000)"),
+        .every = arg_int0(NULL, "every-ms", "MS", "answer to request (500)"),
+        .ack = arg_int0(NULL, "ack-timeout-ms", "MS", "ACK_TIMEOUT (2000)"),
+        .silence = arg_int0(NULL, "silence-ms", "MS",
+                            "a feed so long silent is broken (10000)"),
+        .blocks = arg_int0(NULL, "blocks", "N", "blocks of an upload (8)"),
+        .seed = arg_int0(NULL, "seed", "N", "random seed (1)"),
+        .log = arg_file0(NULL, "log", "FILE", "log of outcomes"),
+        .json = arg_lit0(NULL, "json", "summary as JSON"),
+        .help = arg_lit0("h", "help", "print this"),
+        .end = arg_end(10)};
+}
+
+static int
+options_read(options_t *o, const args_t *a)
+{
+    char text[ADDR_STRLEN];
 
-    sigaction(SIGTERM, &sa, NULL);
-    sigaction(SIGINT, &sa, NULL);
+    snprintf(text, sizeof(text), "%s:1",
+             a->from->count ? a->from->sval[0] : "127.9.0.1");
+    if (addr_parse(&o->service, a->service->sval[0]) < 0 ||
+        addr_parse(&o->from, text) < 0) {
+        fprintf(stderr, "si_caller: an address isn't IP:PORT\n");
+        return -EINVAL;
+    }
+    for (int k = 0; k < SI_KINDS; k++) {
+        o->clients[k] = (uint32_t)si_option_int(a->kind[k], 0);
+    }
+    o->platform = a->platform->sval[0];
+    o->run_ms = (ms_t)si_option_int(a->seconds, 10) * 1000;
+    o->grace_ms = si_option_int(a->grace, 20000);
+    o->params.every_ms = si_option_int(a->every, (int)o->params.every_ms);
+    o->params.ack_ms = si_option_int(a->ack, (int)o->params.ack_ms);
+    o->params.silence_ms =
+        si_option_int(a->silence, (int)o->params.silence_ms);
+    o->params.blocks =
+        (uint32_t)si_option_int(a->blocks, (int)o->params.blocks);
+    o->seed = (uint64_t)si_option_int(a->seed, 1);
+    o->json = a->json->count > 0;
+    return 0;
 }
 
-/* The value of an option, or ABSENT. */
 static int
-value_of(const struct arg_int *a, int absent)
+run_logged(options_t *o, const args_t *a)
 {
-    return a->count > 0 ? a->ival[0] : absent;
+    int rc;
+
+    if (options_read(o, a) < 0) {
+        return 2;
+    }
+    if (a->log->count > 0) {
+        o->log = si_log_open("si_caller", a->log, NULL);
+        if (o->log == NULL) {
+            return 2;
+        }
+    }
+    si_catch_stop();
+    rc = run(o);
+    if (o->log != NULL) {
+        fclose(o->log);
+    }
+    return rc;
 }
 
 int
 main(int argc, char **argv)
 {
-    struct arg_str *platform = arg_str1(NULL, "platform", "URL", "platform");
-    struct arg_str *service =
-        arg_str1(NULL, "service", "IP:PORT", "the service's address");
-    struct arg_str *from =
-        arg_str0(NULL, "from", "IP", "first client's IP (127.9.0.1)");
-    struct arg_int *kind[SI_KINDS] = {
-        arg_int0(NULL, "feeds", "N", "clients with a live feed"),
-        arg_int0(NULL, "acks", "N", "clients that POST"),
-        arg_int0(NULL, "uploads", "N", "clients that upload"),
-        arg_int0(NULL, "reads", "N", "clients that GET"),
-        arg_int0(NULL, "echoes", "N", "clients of an opaque service")};
-    struct arg_int *seconds =
-        arg_int0(NULL, "seconds", "S", "length of the run (10)");
-    struct arg_int *grace = arg_int0(NULL, "grace-ms", "MS",
-                                     "wait for answers at the end (20000)");
-    struct arg_int *every =
-        arg_int0(NULL, "every-ms", "MS", "answer to next request (500)");
-    struct arg_int *ack =
-        arg_int0(NULL, "ack-timeout-ms", "MS", "ACK_TIMEOUT (2000)");
-    struct arg_int *silence =
-        arg_int0(NULL, "silence-ms", "MS", "a silent feed is broken (10000)");
-    struct arg_int *blocks =
-        arg_int0(NULL, "blocks", "N", "blocks of an upload (8)");
-    struct arg_int *seed = arg_int0(NULL, "seed", "N", "random seed (1)");
-    struct arg_file *log = arg_file0(NULL, "log", "FILE", "log of outcomes");
-    struct arg_lit *json = arg_lit0(NULL, "json", "summary as JSON");
-    struct arg_lit *help = arg_lit0("h", "help", "print this");
-    struct arg_end *end = arg_end(10);
-    void *table[] = {platform, service, from,    kind[0], kind[1],
-                     kind[2],  kind[3], kind[4], seconds, grace,
-                     every,    ack,     silence, blocks,  seed,
-                     log,      json,    help,    end};
+    args_t a = args_new();
     options_t o = {.params = SI_CLIENT_PARAMS};
-    char text[ADDR_STRLEN];
-    int rc = 2;
+    void *table[sizeof(a) / sizeof(void *)];
+    int rc;
 
-    if (arg_parse(argc, argv, table) > 0 || help->count > 0) {
-        arg_print_errors(stderr, end, "si_caller");
-        printf("usage: si_caller");
-        arg_print_syntax(stdout, table, "\n");
-        arg_print_glossary(stdout, table, "  %-25s %s\n");
-        rc = help->count > 0 ? 0 : 2;
-        goto out;
+    memcpy(table, &a, sizeof(a));
+    if (si_args("si_caller", argc, argv, table, a.help, a.end, &rc)) {
+        rc = run_logged(&o, &a);
     }
-    snprintf(text, sizeof(text), "%s:1",
-             from->count ? from->sval[0] : "127.9.0.1");
-    if (addr_parse(&o.service, service->sval[0]) < 0 ||
-        addr_parse(&o.from, text) < 0) {
-        fprintf(stderr, "si_caller: an address isn't IP:PORT\n");
-        goto out;
-    }
-    for (int k = 0; k < SI_KINDS; k++) {
-        o.clients[k] = (uint32_t)value_of(kind[k], 0);
-    }
-    o.platform = platform->sval[0];
-    o.run_ms = (ms_t)value_of(seconds, 10) * 1000;
-    o.grace_ms = value_of(grace, 20000);
-    o.params.every_ms = value_of(every, (int)o.params.every_ms);
-    o.params.ack_ms = value_of(ack, (int)o.params.ack_ms);
-    o.params.silence_ms = value_of(silence, (int)o.params.silence_ms);
-    o.params.blocks = (uint32_t)value_of(blocks, (int)o.params.blocks);
-    o.seed = (uint64_t)value_of(seed, 1);
-    o.json = json->count > 0;
-    if (log->count > 0 && (o.log = fopen(log->filename[0], "w")) == NULL) {
-        fprintf(stderr, "si_caller: %s can't be written\n", log->filename[0]);
-        goto out;
-    }
-    if (o.log != NULL) {
-        setvbuf(o.log, NULL, _IOLBF, 0);
-    }
-    on_signals();
-    rc = run(&o);
-    if (o.log != NULL) {
-        fclose(o.log);
-    }
-out:
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return rc;
 }
--- a/standin/platform_main.c
+++ b/standin/platform_main.c
@@ -1,7 +1,7 @@
 /* si_platform: the platform's stand-in as a program. */
 #include "standin/platform.h"
+#include "standin/tool.h"
 
-#include <argtable2.h>
 #include <signal.h>
 #include <stdio.h>
 
@@ -40,20 +40,12 @@
     struct arg_lit *help = arg_lit0("h", "help", "print this");
     struct arg_end *end = arg_end(5);
     void *table[] = {port, lag, expire, help, end};
-    int errors = arg_parse(argc, argv, table);
     int rc;
 
-    if (help->count > 0 || errors > 0) {
-        arg_print_errors(stderr, end, "si_platform");
-        printf("usage: si_platform");
-        arg_print_syntax(stdout, table, "\n");
-        arg_print_glossary(stdout, table, "  %-20s %s\n");
-        rc = errors > 0 ? 2 : 0;
-    }
-    else {
-        params.port = port->count ? (uint16_t)port->ival[0] : params.port;
-        params.list_lag_ms = lag->count ? lag->ival[0] : params.list_lag_ms;
-        params.expire_ms = expire->count ? expire->ival[0] : params.expire_ms;
+    if (si_args("si_platform", argc, argv, table, help, end, &rc)) {
+        params.port = (uint16_t)si_option_int(port, params.port);
+        params.list_lag_ms = si_option_int(lag, (int)params.list_lag_ms);
+        params.expire_ms = si_option_int(expire, (int)params.expire_ms);
         rc = run(&params);
     }
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -1,66 +1,29 @@
 /* One upstream: duplicate detection, slots, tombstones, uploads, load. */
 #include "standin/upstream.h"
+#include "standin/conns.h"
+#include "standin/exchanges.h"
 #include "standin/feeds.h"
+#include "standin/uploads.h"
 
 #include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define EXCHANGES_MAX 65536
-#define UPLOADS_MAX 4096
-#define BUCKETS 4096 /* a power of two */
 #define COLD_FACTOR 5
 #define PAYLOAD_MAX 200
 #define FORBIDDEN COAP_C(4, 3)
 
-typedef enum {
-    EX_QUEUED,
-    EX_RUNNING,
-    EX_DONE,
-    EX_REFUSED, /* shed or late: never starts */
-    EX_BARRED   /* cancelled before it started: never starts */
-} ex_state_t;
-
-/* A request as duplicate detection remembers it, named by client and ID. */
-typedef struct exchange {
-    link_t age;  /* oldest first */
-    link_t work; /* in the queue or among the running */
-    struct exchange *next;
-    spp_t header;
-    uint16_t mid;
-    ex_state_t state;
-    addr_t from; /* the source of the latest copy; the answer goes there */
-    ms_t at, deadline, done_at;
-    uint8_t *request, *answer;
-    size_t request_len, answer_len;
-} exchange_t;
-
-/* A client that has been heard of. */
-typedef struct conn {
-    struct conn *next;
-    addr_t client;
-    ms_t seen;
-} conn_t;
-
-/* A Block1 upload that isn't complete. */
-typedef struct {
-    link_t link;
-    addr_t client;
-    uint32_t next; /* block expected */
-    uint64_t bytes;
-    ms_t at;
-} upload_t;
-
 struct si_upstream {
     si_upstream_params_t params;
     si_upstream_out_t out;
     si_upstream_stats_t stats;
     si_feeds_t feeds;
-    exchange_t *exchange[BUCKETS];
-    conn_t *conn[BUCKETS];
-    link_t by_age, queue, running, uploads;
-    uint32_t n_exchange, n_conn, n_queue, n_running, n_upload;
+    si_exchanges_t exchanges;
+    si_conns_t conns;
+    si_uploads_t uploads;
+    link_t queue, running; /* exchanges, by their work link */
+    uint32_t n_queue, n_running;
     uint16_t mid;
     ms_t now;   /* of the current step */
     ms_t up_at; /* silent before it */
@@ -71,12 +34,6 @@
     uint32_t shown_busy, shown_queued, shown_conn;
 };
 
-static uint32_t
-bucket(const addr_t *client, uint16_t mid)
-{
-    return (uint32_t)hash_mix(addr_id(client), mid) & (BUCKETS - 1);
-}
-
 /* ---- Sending ---- */
 
 static void
@@ -118,78 +75,11 @@
     send_coap(u, to, header, &a);
 }
 
-/* ---- Duplicate detection ---- */
-
-static exchange_t *
-ex_find(si_upstream_t *u, const addr_t *client, uint16_t mid)
-{
-    exchange_t *x = u->exchange[bucket(client, mid)];
-
-    while (x != NULL &&
-           (x->mid != mid || !addr_eq(&x->header.client, client))) {
-        x = x->next;
-    }
-    return x;
-}
-
-static exchange_t *
-ex_add(si_upstream_t *u, ms_t now, const spp_t *header, uint16_t mid)
-{
-    exchange_t **head = &u->exchange[bucket(&header->client, mid)];
-    exchange_t *x;
-
-    if (u->n_exchange == EXCHANGES_MAX) {
-        return NULL;
-    }
-    x = calloc(1, sizeof(*x));
-    if (x == NULL) {
-        return NULL;
-    }
-    x->header = *header;
-    x->mid = mid;
-    x->at = now;
-    x->next = *head;
-    *head = x;
-    list_init(&x->work);
-    list_append(&u->by_age, &x->age);
-    u->n_exchange++;
-    return x;
-}
-
-static void
-ex_remove(si_upstream_t *u, exchange_t *x)
-{
-    exchange_t **p = &u->exchange[bucket(&x->header.client, x->mid)];
-
-    while (*p != x) {
-        p = &(*p)->next;
-    }
-    *p = x->next;
-    list_remove(&x->age);
-    list_remove(&x->work);
-    free(x->request);
-    free(x->answer);
-    free(x);
-    u->n_exchange--;
-}
-
-static void
-ex_expire(si_upstream_t *u, ms_t now)
-{
-    LIST_EACH(it, &u->by_age)
-    {
-        exchange_t *x = LIST_OWNER(it, exchange_t, age);
-        bool busy = x->state == EX_QUEUED || x->state == EX_RUNNING;
-        if (busy || x->at + SI_EXCHANGE_MS > now) {
-            return;
-        }
-        ex_remove(u, x);
-    }
-}
+/* ---- Answers ---- */
 
 /* Sends answer A to the request, and keeps it for later copies. */
 static void
-ex_answer(si_upstream_t *u, exchange_t *x, const coap_msg_t *a)
+ex_answer(si_upstream_t *u, si_exchange_t *x, const coap_msg_t *a)
 {
     uint8_t b[SPP_LEN + DATAGRAM_MAX];
     int n = coap_encode(b + SPP_LEN, DATAGRAM_MAX, a);
@@ -210,11 +100,11 @@
 }
 
 static void
-ex_duplicate(si_upstream_t *u, exchange_t *x, const addr_t *from,
+ex_duplicate(si_upstream_t *u, si_exchange_t *x, const addr_t *from,
              const coap_msg_t *m)
 {
     x->from = *from;
-    if (x->state == EX_BARRED) {
+    if (x->state == SI_EX_BARRED) {
         u->stats.barred++;
         answer_text(u, from, &x->header, m, COAP_CONFLICT, "");
         return;
@@ -227,69 +117,22 @@
 
 /* Refuses a request that has not started; it never will. */
 static void
-ex_refuse(si_upstream_t *u, exchange_t *x, const coap_msg_t *m)
+ex_refuse(si_upstream_t *u, si_exchange_t *x, const coap_msg_t *m)
 {
     coap_msg_t a = answer_to(u, m, COAP_UNAVAILABLE);
 
     a.max_age = u->params.come_back_s;
-    x->state = EX_REFUSED;
+    x->state = SI_EX_REFUSED;
     ex_answer(u, x, &a);
 }
 
-/* ---- Connections ---- */
-
-static conn_t *
-conn_find(si_upstream_t *u, const addr_t *client)
-{
-    conn_t *c = u->conn[bucket(client, 0)];
-
-    while (c != NULL && !addr_eq(&c->client, client)) {
-        c = c->next;
-    }
-    return c;
-}
-
 /* False when the client is new and there is no place for it. */
 static bool
 conn_touch(si_upstream_t *u, ms_t now, const addr_t *client)
 {
-    conn_t *c = conn_find(u, client);
-    conn_t **head = &u->conn[bucket(client, 0)];
+    bool room = !u->draining && u->conns.n < u->params.connections;
 
-    if (c == NULL) {
-        if (u->draining || u->n_conn >= u->params.connections) {
-            return false;
-        }
-        c = calloc(1, sizeof(*c));
-        if (c == NULL) {
-            return false;
-        }
-        c->client = *client;
-        c->next = *head;
-        *head = c;
-        u->n_conn++;
-    }
-    c->seen = now;
-    return true;
-}
-
-/* Forgets those last seen before THEN. */
-static void
-conn_sweep(si_upstream_t *u, ms_t then)
-{
-    for (int i = 0; i < BUCKETS; i++) {
-        conn_t **p = &u->conn[i];
-        while (*p != NULL) {
-            conn_t *c = *p;
-            if (c->seen >= then) {
-                p = &c->next;
-                continue;
-            }
-            *p = c->next;
-            free(c);
-            u->n_conn--;
-        }
-    }
+    return si_conns_touch(&u->conns, now, client, room);
 }
 
 /* ---- Running requests ---- */
@@ -312,7 +155,7 @@
 }
 
 static void
-log_run(si_upstream_t *u, const exchange_t *x, const coap_msg_t *m)
+log_run(si_upstream_t *u, const si_exchange_t *x, const coap_msg_t *m)
 {
     char service[ADDR_STRLEN], self[ADDR_STRLEN], client[ADDR_STRLEN];
     char id[SI_ID_MAX], token[2 * COAP_TOKEN_MAX + 1] = "-", line[400];
@@ -350,80 +193,10 @@
     return n < PAYLOAD_MAX ? (size_t)n : PAYLOAD_MAX - 1;
 }
 
-static upload_t *
-upload_find(si_upstream_t *u, const addr_t *client)
-{
-    LIST_EACH(it, &u->uploads)
-    {
-        upload_t *up = LIST_OWNER(it, upload_t, link);
-        if (addr_eq(&up->client, client)) {
-            return up;
-        }
-    }
-    return NULL;
-}
-
-static void
-upload_remove(si_upstream_t *u, upload_t *up)
-{
-    list_remove(&up->link);
-    free(up);
-    u->n_upload--;
-}
-
-/* The client's upload, begun anew by its first block.  NULL: none. */
-static upload_t *
-upload_at(si_upstream_t *u, ms_t now, const addr_t *client, uint32_t num)
-{
-    upload_t *up = upload_find(u, client);
-
-    if (num == 0 && up == NULL && u->n_upload < UPLOADS_MAX) {
-        up = calloc(1, sizeof(*up));
-        if (up == NULL) {
-            return NULL;
-        }
-        up->client = *client;
-        list_append(&u->uploads, &up->link);
-        u->n_upload++;
-    }
-    if (up == NULL) {
-        return NULL;
-    }
-    if (num == 0) {
-        up->next = 0;
-        up->bytes = 0;
-    }
-    up->at = now;
-    return up;
-}
-
-/* Takes one block; gives the answer's code (RFC 7959 2.9). */
-static uint8_t
-upload_block(si_upstream_t *u, ms_t now, const exchange_t *x,
-             const coap_msg_t *m, uint64_t *bytes)
-{
-    uint32_t num = m->block1 >> 4;
-    bool more = m->block1 & 8;
-    upload_t *up = upload_at(u, now, &x->header.client, num);
-
-    if (up == NULL || num > up->next) {
-        return COAP_INCOMPLETE;
-    }
-    if (num == up->next) {
-        up->next++;
-        up->bytes += m->payload_len;
-    }
-    *bytes = up->bytes;
-    if (more) {
-        return COAP_CONTINUE;
-    }
-    upload_remove(u, up);
-    return COAP_CHANGED;
-}
-
 /* Registers a feed, or ends one; gives the answer's Observe value. */
 static uint32_t
-observe(si_upstream_t *u, ms_t now, const exchange_t *x, const coap_msg_t *m)
+observe(si_upstream_t *u, ms_t now, const si_exchange_t *x,
+        const coap_msg_t *m)
 {
     if (m->observe == 1) {
         si_feeds_remove(&u->feeds, &x->header.client, m);
@@ -437,7 +210,7 @@
 }
 
 static void
-ex_finish(si_upstream_t *u, ms_t now, exchange_t *x)
+ex_finish(si_upstream_t *u, ms_t now, si_exchange_t *x)
 {
     coap_msg_t m, a;
     char id[SI_ID_MAX], text[PAYLOAD_MAX];
@@ -445,7 +218,7 @@
 
     list_remove(&x->work);
     u->n_running--;
-    x->state = EX_DONE;
+    x->state = SI_EX_DONE;
     if (coap_decode(&m, x->request, x->request_len) < 0) {
         return;
     }
@@ -455,7 +228,7 @@
         a.observe = observe(u, now, x, &m);
     }
     else if (m.block1 != COAP_NONE) {
-        a.code = upload_block(u, now, x, &m, &bytes);
+        a.code = si_uploads_block(&u->uploads, &x->header.client, &m, &bytes);
         a.block1 = m.block1;
         snprintf(id, sizeof(id), "%llu", (unsigned long long)bytes);
     }
@@ -467,7 +240,7 @@
 }
 
 static void
-ex_start(si_upstream_t *u, ms_t now, exchange_t *x)
+ex_start(si_upstream_t *u, ms_t now, si_exchange_t *x)
 {
     ms_t took = u->params.service_ms;
     coap_msg_t m;
@@ -475,7 +248,7 @@
     list_remove(&x->work);
     u->n_queue--;
     if (coap_decode(&m, x->request, x->request_len) < 0) {
-        x->state = EX_DONE;
+        x->state = SI_EX_DONE;
         return;
     }
     if (now > x->deadline) {
@@ -486,7 +259,7 @@
     if (now < u->up_at + u->params.cold_ms) {
         took *= COLD_FACTOR;
     }
-    x->state = EX_RUNNING;
+    x->state = SI_EX_RUNNING;
     x->done_at = now + took;
     list_append(&u->running, &x->work);
     u->n_running++;
@@ -501,7 +274,7 @@
         if (u->n_running >= u->params.slots) {
             return;
         }
-        ex_start(u, now, LIST_OWNER(it, exchange_t, work));
+        ex_start(u, now, LIST_OWNER(it, si_exchange_t, work));
     }
 }
 
@@ -511,14 +284,15 @@
 on_request(si_upstream_t *u, ms_t now, const addr_t *from, const spp_t *header,
            const coap_msg_t *m, const uint8_t *data, size_t len)
 {
-    exchange_t *x = ex_find(u, &header->client, m->mid);
+    si_exchange_t *x =
+        si_exchanges_find(&u->exchanges, &header->client, m->mid);
     bool room;
 
     if (x != NULL) {
         ex_duplicate(u, x, from, m);
         return;
     }
-    x = ex_add(u, now, header, m->mid);
+    x = si_exchanges_add(&u->exchanges, now, header, m->mid);
     if (x == NULL) {
         u->stats.shed++;
         return;
@@ -536,7 +310,7 @@
     }
     memcpy(x->request, data, len);
     x->request_len = len;
-    x->state = EX_QUEUED;
+    x->state = SI_EX_QUEUED;
     list_append(&u->queue, &x->work);
     u->n_queue++;
     start_queued(u, now);
@@ -570,7 +344,7 @@
     u->shown_at = now;
     u->shown_busy = u->n_running;
     u->shown_queued = u->n_queue;
-    u->shown_conn = u->n_conn;
+    u->shown_conn = u->conns.n;
 }
 
 static void
@@ -618,30 +392,30 @@
 static const char *
 bar(si_upstream_t *u, ms_t now, const spp_t *header, uint16_t mid)
 {
-    exchange_t *x = ex_find(u, &header->client, mid);
+    si_exchange_t *x = si_exchanges_find(&u->exchanges, &header->client, mid);
     coap_msg_t m;
 
     if (x == NULL) {
-        x = ex_add(u, now, header, mid);
+        x = si_exchanges_add(&u->exchanges, now, header, mid);
         if (x == NULL) {
             return NULL;
         }
-        x->state = EX_BARRED;
+        x->state = SI_EX_BARRED;
     }
     switch (x->state) {
-    case EX_RUNNING:
+    case SI_EX_RUNNING:
         return "running";
-    case EX_DONE:
+    case SI_EX_DONE:
         return "done";
-    case EX_REFUSED:
-    case EX_BARRED:
+    case SI_EX_REFUSED:
+    case SI_EX_BARRED:
         return "barred";
-    case EX_QUEUED:
+    case SI_EX_QUEUED:
         break;
     }
     list_remove(&x->work);
     u->n_queue--;
-    x->state = EX_BARRED;
+    x->state = SI_EX_BARRED;
     if (coap_decode(&m, x->request, x->request_len) == 0) {
         answer_text(u, &x->from, &x->header, &m, COAP_CONFLICT, "");
     }
@@ -777,11 +551,8 @@
     si_upstream_t *u = arg;
     coap_msg_t full = *m;
     char id[SI_ID_MAX], text[PAYLOAD_MAX];
-    conn_t *c = conn_find(u, &f->header.client);
 
-    if (c != NULL) {
-        c->seen = u->now;
-    }
+    si_conns_touch(&u->conns, u->now, &f->header.client, false);
     snprintf(id, sizeof(id), "n%u", m->observe);
     full.payload = (const uint8_t *)text;
     full.payload_len = answer_payload(u, text, id, &f->header);
@@ -797,7 +568,7 @@
     }
     LIST_EACH(it, &u->running)
     {
-        exchange_t *x = LIST_OWNER(it, exchange_t, work);
+        si_exchange_t *x = LIST_OWNER(it, si_exchange_t, work);
         if (now >= x->done_at) {
             ex_finish(u, now, x);
         }
@@ -807,8 +578,8 @@
     si_feeds_tick(&u->feeds, now, notify, u);
     if (now >= u->sweep_at) {
         u->sweep_at = now + 1000;
-        ex_expire(u, now);
-        conn_sweep(u, now - u->params.idle_ms);
+        si_exchanges_expire(&u->exchanges, now);
+        si_conns_sweep(&u->conns, now - u->params.idle_ms);
     }
 }
 
@@ -817,15 +588,9 @@
 static void
 forget(si_upstream_t *u)
 {
-    LIST_EACH(it, &u->by_age)
-    {
-        ex_remove(u, LIST_OWNER(it, exchange_t, age));
-    }
-    LIST_EACH(up, &u->uploads)
-    {
-        upload_remove(u, LIST_OWNER(up, upload_t, link));
-    }
-    conn_sweep(u, MS_NEVER);
+    si_exchanges_clear(&u->exchanges);
+    si_uploads_clear(&u->uploads);
+    si_conns_sweep(&u->conns, MS_NEVER);
     si_feeds_clear(&u->feeds);
     u->n_queue = u->n_running = 0;
     u->shown_busy = u->shown_queued = u->shown_conn = 0;
@@ -844,10 +609,10 @@
     u->out = *out;
     u->up_at = now;
     u->lie = -1;
-    list_init(&u->by_age);
+    si_exchanges_init(&u->exchanges);
+    si_uploads_init(&u->uploads);
     list_init(&u->queue);
     list_init(&u->running);
-    list_init(&u->uploads);
     si_feeds_init(&u->feeds);
     u->feeds.period_ms = p->feed_ms;
     u->feeds.con_every = p->con_every;
@@ -936,7 +701,7 @@
                   {"probe_mismatch", s->probe_mismatch},
                   {"malformed", s->malformed},
                   {"echoed", s->echoed},
-                  {"connections", u->n_conn},
+                  {"connections", u->conns.n},
                   {"feeds", u->feeds.n},
                   {"notified", u->feeds.notified},
                   {"feeds_lost", u->feeds.lost}};
--- a/standin/upstream.h
+++ b/standin/upstream.h
@@ -13,8 +13,7 @@
 extern "C" {
 #endif
 
-#define SI_EXCHANGE_MS 247000 /* EXCHANGE_LIFETIME, RFC 7252 4.8.2 */
-#define SI_ID_MAX 40          /* a payload ID and its NUL */
+#define SI_ID_MAX 40 /* a payload ID and its NUL */
 
 /* What it has to tell the outside. */
 typedef struct {
--- a/standin/upstream_main.c
+++ b/standin/upstream_main.c
@@ -2,13 +2,12 @@
  * and an admin port to restart, kill, drain or freeze them. */
 #include "standin/fabric.h"
 #include "standin/rest.h"
+#include "standin/tool.h"
 #include "standin/udp.h"
 #include "standin/upstream.h"
 
-#include <argtable2.h>
 #include <errno.h>
 #include <pthread.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -37,15 +36,6 @@
     size_t n;
 } host_t;
 
-static volatile sig_atomic_t stop_asked;
-
-static void
-on_signal(int sig)
-{
-    (void)sig;
-    stop_asked = 1;
-}
-
 /* A return address stands for all instances: the fabric picks one. */
 static void
 send_reply(void *arg, const addr_t *to, const uint8_t *data, size_t len)
@@ -257,7 +247,7 @@
 {
     struct epoll_event ev[UPSTREAMS_MAX];
 
-    while (!stop_asked) {
+    while (!si_stop_asked()) {
         int n = epoll_wait(h->epoll, ev, UPSTREAMS_MAX, TICK_MS);
         pthread_mutex_lock(&h->lock);
         for (int i = 0; i < n; i++) {
@@ -312,76 +302,83 @@
     return rc;
 }
 
-static int
-value_of(const struct arg_int *a, ms_t absent)
+/* The command line; argtable wants its entries in one array. */
+typedef struct {
+    struct arg_str *platform;
+    struct arg_file *list, *log;
+    struct arg_int *admin, *service, *queue, *cold, *feed, *con, *ack, *lag;
+    struct arg_int *epoch;
+    struct arg_lit *help;
+    struct arg_end *end;
+} args_t;
+
+static args_t
+args_new(void)
 {
-    return a->count > 0 ? a->ival[0] : (int)absent;
+    return (args_t){
+        .platform = arg_str0(NULL, "platform", "URL", "none: no fabric"),
+        .list = arg_file1(NULL, "list", "FILE", "upstreams, a line each"),
+        .log = arg_file0(NULL, "log", "FILE", "run log (stdout)"),
+        .admin = arg_int0(NULL, "admin", "N", "port on 127.0.0.1 (8600)"),
+        .service = arg_int0(NULL, "service-ms", "MS", "time in a slot (20)"),
+        .queue = arg_int0(NULL, "queue", "N", "that wait for a slot (8)"),
+        .cold = arg_int0(NULL, "cold-ms", "MS", "slower after start (0)"),
+        .feed = arg_int0(NULL, "feed-ms", "MS", "notification period (500)"),
+        .con = arg_int0(NULL, "con-every", "N", "each N-th is CON (4)"),
+        .ack = arg_int0(NULL, "ack-timeout-ms", "MS", "ACK_TIMEOUT (2000)"),
+        .lag = arg_int0(NULL, "load-lag-ms", "MS", "age of the load (0)"),
+        .epoch = arg_int0(NULL, "epoch", "N", "start epoch (the clock)"),
+        .help = arg_lit0("h", "help", "print this"),
+        .end = arg_end(10)};
 }
 
-int
-main(int argc, char **argv)
+static si_upstream_params_t
+params_read(const args_t *a)
 {
-    struct sigaction sa = {.sa_handler = on_signal};
     si_upstream_params_t p = SI_UPSTREAM_PARAMS;
-    struct arg_str *platform =
-        arg_str0(NULL, "platform", "URL", "platform (none: no fabric)");
-    struct arg_file *list =
-        arg_file1(NULL, "list", "FILE", "upstreams, a line each");
-    struct arg_file *log = arg_file0(NULL, "log", "FILE", "run log (stdout)");
-    struct arg_int *admin =
-        arg_int0(NULL, "admin", "N", "admin port on 127.0.0.1 (8600)");
-    struct arg_int *service =
-        arg_int0(NULL, "service-ms", "MS", "time in a slot (20)");
-    struct arg_int *queue =
-        arg_int0(NULL, "queue", "N", "requests that wait for a slot (8)");
-    struct arg_int *cold =
-        arg_int0(NULL, "cold-ms", "MS", "slower after a start (0)");
-    struct arg_int *feed =
-        arg_int0(NULL, "feed-ms", "MS", "between notifications (500)");
-    struct arg_int *con =
-        arg_int0(NULL, "con-every", "N", "each N-th is confirmable (4)");
-    struct arg_int *ack =
-        arg_int0(NULL, "ack-timeout-ms", "MS", "ACK_TIMEOUT (2000)");
-    struct arg_int *lag =
-        arg_int0(NULL, "load-lag-ms", "MS", "age of the load shown (0)");
-    struct arg_int *epoch = arg_int0(NULL, "epoch", "N", "start epoch (the clock)");
-    struct arg_lit *help = arg_lit0("h", "help", "print this");
-    struct arg_end *end = arg_end(10);
-    void *table[] = {platform, list, log, admin, service, queue, cold,
-                     feed,     con,  ack, lag,   epoch,   help,  end};
-    FILE *out = stdout;
-    int rc = 2;
-
-    if (arg_parse(argc, argv, table) > 0 || help->count > 0) {
-        arg_print_errors(stderr, end, "si_upstream");
-        printf("usage: si_upstream");
-        arg_print_syntax(stdout, table, "\n");
-        arg_print_glossary(stdout, table, "  %-25s %s\n");
-        rc = help->count > 0 ? 0 : 2;
-        goto out;
+
+    p.service_ms = si_option_int(a->service, (int)p.service_ms);
+    p.queue = (uint16_t)si_option_int(a->queue, p.queue);
+    p.cold_ms = si_option_int(a->cold, (int)p.cold_ms);
+    p.feed_ms = si_option_int(a->feed, (int)p.feed_ms);
+    p.con_every = si_option_int(a->con, p.con_every);
+    p.ack_ms = si_option_int(a->ack, (int)p.ack_ms);
+    p.load_lag_ms = si_option_int(a->lag, (int)p.load_lag_ms);
+    p.epoch = (uint32_t)si_option_int(a->epoch, (int)time(NULL));
+    return p;
+}
+
+static int
+run_logged(const args_t *a)
+{
+    si_upstream_params_t p = params_read(a);
+    const char *platform = a->platform->count ? a->platform->sval[0] : NULL;
+    FILE *log = si_log_open("si_upstream", a->log, stdout);
+    int rc;
+
+    if (log == NULL) {
+        return 2;
     }
-    p.service_ms = value_of(service, p.service_ms);
-    p.queue = (uint16_t)value_of(queue, p.queue);
-    p.cold_ms = value_of(cold, p.cold_ms);
-    p.feed_ms = value_of(feed, p.feed_ms);
-    p.con_every = value_of(con, p.con_every);
-    p.ack_ms = value_of(ack, p.ack_ms);
-    p.load_lag_ms = value_of(lag, p.load_lag_ms);
-    p.epoch = (uint32_t)value_of(epoch, time(NULL));
-    if (log->count > 0 && (out = fopen(log->filename[0], "w")) == NULL) {
-        fprintf(stderr, "si_upstream: %s can't be written\n",
-                log->filename[0]);
-        goto out;
+    si_catch_stop();
+    rc = run(platform, a->list->filename[0],
+             (uint16_t)si_option_int(a->admin, 8600), log, &p);
+    if (log != stdout) {
+        fclose(log);
     }
-    setvbuf(out, NULL, _IOLBF, 0);
-    sigaction(SIGTERM, &sa, NULL);
-    sigaction(SIGINT, &sa, NULL);
-    rc = run(platform->count ? platform->sval[0] : NULL, list->filename[0],
-             (uint16_t)value_of(admin, 8600), out, &p);
-    if (out != stdout) {
-        fclose(out);
+    return rc;
+}
+
+int
+main(int argc, char **argv)
+{
+    args_t a = args_new();
+    void *table[sizeof(a) / sizeof(void *)];
+    int rc;
+
+    memcpy(table, &a, sizeof(a));
+    if (si_args("si_upstream", argc, argv, table, a.help, a.end, &rc)) {
+        rc = run_logged(&a);
     }
-out:
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return rc;
 }
--- a/standin/verdict_main.c
+++ b/standin/verdict_main.c
@@ -1,8 +1,8 @@
 /* si_verdict: reads the logs of callers and upstreams and says whether the
  * promises were kept.  Exits 1 if one wasn't. */
+#include "standin/tool.h"
 #include "standin/verdict.h"
 
-#include <argtable2.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -76,17 +76,9 @@
         arg_filen(NULL, NULL, "LOG", 1, 64, "logs of callers and upstreams");
     struct arg_end *end = arg_end(5);
     void *table[] = {broken, help, logs, end};
-    int errors = arg_parse(argc, argv, table);
     int rc;
 
-    if (help->count > 0 || errors > 0) {
-        arg_print_errors(stderr, end, "si_verdict");
-        printf("usage: si_verdict");
-        arg_print_syntax(stdout, table, "\n");
-        arg_print_glossary(stdout, table, "  %-20s %s\n");
-        rc = help->count > 0 ? 0 : 2;
-    }
-    else {
+    if (si_args("si_verdict", argc, argv, table, help, end, &rc)) {
         rc = judge(logs, broken->count > 0);
     }
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
--- a/test/standin_test.cc
+++ b/test/standin_test.cc
@@ -1,6 +1,7 @@
 // The stand-ins themselves: a stand-in that is wrong would make the tests of
 // the balancer pass for nothing.
 #include "standin/client.h"
+#include "standin/exchanges.h"
 #include "standin/fabric.h"
 #include "standin/platform.h"
 #include "standin/upstream.h"
@@ -107,9 +108,8 @@
     platform p;
     p.call("PUT", "/v1/kv/k?cas=0", "a");
     answer seen;
-    std::thread watch([&] {
-        seen = p.call("GET", "/v1/kv/k?wait=30000&after=1");
-    });
+    std::thread watch(
+        [&] { seen = p.call("GET", "/v1/kv/k?wait=30000&after=1"); });
     p.call("PUT", "/v1/kv/k?cas=1", "b");
     watch.join();
     EXPECT_EQ("{\"value\":\"b\",\"revision\":2}", seen.body);
@@ -907,18 +907,18 @@
 {
     EXPECT_EQ(1u, judge({"run x id=a", "run x id=a"}).twice);
     EXPECT_EQ(0u, judge({"run x id=-", "run x id=-"}).twice);
-    EXPECT_EQ(1u, judge({"post id=a outcome=refused", "run x id=a"})
-                      .false_not_run);
-    EXPECT_EQ(1u, judge({"run x id=a", "post id=a outcome=conflict"})
-                      .false_not_run);
+    EXPECT_EQ(
+        1u, judge({"post id=a outcome=refused", "run x id=a"}).false_not_run);
+    EXPECT_EQ(
+        1u, judge({"run x id=a", "post id=a outcome=conflict"}).false_not_run);
     EXPECT_EQ(1u, judge({"post id=a outcome=answered"}).never_ran);
     EXPECT_EQ(1u, judge({"misdelivered service=s"}).misdelivered);
     EXPECT_EQ(1u, judge({"crossed client=c"}).crossed);
     EXPECT_EQ(1u, judge({"broken kind=feed"}).broken);
-    si_counts_t ok = judge({"post id=a outcome=answered", "run x id=a",
-                            "post id=b outcome=unknown", "run x id=b",
-                            "post id=c outcome=timeout",
-                            "post id=d outcome=refused"});
+    si_counts_t ok =
+        judge({"post id=a outcome=answered", "run x id=a",
+               "post id=b outcome=unknown", "run x id=b",
+               "post id=c outcome=timeout", "post id=d outcome=refused"});
     EXPECT_EQ(4u, ok.posts);
     EXPECT_EQ(2u, ok.runs);
     EXPECT_EQ(0u, ok.twice + ok.false_not_run + ok.never_ran);
