--- a/standin/upstream_main.c
+++ b/standin/upstream_main.c
@@ -1,5 +1,6 @@
 /* si_upstream: many upstreams in one process, each with a socket of its own,
  * and an admin port to restart, kill, drain or freeze them. */
+#include "conf/conf.h"
 #include "standin/fabric.h"
 #include "standin/rest.h"
 #include "standin/tool.h"
@@ -19,6 +20,7 @@
 #define TICK_MS 5
 #define BURST 64 /* datagrams read from one socket before the next */
 #define DOWN_MS 2000
+#define FILES_MAX 17 /* a base and 16 data centres */
 
 typedef struct {
     int fd;
@@ -79,55 +81,87 @@
     return epoll_ctl(h->epoll, EPOLL_CTL_ADD, s->fd, &ev) < 0 ? -errno : 0;
 }
 
-/* ---- The list: a line each, SERVICE ADDRESS SLOTS CONNECTIONS PROTOCOL ----
- */
+/* ---- The upstreams of a configuration ---- */
 
 static int
-line_parse(si_upstream_params_t *p, const char *line)
+open_service(host_t *h, const conf_service_t *service,
+             const si_upstream_params_t *defaults, err_t *e)
 {
-    char service[64], self[64], proto[16] = "coap";
-    unsigned slots, connections;
-    int n = sscanf(line, "%63s %63s %u %u %15s", service, self, &slots,
-                   &connections, proto);
+    char text[ADDR_STRLEN];
 
-    if (n < 4 || addr_parse(&p->service, service) < 0 ||
-        addr_parse(&p->addr, self) < 0 || slots == 0 || slots > 1000) {
-        return -EINVAL;
+    for (uint32_t i = 0; i < service->n_upstreams; i++) {
+        const conf_upstream_t *u = &service->upstreams[i];
+        si_upstream_params_t p = *defaults;
+        int rc;
+        p.service = service->addr;
+        p.opaque = service->proto == PROTO_UDP;
+        p.addr = u->addr;
+        p.slots = u->slots;
+        p.connections = u->connections;
+        rc = slot_open(h, &p);
+        if (rc < 0) {
+            return err_set(e, rc, "open upstream", addr_text(&u->addr, text),
+                           "%s", strerror(-rc));
+        }
     }
-    p->slots = (uint16_t)slots;
-    p->connections = connections;
-    p->opaque = strcmp(proto, "udp") == 0;
     return 0;
 }
 
 static int
-read_list(host_t *h, const char *file, const si_upstream_params_t *defaults)
+open_conf(host_t *h, const conf_t *c, const si_upstream_params_t *defaults,
+          err_t *e)
+{
+    int rc = 0;
+
+    for (uint32_t i = 0; i < c->n_services && rc == 0; i++) {
+        rc = open_service(h, &c->services[i], defaults, e);
+    }
+    return rc;
+}
+
+/* The whole of FILE, or NULL. */
+static char *
+read_file(const char *file, err_t *e)
 {
-    char line[256];
     FILE *f = fopen(file, "r");
-    int rc = 0, at = 0;
+    char *text = f != NULL ? calloc(1, CONF_TEXT_MAX + 1) : NULL;
 
-    if (f == NULL) {
-        fprintf(stderr, "si_upstream: %s can't be opened\n", file);
-        return -ENOENT;
+    if (text == NULL) {
+        err_set(e, -ENOENT, "read", file, "it can't be read");
     }
-    while (rc == 0 && fgets(line, sizeof(line), f) != NULL) {
-        si_upstream_params_t p = *defaults;
-        at++;
-        if (line[0] == '#' || line[0] == '\n') {
-            continue;
-        }
-        rc = line_parse(&p, line);
-        if (rc == 0) {
-            rc = slot_open(h, &p);
+    else {
+        text[fread(text, 1, CONF_TEXT_MAX, f)] = '\0';
+    }
+    if (f != NULL) {
+        fclose(f);
+    }
+    return text;
+}
+
+/* Opens the upstreams that a base file and its overlays name. */
+static int
+open_files(host_t *h, const char **file, size_t n,
+           const si_upstream_params_t *defaults, err_t *e)
+{
+    conf_source_t src[FILES_MAX] = {0};
+    conf_t *c = NULL;
+    int rc = -EINVAL;
+
+    for (size_t i = 0; i < n; i++) {
+        src[i].file = file[i];
+        src[i].text = read_file(file[i], e);
+        if (src[i].text == NULL) {
+            goto out;
         }
     }
-    fclose(f);
-    if (rc < 0) {
-        fprintf(stderr,
-                "si_upstream: %s:%d: %s; expected SERVICE ADDRESS "
-                "SLOTS CONNECTIONS [coap|udp]\n",
-                file, at, strerror(-rc));
+    c = conf_parse(src, n, e);
+    if (c != NULL) {
+        rc = open_conf(h, c, defaults, e);
+    }
+    conf_free(c);
+out:
+    for (size_t i = 0; i < n; i++) {
+        free((char *)src[i].text);
     }
     return rc;
 }
@@ -274,8 +308,8 @@
 }
 
 static int
-run(const char *platform, const char *list, uint16_t admin, FILE *log,
-    const si_upstream_params_t *defaults)
+run(const char *platform, const struct arg_file *conf, uint16_t admin,
+    FILE *log, const si_upstream_params_t *defaults)
 {
     host_t *h = calloc(1, sizeof(*h));
     err_t e = {0};
@@ -288,15 +322,16 @@
     h->epoll = epoll_create1(EPOLL_CLOEXEC);
     pthread_mutex_init(&h->lock, NULL);
     h->fabric = si_fabric_open(platform, (uint64_t)getpid());
-    if (h->fabric != NULL && read_list(h, list, defaults) == 0) {
+    if (h->fabric != NULL && open_files(h, conf->filename, (size_t)conf->count,
+                                        defaults, &e) == 0) {
         h->rest = si_rest_open(admin, on_admin, h, &e);
-        if (h->rest == NULL) {
-            fprintf(stderr, "si_upstream: %s\n", e.text);
-        }
-        else {
-            loop(h);
-            rc = 0;
-        }
+    }
+    if (h->rest == NULL) {
+        fprintf(stderr, "si_upstream: %s: %s\n", e.peer, e.text);
+    }
+    else {
+        loop(h);
+        rc = 0;
     }
     host_close(h);
     return rc;
@@ -305,7 +340,7 @@
 /* The command line; argtable wants its entries in one array. */
 typedef struct {
     struct arg_str *platform;
-    struct arg_file *list, *log;
+    struct arg_file *conf, *log;
     struct arg_int *admin, *service, *queue, *cold, *feed, *con, *ack, *lag;
     struct arg_int *epoch;
     struct arg_lit *help;
@@ -317,7 +352,8 @@
 {
     return (args_t){
         .platform = arg_str0(NULL, "platform", "URL", "none: no fabric"),
-        .list = arg_file1(NULL, "list", "FILE", "upstreams, a line each"),
+        .conf =
+            arg_filen(NULL, NULL, "FILE.toml", 1, FILES_MAX, "base, overlays"),
         .log = arg_file0(NULL, "log", "FILE", "run log (stdout)"),
         .admin = arg_int0(NULL, "admin", "N", "port on 127.0.0.1 (8600)"),
         .service = arg_int0(NULL, "service-ms", "MS", "time in a slot (20)"),
@@ -360,8 +396,8 @@
         return 2;
     }
     si_catch_stop();
-    rc = run(platform, a->list->filename[0],
-             (uint16_t)si_option_int(a->admin, 8600), log, &p);
+    rc = run(platform, a->conf, (uint16_t)si_option_int(a->admin, 8600), log,
+             &p);
     if (log != stdout) {
         fclose(log);
     }
