--- a/standin/upstream_main.c
+++ b/standin/upstream_main.c
@@ -1,14 +1,14 @@
 /* si_upstream: many upstreams in one process, each with a socket of its own,
  * and an admin port to restart, kill, drain or freeze them. */
+#include "conf/conf.h"
 #include "standin/fabric.h"
 #include "standin/rest.h"
+#include "standin/tool.h"
 #include "standin/udp.h"
 #include "standin/upstream.h"
 
-#include <argtable2.h>
 #include <errno.h>
 #include <pthread.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -20,6 +20,7 @@
 #define TICK_MS 5
 #define BURST 64 /* datagrams read from one socket before the next */
 #define DOWN_MS 2000
+#define FILES_MAX 17 /* a base and 16 data centres */
 
 typedef struct {
     int fd;
@@ -37,15 +38,6 @@
     size_t n;
 } host_t;
 
-static volatile sig_atomic_t stop_asked;
-
-static void
-on_signal(int sig)
-{
-    (void)sig;
-    stop_asked = 1;
-}
-
 /* A return address stands for all instances: the fabric picks one. */
 static void
 send_reply(void *arg, const addr_t *to, const uint8_t *data, size_t len)
@@ -89,55 +81,87 @@
     return epoll_ctl(h->epoll, EPOLL_CTL_ADD, s->fd, &ev) < 0 ? -errno : 0;
 }
 
-/* ---- The list: a line each, SERVICE ADDRESS SLOTS CONNECTIONS PROTOCOL ----
- */
+/* ---- The upstreams of a configuration ---- */
 
 static int
-line_parse(si_upstream_params_t *p, const char *line)
+open_service(host_t *h, const conf_service_t *service,
+             const si_upstream_params_t *defaults, err_t *e)
 {
-    char service[64], self[64], proto[16] = "coap";
-    unsigned slots, connections;
-    int n = sscanf(line, "%63s %63s %u %u %15s", service, self, &slots,
-                   &connections, proto);
+    char text[ADDR_STRLEN];
 
-    if (n < 4 || addr_parse(&p->service, service) < 0 ||
-        addr_parse(&p->addr, self) < 0 || slots == 0 || slots > 1000) {
-        return -EINVAL;
+    for (uint32_t i = 0; i < service->n_upstreams; i++) {
+        const conf_upstream_t *u = &service->upstreams[i];
+        si_upstream_params_t p = *defaults;
+        int rc;
+        p.service = service->addr;
+        p.opaque = service->proto == PROTO_UDP;
+        p.addr = u->addr;
+        p.slots = u->slots;
+        p.connections = u->connections;
+        rc = slot_open(h, &p);
+        if (rc < 0) {
+            return err_set(e, rc, "open upstream", addr_text(&u->addr, text),
+                           "%s", strerror(-rc));
+        }
     }
-    p->slots = (uint16_t)slots;
-    p->connections = connections;
-    p->opaque = strcmp(proto, "udp") == 0;
     return 0;
 }
 
 static int
-read_list(host_t *h, const char *file, const si_upstream_params_t *defaults)
+open_conf(host_t *h, const conf_t *c, const si_upstream_params_t *defaults,
+          err_t *e)
+{
+    int rc = 0;
+
+    for (uint32_t i = 0; i < c->n_services && rc == 0; i++) {
+        rc = open_service(h, &c->services[i], defaults, e);
+    }
+    return rc;
+}
+
+/* The whole of FILE, or NULL. */
+static char *
+read_file(const char *file, err_t *e)
 {
-    char line[256];
     FILE *f = fopen(file, "r");
-    int rc = 0, at = 0;
+    char *text = f != NULL ? calloc(1, CONF_TEXT_MAX + 1) : NULL;
 
-    if (f == NULL) {
-        fprintf(stderr, "si_upstream: %s can't be opened\n", file);
-        return -ENOENT;
+    if (text == NULL) {
+        err_set(e, -ENOENT, "read", file, "it can't be read");
     }
-    while (rc == 0 && fgets(line, sizeof(line), f) != NULL) {
-        si_upstream_params_t p = *defaults;
-        at++;
-        if (line[0] == '#' || line[0] == '\n') {
-            continue;
-        }
-        rc = line_parse(&p, line);
-        if (rc == 0) {
-            rc = slot_open(h, &p);
+    else {
+        text[fread(text, 1, CONF_TEXT_MAX, f)] = '\0';
+    }
+    if (f != NULL) {
+        fclose(f);
+    }
+    return text;
+}
+
+/* Opens the upstreams that a base file and its overlays name. */
+static int
+open_files(host_t *h, const char **file, size_t n,
+           const si_upstream_params_t *defaults, err_t *e)
+{
+    conf_source_t src[FILES_MAX] = {0};
+    conf_t *c = NULL;
+    int rc = -EINVAL;
+
+    for (size_t i = 0; i < n; i++) {
+        src[i].file = file[i];
+        src[i].text = read_file(file[i], e);
+        if (src[i].text == NULL) {
+            goto out;
         }
     }
-    fclose(f);
-    if (rc < 0) {
-        fprintf(stderr,
-                "si_upstream: %s:%d: %s; expected SERVICE ADDRESS "
-                "SLOTS CONNECTIONS [coap|udp]\n",
-                file, at, strerror(-rc));
+    c = conf_parse(src, n, e);
+    if (c != NULL) {
+        rc = open_conf(h, c, defaults, e);
+    }
+    conf_free(c);
+out:
+    for (size_t i = 0; i < n; i++) {
+        free((char *)src[i].text);
     }
     return rc;
 }
@@ -257,7 +281,7 @@
 {
     struct epoll_event ev[UPSTREAMS_MAX];
 
-    while (!stop_asked) {
+    while (!si_stop_asked()) {
         int n = epoll_wait(h->epoll, ev, UPSTREAMS_MAX, TICK_MS);
         pthread_mutex_lock(&h->lock);
         for (int i = 0; i < n; i++) {
@@ -284,8 +308,8 @@
 }
 
 static int
-run(const char *platform, const char *list, uint16_t admin, FILE *log,
-    const si_upstream_params_t *defaults)
+run(const char *platform, const struct arg_file *conf, uint16_t admin,
+    FILE *log, const si_upstream_params_t *defaults)
 {
     host_t *h = calloc(1, sizeof(*h));
     err_t e = {0};
@@ -298,90 +322,99 @@
     h->epoll = epoll_create1(EPOLL_CLOEXEC);
     pthread_mutex_init(&h->lock, NULL);
     h->fabric = si_fabric_open(platform, (uint64_t)getpid());
-    if (h->fabric != NULL && read_list(h, list, defaults) == 0) {
+    if (h->fabric != NULL && open_files(h, conf->filename, (size_t)conf->count,
+                                        defaults, &e) == 0) {
         h->rest = si_rest_open(admin, on_admin, h, &e);
-        if (h->rest == NULL) {
-            fprintf(stderr, "si_upstream: %s\n", e.text);
-        }
-        else {
-            loop(h);
-            rc = 0;
-        }
+    }
+    if (h->rest == NULL) {
+        fprintf(stderr, "si_upstream: %s: %s\n", e.peer, e.text);
+    }
+    else {
+        loop(h);
+        rc = 0;
     }
     host_close(h);
     return rc;
 }
 
+/* The command line; argtable wants its entries in one array. */
+typedef struct {
+    struct arg_str *platform;
+    struct arg_file *conf, *log;
+    struct arg_int *admin, *service, *queue, *cold, *feed, *con, *ack, *lag;
+    struct arg_int *epoch;
+    struct arg_lit *help;
+    struct arg_end *end;
+} args_t;
+
+static args_t
+args_new(void)
+{
+    return (args_t){
+        .platform = arg_str0(NULL, "platform", "URL", "none: no fabric"),
+        .conf =
+            arg_filen(NULL, NULL, "FILE.toml", 1, FILES_MAX, "base, overlays"),
+        .log = arg_file0(NULL, "log", "FILE", "run log (stdout)"),
+        .admin = arg_int0(NULL, "admin", "N", "port on 127.0.0.1 (8600)"),
+        .service = arg_int0(NULL, "service-ms", "MS", "time in a slot (20)"),
+        .queue = arg_int0(NULL, "queue", "N", "that wait for a slot (8)"),
+        .cold = arg_int0(NULL, "cold-ms", "MS", "slower after start (0)"),
+        .feed = arg_int0(NULL, "feed-ms", "MS", "notification period (500)"),
+        .con = arg_int0(NULL, "con-every", "N", "each N-th is CON (4)"),
+        .ack = arg_int0(NULL, "ack-timeout-ms", "MS", "ACK_TIMEOUT (2000)"),
+        .lag = arg_int0(NULL, "load-lag-ms", "MS", "age of the load (0)"),
+        .epoch = arg_int0(NULL, "epoch", "N", "start epoch (the clock)"),
+        .help = arg_lit0("h", "help", "print this"),
+        .end = arg_end(10)};
+}
+
+static si_upstream_params_t
+params_read(const args_t *a)
+{
+    si_upstream_params_t p = SI_UPSTREAM_PARAMS;
+
+    p.service_ms = si_option_int(a->service, (int)p.service_ms);
+    p.queue = (uint16_t)si_option_int(a->queue, p.queue);
+    p.cold_ms = si_option_int(a->cold, (int)p.cold_ms);
+    p.feed_ms = si_option_int(a->feed, (int)p.feed_ms);
+    p.con_every = si_option_int(a->con, p.con_every);
+    p.ack_ms = si_option_int(a->ack, (int)p.ack_ms);
+    p.load_lag_ms = si_option_int(a->lag, (int)p.load_lag_ms);
+    p.epoch = (uint32_t)si_option_int(a->epoch, (int)time(NULL));
+    return p;
+}
+
 static int
-value_of(const struct arg_int *a, ms_t absent)
+run_logged(const args_t *a)
 {
-    return a->count > 0 ? a->ival[0] : (int)absent;
+    si_upstream_params_t p = params_read(a);
+    const char *platform = a->platform->count ? a->platform->sval[0] : NULL;
+    FILE *log = si_log_open("si_upstream", a->log, stdout);
+    int rc;
+
+    if (log == NULL) {
+        return 2;
+    }
+    si_catch_stop();
+    rc = run(platform, a->conf, (uint16_t)si_option_int(a->admin, 8600), log,
+             &p);
+    if (log != stdout) {
+        fclose(log);
+    }
+    return rc;
 }
 
 int
 main(int argc, char **argv)
 {
-    struct sigaction sa = {.sa_handler = on_signal};
-    si_upstream_params_t p = SI_UPSTREAM_PARAMS;
-    struct arg_str *platform =
-        arg_str0(NULL, "platform", "URL", "platform (none: no fabric)");
-    struct arg_file *list =
-        arg_file1(NULL, "list", "FILE", "upstreams, a line each");
-    struct arg_file *log = arg_file0(NULL, "log", "FILE", "run log (stdout)");
-    struct arg_int *admin =
-        arg_int0(NULL, "admin", "N", "admin port on 127.0.0.1 (8600)");
-    struct arg_int *service =
-        arg_int0(NULL, "service-ms", "MS", "time in a slot (20)");
-    struct arg_int *queue =
-        arg_int0(NULL, "queue", "N", "requests that wait for a slot (8)");
-    struct arg_int *cold =
-        arg_int0(NULL, "cold-ms", "MS", "slower after a start (0)");
-    struct arg_int *feed =
-        arg_int0(NULL, "feed-ms", "MS", "between notifications (500)");
-    struct arg_int *con =
-        arg_int0(NULL, "con-every", "N", "each N-th is confirmable (4)");
-    struct arg_int *ack =
-        arg_int0(NULL, "ack-timeout-ms", "MS", "ACK_TIMEOUT (2000)");
-    struct arg_int *lag =
-        arg_int0(NULL, "load-lag-ms", "MS", "age of the load shown (0)");
-    struct arg_int *epoch = arg_int0(NULL, "epoch", "N", "start epoch (the clock)");
-    struct arg_lit *help = arg_lit0("h", "help", "print this");
-    struct arg_end *end = arg_end(10);
-    void *table[] = {platform, list, log, admin, service, queue, cold,
-                     feed,     con,  ack, lag,   epoch,   help,  end};
-    FILE *out = stdout;
-    int rc = 2;
-
-    if (arg_parse(argc, argv, table) > 0 || help->count > 0) {
-        arg_print_errors(stderr, end, "si_upstream");
-        printf("usage: si_upstream");
-        arg_print_syntax(stdout, table, "\n");
-        arg_print_glossary(stdout, table, "  %-25s %s\n");
-        rc = help->count > 0 ? 0 : 2;
-        goto out;
-    }
-    p.service_ms = value_of(service, p.service_ms);
-    p.queue = (uint16_t)value_of(queue, p.queue);
-    p.cold_ms = value_of(cold, p.cold_ms);
-    p.feed_ms = value_of(feed, p.feed_ms);
-    p.con_every = value_of(con, p.con_every);
-    p.ack_ms = value_of(ack, p.ack_ms);
-    p.load_lag_ms = value_of(lag, p.load_lag_ms);
-    p.epoch = (uint32_t)value_of(epoch, time(NULL));
-    if (log->count > 0 && (out = fopen(log->filename[0], "w")) == NULL) {
-        fprintf(stderr, "si_upstream: %s can't be written\n",
-                log->filename[0]);
-        goto out;
-    }
-    setvbuf(out, NULL, _IOLBF, 0);
-    sigaction(SIGTERM, &sa, NULL);
-    sigaction(SIGINT, &sa, NULL);
-    rc = run(platform->count ? platform->sval[0] : NULL, list->filename[0],
-             (uint16_t)value_of(admin, 8600), out, &p);
-    if (out != stdout) {
-        fclose(out);
+    args_t a = args_new();
+    void *table[sizeof(a) / sizeof(void *)];
+    int rc;
+
+    memcpy(table, &a, sizeof(a));
+    if (si_args("si_upstream", argc, argv, table, a.help, a.end, &rc)) {
+        rc = run_logged(&a);
     }
-out:
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return rc;
 }
