--- a/member/member.h
+++ b/member/member.h
@@ -7,9 +7,10 @@
  * States of a member: JOINING (known, not yet a home), ACTIVE, LEAVING (takes
  * no new work, still forwards), SUSPECT (silent; no longer a home), GONE (left
  * cleanly, or confirmed by the platform's list or a long silence).
- * Each has an incarnation that only its owner raises, so that a suspicion is
- * refuted by the suspected itself and a restarted instance is told from its
- * earlier life.
+ * Each has an incarnation (one life of an instance) and, within it, a
+ * revision; only the owner raises them.  A suspicion is refuted by the
+ * suspected itself with a higher revision, and a restarted instance is told
+ * from its earlier life by a higher incarnation.
  */
 #ifndef SISKIN_MEMBER_H
 #define SISKIN_MEMBER_H
@@ -21,7 +22,10 @@
 extern "C" {
 #endif
 
-#define MEMBERS_MAX 1024 /* this release; docs/CAPACITY.md says what then */
+/* The table grows to this; more are refused, so that a faulty peer can't fill
+ * the memory. */
+#define MEMBERS_LIMIT 65536
+#define MEMBERS_MAX 1024 /* for callers' fixed arrays */
 #define MEMBER_BODY_MAX 1000
 
 typedef enum {
@@ -37,8 +41,10 @@
     char name[NAME_LEN];
     char data_centre[NAME_LEN];
     addr_t peer_addr, bulk_addr;
-    uint32_t incarnation;
+    uint32_t incarnation; /* its life; 0: never heard of but by a list */
+    uint32_t revision;    /* of its state, within the incarnation */
     member_state_t state;
+    bool left;        /* GONE by its own word, after leaving */
     uint64_t version; /* newest configuration it is known to have in force */
     ms_t changed_at;  /* when STATE was last changed here */
 } member_t;
@@ -48,6 +54,7 @@
     ms_t ack_ms;        /* a direct ping unanswered so long is asked round */
     ms_t suspect_ms;    /* unanswered so long: SUSPECT */
     ms_t gone_ms;       /* SUSPECT so long and off the platform's list: GONE */
+    ms_t forget_ms;     /* GONE so long: forgotten */
     int indirect;       /* how many peers are asked to ping a silent one */
     int gossip_per_msg; /* most member records on one message */
 } member_params_t;
@@ -55,7 +62,7 @@
 #define MEMBER_PARAMS_DEFAULT                                                 \
     {                                                                         \
         .period_ms = 200, .ack_ms = 150, .suspect_ms = 600, .gone_ms = 60000, \
-        .indirect = 2, .gossip_per_msg = 6                                    \
+        .forget_ms = 3600000, .indirect = 2, .gossip_per_msg = 6              \
     }
 
 typedef struct members members_t;
@@ -83,7 +90,7 @@
     };
 } member_out_t;
 
-/* Called for each result, in order. */
+/* Called for each result, in order.  It must not call back into MEMBERS. */
 typedef void member_emit_t(void *arg, const member_out_t *out);
 
 /* SELF gives id, name, data centre, addresses, incarnation (from the wall
@@ -101,7 +108,9 @@
 /* The platform's list was read: suspects missing from it may become GONE. */
 void members_listed(members_t *m, ms_t now, const uint64_t *ids, size_t n);
 
-/* The instance's own state (ACTIVE, LEAVING) and version in force. */
+/* The instance's own state (ACTIVE, LEAVING) and version in force.  GONE is
+ * the farewell of an instance that has left: tick on for a second or so, until
+ * members_acked().  A version not above the present one is ignored. */
 void members_set_self(members_t *m, ms_t now, member_state_t state);
 void members_set_version(members_t *m, ms_t now, uint64_t version,
                          uint64_t hash);
@@ -109,6 +118,18 @@
 /* The members known, self included, sorted by id. */
 size_t members_list(const members_t *m, const member_t **out);
 const member_t *members_find(const members_t *m, uint64_t id);
+/* What operators see. */
+typedef struct {
+    uint64_t sent, sent_bytes; /* messages and bytes of their bodies */
+    uint64_t received, malformed;
+    uint64_t suspected; /* members whose silence was noticed here first */
+    uint64_t refuted;   /* suspicions of self that were refuted */
+    uint64_t pauses;    /* gaps between ticks that dropped pings in progress */
+    uint64_t conflicts; /* a peer with the same version and another hash */
+    uint32_t count[MEMBER_GONE + 1]; /* members by state, self included */
+} member_stats_t;
+
+void members_stats(const members_t *m, member_stats_t *out);
 /* True when self has heard all members that are ACTIVE or JOINING say that
  * they know self's state; a JOINING self may then become ACTIVE. */
 bool members_acked(const members_t *m);
@@ -116,10 +137,13 @@
  * a member vanished without leaving; INT64_MIN when never.  While this is
  * recent, two instances may both believe that they are a flow's home. */
 ms_t members_doubt_at(const members_t *m, ms_t now);
-/* The lowest version known in force among members not GONE. */
+/* The lowest version known in force among members not GONE.  A JOINING member
+ * without any version decides nothing and doesn't count; one that was never
+ * heard counts as 0. */
 uint64_t members_lowest_version(const members_t *m);
 /* Is self one of the WATCHERS instances of its data centre (lowest rank by
- * hash among ACTIVE) that watch the platform for the others? */
+ * hash among ACTIVE) that watch the platform for the others?  A self that is
+ * JOINING is, while fewer than WATCHERS are ACTIVE. */
 bool members_watches(const members_t *m, int watchers);
 
 #ifdef __cplusplus
--- /dev/null
+++ b/member/members.c
@@ -0,0 +1,693 @@
+/* The protocol: pings and their answers, suspicion, what to fetch, and the
+ * interface of member.h.
+ */
+#include "member/internal.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SILENT_EVERY 5      /* pings between two of a silent member */
+#define FILL_EVERY 4        /* pings between two with a record unasked for */
+#define SPREAD_PER_PERIOD 8 /* extra pings while self's state is news */
+#define SPREAD_LOOK 64      /* members looked at for those */
+#define VERSION_FANOUT 3    /* extra pings when a version comes in force */
+#define PICK_TRIES 8        /* for a random live member */
+#define SWEEP_MS 60000      /* between looks for members to forget */
+#define FETCH_RETRY_MS 1000 /* no progress: another peer is asked */
+#define FETCH_AGAIN_MS 5000 /* and then the same one again */
+
+/* ---- Sending ---- */
+
+static void
+emit_send(members_t *m, const peer_t *to, member_out_t *out, size_t len)
+{
+    out->kind = MEMBER_OUT_SEND;
+    out->send.to = rec_of(m, to)->peer_addr;
+    out->send.len = len;
+    m->stats.sent++;
+    m->stats.sent_bytes += len;
+    m->emit(m->arg, out);
+}
+
+static bool
+has_acked(const members_t *m, const peer_t *p)
+{
+    const member_t *self = self_of(m);
+
+    return p->acked_incarnation == self->incarnation &&
+           p->acked_revision >= self->revision;
+}
+
+/* One record in turn, so that what gossip has missed is mended in time. */
+static void
+put_filler(members_t *m, body_t *b)
+{
+    peer_t *p;
+
+    m->fill_next = (m->fill_next + 1) % m->n;
+    p = m->peer[m->fill_next];
+    if (p->msg_no != m->msg_no) {
+        p->msg_no = m->msg_no;
+        body_record(b, rec_of(m, p), true);
+    }
+}
+
+static void
+put_fixes(members_t *m, body_t *b)
+{
+    for (int i = 0; i < m->n_fix; i++) {
+        if (m->fix[i]->msg_no != m->msg_no) {
+            m->fix[i]->msg_no = m->msg_no;
+            body_record(b, rec_of(m, m->fix[i]), false);
+        }
+    }
+}
+
+/* The target's record, for an asker who must learn what it refutes. */
+static void
+put_target(members_t *m, body_t *b, uint64_t target)
+{
+    peer_t *p = target != 0 ? table_find(m, target) : NULL;
+
+    if (p != NULL) {
+        p->msg_no = m->msg_no;
+        body_record(b, rec_of(m, p), false);
+    }
+}
+
+static void
+send_msg(members_t *m, ms_t now, const peer_t *to, msg_kind_t kind,
+         uint32_t seq, uint64_t target)
+{
+    member_out_t out;
+    body_t b = {.p = out.send.body, .cap = MEMBER_BODY_MAX};
+    peer_t *self = m->self;
+    msg_head_t head = {.kind = kind,
+                       .seq = seq,
+                       .target = target,
+                       .sender = *rec_of(m, self),
+                       .hash = m->self_hash,
+                       .echo = *rec_of(m, to)};
+
+    if (body_head(&b, &head) < 0) {
+        return;
+    }
+    m->msg_no++;
+    self->msg_no = m->msg_no;
+    if (to->acked_incarnation != head.sender.incarnation) {
+        body_record(&b, &head.sender, true);
+    }
+    put_target(m, &b, target);
+    put_fixes(m, &b);
+    view_gossip(m, now, &b, to);
+    if (kind == MSG_PING && m->pings % FILL_EVERY == 0) {
+        put_filler(m, &b);
+    }
+    emit_send(m, to, &out, b.len);
+}
+
+static void
+ping(members_t *m, ms_t now, const peer_t *to)
+{
+    send_msg(m, now, to, MSG_PING, ++m->seq, 0);
+}
+
+/* A random live member, neither self nor EXCEPT; NULL when none is found. */
+static peer_t *
+pick(members_t *m, const peer_t *except)
+{
+    for (int i = 0; i < PICK_TRIES; i++) {
+        peer_t *p = m->peer[rng_below(&m->rng, (uint32_t)m->n)];
+        if (p != except && p->id != m->self_id && is_live(rec_of(m, p))) {
+            return p;
+        }
+    }
+    return NULL;
+}
+
+/* ---- Pings in turn, and silence ---- */
+
+static probe_t *
+free_probe(members_t *m)
+{
+    for (int i = 0; i < PROBES_MAX; i++) {
+        if (m->probe[i].peer == NULL) {
+            return &m->probe[i];
+        }
+    }
+    return NULL;
+}
+
+static peer_t *
+next_in_order(members_t *m)
+{
+    for (size_t i = 0; i < m->n; i++) {
+        peer_t *p;
+        if (m->order_next >= m->n) {
+            table_shuffle(m);
+            m->order_next = 0;
+        }
+        p = m->order[m->order_next++];
+        if (p->id != m->self_id && is_live(rec_of(m, p))) {
+            return p;
+        }
+    }
+    return NULL;
+}
+
+static void
+ping_next(members_t *m, ms_t now)
+{
+    probe_t *probe = free_probe(m);
+    peer_t *p = probe != NULL ? next_in_order(m) : NULL;
+
+    m->pings++;
+    if (p == NULL) {
+        return;
+    }
+    ping(m, now, p);
+    *probe = (probe_t){.peer = p, .seq = m->seq, .sent_at = now};
+}
+
+static void
+ping_silent(members_t *m, ms_t now)
+{
+    peer_t *p;
+
+    if (m->pings % SILENT_EVERY != 0 || list_empty(&m->silent)) {
+        return;
+    }
+    p = LIST_OWNER(m->silent.next, peer_t, silent);
+    list_remove(&p->silent);
+    list_append(&m->silent, &p->silent);
+    ping(m, now, p);
+}
+
+/* While self's state is news, members that haven't confirmed it are pinged
+ * out of turn. */
+static void
+spread_self(members_t *m, ms_t now)
+{
+    int left = SPREAD_PER_PERIOD;
+
+    if (now >= m->spread_until && self_of(m)->state != MEMBER_JOINING) {
+        return;
+    }
+    for (size_t i = 0; i < m->n && i < SPREAD_LOOK && left > 0; i++) {
+        peer_t *p = m->order[m->spread_next++ % m->n];
+        if (p->id != m->self_id && is_live(rec_of(m, p)) && !has_acked(m, p)) {
+            ping(m, now, p);
+            left--;
+        }
+    }
+}
+
+/* One lost datagram must not cost a member its homes: the ping is repeated,
+ * and others are asked to try, each ACK_MS until the suspicion. */
+static void
+ask_round(members_t *m, ms_t now, probe_t *probe)
+{
+    probe->rounds++;
+    send_msg(m, now, probe->peer, MSG_PING, probe->seq, 0);
+    for (int i = 0; i < m->params.indirect; i++) {
+        peer_t *helper = pick(m, probe->peer);
+        if (helper != NULL) {
+            send_msg(m, now, helper, MSG_PING_FOR, probe->seq,
+                     probe->peer->id);
+        }
+    }
+}
+
+static void
+suspect(members_t *m, ms_t now, peer_t *p)
+{
+    if (is_live(rec_of(m, p))) {
+        m->stats.suspected++;
+        view_set_state(m, now, p, MEMBER_SUSPECT);
+    }
+}
+
+static void
+check_probe(members_t *m, ms_t now, probe_t *probe)
+{
+    ms_t age = now - probe->sent_at;
+
+    if (probe->peer == NULL) {
+        return;
+    }
+    if (probe->peer->heard_at > probe->sent_at) {
+        probe->peer = NULL;
+    }
+    else if (age >= m->params.suspect_ms) {
+        suspect(m, now, probe->peer);
+        probe->peer = NULL;
+    }
+    else if (age >= (probe->rounds + 1) * m->params.ack_ms) {
+        ask_round(m, now, probe);
+    }
+}
+
+static void
+drop_probes(members_t *m, const peer_t *of)
+{
+    for (int i = 0; i < PROBES_MAX; i++) {
+        if (of == NULL || m->probe[i].peer == of) {
+            m->probe[i].peer = NULL;
+        }
+    }
+}
+
+/* This process was paused (SIGSTOP, a busy machine): answers to its pings lie
+ * unread or were lost, and it would suspect every peer that it had pinged, so
+ * those pings are void.  Others may have suspected it meanwhile: doubt, until
+ * their echoes tell. */
+static void
+check_pause(members_t *m, ms_t now)
+{
+    ms_t gap = now - m->last_tick;
+
+    m->last_tick = now;
+    if (gap < m->params.suspect_ms / 2) {
+        return;
+    }
+    drop_probes(m, NULL);
+    m->stats.pauses++;
+    if (gap >= m->params.suspect_ms) {
+        m->doubt_at = now;
+    }
+}
+
+static void
+forget_gone(members_t *m, ms_t now)
+{
+    for (size_t i = m->n; i-- > 0;) {
+        const member_t *r = &m->list[i];
+        if (r->state != MEMBER_GONE || r->id == m->self_id ||
+            now - r->changed_at < m->params.forget_ms) {
+            continue;
+        }
+        m->stats.count[MEMBER_GONE]--;
+        m->gossip_n -= !list_empty(&m->peer[i]->gossip);
+        drop_probes(m, m->peer[i]);
+        table_remove(m, m->peer[i]);
+    }
+}
+
+static void
+ping_period(members_t *m, ms_t now)
+{
+    m->next_ping = now + m->params.period_ms;
+    if (self_of(m)->state != MEMBER_GONE) {
+        ping_next(m, now);
+        ping_silent(m, now);
+    }
+    spread_self(m, now);
+}
+
+void
+members_tick(members_t *m, ms_t now)
+{
+    if (m->last_tick == MS_NEVER) { /* the first; peers start unevenly */
+        m->last_tick = now;
+        m->next_ping = now + rng_below(&m->rng, (uint32_t)m->params.period_ms);
+        m->next_sweep = now + SWEEP_MS;
+    }
+    check_pause(m, now);
+    m->n_fix = 0;
+    for (int i = 0; i < PROBES_MAX; i++) {
+        check_probe(m, now, &m->probe[i]);
+    }
+    if (now >= m->next_ping) {
+        ping_period(m, now);
+    }
+    if (now >= m->next_sweep) {
+        m->next_sweep = now + SWEEP_MS;
+        forget_gone(m, now);
+    }
+}
+
+/* ---- Receiving ---- */
+
+/* A newer version is fetched from one peer at a time, and from another one
+ * when that has brought nothing. */
+static void
+maybe_fetch(members_t *m, ms_t now, peer_t *p, uint64_t version)
+{
+    member_out_t out = {.kind = MEMBER_OUT_FETCH};
+
+    if (version <= self_of(m)->version) {
+        return;
+    }
+    if (version <= m->fetch_version && now - m->fetch_at < FETCH_RETRY_MS) {
+        return;
+    }
+    if (version <= p->asked_version && now - p->asked_at < FETCH_AGAIN_MS) {
+        return;
+    }
+    m->fetch_version = p->asked_version = version;
+    m->fetch_at = p->asked_at = now;
+    out.fetch.from = *rec_of(m, p);
+    out.fetch.version = version;
+    m->emit(m->arg, &out);
+}
+
+static void
+take_echo(members_t *m, ms_t now, peer_t *p, const member_t *echo)
+{
+    record_t rec = {.member = *echo};
+
+    p->acked_incarnation = echo->incarnation;
+    p->acked_revision = echo->revision;
+    if (echo->incarnation != 0) {
+        rec.member.id = m->self_id;
+        view_apply(m, now, &rec);
+    }
+}
+
+static void
+answered(members_t *m, uint32_t seq, uint64_t id)
+{
+    for (int i = 0; i < PROBES_MAX; i++) {
+        probe_t *probe = &m->probe[i];
+        if (probe->peer != NULL && probe->seq == seq &&
+            probe->peer->id == id) {
+            probe->peer = NULL;
+        }
+    }
+}
+
+static void
+ping_for(members_t *m, ms_t now, const peer_t *asker, const msg_head_t *h)
+{
+    peer_t *target = table_find(m, h->target);
+
+    if (target == NULL || target->id == m->self_id) {
+        return;
+    }
+    ping(m, now, target);
+    m->relay[m->relay_next] = (relay_t){.seq = m->seq,
+                                        .asker_seq = h->seq,
+                                        .asker = asker->id,
+                                        .target = target->id};
+    m->relay_next = (m->relay_next + 1) % RELAYS_MAX;
+}
+
+static void
+relay_ack(members_t *m, ms_t now, const peer_t *from, uint32_t seq)
+{
+    for (int i = 0; i < RELAYS_MAX; i++) {
+        relay_t *r = &m->relay[i];
+        peer_t *asker;
+        if (r->seq != seq || r->target != from->id || r->asker == 0) {
+            continue;
+        }
+        asker = table_find(m, r->asker);
+        if (asker != NULL) {
+            send_msg(m, now, asker, MSG_ACK_FOR, r->asker_seq, from->id);
+        }
+        r->asker = 0;
+    }
+}
+
+static void
+handle(members_t *m, ms_t now, peer_t *p, const msg_head_t *h)
+{
+    switch (h->kind) {
+    case MSG_PING:
+        send_msg(m, now, p, MSG_ACK, h->seq, 0);
+        return;
+    case MSG_ACK:
+        answered(m, h->seq, p->id);
+        relay_ack(m, now, p, h->seq);
+        return;
+    case MSG_PING_FOR:
+        ping_for(m, now, p, h);
+        return;
+    case MSG_ACK_FOR:
+        answered(m, h->seq, h->target);
+        return;
+    }
+}
+
+static peer_t *
+take_records(members_t *m, ms_t now, uint64_t from, const msg_head_t *h,
+             const record_t *rec, size_t n)
+{
+    record_t sender = {.member = h->sender};
+
+    for (size_t i = 0; i < n; i++) {
+        view_apply(m, now, &rec[i]);
+    }
+    sender.member.id = from;
+    return view_apply(m, now, &sender);
+}
+
+int
+members_receive(members_t *m, ms_t now, uint64_t from, const uint8_t *body,
+                size_t len)
+{
+    msg_head_t head;
+    record_t rec[RECORDS_MAX];
+    size_t n;
+    peer_t *p;
+
+    m->stats.received++;
+    if (from == m->self_id || body_read(body, len, &head, rec, &n) < 0) {
+        m->stats.malformed++;
+        return -EPROTO;
+    }
+    m->n_fix = 0;
+    p = take_records(m, now, from, &head, rec, n);
+    if (p == NULL) { /* unknown: it repeats itself with its addresses */
+        return 0;
+    }
+    p->heard_at = now;
+    take_echo(m, now, p, &head.echo);
+    if (head.sender.version == self_of(m)->version &&
+        head.hash != m->self_hash) {
+        m->stats.conflicts++;
+    }
+    maybe_fetch(m, now, p, head.sender.version);
+    handle(m, now, p, &head);
+    return 0;
+}
+
+/* ---- The interface ---- */
+
+members_t *
+members_new(const member_t *self, const member_params_t *params, uint64_t seed,
+            member_emit_t *emit, void *arg)
+{
+    members_t *m = calloc(1, sizeof(*m));
+    member_t r = *self;
+
+    if (m == NULL) {
+        return NULL;
+    }
+    m->params = *params;
+    m->rng = (rng_t){.seed = hash_mix(seed, self->id)};
+    m->emit = emit;
+    m->arg = arg;
+    m->self_id = self->id;
+    m->doubt_at = INT64_MIN;
+    m->last_tick = MS_NEVER;
+    m->seq = (uint32_t)rng_next(&m->rng);
+    list_init(&m->silent);
+    for (int i = 0; i < GOSSIP_MAX; i++) {
+        list_init(&m->gossip[i]);
+    }
+    if (r.incarnation == 0) {
+        r.incarnation = 1;
+    }
+    m->self = table_add(m, &r);
+    if (m->self == NULL) {
+        members_free(m);
+        return NULL;
+    }
+    m->stats.count[r.state]++;
+    return m;
+}
+
+void
+members_free(members_t *m)
+{
+    if (m != NULL) {
+        table_free(m);
+        free(m);
+    }
+}
+
+void
+members_learn(members_t *m, ms_t now, const member_t *peer)
+{
+    peer_t *p = table_find(m, peer->id);
+    member_t r = *peer;
+
+    if (p != NULL) {
+        return;
+    }
+    r.incarnation = 0;
+    r.revision = 0;
+    r.state = MEMBER_JOINING;
+    r.left = false;
+    r.version = 0;
+    view_add(m, now, &r);
+}
+
+/* A suspect is confirmed by two readings of the list without it, GONE_MS
+ * apart; while the list can't be read, nobody is. */
+static void
+confirm(members_t *m, ms_t now, peer_t *p)
+{
+    const member_t *r = rec_of(m, p);
+    ms_t gone_ms = m->params.gone_ms;
+
+    if (p->list_round == m->list_round) {
+        p->off_list_at = MS_NEVER;
+        return;
+    }
+    if (p->off_list_at == MS_NEVER) {
+        p->off_list_at = now;
+    }
+    if (r->state == MEMBER_SUSPECT && now - p->off_list_at >= gone_ms &&
+        now - r->changed_at >= gone_ms) {
+        view_set_state(m, now, p, MEMBER_GONE);
+    }
+}
+
+void
+members_listed(members_t *m, ms_t now, const uint64_t *ids, size_t n)
+{
+    m->list_round++;
+    for (size_t i = 0; i < n; i++) {
+        peer_t *p = table_find(m, ids[i]);
+        if (p != NULL) {
+            p->list_round = m->list_round;
+        }
+    }
+    for (size_t i = 0; i < m->n; i++) {
+        confirm(m, now, m->peer[i]);
+    }
+}
+
+void
+members_set_self(members_t *m, ms_t now, member_state_t state)
+{
+    member_t *self = self_of(m);
+
+    if (self->state == state) {
+        return;
+    }
+    m->stats.count[self->state]--;
+    m->stats.count[state]++;
+    self->state = state;
+    self->left = state == MEMBER_GONE;
+    self->revision++;
+    view_self_changed(m, now);
+    m->n_fix = 0;
+    spread_self(m, now);
+}
+
+void
+members_set_version(members_t *m, ms_t now, uint64_t version, uint64_t hash)
+{
+    member_t *self = self_of(m);
+
+    if (version <= self->version) {
+        return;
+    }
+    self->version = version;
+    m->self_hash = hash;
+    m->n_fix = 0;
+    for (int i = 0; i < VERSION_FANOUT; i++) {
+        peer_t *p = pick(m, NULL);
+        if (p != NULL && rec_of(m, p)->version < version) {
+            ping(m, now, p);
+        }
+    }
+}
+
+size_t
+members_list(const members_t *m, const member_t **out)
+{
+    *out = m->list;
+    return m->n;
+}
+
+const member_t *
+members_find(const members_t *m, uint64_t id)
+{
+    const peer_t *p = table_find(m, id);
+
+    return p != NULL ? rec_of(m, p) : NULL;
+}
+
+void
+members_stats(const members_t *m, member_stats_t *out)
+{
+    *out = m->stats;
+}
+
+bool
+members_acked(const members_t *m)
+{
+    for (size_t i = 0; i < m->n; i++) {
+        const member_t *r = &m->list[i];
+        if (r->id == m->self_id ||
+            (r->state != MEMBER_ACTIVE && r->state != MEMBER_JOINING)) {
+            continue;
+        }
+        if (!has_acked(m, m->peer[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+ms_t
+members_doubt_at(const members_t *m, ms_t now)
+{
+    return m->stats.count[MEMBER_SUSPECT] > 0 ? now : m->doubt_at;
+}
+
+uint64_t
+members_lowest_version(const members_t *m)
+{
+    uint64_t lowest = UINT64_MAX;
+
+    for (size_t i = 0; i < m->n; i++) {
+        const member_t *r = &m->list[i];
+        bool empty = r->state == MEMBER_JOINING && r->version == 0 &&
+                     r->incarnation != 0;
+        if (r->state != MEMBER_GONE && !empty && r->version < lowest) {
+            lowest = r->version;
+        }
+    }
+    return lowest == UINT64_MAX ? 0 : lowest;
+}
+
+static uint64_t
+watch_rank(const member_t *r)
+{
+    return hash_mix(r->id, hash64("watch", 5, 0));
+}
+
+bool
+members_watches(const members_t *m, int watchers)
+{
+    const member_t *self = self_of(m);
+    int before = 0;
+
+    for (size_t i = 0; i < m->n; i++) {
+        const member_t *r = &m->list[i];
+        if (r->id == m->self_id || r->state != MEMBER_ACTIVE ||
+            strcmp(r->data_centre, self->data_centre) != 0) {
+            continue;
+        }
+        if (self->state != MEMBER_ACTIVE || watch_rank(r) < watch_rank(self)) {
+            before++;
+        }
+    }
+    return before < watchers;
+}
--- /dev/null
+++ b/member/table.c
@@ -0,0 +1,155 @@
+/* The member table: records sorted by ID for lookup by binary search, and the
+ * shuffled order in which members are pinged.  Only a join, and the end of a
+ * dead member's record, move entries.
+ */
+#include "member/internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FIRST_CAP 16
+
+/* The index of ID, or where it would stand. */
+static size_t
+position(const members_t *m, uint64_t id)
+{
+    size_t lo = 0;
+    size_t hi = m->n;
+
+    while (lo < hi) {
+        size_t mid = (lo + hi) / 2;
+        if (m->list[mid].id < id) {
+            lo = mid + 1;
+        }
+        else {
+            hi = mid;
+        }
+    }
+    return lo;
+}
+
+peer_t *
+table_find(const members_t *m, uint64_t id)
+{
+    size_t i = position(m, id);
+
+    return i < m->n && m->list[i].id == id ? m->peer[i] : NULL;
+}
+
+static bool
+grow(members_t *m)
+{
+    size_t cap = m->cap == 0 ? FIRST_CAP : m->cap + m->cap / 2;
+    member_t *list;
+    peer_t **peers;
+
+    if (m->n < m->cap) {
+        return true;
+    }
+    if (m->n >= MEMBERS_LIMIT ||
+        (list = realloc(m->list, cap * sizeof(*list))) == NULL) {
+        return false;
+    }
+    m->list = list;
+    if ((peers = realloc(m->peer, cap * sizeof(*peers))) == NULL) {
+        return false;
+    }
+    m->peer = peers;
+    if ((peers = realloc(m->order, cap * sizeof(*peers))) == NULL) {
+        return false;
+    }
+    m->order = peers;
+    m->cap = cap;
+    return true;
+}
+
+static void
+renumber(members_t *m, size_t from)
+{
+    for (size_t i = from; i < m->n; i++) {
+        m->peer[i]->index = (uint32_t)i;
+    }
+}
+
+/* A newcomer takes a random place in the order, and who stood there goes to
+ * the end. */
+static void
+order_add(members_t *m, peer_t *p)
+{
+    size_t at = rng_below(&m->rng, (uint32_t)m->n);
+
+    m->order[m->n - 1] = p;
+    m->order[m->n - 1] = m->order[at];
+    m->order[at] = p;
+}
+
+peer_t *
+table_add(members_t *m, const member_t *member)
+{
+    size_t i = position(m, member->id);
+    peer_t *p;
+
+    if (!grow(m) || (p = calloc(1, sizeof(*p))) == NULL) {
+        return NULL;
+    }
+    memmove(&m->list[i + 1], &m->list[i], (m->n - i) * sizeof(*m->list));
+    memmove(&m->peer[i + 1], &m->peer[i], (m->n - i) * sizeof(*m->peer));
+    m->list[i] = *member;
+    m->peer[i] = p;
+    m->n++;
+    renumber(m, i);
+    p->id = member->id;
+    p->off_list_at = MS_NEVER;
+    list_init(&p->gossip);
+    list_init(&p->silent);
+    order_add(m, p);
+    return p;
+}
+
+static void
+order_remove(members_t *m, const peer_t *p)
+{
+    for (size_t i = 0; i < m->n; i++) {
+        if (m->order[i] == p) {
+            m->order[i] = m->order[m->n - 1];
+            return;
+        }
+    }
+}
+
+void
+table_remove(members_t *m, peer_t *p)
+{
+    size_t i = p->index;
+
+    order_remove(m, p);
+    list_remove(&p->gossip);
+    list_remove(&p->silent);
+    m->n--;
+    memmove(&m->list[i], &m->list[i + 1], (m->n - i) * sizeof(*m->list));
+    memmove(&m->peer[i], &m->peer[i + 1], (m->n - i) * sizeof(*m->peer));
+    renumber(m, i);
+    free(p);
+}
+
+void
+table_free(members_t *m)
+{
+    for (size_t i = 0; i < m->n; i++) {
+        free(m->peer[i]);
+    }
+    free(m->list);
+    free(m->peer);
+    free(m->order);
+}
+
+void
+table_shuffle(members_t *m)
+{
+    for (size_t i = m->n; i > 1; i--) {
+        size_t j = rng_below(&m->rng, (uint32_t)i);
+        peer_t *p = m->order[i - 1];
+        m->order[i - 1] = m->order[j];
+        m->order[j] = p;
+    }
+}
--- /dev/null
+++ b/member/view.c
@@ -0,0 +1,279 @@
+/* What is known of each member: which of two statements holds, what follows
+ * from a change, and how it is passed on.
+ */
+#include "member/internal.h"
+
+#define FULL_MS 10000 /* a newcomer's changes go out with its addresses */
+#define BACKLOG 60    /* more changes than this wait: messages are filled */
+
+/* How long self's new state is told to members that haven't confirmed it. */
+#define SPREAD_MS 3000
+
+static void
+queue(members_t *m, peer_t *p)
+{
+    if (list_empty(&p->gossip)) {
+        m->gossip_n++;
+    }
+    list_remove(&p->gossip);
+    p->sent = 0;
+    list_append(&m->gossip[0], &p->gossip);
+}
+
+static void
+emit_change(members_t *m, const peer_t *p)
+{
+    member_out_t out = {.kind = MEMBER_OUT_CHANGE};
+
+    out.change = *rec_of(m, p);
+    m->emit(m->arg, &out);
+}
+
+/* Silent members are pinged now and then, so that the sides of a healed
+ * partition find each other; those that said goodbye are not. */
+static void
+note_silent(members_t *m, peer_t *p)
+{
+    const member_t *r = rec_of(m, p);
+    bool silent = !is_live(r) && !r->left;
+
+    if (!silent) {
+        list_remove(&p->silent);
+    }
+    else if (list_empty(&p->silent)) {
+        list_append(&m->silent, &p->silent);
+    }
+}
+
+void
+view_set_state(members_t *m, ms_t now, peer_t *p, member_state_t state)
+{
+    member_t *r = rec_of(m, p);
+    member_state_t old = r->state;
+
+    if (old == MEMBER_SUSPECT || state == MEMBER_SUSPECT ||
+        (state == MEMBER_GONE && !r->left)) {
+        m->doubt_at = now;
+    }
+    m->stats.count[old]--;
+    m->stats.count[state]++;
+    r->state = state;
+    r->changed_at = now;
+    note_silent(m, p);
+    queue(m, p);
+    emit_change(m, p);
+}
+
+void
+view_self_changed(members_t *m, ms_t now)
+{
+    m->spread_until = now + SPREAD_MS;
+    self_of(m)->changed_at = now;
+    queue(m, m->self);
+}
+
+peer_t *
+view_add(members_t *m, ms_t now, const member_t *member)
+{
+    peer_t *p = table_add(m, member);
+
+    if (p == NULL) {
+        return NULL;
+    }
+    p->born_at = now;
+    m->stats.count[member->state]++;
+    view_set_state(m, now, p, member->state);
+    return p;
+}
+
+/* Of statements about one revision, a suspicion overrides its owner's word,
+ * and a confirmed end overrides a suspicion. */
+static int
+rank(const member_t *r)
+{
+    if (r->state == MEMBER_SUSPECT) {
+        return 1;
+    }
+    return r->state == MEMBER_GONE && !r->left ? 2 : 0;
+}
+
+/* Above 0 when A supersedes B, 0 when they say the same. */
+static int
+compare(const member_t *a, const member_t *b)
+{
+    if (a->incarnation != b->incarnation) {
+        return a->incarnation > b->incarnation ? 1 : -1;
+    }
+    if (a->revision != b->revision) {
+        return a->revision > b->revision ? 1 : -1;
+    }
+    return rank(a) - rank(b);
+}
+
+/* Others' word about self: a suspicion is refuted, and what they keep of an
+ * earlier life (the clock may have gone back between the two) is superseded.
+ */
+static void
+about_self(members_t *m, ms_t now, const member_t *said)
+{
+    member_t *self = self_of(m);
+    int cmp = compare(said, self);
+
+    if (cmp <= 0 || self->state == MEMBER_GONE) {
+        return;
+    }
+    if (said->incarnation == self->incarnation &&
+        said->revision == self->revision) {
+        self->revision++;
+        m->stats.refuted++;
+        m->doubt_at = now;
+    }
+    else {
+        self->incarnation = said->incarnation + 1;
+        self->revision = 0;
+    }
+    view_self_changed(m, now);
+}
+
+static void
+copy_place(member_t *to, const member_t *from)
+{
+    for (int i = 0; i < NAME_LEN; i++) {
+        to->name[i] = from->name[i];
+        to->data_centre[i] = from->data_centre[i];
+    }
+    to->peer_addr = from->peer_addr;
+    to->bulk_addr = from->bulk_addr;
+}
+
+/* The instance was started again: nothing of its earlier life holds.  When
+ * that ended without leaving, what it alone knew is lost: doubt. */
+static void
+new_life(members_t *m, ms_t now, peer_t *p, const member_t *said)
+{
+    member_t *r = rec_of(m, p);
+
+    if (r->state != MEMBER_GONE && r->state != MEMBER_JOINING) {
+        m->doubt_at = now;
+    }
+    r->version = said->version;
+    p->born_at = now;
+    p->acked_incarnation = 0;
+    p->asked_version = 0;
+}
+
+static void
+supersede(members_t *m, ms_t now, peer_t *p, const record_t *rec)
+{
+    const member_t *said = &rec->member;
+    member_t *r = rec_of(m, p);
+    bool reborn = said->incarnation != r->incarnation;
+
+    if (reborn) {
+        new_life(m, now, p, said);
+    }
+    if (rec->full) {
+        copy_place(r, said);
+    }
+    r->incarnation = said->incarnation;
+    r->revision = said->revision;
+    r->left = said->left;
+    if (reborn || said->state != r->state) {
+        view_set_state(m, now, p, said->state);
+    }
+    else {
+        queue(m, p);
+    }
+}
+
+static void
+remember_fix(members_t *m, peer_t *p)
+{
+    if (m->n_fix < FIXES_MAX) {
+        m->fix[m->n_fix++] = p;
+    }
+}
+
+peer_t *
+view_apply(members_t *m, ms_t now, const record_t *rec)
+{
+    const member_t *said = &rec->member;
+    peer_t *p = table_find(m, said->id);
+    int cmp;
+
+    if (said->id == m->self_id) {
+        about_self(m, now, said);
+        return p;
+    }
+    if (p == NULL) {
+        bool wanted = rec->full && said->state != MEMBER_GONE;
+        return wanted ? view_add(m, now, said) : NULL;
+    }
+    cmp = compare(said, rec_of(m, p));
+    if (cmp > 0) {
+        supersede(m, now, p, rec);
+    }
+    else if (cmp < 0) {
+        remember_fix(m, p);
+    }
+    if (said->incarnation == rec_of(m, p)->incarnation &&
+        said->version > rec_of(m, p)->version) {
+        rec_of(m, p)->version = said->version;
+    }
+    return p;
+}
+
+/* Twice the depth of the epidemic: after that nobody is left who hasn't
+ * heard, but for one in millions. */
+static int
+gossip_limit(const members_t *m)
+{
+    int bits = 64 - __builtin_clzll(m->n);
+
+    return 2 * bits < GOSSIP_MAX ? 2 * bits : GOSSIP_MAX;
+}
+
+static bool
+put(members_t *m, ms_t now, body_t *b, peer_t *p)
+{
+    bool full = now - p->born_at < FULL_MS;
+
+    if (body_record(b, rec_of(m, p), full) < 0) {
+        return false;
+    }
+    p->msg_no = m->msg_no;
+    return true;
+}
+
+static void
+passed_on(members_t *m, peer_t *p, int limit)
+{
+    list_remove(&p->gossip);
+    p->sent++;
+    if (p->sent >= limit) {
+        m->gossip_n--;
+        return;
+    }
+    list_append(&m->gossip[p->sent], &p->gossip);
+}
+
+void
+view_gossip(members_t *m, ms_t now, body_t *b, const peer_t *to)
+{
+    int room = m->gossip_n > BACKLOG ? RECORDS_BULK : m->params.gossip_per_msg;
+    int limit = gossip_limit(m);
+
+    for (int i = 0; i < limit; i++) {
+        LIST_EACH(it, &m->gossip[i])
+        {
+            peer_t *p = LIST_OWNER(it, peer_t, gossip);
+            if (p == to || p->msg_no == m->msg_no) {
+                continue;
+            }
+            if (room-- == 0 || !put(m, now, b, p)) {
+                return;
+            }
+            passed_on(m, p, limit);
+        }
+    }
+}
--- /dev/null
+++ b/test/member_test.cc
@@ -0,0 +1,624 @@
+// Membership: scripted failures and random schedules over a tiny switch that
+// loses, delays, doubles and cuts messages.
+#include "member/member.h"
+#include "wire/wire.h"
+
+#include <errno.h>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <rapidcheck/gtest.h>
+#include <set>
+#include <string.h>
+#include <tuple>
+
+static const ms_t TICK = 50;
+
+struct Net;
+
+// One instance.  A stopped one is deaf and mute; a paused one finds its
+// messages waiting when it wakes.
+struct Node {
+    Net *net;
+    int i;
+    members_t *m;
+    bool up = true, paused = false;
+    int side = 0; // of a partition
+    int life = 0;
+    uint64_t version = 0;
+    std::set<uint64_t> asked; // peers that a fetch named
+    std::vector<std::vector<uint8_t>> waiting;
+    std::vector<uint64_t> waiting_from;
+};
+
+struct Flight {
+    int from, to;
+    std::vector<uint8_t> body;
+};
+
+static addr_t
+addr_of(int i)
+{
+    addr_t a = {};
+    a.ip[15] = (uint8_t)(i + 1);
+    a.port = 7000;
+    return a;
+}
+
+static member_t
+named(int i, uint32_t incarnation)
+{
+    member_t r = {};
+    snprintf(r.name, sizeof(r.name), "vstup-%d", i);
+    snprintf(r.data_centre, sizeof(r.data_centre), "sal-%d", i % 2);
+    r.id = instance_id(r.name);
+    r.peer_addr = r.bulk_addr = addr_of(i);
+    r.incarnation = incarnation;
+    return r;
+}
+
+struct Net {
+    ms_t now = 1000;
+    rng_t rng;
+    uint32_t loss = 0, twice = 0; // percent
+    uint32_t delay = 5;           // most, ms
+    bool serve = true;            // fetches succeed
+    size_t longest = 0;
+    uint32_t clock = 1000; // the wall clock, seconds
+    std::vector<std::unique_ptr<Node>> node;
+    std::multimap<ms_t, Flight> flight;
+
+    explicit Net(uint64_t seed) : rng{seed, 0}
+    {
+    }
+
+    ~Net()
+    {
+        for (auto &n : node) {
+            members_free(n->m);
+        }
+    }
+
+    static void
+    emit(void *arg, const member_out_t *out)
+    {
+        Node *n = (Node *)arg;
+        if (out->kind == MEMBER_OUT_SEND) {
+            n->net->send(n->i, out->send.to.ip[15] - 1, out->send.body,
+                         out->send.len);
+        }
+        else if (out->kind == MEMBER_OUT_FETCH) {
+            n->asked.insert(out->fetch.from.id);
+            if (n->net->serve) {
+                n->version = std::max(n->version, out->fetch.version);
+            }
+        }
+    }
+
+    void
+    send(int from, int to, const uint8_t *p, size_t len)
+    {
+        longest = std::max(longest, len);
+        int copies = rng_below(&rng, 100) < twice ? 2 : 1;
+        for (int c = 0; c < copies; c++) {
+            ms_t at = now + 1 + rng_below(&rng, delay);
+            bool arrives = to < (int)node.size();
+            if (arrives && rng_below(&rng, 100) >= loss) {
+                flight.insert({at, {from, to, {p, p + len}}});
+            }
+        }
+    }
+
+    Node &
+    add(const std::vector<int> &seeds)
+    {
+        int i = (int)node.size();
+        node.push_back(std::make_unique<Node>());
+        node[i]->net = this;
+        node[i]->i = i;
+        start(i, seeds);
+        return *node[i];
+    }
+
+    void
+    start(int i, const std::vector<int> &seeds)
+    {
+        member_params_t params = MEMBER_PARAMS_DEFAULT;
+        member_t self = named(i, clock);
+        Node &n = *node[i];
+        n.up = true;
+        n.paused = false;
+        n.version = 0;
+        n.life++;
+        n.m = members_new(&self, &params, rng_next(&rng), emit, &n);
+        for (int s : seeds) {
+            member_t peer = named(s, 0);
+            if (s != i) {
+                members_learn(n.m, now, &peer);
+            }
+        }
+    }
+
+    void
+    kill(int i)
+    {
+        members_free(node[i]->m);
+        node[i]->m = nullptr;
+        node[i]->up = node[i]->paused = false;
+        node[i]->waiting.clear();
+        node[i]->waiting_from.clear();
+    }
+
+    void
+    deliver(const Flight &f)
+    {
+        Node &n = *node[f.to];
+        if (!n.up || n.side != node[f.from]->side) {
+            return;
+        }
+        uint64_t from = instance_id(named(f.from, 0).name);
+        if (n.paused) {
+            n.waiting.push_back(f.body);
+            n.waiting_from.push_back(from);
+            return;
+        }
+        EXPECT_EQ(
+            0, members_receive(n.m, now, from, f.body.data(), f.body.size()));
+    }
+
+    void
+    wake(int i)
+    {
+        Node &n = *node[i];
+        n.paused = false;
+        members_tick(n.m, now);
+        for (size_t k = 0; k < n.waiting.size(); k++) {
+            members_receive(n.m, now, n.waiting_from[k], n.waiting[k].data(),
+                            n.waiting[k].size());
+        }
+        n.waiting.clear();
+        n.waiting_from.clear();
+    }
+
+    void
+    tick(Node &n)
+    {
+        if (!n.up || n.paused) {
+            return;
+        }
+        members_tick(n.m, now);
+        if (n.version != 0) {
+            members_set_version(n.m, now, n.version, n.version * 7);
+        }
+        if (state(n.i, n.i) == MEMBER_JOINING && members_acked(n.m)) {
+            members_set_self(n.m, now, MEMBER_ACTIVE);
+        }
+    }
+
+    void
+    run(ms_t span)
+    {
+        for (ms_t end = now + span; now < end;) {
+            ms_t next = now + TICK - now % TICK;
+            while (!flight.empty() && flight.begin()->first <= next) {
+                Flight f = flight.begin()->second;
+                now = std::max(now, flight.begin()->first);
+                flight.erase(flight.begin());
+                deliver(f);
+            }
+            now = next;
+            for (auto &n : node) {
+                tick(*n);
+            }
+        }
+    }
+
+    // The state of OF in the eyes of I; GONE when unknown.
+    member_state_t
+    state(int i, int of)
+    {
+        const member_t *r =
+            members_find(node[i]->m, instance_id(named(of, 0).name));
+        return r != nullptr ? r->state : MEMBER_GONE;
+    }
+
+    member_stats_t
+    stats(int i)
+    {
+        member_stats_t s;
+        members_stats(node[i]->m, &s);
+        return s;
+    }
+
+    // How many live instances see OF in STATE.
+    int
+    seen(int of, member_state_t s)
+    {
+        int count = 0;
+        for (auto &n : node) {
+            count += n->up && state(n->i, of) == s;
+        }
+        return count;
+    }
+
+    bool
+    doubt(int i, ms_t within)
+    {
+        ms_t at = members_doubt_at(node[i]->m, now);
+        return at != INT64_MIN && now - at < within;
+    }
+};
+
+static std::vector<int>
+upto(int n)
+{
+    std::vector<int> v;
+    for (int i = 0; i < n; i++) {
+        v.push_back(i);
+    }
+    return v;
+}
+
+static std::unique_ptr<Net>
+fleet(int n, uint64_t seed)
+{
+    auto net = std::make_unique<Net>(seed);
+    for (int i = 0; i < n; i++) {
+        net->add(upto(n));
+    }
+    net->run(5000);
+    for (int i = 0; i < n; i++) {
+        EXPECT_EQ(n, net->seen(i, MEMBER_ACTIVE)) << i;
+    }
+    return net;
+}
+
+TEST(Member, AFleetForms)
+{
+    auto net = fleet(9, 1);
+    for (int i = 0; i < 9; i++) {
+        EXPECT_EQ(0u, net->stats(i).suspected);
+        EXPECT_FALSE(net->doubt(i, MS_NEVER / 2));
+    }
+}
+
+TEST(Member, OneSeedIsEnough)
+{
+    auto net = std::make_unique<Net>(2);
+    for (int i = 0; i < 9; i++) {
+        net->add({0});
+    }
+    net->run(15000);
+    for (int i = 0; i < 9; i++) {
+        EXPECT_EQ(9, net->seen(i, MEMBER_ACTIVE)) << i;
+    }
+}
+
+// An instance is killed.  Whoever pings it next gets no answer, asks two
+// others, and suspects it; gossip tells all within seconds.  It stays a doubt
+// until two readings of the platform's list, gone_ms apart, are without it.
+TEST(Member, KilledInstanceIsSuspectedThenGone)
+{
+    auto net = fleet(8, 3);
+    net->kill(5);
+    net->run(4000);
+    EXPECT_EQ(7, net->seen(5, MEMBER_SUSPECT));
+    std::vector<uint64_t> ids;
+    for (int i : upto(8)) {
+        if (i != 5) {
+            ids.push_back(instance_id(named(i, 0).name));
+        }
+    }
+    members_listed(net->node[0]->m, net->now, ids.data(), ids.size());
+    net->run(59000);
+    EXPECT_EQ(7, net->seen(5, MEMBER_SUSPECT));
+    EXPECT_TRUE(net->doubt(0, 1));
+    net->run(2000);
+    members_listed(net->node[0]->m, net->now, ids.data(), ids.size());
+    net->run(4000);
+    EXPECT_EQ(7, net->seen(5, MEMBER_GONE));
+    EXPECT_FALSE(net->doubt(0, 1000));
+    EXPECT_TRUE(net->doubt(0, 6000));
+}
+
+// The platform is out of reach after one reading without the dead instance:
+// however long that lasts, nobody calls the instance gone, for the reading is
+// as old as the outage.
+TEST(Member, OneReadingOfTheListConfirmsNothing)
+{
+    auto net = fleet(4, 4);
+    net->kill(3);
+    net->run(4000);
+    uint64_t id = instance_id(named(0, 0).name);
+    members_listed(net->node[0]->m, net->now, &id, 1);
+    net->run(120000);
+    EXPECT_EQ(3, net->seen(3, MEMBER_SUSPECT));
+}
+
+// An instance leaves: LEAVING, then its farewell.  Nobody suspects it and
+// there is no doubt, for it has handed over what it alone knew.
+TEST(Member, CleanLeaveIsNoDoubt)
+{
+    auto net = fleet(8, 5);
+    members_set_self(net->node[2]->m, net->now, MEMBER_LEAVING);
+    net->run(2000);
+    EXPECT_EQ(8, net->seen(2, MEMBER_LEAVING));
+    members_set_self(net->node[2]->m, net->now, MEMBER_GONE);
+    net->run(1000);
+    EXPECT_TRUE(members_acked(net->node[2]->m));
+    net->kill(2);
+    net->run(30000);
+    EXPECT_EQ(7, net->seen(2, MEMBER_GONE));
+    for (int i : {0, 1, 3, 4, 5, 6, 7}) {
+        EXPECT_FALSE(net->doubt(i, MS_NEVER / 2)) << i;
+    }
+}
+
+// An instance is stopped for 10 s and wakes with unanswered pings and a full
+// receive queue.  It suspects nobody, knows at once that it may have been
+// suspected, learns from the echoes that it was, and refutes that.
+TEST(Member, PausedInstanceWakes)
+{
+    auto net = fleet(8, 6);
+    net->node[4]->paused = true;
+    net->run(10000);
+    EXPECT_EQ(7, net->seen(4, MEMBER_SUSPECT));
+    net->wake(4);
+    EXPECT_TRUE(net->doubt(4, 1));
+    net->run(4000);
+    EXPECT_EQ(8, net->seen(4, MEMBER_ACTIVE));
+    EXPECT_EQ(0u, net->stats(4).suspected);
+    EXPECT_EQ(1u, net->stats(4).refuted);
+}
+
+// An instance is killed and started again under its name before anyone has
+// missed it.  What the earlier life alone knew is lost, so that each peer
+// must have a doubt though it never saw the instance silent.
+TEST(Member, RestartIsToldFromTheEarlierLife)
+{
+    auto net = fleet(8, 7);
+    net->kill(1);
+    net->clock += 1;
+    net->start(1, {0});
+    net->run(4000);
+    EXPECT_EQ(8, net->seen(1, MEMBER_ACTIVE));
+    for (int i : {0, 2, 3, 4, 5, 6, 7}) {
+        EXPECT_TRUE(net->doubt(i, 5000)) << i;
+    }
+}
+
+// The wall clock goes back between two lives: the new one looks older than
+// what the peers remember.  Their records tell it so, and it rises above.
+TEST(Member, RestartWithAnEarlierClock)
+{
+    auto net = fleet(4, 8);
+    net->kill(1);
+    net->clock -= 500;
+    net->start(1, upto(4));
+    net->run(5000);
+    EXPECT_EQ(4, net->seen(1, MEMBER_ACTIVE));
+}
+
+// Two data centres are cut off from each other for minutes, longer than it
+// takes to call members gone.  Each side goes on; when the cut heals, the low
+// rate pings of silent members bring the sides together without help.
+TEST(Member, PartitionHeals)
+{
+    auto net = fleet(9, 9);
+    for (int i = 5; i < 9; i++) {
+        net->node[i]->side = 1;
+    }
+    net->run(10000);
+    EXPECT_EQ(5, net->seen(8, MEMBER_SUSPECT));
+    EXPECT_EQ(4, net->seen(8, MEMBER_ACTIVE));
+    uint64_t id = instance_id(named(0, 0).name);
+    members_listed(net->node[0]->m, net->now, &id, 1);
+    net->run(61000);
+    members_listed(net->node[0]->m, net->now, &id, 1);
+    net->run(10000);
+    EXPECT_EQ(5, net->seen(8, MEMBER_GONE));
+    for (auto &n : net->node) {
+        n->side = 0;
+    }
+    net->run(10000);
+    for (int i = 0; i < 9; i++) {
+        EXPECT_EQ(9, net->seen(i, MEMBER_ACTIVE)) << i;
+    }
+}
+
+// One instance gets a version; each other one is told by a ping or an answer
+// and asks the teller once.  While the teller can't deliver, others that have
+// the version are asked.
+TEST(Member, NewestVersionReachesAll)
+{
+    auto net = fleet(9, 10);
+    net->node[3]->version = 5;
+    net->run(3000);
+    for (auto &n : net->node) {
+        EXPECT_EQ(5u, n->version);
+        EXPECT_LE(n->asked.size(), 1u);
+        EXPECT_EQ(5u, members_lowest_version(n->m));
+    }
+    net->serve = false;
+    net->node[0]->asked.clear();
+    net->node[3]->version = net->node[4]->version = 6;
+    net->run(20000);
+    EXPECT_EQ(2u, net->node[0]->asked.size());
+    members_set_version(net->node[3]->m, net->now, 4, 1);
+    EXPECT_EQ(
+        6u,
+        members_find(net->node[3]->m, instance_id(named(3, 0).name))->version);
+    EXPECT_EQ(5u, members_lowest_version(net->node[3]->m));
+}
+
+TEST(Member, AFewWatchInEachDataCentre)
+{
+    auto net = fleet(9, 11);
+    int watching[2] = {0, 0};
+    for (int i = 0; i < 9; i++) {
+        watching[i % 2] += members_watches(net->node[i]->m, 2);
+    }
+    EXPECT_EQ(2, watching[0]);
+    EXPECT_EQ(2, watching[1]);
+}
+
+// With one datagram in a hundred lost, repeated and indirect pings keep every
+// instance from being suspected.
+TEST(Member, LossAloneSuspectsNobody)
+{
+    auto net = fleet(9, 12);
+    net->loss = 1;
+    net->run(600000);
+    for (int i = 0; i < 9; i++) {
+        EXPECT_EQ(0u, net->stats(i).suspected);
+    }
+}
+
+// More members than one message holds, with the longest names: the records
+// that don't fit wait, and no body passes the limit.
+TEST(Member, BodiesStayUnderTheLimit)
+{
+    auto net = std::make_unique<Net>(13);
+    for (int i = 0; i < 40; i++) {
+        net->add(upto(40));
+        for (int k = 100; k < 140; k++) {
+            member_t peer = named(k, 0);
+            memset(peer.name, 'x', NAME_LEN - 1);
+            memset(peer.data_centre, 'y', NAME_LEN - 1);
+            members_learn(net->node[i]->m, net->now, &peer);
+        }
+    }
+    net->run(20000);
+    EXPECT_LE(net->longest, (size_t)MEMBER_BODY_MAX);
+    EXPECT_GT(net->longest, (size_t)MEMBER_BODY_MAX / 2);
+}
+
+// Any schedule of faults, then quiet: all that live agree, none of them stays
+// suspected, no version went back, and the newest is everywhere.
+static void
+fault(Net &net)
+{
+    int n = (int)net.node.size();
+    int i = (int)rng_below(&net.rng, (uint32_t)n);
+    Node &it = *net.node[i];
+
+    switch (rng_below(&net.rng, 8)) {
+    case 0:
+        it.up ? net.kill(i) : net.start(i, {(i + 1) % n, (i + 2) % n});
+        break;
+    case 1:
+        it.paused ? net.wake(i) : (void)(it.paused = it.up);
+        break;
+    case 2:
+        it.side ^= 1;
+        break;
+    case 3:
+        net.loss = rng_below(&net.rng, 30);
+        break;
+    case 4:
+        net.twice = rng_below(&net.rng, 30);
+        net.delay = 1 + rng_below(&net.rng, 400);
+        break;
+    case 5:
+        it.version += it.up;
+        break;
+    case 6:
+        if (n < 12) {
+            net.add({0, 1});
+        }
+        break;
+    case 7:
+        net.clock += 1;
+        break;
+    }
+}
+
+static void
+settle(Net &net)
+{
+    net.loss = net.twice = 0;
+    net.delay = 5;
+    for (auto &n : net.node) {
+        n->side = 0;
+        if (n->paused) {
+            net.wake(n->i);
+        }
+        if (!n->up) {
+            net.clock++;
+            net.start(n->i, upto((int)net.node.size()));
+        }
+    }
+    net.run(30000);
+}
+
+RC_GTEST_PROP(Member, AllAgreeAfterAnyFaults, (uint64_t seed))
+{
+    Net net(seed);
+    for (int i = 0; i < 7; i++) {
+        net.add(upto(7));
+    }
+    uint64_t newest = 0;
+    // By owner and life of the view, member and incarnation.
+    std::map<std::tuple<int, int, uint64_t, uint32_t>, uint64_t> known;
+    for (int step = 0; step < 60; step++) {
+        fault(net);
+        net.run(rng_below(&net.rng, 3000));
+        for (auto &n : net.node) {
+            const member_t *list = nullptr;
+            size_t k = n->up ? members_list(n->m, &list) : 0;
+            for (size_t j = 0; j < k; j++) {
+                uint64_t &last =
+                    known[{n->i, n->life, list[j].id, list[j].incarnation}];
+                RC_ASSERT(list[j].version >= last);
+                last = list[j].version;
+            }
+        }
+    }
+    settle(net);
+    for (auto &n : net.node) {
+        newest = std::max(newest, n->version);
+    }
+    for (auto &n : net.node) {
+        RC_ASSERT(n->version == newest);
+        for (auto &of : net.node) {
+            RC_ASSERT(net.state(n->i, of->i) == MEMBER_ACTIVE);
+        }
+        if (newest > 0) {
+            RC_ASSERT(members_lowest_version(n->m) == newest);
+        }
+    }
+    RC_ASSERT(net.longest <= (size_t)MEMBER_BODY_MAX);
+}
+
+RC_GTEST_PROP(Member, NoBytesBreakTheReader,
+              (std::vector<uint8_t> b, uint64_t from))
+{
+    Net net(1);
+    Node &n = net.add({});
+    int rc = members_receive(n.m, net.now, from, b.data(), b.size());
+    RC_ASSERT(rc == 0 || rc == -EPROTO);
+}
+
+// A body with a byte changed, or cut short: the reader answers with its error
+// or takes the message, and the instance goes on.
+RC_GTEST_PROP(Member, NoDamagedMessageBreaksTheReader, (uint64_t seed))
+{
+    Net net(seed);
+    net.add({1});
+    net.add({0});
+    Node &victim = net.add({});
+    victim.side = 1; // what it answers goes nowhere
+    for (int i = 0; i < 200; i++) {
+        net.run(TICK);
+        for (auto &f : net.flight) {
+            auto b = f.second.body;
+            b[rng_below(&net.rng, (uint32_t)b.size())] =
+                (uint8_t)rng_next(&net.rng);
+            b.resize(b.size() - rng_below(&net.rng, 2));
+            int rc =
+                members_receive(victim.m, net.now, named(f.second.from, 0).id,
+                                b.data(), b.size());
+            RC_ASSERT(rc == 0 || rc == -EPROTO);
+        }
+    }
+}
