core: a pause doesn't lose feeds; a home decides when views differ

Reading wake(): it ended all trust, and the next tick took upstreams without trust for dead and told every caller that its feed was lost. Feeds are given up only after 8 probes in a row went unanswered.

--- a/core/core.c
+++ b/core/core.c
@@ -472,6 +472,9 @@
     if (home == 0 || known) {
         return false;
     }
+    if (home == c->p.self && d->hops >= STEER_HOPS) {
+        return false; /* views differ; some home has to decide */
+    }
     if (home != c->p.self) {
         send_steer(c, d, home);
         return true;
@@ -737,6 +740,7 @@
     for (uint32_t i = 0; i < c->n_ups; i++) {
         c->ups[i].trust_until = c->now;
         c->ups[i].probe_next = c->now;
+        c->ups[i].misses = 0; /* nobody asked it meanwhile */
     }
     doubt_all(c);
 }
--- a/core/homes.c
+++ b/core/homes.c
@@ -231,6 +231,9 @@
 
     (void)doubt_at; /* doubt is kept for each slot: see slot_update() */
     c->now = now;
+    if (c->start < 0) {
+        c->start = c->last_tick = now;
+    }
     c->lowest = lowest;
     for (size_t i = 0; i < n; i++) {
         peers[i] = (peer_t){.id = list[i].id,
--- a/core/request.c
+++ b/core/request.c
@@ -361,12 +361,14 @@
 
 /* A copy goes only where the first went, and only while that upstream still
  * remembers it. */
-static void
+static bool
 copy_to_upstream(core_t *c, const dgram_t *d, const ex_t *ex)
 {
-    if (up_trusted(c, ex->up) && c->ups[ex->up].epoch == ex->epoch) {
-        send_upstream(c, ex->up, &ex->client, true, d->data, d->len);
+    if (!up_trusted(c, ex->up) || c->ups[ex->up].epoch != ex->epoch) {
+        return false;
     }
+    send_upstream(c, ex->up, &ex->client, true, d->data, d->len);
+    return true;
 }
 
 static void
@@ -396,7 +398,10 @@
             send_client(c, ex->service, &ex->client, ex_bytes(c, ex), ex->len);
             return;
         }
-        copy_to_upstream(c, d, ex);
+        if (!copy_to_upstream(c, d, ex)) {
+            /* It ran, but its answer is lost with the upstream. */
+            answer_now(c, d, COAP_GW_TIMEOUT, COAP_NONE, REFUSE_UNKNOWN);
+        }
         return;
     case EX_SENT:
         copy_to_upstream(c, d, ex);
--- a/core/upstreams.c
+++ b/core/upstreams.c
@@ -12,6 +12,7 @@
 #define PROBE_AGAIN_MS 300 /* after a probe went unanswered */
 #define PROBE_LOST_MS 250  /* an answer later than this is a miss */
 #define MISSES_MAX 3       /* no new work after so many in a row */
+#define MISSES_LOST 8      /* its flows are given up after so many */
 #define REPORT_OLD_MS 4000 /* a load report older than this is ignored */
 #define FROZEN_REPORTS 4   /* unchanged so often ... */
 #define FROZEN_FINISHED 4  /* ... while so many requests finished */
@@ -224,7 +225,8 @@
         if (up->used && needed && c->now >= up->probe_next) {
             probe(c, (uint16_t)i);
         }
-        if (up->verified && c->now >= up->trust_until && up->flows > 0) {
+        if (up->misses >= MISSES_LOST && !up_trusted(c, (uint16_t)i) &&
+            up->flows + up->uploads > 0) {
             feeds_lost(c, (uint16_t)i);
         }
     }
