core: requests only to two choices, fenced when in doubt; no copies of records

Ruled out: copying each record to a backup first (one more death loses both), doubt for each slot alone (an instance that is cut off takes itself for the home of everything, whatever its rank). Change: a non-idempotent request goes to the first or second choice only; a home in doubt has it barred at all choices, present and earlier, but its target; whoever bars first owns it. Records are not copied any more, which also saves the round trip to the backup. Doubt is global. Also: a refresh of a feed is no opening by an earlier choice; a token still in progress is refused; a found request that is then shed ends as unknown; held pins are passed on by a leaving instance; without a home nothing is decided.

--- a/core/core.c
+++ b/core/core.c
@@ -5,6 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* So long after a change an unknown flow may be an old one. */
+#define OLD_FLOW_MS 3000
+
 #define HINT_AFTER                                                            \
     3 /* steered datagrams of a flow, until its hint is sent                  \
        */
@@ -26,10 +29,7 @@
         core_free(c);
         return NULL;
     }
-    for (int i = 0; i < HOME_SLOTS; i++) {
-        c->slots[i].doubt_at = INT64_MIN / 2;
-        c->slots[i].home_since = INT64_MIN / 2;
-    }
+    c->doubt_at = INT64_MIN / 2;
     c->start = c->last_tick = -1;
     return c;
 }
@@ -312,11 +312,10 @@
 static uint16_t
 choose_unknown(core_t *c, service_t *s, uint64_t key)
 {
-    uint16_t earlier[EARLIER_MAX];
-    int n = earlier_choices(c, s, key, earlier);
+    uint16_t old = earlier_first(c, s, key, c->now - OLD_FLOW_MS);
 
-    if (n > 0 && !home_sure(c, key) && up_trusted(c, earlier[n - 1])) {
-        return earlier[n - 1];
+    if (old != UP_NONE && !home_sure(c, key) && up_trusted(c, old)) {
+        return old;
     }
     return choose_flow(c, s, key);
 }
@@ -392,7 +391,7 @@
         f = NULL;
     }
     if (f == NULL) {
-        up = choose_unknown(c, s, d->key);
+        up = choose_flow(c, s, d->key);
         s->stats.requests[CLASS_FEED]++;
         if (up == UP_NONE || !up_room(c, up, CLASS_FEED)) {
             answer_now(c, d, COAP_UNAVAILABLE, come_back(c, s),
@@ -422,16 +421,11 @@
 empty_unknown(core_t *c, const dgram_t *d)
 {
     service_t *s = &c->services[d->service];
-    const bucket_t *b = bucket_of(s, d->key);
-    uint16_t to[EARLIER_MAX + 2];
-    int n = earlier_choices(c, s, d->key, to);
+    uint16_t to[CHOICES_MAX];
+    int n = all_choices(c, s, d->key, to);
 
-    to[n++] = b->first;
-    if (b->second != b->first) {
-        to[n++] = b->second;
-    }
     for (int i = 0; i < n; i++) {
-        if (to[i] != UP_NONE && up_trusted(c, to[i])) {
+        if (up_trusted(c, to[i])) {
             send_upstream(c, to[i], &d->h->client, false, d->data, d->len);
         }
     }
@@ -462,16 +456,23 @@
 /* ---- Datagrams from callers ---- */
 
 /* Sends D on to its home, or returns false when this is the place to decide.
- * KEY is the flow's or, for requests, the service's. */
+ * KEY is the flow's or, for requests, the service's, which has no pins that an
+ * earlier home would know. */
 static bool
 to_home(core_t *c, const dgram_t *d, uint64_t key, bool known)
 {
     uint64_t home = home_of(c, key);
     uint64_t earlier;
 
-    if (home == 0 || known) {
+    if (known) {
         return false;
     }
+    if (home == 0) {
+        /* It has just started and knows no home, nor what was done before:
+         * the caller's next copy finds an instance that does. */
+        c->services[d->service].stats.untrusted++;
+        return true;
+    }
     if (home == c->p.self && d->hops >= STEER_HOPS) {
         return false; /* views differ; some home has to decide */
     }
@@ -479,7 +480,7 @@
         send_steer(c, d, home);
         return true;
     }
-    earlier = earlier_home(c, key);
+    earlier = key == d->key ? earlier_home(c, key) : 0;
     if (earlier != 0 && earlier != c->p.self && earlier != d->from) {
         send_steer(c, d, earlier);
         return true;
@@ -552,8 +553,8 @@
 {
     service_t *s = &c->services[d->service];
     flow_t *f = flow_find(c, d->key);
-    ex_t *ex;
     bool mine = flow_mine(c, f);
+    bool known;
 
     if (d->m->code == COAP_EMPTY) {
         empty_in(c, d, mine && !(f->flags & FLOW_UPLOAD));
@@ -569,10 +570,9 @@
         }
         return;
     }
-    ex = ex_find(c, d->key, d->m->mid);
-    if (!to_home(c, d, work_key(s, d->key),
-                 (ex != NULL && ex->state != EX_HELD) ||
-                     (mine && (f->flags & FLOW_UPLOAD)))) {
+    known = ex_find(c, d->key, d->m->mid) != NULL ||
+            (mine && (f->flags & FLOW_UPLOAD));
+    if (!to_home(c, d, work_key(s, d->key), known)) {
         request_at_home(c, d);
     }
 }
@@ -742,7 +742,7 @@
         c->ups[i].probe_next = c->now;
         c->ups[i].misses = 0; /* nobody asked it meanwhile */
     }
-    doubt_all(c);
+    c->doubt_at = c->now;
 }
 
 void
@@ -776,7 +776,7 @@
 static bool
 flow_waits(core_t *c, const flow_t *f)
 {
-    return (f->flags & FLOW_USED) && !(f->flags & (FLOW_HELD | FLOW_SYNCED)) &&
+    return (f->flags & FLOW_USED) && !(f->flags & FLOW_SYNCED) &&
            sync_target(c, f->key) != 0 && sync_target(c, f->key) != c->p.self;
 }
 
--- a/core/exchanges.c
+++ b/core/exchanges.c
@@ -5,8 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define RETRY_MS 60  /* between questions to a backup or upstream */
-#define RETRY_MAX 6  /* such questions before giving up */
+#define RETRY_MS 60  /* between cancellations of one request */
+#define RETRY_MAX 6  /* such before giving up */
 #define BUFS_SHARE 8 /* records for each buffer */
 #define BUFS_KEPT 4  /* a quarter of the buffers is for new requests */
 
@@ -124,7 +124,7 @@
 {
     EX_EACH(ex, c, key)
     {
-        if (ex->token_len == m->token_len && ex->state != EX_HELD &&
+        if (ex->token_len == m->token_len &&
             memcmp(ex->token, m->token, m->token_len) == 0) {
             return ex;
         }
@@ -149,7 +149,7 @@
 static bool
 is_active(ex_state_t state)
 {
-    return state == EX_FENCING || state == EX_SYNCING || state == EX_SENT;
+    return state == EX_FENCING || state == EX_SENT;
 }
 
 /* An answered request keeps its bytes while buffers are plenty; without them
@@ -165,8 +165,8 @@
     }
 }
 
-/* A new record for the request D, or for a held one when D->m is NULL.
- * NULL when the table or the buffers are full. */
+/* A new record for the request D.  NULL when the table or the buffers are
+ * full. */
 ex_t *
 ex_add(core_t *c, const dgram_t *d)
 {
@@ -188,9 +188,6 @@
     list_append(&c->ex_active, &ex->in);
     *head = i;
     c->ex_used++;
-    if (d->m == NULL) {
-        return ex;
-    }
     ex->cls = class_of(d->m);
     ex->idempotent = d->m->code == COAP_GET;
     ex->mid = d->m->mid;
@@ -247,17 +244,6 @@
 
 /* ---- Time ---- */
 
-/* The last question went unanswered: what is final then? */
-static void
-give_up_asking(core_t *c, ex_t *ex)
-{
-    if (ex->state == EX_FENCING) {
-        request_unknown(c, ex);
-        return;
-    }
-    request_refuse(c, ex, REFUSE_NONE); /* it was never forwarded */
-}
-
 static void
 ask_again(core_t *c, ex_t *ex)
 {
@@ -265,14 +251,10 @@
         return;
     }
     if (c->now - ex->sent >= RETRY_MAX * RETRY_MS) {
-        give_up_asking(c, ex);
+        request_unknown(c, ex);
         return;
     }
     ex->retry_at = c->now + RETRY_MS;
-    if (ex->state == EX_SYNCING) {
-        request_synced(c, ex);
-        return;
-    }
     for (int i = 0; i < ex->n_fence; i++) {
         up_cancel(c, ex, ex->fence[i]);
     }
@@ -323,11 +305,4 @@
         }
         ex_remove(c, ex);
     }
-    if (!c->leaving && !c->handing) {
-        return;
-    }
-    LIST_EACH(k, &c->ex_kept)
-    {
-        sync_ex(c, LIST_OWNER(k, ex_t, in));
-    }
 }
--- a/core/flows.c
+++ b/core/flows.c
@@ -284,6 +284,9 @@
         return;
     }
     if (f->flags & FLOW_HELD) {
+        if (c->leaving) {
+            sync_flow(c, f); /* its home may have left, too */
+        }
         return;
     }
     sync_flow(c, f);
--- a/core/homes.c
+++ b/core/homes.c
@@ -11,7 +11,6 @@
     const peer_t *active[2]; /* first two ACTIVE */
     const peer_t *joining;   /* first JOINING */
     uint64_t active_score[2], joining_score;
-    bool suspect_ahead; /* a SUSPECT member outranks active[1] */
 } ranks_t;
 
 slot_t *
@@ -48,22 +47,20 @@
     return s->home != c->p.self || s->backup_joins;
 }
 
-/* Sure: no second home was possible for DOUBT_MS, so what isn't recorded here
- * was forwarded by nobody.  A home that took over from one that left cleanly
- * or is still there has its records (hand-over, earlier_home()), so only a
- * suspicion counts; but an instance younger than DOUBT_MS may have taken over
- * from one that was itself in doubt. */
+/* Sure: for DOUBT_MS this was the home, all members were heard, and each had
+ * the same view, so that what isn't recorded here was forwarded by nobody.
+ * One suspect anywhere ends it: cut off from the others, the suspect takes
+ * itself for the home of everything that the fabric hands it. */
 bool
 home_sure(core_t *c, uint64_t key)
 {
-    const slot_t *s = slot_of(c, key);
-
-    return !s->suspect && c->now - s->doubt_at >= DOUBT_MS &&
-           c->now - c->start >= DOUBT_MS;
+    return !c->suspects && c->now - c->doubt_at >= DOUBT_MS &&
+           c->now - c->start >= DOUBT_MS &&
+           c->now - slot_of(c, key)->home_since >= DOUBT_MS;
 }
 
-/* A new home lacks what its predecessor learned; until every copy of an older
- * request is past, it sends on what it doesn't know. */
+/* A new home lacks the pins that its predecessor knows, and for a while sends
+ * on the datagrams of flows that it doesn't know. */
 uint64_t
 earlier_home(core_t *c, uint64_t key)
 {
@@ -75,14 +72,6 @@
     return s->earlier;
 }
 
-void
-doubt_all(core_t *c)
-{
-    for (int i = 0; i < HOME_SLOTS; i++) {
-        c->slots[i].doubt_at = c->now;
-    }
-}
-
 static void
 rank_active(ranks_t *r, const peer_t *p, uint64_t score)
 {
@@ -102,8 +91,6 @@
 static void
 rank_slot(const core_t *c, uint32_t slot, ranks_t *r)
 {
-    uint64_t suspect = 0;
-
     *r = (ranks_t){0};
     for (size_t i = 0; i < c->n_peers; i++) {
         const peer_t *p = &c->peers[i];
@@ -120,15 +107,11 @@
             }
             break;
         case MEMBER_SUSPECT:
-            suspect = score > suspect ? score : suspect;
-            break;
         case MEMBER_LEAVING:
         case MEMBER_GONE:
             break;
         }
     }
-    r->suspect_ahead =
-        suspect > 0 && (r->active[1] == NULL || suspect > r->active_score[1]);
 }
 
 static const peer_t *
@@ -157,23 +140,11 @@
 {
     slot_t *s = &c->slots[i];
     uint64_t home;
-    bool was_suspect = s->suspect;
     ranks_t r;
 
     rank_slot(c, i, &r);
     home = r.active[0] != NULL ? r.active[0]->id : 0;
-    s->suspect = r.suspect_ahead;
-    if (s->suspect || was_suspect) {
-        s->doubt_at = c->now;
-    }
     if (home != s->home) {
-        if (s->home != 0 && !peer_answers(c, s->home) && !s->suspect) {
-            /* The home is off the list without a word. */
-            const peer_t *p = peer_find(c, s->home);
-            if (p == NULL || p->state != MEMBER_GONE) {
-                s->doubt_at = c->now;
-            }
-        }
         s->earlier = s->home;
         s->home = home;
         s->home_since = c->now;
@@ -197,14 +168,20 @@
     }
 }
 
-/* Self refuted a suspicion, or a member restarted without leaving: for a
- * while others took another instance for the home, or its records are lost. */
+/* Self refuted a suspicion, or a member restarted or vanished without leaving:
+ * others took another instance for the home, or records are lost. */
 static bool
 was_doubted(const core_t *c, const member_t *m)
 {
     const peer_t *p = peer_find(c, m->id);
 
-    if (p == NULL || m->incarnation == p->incarnation) {
+    if (p == NULL) {
+        return false;
+    }
+    if (p->state == MEMBER_SUSPECT && m->state != MEMBER_SUSPECT) {
+        return true;
+    }
+    if (m->incarnation == p->incarnation) {
         return false;
     }
     if (m->id == c->p.self) {
@@ -213,47 +190,34 @@
     return m->state == MEMBER_JOINING && p->state == MEMBER_ACTIVE;
 }
 
-static void
-update_slots(core_t *c)
-{
-    c->handing = false;
-    for (uint32_t i = 0; i < HOME_SLOTS; i++) {
-        slot_update(c, i);
-    }
-}
-
 void
 core_set_members(core_t *c, ms_t now, const member_t *list, size_t n,
                  ms_t doubt_at, uint64_t lowest)
 {
     peer_t *peers = calloc(n + 1, sizeof(*peers));
-    bool doubted = false;
 
-    (void)doubt_at; /* doubt is kept for each slot: see slot_update() */
     c->now = now;
     if (c->start < 0) {
         c->start = c->last_tick = now;
     }
     c->lowest = lowest;
+    c->doubt_at = doubt_at > c->doubt_at ? doubt_at : c->doubt_at;
+    c->suspects = false;
     for (size_t i = 0; i < n; i++) {
         peers[i] = (peer_t){.id = list[i].id,
                             .incarnation = list[i].incarnation,
                             .state = list[i].state};
+        c->suspects |= list[i].state == MEMBER_SUSPECT;
         if (was_doubted(c, &list[i])) {
-            peers[i].state = MEMBER_SUSPECT;
-            doubted = true;
+            c->doubt_at = now;
         }
     }
     free(c->peers);
     c->peers = peers;
     c->n_peers = n;
-    if (doubted) {
-        /* One pass with the doubted as suspects marks their slots. */
-        update_slots(c);
-        for (size_t i = 0; i < n; i++) {
-            peers[i].state = list[i].state;
-        }
+    c->handing = false;
+    for (uint32_t i = 0; i < HOME_SLOTS; i++) {
+        slot_update(c, i);
     }
-    update_slots(c);
     sync_targets_changed(c);
 }
--- a/core/request.c
+++ b/core/request.c
@@ -1,14 +1,16 @@
 /* What a home does with a request.
  *
  * The hazard is a second run: copy 1 of a non-idempotent request went to one
- * upstream and ran, copy 2 goes to another.  Three things prevent it: records
- * (a known request goes where it went), the table's first choice (another home
- * without the record chooses the same upstream, which detects the duplicate),
- * and, when the choice may differ, the backup's acknowledgement before and
- * fencing of the earlier choices.
+ * upstream and ran, copy 2 goes to another.  A home that is sure to be the
+ * only one knows from its records where each went.  Any other can't know, but
+ * where a copy can be, it can: at one of the choices that the tables give,
+ * present and earlier.  It has the request barred at all of them but its
+ * target before it forwards; whoever bars first at an upstream owns the
+ * request there.
  */
 #include "core/state.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #define TRIES_MAX 2    /* forwards after the first was shed */
@@ -28,46 +30,42 @@
     service_t *s = service_of(c, ex);
 
     return home_sure(c, work_key(s, ex->key)) &&
-           c->now - s->groups_since >= DOUBT_MS;
+           c->now - s->groups_since >= DOUBT_MS &&
+           !choices_differ(c, s, ex->key);
 }
 
 /* ---- Fences ---- */
 
-static void
-fence_add(ex_t *ex, uint16_t u)
+/* Can U be asked about a copy, and would it remember one? */
+static bool
+can_ask(const core_t *c, uint16_t u)
 {
-    for (int i = 0; i < ex->n_fence; i++) {
-        if (ex->fence[i] == u) {
-            return;
-        }
-    }
-    if (u != UP_NONE && ex->n_fence < FENCE_MAX) {
-        ex->fence[ex->n_fence++] = u;
-    }
+    return up_trusted(c, u) && c->now - c->ups[u].epoch_since >= DOUBT_MS;
 }
 
-/* Has EX barred at every upstream where a copy may be: the first choice of
- * the table and of those that others may still use, and, when it is to be
- * refused, at its target. */
+/* Has EX barred wherever a copy may be, but for its target.  When one of these
+ * can't be asked, or the target has restarted and forgotten, nobody can say
+ * what became of a copy. */
 static void
 start_fence(core_t *c, ex_t *ex)
 {
     service_t *s = service_of(c, ex);
-    uint16_t earlier[EARLIER_MAX];
-    int n = earlier_choices(c, s, ex->key, earlier);
-    uint16_t first = bucket_of(s, ex->key)->first;
+    uint16_t at[CHOICES_MAX];
+    int n = all_choices(c, s, ex->key, at);
 
     ex->n_fence = 0;
     for (int i = 0; i < n; i++) {
-        if (ex->refuse_after || earlier[i] != ex->up) {
-            fence_add(ex, earlier[i]);
+        if (!can_ask(c, at[i])) {
+            request_unknown(c, ex);
+            return;
+        }
+        if (at[i] != ex->up || ex->refuse_after) {
+            ex->fence[ex->n_fence++] = at[i];
         }
     }
-    if (ex->refuse_after || first != ex->up) {
-        fence_add(ex, first);
-    }
-    if (ex->refuse_after) {
-        fence_add(ex, ex->up);
+    if (ex->n_fence == 0) {
+        request_forward(c, ex);
+        return;
     }
     ex_state(c, ex, EX_FENCING);
     ex->sent = c->now;
@@ -118,14 +116,9 @@
 refuse_now(core_t *c, ex_t *ex, refuse_t why)
 {
     service_t *s = service_of(c, ex);
-    bool idempotent = ex->idempotent;
 
     s->stats.refused[why]++;
     answer_final(c, ex, COAP_UNAVAILABLE, come_back(c, s));
-    if (!idempotent) {
-        ex->up = UP_NONE;
-        sync_ex(c, ex);
-    }
 }
 
 /* "Not run" must stay true.  A sure home refuses by its own word: its record
@@ -167,38 +160,10 @@
     send_upstream(c, ex->up, &ex->client, true, ex_bytes(c, ex), ex->len);
 }
 
-/* Asks the backup to hold the record; forwards when there is nobody to ask.
- * The record goes to the backup before the request goes to the upstream: a
- * home that takes over in between finds it, or nothing was forwarded. */
-void
-request_synced(core_t *c, ex_t *ex)
-{
-    uint64_t key = work_key(service_of(c, ex), ex->key);
-
-    ex_state(c, ex, EX_SYNCING);
-    if (sync_target(c, key) == 0) {
-        request_forward(c, ex);
-        return;
-    }
-    ex->synced = false;
-    sync_ex(c, ex);
-    sync_flush(c);
-}
-
-static void
-start_sync(core_t *c, ex_t *ex)
-{
-    ex->sent = c->now;
-    ex->retry_at = c->now + FENCE_AGAIN_MS;
-    ex->epoch = c->ups[ex->up].epoch;
-    request_synced(c, ex);
-}
-
 /* ---- Choice of the upstream ---- */
 
-/* The least loaded upstream of the service with room for CLS.  The home sees
- * all requests of the service, so it need not draw lots; FIRST wins a tie,
- * since it needs no copy at the backup. */
+/* The least loaded upstream of the service with room for CLS; FIRST wins a
+ * tie. The home sees all requests of the service, so it need not draw lots. */
 static uint16_t
 choose_free(core_t *c, service_t *s, uint16_t first, class_t cls)
 {
@@ -221,6 +186,36 @@
     return best;
 }
 
+/* The less loaded of the two choices, with room for CLS.  A non-idempotent
+ * request goes to no other: a home without the record has only them to ask. */
+static uint16_t
+choose_pair(core_t *c, service_t *s, uint64_t key, class_t cls)
+{
+    const bucket_t *b = bucket_of(s, key);
+    bool first = up_eligible(c, b->first) && up_room(c, b->first, cls);
+    bool second = up_eligible(c, b->second) && up_room(c, b->second, cls);
+
+    if (first && second) {
+        return up_load(c, b->second) < up_load(c, b->first) ? b->second
+                                                            : b->first;
+    }
+    if (first) {
+        return b->first;
+    }
+    return second ? b->second : UP_NONE;
+}
+
+static uint16_t
+choose(core_t *c, const ex_t *ex)
+{
+    service_t *s = service_of(c, ex);
+
+    if (!ex->idempotent) {
+        return choose_pair(c, s, ex->key, ex->cls);
+    }
+    return choose_free(c, s, bucket_of(s, ex->key)->first, ex->cls);
+}
+
 static bool
 over_share(const service_t *s, const dgram_t *d)
 {
@@ -240,85 +235,68 @@
     return false;
 }
 
-/* A first copy at a home that knows it is the only one. */
+/* A request that has no record here. */
 static void
-open_sure(core_t *c, const dgram_t *d, ex_t *ex)
+open_request(core_t *c, const dgram_t *d, ex_t *ex)
 {
     service_t *s = service_of(c, ex);
-    const bucket_t *b = bucket_of(s, ex->key);
-    uint16_t earlier[EARLIER_MAX];
 
     if (over_share(s, d)) {
         request_refuse(c, ex, REFUSE_SHARE);
         return;
     }
-    ex->up = choose_free(c, s, b->first, ex->cls);
+    ex->up = choose(c, ex);
     if (ex->up == UP_NONE) {
         request_refuse(c, ex, any_eligible(c, s) ? REFUSE_FULL : REFUSE_NONE);
         return;
     }
-    if (ex->idempotent ||
-        (ex->up == b->first && earlier_choices(c, s, ex->key, earlier) == 0)) {
+    if (ex->idempotent || sure_of(c, ex)) {
         request_forward(c, ex);
         return;
     }
-    start_sync(c, ex);
+    start_fence(c, ex);
 }
 
-/* A request unknown to a home that can't be sure to be the only one: another
- * copy may have been forwarded, and then to a first choice, of this table or
- * an earlier one. */
+/* The request runs at U or has run there: a copy brings its answer. */
 static void
-open_unsure(core_t *c, ex_t *ex)
+found_at(core_t *c, ex_t *ex, uint16_t u)
 {
-    service_t *s = service_of(c, ex);
-    uint16_t first = bucket_of(s, ex->key)->first;
-    uint16_t earlier[EARLIER_MAX];
+    ex->up = u;
+    ex->refuse_after = false;
+    ex->found = true;
+    request_forward(c, ex);
+}
 
-    ex->up = first;
-    if (!up_eligible(c, first)) {
-        ex->up = up_next(c, s, ex->key, first);
-    }
-    if (ex->up == UP_NONE) {
-        request_refuse(c, ex, REFUSE_NONE);
-        return;
-    }
-    if (ex->idempotent) {
-        request_forward(c, ex);
-        return;
-    }
-    if (c->now - c->ups[ex->up].epoch_since < DOUBT_MS) {
-        /* It restarted: a copy may have run in its earlier life. */
-        request_unknown(c, ex);
-        return;
-    }
-    if (ex->up == first && earlier_choices(c, s, ex->key, earlier) == 0) {
-        request_forward(c, ex);
-        return;
-    }
-    start_fence(c, ex);
+static bool
+barred_by_self(const core_t *c, const char *by)
+{
+    char self[17];
+
+    snprintf(self, sizeof(self), "%016llx", (unsigned long long)c->p.self);
+    return by == NULL || strcmp(by, self) == 0;
 }
 
 /* Upstream U told what became of the request of EX. */
 void
 request_fenced(core_t *c, ex_t *ex, uint16_t u, const char *state,
-               uint32_t epoch)
+               const char *by, uint32_t epoch)
 {
     for (int i = 0; i < ex->n_fence; i++) {
         if (ex->fence[i] == u) {
             ex->fence[i] = ex->fence[--ex->n_fence];
         }
     }
-    if (c->now - c->ups[u].epoch_since < DOUBT_MS ||
-        (c->ups[u].epoch != 0 && c->ups[u].epoch != epoch)) {
+    if (!can_ask(c, u) || c->ups[u].epoch != epoch) {
         request_unknown(c, ex);
         return;
     }
     if (strcmp(state, "barred") != 0) {
-        /* It runs there or has run: a copy brings the answer. */
-        ex->up = u;
-        ex->refuse_after = false;
-        request_forward(c, ex);
+        found_at(c, ex, u);
+        return;
+    }
+    if (!barred_by_self(c, by)) {
+        /* Another home was first here and answers the caller. */
+        ex_state(c, ex, EX_BARRED);
         return;
     }
     if (ex->n_fence > 0) {
@@ -328,37 +306,11 @@
         refuse_now(c, ex, ex->why);
         return;
     }
-    start_sync(c, ex);
+    request_forward(c, ex);
 }
 
 /* ---- Copies of a known request ---- */
 
-/* Another home forwarded it; this one has become the home. */
-static void
-adopt_held(core_t *c, const dgram_t *d, ex_t *ex)
-{
-    uint64_t held = ex->held_up;
-    uint16_t up = up_find_id(c, held);
-    uint32_t epoch = ex->epoch;
-
-    ex_remove(c, ex);
-    ex = ex_add(c, d);
-    if (ex == NULL) {
-        return; /* no buffer: the caller's next copy may find one */
-    }
-    ex->synced = true;
-    if (held == 0) {
-        answer_final(c, ex, COAP_UNAVAILABLE, come_back(c, service_of(c, ex)));
-        return;
-    }
-    if (up == UP_NONE || !up_trusted(c, up) || c->ups[up].epoch != epoch) {
-        request_unknown(c, ex);
-        return;
-    }
-    ex->up = up;
-    request_forward(c, ex);
-}
-
 /* A copy goes only where the first went, and only while that upstream still
  * remembers it. */
 static bool
@@ -371,21 +323,26 @@
     return true;
 }
 
+/* The port or the ID was used again too early.  The upstream would take it for
+ * a copy of the old request and send the old answer. */
+static void
+reused_mid(core_t *c, const dgram_t *d, const ex_t *ex)
+{
+    bool sure = ex->idempotent || sure_of(c, ex);
+
+    answer_now(c, d, sure ? COAP_UNAVAILABLE : COAP_GW_TIMEOUT,
+               sure ? come_back(c, service_of(c, ex)) : COAP_NONE,
+               sure ? REFUSE_MID_REUSE : REFUSE_UNKNOWN);
+}
+
 static void
 copy_of_known(core_t *c, const dgram_t *d, ex_t *ex)
 {
     bool same = ex->token_len == d->m->token_len &&
                 memcmp(ex->token, d->m->token, ex->token_len) == 0;
 
-    if (ex->state == EX_HELD) {
-        adopt_held(c, d, ex);
-        return;
-    }
     if (!same) {
-        /* The port or the ID was used again too early.  The upstream would
-         * take it for a copy and send the old answer. */
-        answer_now(c, d, COAP_UNAVAILABLE, come_back(c, service_of(c, ex)),
-                   REFUSE_MID_REUSE);
+        reused_mid(c, d, ex);
         return;
     }
     service_of(c, ex)->stats.duplicates++;
@@ -406,10 +363,11 @@
     case EX_SENT:
         copy_to_upstream(c, d, ex);
         return;
-    case EX_FENCING:
-    case EX_SYNCING:
     case EX_BARRED:
-    case EX_HELD:
+        /* The other home had the time to answer, and the caller asks on. */
+        request_unknown(c, ex);
+        return;
+    case EX_FENCING:
     case EX_FREE:
         return;
     }
@@ -487,6 +445,7 @@
 {
     service_t *s = &c->services[d->service];
     ex_t *ex;
+    const ex_t *crossed;
 
     if (is_upload_block(d->m)) {
         upload_block(c, d);
@@ -502,6 +461,7 @@
         answer_now(c, d, COAP_TOO_LARGE, COAP_NONE, REFUSE_TOO_LARGE);
         return;
     }
+    crossed = ex_find_token(c, d->key, d->m);
     ex = ex_add(c, d);
     if (ex == NULL) {
         bool sure =
@@ -511,11 +471,14 @@
                    sure ? REFUSE_TABLE : REFUSE_UNKNOWN);
         return;
     }
-    if (sure_of(c, ex)) {
-        open_sure(c, d, ex);
+    if (crossed != NULL && crossed->state != EX_REFUSED &&
+        crossed->state != EX_DONE) {
+        /* The token is that of a request still in progress, of the port's
+         * last user perhaps, whose answer would be taken for this one's. */
+        request_refuse(c, ex, REFUSE_MID_REUSE);
         return;
     }
-    open_unsure(c, ex);
+    open_request(c, d, ex);
 }
 
 /* ---- Answers and retries ---- */
@@ -537,16 +500,20 @@
     uint16_t next;
 
     ex_count(c, ex, false);
+    if (ex->found) {
+        request_unknown(c, ex); /* it was found there, and now is not */
+        return;
+    }
     if (ex->tries >= TRIES_MAX || !retry_allowed(s) ||
         (!ex->idempotent && !sure_of(c, ex))) {
         request_refuse(c, ex, REFUSE_FULL);
         return;
     }
-    next = choose_free(c, s, UP_NONE, ex->cls);
-    if (next == UP_NONE || next == old) {
+    next = choose(c, ex);
+    if (next == old && ex->idempotent) {
         next = up_next(c, s, ex->key, old);
     }
-    if (next == UP_NONE) {
+    if (next == UP_NONE || next == old) {
         request_refuse(c, ex, REFUSE_FULL);
         return;
     }
@@ -554,11 +521,7 @@
     ex->tries++;
     s->retried++;
     s->stats.retries++;
-    if (ex->idempotent) {
-        request_forward(c, ex);
-        return;
-    }
-    start_sync(c, ex);
+    request_forward(c, ex);
 }
 
 /* The answer is final; a read's record has done its work. */
--- a/core/state.h
+++ b/core/state.h
@@ -35,12 +35,11 @@
 #define HOME_SLOTS 4096 /* a key's slot is its top 12 bits */
 
 typedef struct {
-    uint64_t home;     /* first by rank among ACTIVE; 0: none */
-    uint64_t backup;   /* next ACTIVE, or a JOINING one that will be home */
-    uint64_t earlier;  /* the home before this one, 0 if it isn't there */
-    ms_t home_since;   /* when HOME became it, as seen here */
-    ms_t doubt_at;     /* last time that two homes were possible */
-    bool suspect;      /* a member of the first three ranks is SUSPECT */
+    uint64_t home;    /* first by rank among ACTIVE; 0: none */
+    uint64_t backup;  /* next ACTIVE, or a JOINING one that will be home */
+    uint64_t earlier; /* the home before this one, 0 if it isn't there */
+    ms_t home_since;  /* when HOME became it, as seen here */
+
     bool backup_joins; /* BACKUP is JOINING and will take over */
 } slot_t;
 
@@ -54,13 +53,15 @@
 /* ---- table.c ---- */
 
 #define UP_NONE UINT16_MAX
-#define EARLIER_MAX 3 /* earlier first choices remembered for a bucket */
+#define EARLIER_MAX 3 /* earlier pairs of choices remembered for a bucket */
+#define CHOICES_MAX (2 + 2 * EARLIER_MAX)
 #define GROUP_UPSTREAMS 64
 
+/* The choices that a bucket had before a change. */
 typedef struct {
-    uint16_t up;      /* upstream index */
-    uint64_t version; /* the version that ended its being first */
-    ms_t until;       /* when that came into force here */
+    uint16_t first, second; /* upstream indices */
+    uint64_t version;       /* the version that changed them */
+    ms_t until;             /* when that came into force here */
 } earlier_t;
 
 typedef struct {
@@ -141,17 +142,17 @@
 /* ---- exchanges.c ---- */
 
 #define EX_BUF 1152 /* longest request, RFC 7252 4.6; then the answer */
-#define FENCE_MAX 4
+#define FENCE_MAX CHOICES_MAX
 
 typedef enum {
     EX_FREE,
     EX_FENCING, /* earlier choices are asked to bar it */
-    EX_SYNCING, /* the backup is told before it is forwarded */
+
     EX_SENT,    /* forwarded */
     EX_DONE,    /* answered; the buffer, if any, holds the answer */
     EX_REFUSED, /* refused for good, with FINAL */
-    EX_HELD,    /* another home forwarded it to UP */
-    EX_BARRED   /* another home has taken it over */
+
+    EX_BARRED /* another home has taken it over */
 } ex_state_t;
 
 typedef struct {
@@ -161,15 +162,15 @@
     ex_state_t state;
     class_t cls;
     bool idempotent;
-    bool synced;   /* the sync target has the record */
+
     bool counted;  /* in its upstream's in_flight and caller's share */
     uint8_t tries; /* forwards that an upstream shed */
     uint16_t mid;
     uint16_t answer_mid; /* of a separate response, 0: none */
     uint16_t service;
-    uint16_t up;      /* target, UP_NONE: none */
-    uint32_t epoch;   /* of UP when forwarded */
-    uint64_t held_up; /* EX_HELD: the upstream's ID, 0: refused */
+    uint16_t up;    /* target, UP_NONE: none */
+    uint32_t epoch; /* of UP when forwarded */
+
     ms_t sent, retry_at;
     addr_t client;
     uint8_t token_len;
@@ -178,6 +179,7 @@
     uint8_t n_fence;
     uint16_t fence[FENCE_MAX]; /* upstreams still to answer */
     bool refuse_after;         /* barred everywhere: say "not run" */
+    bool found;                /* an earlier copy was found at its upstream */
     refuse_t why;              /* of that refusal */
     uint8_t final;             /* code of the final answer, EX_REFUSED */
     uint32_t come_back;        /* its Max-Age */
@@ -212,7 +214,9 @@
     rng_t rng;
     uint64_t version, lowest;
     bool leaving;
-    bool handing; /* a member joins: pins and records move by plan */
+    bool handing;  /* a member joins: pins move by plan */
+    bool suspects; /* some member is SUSPECT */
+    ms_t doubt_at; /* last time that two homes of a key were possible */
     map_t up_map, service_map; /* addr_id() to index */
 
     slot_t *slots;
@@ -264,18 +268,24 @@
 uint64_t sync_target(core_t *c, uint64_t key);
 /* True when all that is known here must go to the target, by plan. */
 bool handing_over(core_t *c, uint64_t key);
+/* No second home is possible for KEY, nor was in the last DOUBT_MS. */
 bool home_sure(core_t *c, uint64_t key);
 /* The earlier home to ask about what isn't known here; 0: none. */
 uint64_t earlier_home(core_t *c, uint64_t key);
-void doubt_all(core_t *c);
 
 /* table.c */
 bucket_t *bucket_of(service_t *s, uint64_t key);
 void table_build(core_t *c, uint16_t service);
 uint64_t work_key(const service_t *s, uint64_t flow);
-/* Earlier first choices of KEY that another instance may still use, other
- * than its present first; returns how many were written to OUT. */
-int earlier_choices(core_t *c, service_t *s, uint64_t key, uint16_t *out);
+/* Where another home may have sent a request of KEY: the present choices, and
+ * earlier ones that are not past.  Returns how many were written to OUT. */
+int all_choices(core_t *c, service_t *s, uint64_t key, uint16_t *out);
+/* Does some instance still use choices of KEY that are earlier than these? */
+bool choices_differ(const core_t *c, service_t *s, uint64_t key);
+/* The first choice of KEY until SINCE or later; UP_NONE when it is the same.
+ */
+uint16_t earlier_first(const core_t *c, service_t *s, uint64_t key,
+                       ms_t since);
 
 /* upstreams.c */
 uint16_t up_find(core_t *c, const addr_t *a);
@@ -335,7 +345,7 @@
 void sync_flush(core_t *c);
 void sync_refill(core_t *c); /* the budget for paced copies, each tick */
 void sync_flow(core_t *c, flow_t *f);
-void sync_ex(core_t *c, ex_t *ex);
+
 void sync_receive(core_t *c, const peer_msg_t *m);
 void sync_acked(core_t *c, const peer_msg_t *m);
 void sync_targets_changed(core_t *c);
@@ -343,8 +353,8 @@
 /* request.c */
 void request_at_home(core_t *c, const dgram_t *d);
 void request_fenced(core_t *c, ex_t *ex, uint16_t u, const char *state,
-                    uint32_t epoch);
-void request_synced(core_t *c, ex_t *ex);
+                    const char *by, uint32_t epoch);
+
 void request_answer(core_t *c, ex_t *ex, const coap_msg_t *m,
                     const uint8_t *data, size_t len);
 void request_forward(core_t *c, ex_t *ex);
--- a/core/sync.c
+++ b/core/sync.c
@@ -1,11 +1,10 @@
-/* Copies of pins and records, so that the next home knows what the table
- * doesn't tell it. */
+/* Copies of pins, so that the next home knows what the table doesn't tell. */
 #include "core/state.h"
 
 #include <string.h>
 
 #define BATCHES 8
-#define PIN_BYTES 28         /* about, in a message with others */
+#define PIN_BYTES 20         /* about, in a message with others */
 #define MSG_BYTES 70         /* headers and tag of a message */
 #define PACED_BYTES 100      /* each tick, when nothing is handed over */
 #define HAND_OVER_BYTES 4000 /* each tick, when a home moves by plan */
@@ -91,36 +90,6 @@
     sync_add(c, to, &pin);
 }
 
-/* The same for a record of a non-idempotent request. */
-void
-sync_ex(core_t *c, ex_t *ex)
-{
-    uint64_t key;
-    uint64_t to;
-    bool over;
-    pin_t pin = {.flow = ex->key,
-                 .epoch = ex->epoch,
-                 .mid = ex->mid,
-                 .kind = PIN_EXCHANGE};
-
-    if (ex->idempotent || ex->synced || ex->state == EX_HELD) {
-        return;
-    }
-    key = work_key(&c->services[ex->service], ex->key);
-    to = sync_target(c, key);
-    over = handing_over(c, key);
-    if (to == 0 || (!over && ex->state != EX_SYNCING)) {
-        return;
-    }
-    if (ex->state != EX_SYNCING && !spend(c)) {
-        return;
-    }
-    if (ex->up != UP_NONE && ex->state != EX_REFUSED) {
-        pin.upstream = c->ups[ex->up].conf.id;
-    }
-    sync_add(c, to, &pin);
-}
-
 static void
 hold_flow(core_t *c, const pin_t *pin)
 {
@@ -144,40 +113,13 @@
     }
 }
 
-static void
-hold_exchange(core_t *c, const pin_t *pin)
-{
-    ex_t *ex = ex_find(c, pin->flow, pin->mid);
-    dgram_t d = {.key = pin->flow};
-
-    if (ex != NULL && ex->state != EX_HELD) {
-        return;
-    }
-    if (ex == NULL) {
-        ex = ex_add(c, &d);
-    }
-    if (ex == NULL) {
-        return;
-    }
-    ex_state(c, ex, EX_HELD);
-    ex->mid = pin->mid;
-    ex->epoch = pin->epoch;
-    ex->held_up = pin->upstream;
-}
-
 void
 sync_receive(core_t *c, const peer_msg_t *m)
 {
     core_out_t out = {.kind = CORE_TO_PEER};
 
     for (int i = 0; i < m->sync.n; i++) {
-        const pin_t *pin = &m->sync.pin[i];
-        if (pin->kind == PIN_EXCHANGE) {
-            hold_exchange(c, pin);
-        }
-        else {
-            hold_flow(c, pin);
-        }
+        hold_flow(c, &m->sync.pin[i]);
     }
     out.peer.to = m->from;
     out.peer.msg = *m;
@@ -186,33 +128,13 @@
     c->emit(c->arg, &out);
 }
 
-static void
-ex_acked(core_t *c, const pin_t *pin)
-{
-    ex_t *ex = ex_find(c, pin->flow, pin->mid);
-
-    if (ex == NULL || ex->state == EX_HELD) {
-        return;
-    }
-    ex->synced = true;
-    if (ex->state == EX_SYNCING && ex->up != UP_NONE &&
-        c->ups[ex->up].conf.id == pin->upstream) {
-        request_forward(c, ex);
-    }
-}
-
 void
 sync_acked(core_t *c, const peer_msg_t *m)
 {
     for (int i = 0; i < m->sync.n; i++) {
         const pin_t *pin = &m->sync.pin[i];
-        flow_t *f;
+        flow_t *f = flow_find(c, pin->flow);
 
-        if (pin->kind == PIN_EXCHANGE) {
-            ex_acked(c, pin);
-            continue;
-        }
-        f = flow_find(c, pin->flow);
         if (f != NULL && c->ups[f->up].conf.id == pin->upstream &&
             m->from == sync_target(c, pin->flow)) {
             f->flags |= FLOW_SYNCED;
@@ -227,8 +149,4 @@
     for (uint32_t i = 0; i < c->p.max_flows; i++) {
         c->flows[i].flags &= (uint8_t)~FLOW_SYNCED;
     }
-    LIST_EACH(l, &c->ex_kept)
-    {
-        LIST_OWNER(l, ex_t, in)->synced = false;
-    }
 }
--- a/core/table.c
+++ b/core/table.c
@@ -66,9 +66,9 @@
 }
 
 static void
-remember_earlier(core_t *c, bucket_t *b, uint16_t up)
+remember_earlier(core_t *c, bucket_t *b, const bucket_t *old)
 {
-    if (up == UP_NONE) {
+    if (old->first == UP_NONE) {
         return;
     }
     if (b->n_earlier == EARLIER_MAX) {
@@ -76,8 +76,10 @@
                 (EARLIER_MAX - 1) * sizeof(b->earlier[0]));
         b->n_earlier--;
     }
-    b->earlier[b->n_earlier++] =
-        (earlier_t){.up = up, .version = c->version, .until = c->now};
+    b->earlier[b->n_earlier++] = (earlier_t){.first = old->first,
+                                             .second = old->second,
+                                             .version = c->version,
+                                             .until = c->now};
 }
 
 static uint32_t
@@ -130,26 +132,75 @@
         bucket_t fresh = *b;
 
         bucket_rank(c, s, i, &fresh);
-        if (fresh.first != b->first) {
-            remember_earlier(c, &fresh, b->first);
+        if (fresh.first != b->first || fresh.second != b->second) {
+            remember_earlier(c, &fresh, b);
         }
         *b = fresh;
     }
 }
 
+static int
+add_choice(uint16_t *out, int n, uint16_t up)
+{
+    if (up == UP_NONE) {
+        return n;
+    }
+    for (int i = 0; i < n; i++) {
+        if (out[i] == up) {
+            return n;
+        }
+    }
+    out[n] = up;
+    return n + 1;
+}
+
+/* A choice is past when every instance has the version that ended it, and no
+ * caller still sends copies of a request made before. */
+static bool
+is_past(const core_t *c, const earlier_t *e)
+{
+    return c->now - e->until >= DOUBT_MS && c->lowest >= e->version;
+}
+
 int
-earlier_choices(core_t *c, service_t *s, uint64_t key, uint16_t *out)
+all_choices(core_t *c, service_t *s, uint64_t key, uint16_t *out)
 {
     const bucket_t *b = bucket_of(s, key);
-    int n = 0;
+    int n = add_choice(out, 0, b->first);
 
+    n = add_choice(out, n, b->second);
     for (int i = 0; i < b->n_earlier; i++) {
-        const earlier_t *e = &b->earlier[i];
-        bool past = c->now - e->until >= DOUBT_MS && c->lowest >= e->version;
-
-        if (!past && e->up != b->first && c->ups[e->up].used) {
-            out[n++] = e->up;
+        if (!is_past(c, &b->earlier[i])) {
+            n = add_choice(out, n, b->earlier[i].first);
+            n = add_choice(out, n, b->earlier[i].second);
         }
     }
     return n;
 }
+
+bool
+choices_differ(const core_t *c, service_t *s, uint64_t key)
+{
+    const bucket_t *b = bucket_of(s, key);
+
+    for (int i = 0; i < b->n_earlier; i++) {
+        if (c->lowest < b->earlier[i].version) {
+            return true;
+        }
+    }
+    return false;
+}
+
+uint16_t
+earlier_first(const core_t *c, service_t *s, uint64_t key, ms_t since)
+{
+    const bucket_t *b = bucket_of(s, key);
+
+    (void)c;
+    for (int i = 0; i < b->n_earlier; i++) {
+        if (b->earlier[i].until >= since && b->earlier[i].first != b->first) {
+            return b->earlier[i].first;
+        }
+    }
+    return UP_NONE;
+}
--- a/core/upstreams.c
+++ b/core/upstreams.c
@@ -61,7 +61,8 @@
 {
     const up_t *up = &c->ups[u];
 
-    return up->verified && !up->refused && c->now < up->trust_until;
+    return up->used && up->verified && !up->refused &&
+           c->now < up->trust_until;
 }
 
 static bool
@@ -302,6 +303,7 @@
     uint32_t index;
     uint16_t mid;
     const char *state = json_string_value(json_object_get(j, "state"));
+    const char *by = json_string_value(json_object_get(j, "by"));
     uint32_t epoch = (uint32_t)json_integer_value(json_object_get(j, "epoch"));
     ex_t *ex;
 
@@ -312,7 +314,7 @@
     }
     ex = &c->exs[index];
     if (ex->state == EX_FENCING && ex->mid == mid) {
-        request_fenced(c, ex, u, state, epoch);
+        request_fenced(c, ex, u, state, by, epoch);
     }
 }
 
@@ -354,8 +356,9 @@
     memcpy(m.token + 5, &ex->mid, 2);
     m.path_n = 2;
     strcpy(m.path[1], "exchange");
-    snprintf(m.query, sizeof(m.query), "c=%s&m=%u",
-             addr_text(&ex->client, client), ex->mid);
+    snprintf(m.query, sizeof(m.query), "c=%s&m=%u&o=%016llx",
+             addr_text(&ex->client, client), ex->mid,
+             (unsigned long long)c->p.self);
     own_request(c, u, &m);
 }
 
--- a/wire/peer.c
+++ b/wire/peer.c
@@ -48,11 +48,10 @@
 
     for (int i = 0; i < m->sync.n; i++) {
         const pin_t *pin = &m->sync.pin[i];
-        bad |= msgpack_pack_array(pk, 5);
+        bad |= msgpack_pack_array(pk, 3);
         bad |= msgpack_pack_uint64(pk, pin->flow);
         bad |= msgpack_pack_uint64(pk, pin->upstream);
-        bad |= msgpack_pack_uint32(pk, pin->epoch);
-        bad |= msgpack_pack_uint16(pk, pin->mid);
+
         bad |= msgpack_pack_uint8(pk, pin->kind);
     }
     return bad;
@@ -172,20 +171,18 @@
 {
     const msgpack_object *f = o->via.array.ptr;
 
-    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 5) {
+    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 3) {
         return false;
     }
-    for (int i = 0; i < 5; i++) {
+    for (int i = 0; i < 3; i++) {
         if (f[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
             return false;
         }
     }
     *pin = (pin_t){.flow = f[0].via.u64,
                    .upstream = f[1].via.u64,
-                   .epoch = (uint32_t)f[2].via.u64,
-                   .mid = (uint16_t)f[3].via.u64,
-                   .kind = (uint8_t)f[4].via.u64};
-    return pin->kind >= PIN_FLOW && pin->kind <= PIN_GONE;
+                   .kind = (uint8_t)f[2].via.u64};
+    return pin->kind == PIN_FLOW || pin->kind == PIN_UPLOAD;
 }
 
 static void
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -124,18 +124,15 @@
 
 typedef enum {
     PIN_FLOW = 1, /* a feed or an opaque flow lives on the upstream */
-    PIN_UPLOAD,   /* a block-wise upload is under way there */
-    PIN_EXCHANGE, /* a non-idempotent request was forwarded there */
-    PIN_GONE      /* the pin has ended */
+    PIN_UPLOAD    /* a block-wise upload is under way there */
 } pin_kind_t;
 
-/* What a home tells its backup of a flow, or of one request in it. */
+/* What a home tells its backup of a flow. */
 typedef struct {
     uint64_t flow;     /* flow_key() */
     uint64_t upstream; /* addr_id() of the upstream */
-    uint32_t epoch;    /* the upstream's start epoch, for PIN_EXCHANGE */
-    uint16_t mid;      /* for PIN_EXCHANGE */
-    uint8_t kind;      /* pin_kind_t */
+
+    uint8_t kind; /* pin_kind_t */
 } pin_t;
 
 typedef struct {
