--- a/plat/plat.h
+++ b/plat/plat.h
@@ -122,6 +122,11 @@
 int plat_apply(plat_t *p, conf_bundle_t *b, uint64_t expect,
                conf_bundle_t *theirs, err_t *e);
 
+/* Reads the version in force; the bundle is all zero when there is none. */
+int plat_config(plat_t *p, conf_bundle_t *b, uint64_t *revision, err_t *e);
+/* Reads an earlier version; -ENOENT when it is no longer kept. */
+int plat_history(plat_t *p, uint64_t version, conf_bundle_t *b, err_t *e);
+
 #ifdef __cplusplus
 }
 #endif
