--- a/conf/conf.h
+++ b/conf/conf.h
@@ -89,6 +89,13 @@
  * still trusts it in its old place.  0 or -EINVAL with E. */
 int conf_step_check(const conf_t *old, const conf_t *new_, err_t *e);
 
+/* The overlay TEXT with "draining" of the upstream at A set (freed by the
+ * caller); its other lines stay as they are.  NULL with E: -ENOENT when the
+ * overlay has no such upstream, -EINVAL when the text is written in a way that
+ * can't be edited line by line. */
+char *conf_set_draining(const char *text, const addr_t *a, bool draining,
+                        err_t *e);
+
 /* Calls LINE for each difference, as "SIGN SUBJECT: WHAT" with the sign '+',
  * '-' or '~': "~ service dohled queue: 4 -> 8",
  * "+ service dohled upstream 127.2.1.1:5683: brno-sal-a, ...".
--- a/plat/apply.c
+++ b/plat/apply.c
@@ -185,6 +185,14 @@
     return rc;
 }
 
+/* Before anything was written, no answer means only that: -EIO would tell the
+ * operator of an unknown outcome. */
+static int
+not_written(int rc)
+{
+    return rc == -EIO || rc == -ETIMEDOUT ? -EHOSTUNREACH : rc;
+}
+
 /* One round: read, decide, write.  1: not settled, go round again. */
 static int
 apply_round(apply_t *a)
@@ -195,7 +203,7 @@
     bundle_free(&a->cur);
     rc = plat_config(a->p, &a->cur, &a->revision, a->e);
     if (rc < 0) {
-        return a->unknown ? 1 : rc;
+        return a->unknown ? 1 : not_written(rc);
     }
     done = version_of_change(&a->cur, a->b->change_id);
     if (done > 0) {
@@ -268,6 +276,7 @@
     bundle_free(&a.cur);
     if (rc < 0 && e != NULL) {
         *e = why;
+        e->code = rc;
     }
     return rc;
 }
--- a/plat/plat.h
+++ b/plat/plat.h
@@ -117,6 +117,7 @@
  * first; *THEIRS (if not NULL) receives it, and nothing was written.
  * EXPECT is the version that the operator edited, 0 for none.
  * -EINVAL: B may not follow the version in force, or doesn't check.
+ * -ECONNREFUSED, -EHOSTUNREACH: out of reach, nothing was written.
  * -EIO: the outcome is unknown; call again with the same change ID.
  * On success B has the version, which a later one may have followed. */
 int plat_apply(plat_t *p, conf_bundle_t *b, uint64_t expect,
--- a/test/conf_test.cc
+++ b/test/conf_test.cc
@@ -238,6 +238,34 @@
     EXPECT_EQ(-EINVAL, conf_step_check(a.get(), other.get(), nullptr));
 }
 
+TEST(Conf, DrainingIsEditedInItsOverlay)
+{
+    addr_t archiv, far, other;
+    addr_parse(&archiv, "127.2.1.2:5683");
+    addr_parse(&far, "127.2.4.1:5683");
+    addr_parse(&other, "127.2.9.9:5683");
+    err_t e = {};
+    char *set = conf_set_draining(brno.c_str(), &archiv, true, &e);
+    ASSERT_TRUE(set) << e.text;
+    EXPECT_EQ(brno + "draining = true\n", set);
+    free(set);
+    std::string cut = brno.substr(0, brno.size() - 1); // no last newline
+    set = conf_set_draining(cut.c_str(), &archiv, true, &e);
+    ASSERT_TRUE(set) << e.text;
+    EXPECT_EQ(brno + "draining = true\n", set);
+    free(set);
+    set = conf_set_draining(olomouc.c_str(), &far, false, &e);
+    ASSERT_TRUE(set) << e.text;
+    EXPECT_EQ(edit(olomouc, "draining = true", "draining = false"), set);
+    free(set);
+    EXPECT_FALSE(conf_set_draining(brno.c_str(), &other, true, &e));
+    EXPECT_EQ(-ENOENT, e.code);
+    const char *inline_form = "data_centre = \"a\"\nupstream = [{ service = "
+                              "\"a\", address = \"127.2.1.2:5683\" }]\n";
+    EXPECT_FALSE(conf_set_draining(inline_form, &archiv, true, &e));
+    EXPECT_EQ(-EINVAL, e.code);
+}
+
 TEST(Conf, HashTellsTextsApart)
 {
     conf_source_t ab[] = {{"x", "a"}, {"y", "b"}};
--- a/test/plat_test.cc
+++ b/test/plat_test.cc
@@ -315,7 +315,7 @@
 {
     ASSERT_EQ(0, apply(4, "one", 0));
     set("outage=1");
-    EXPECT_EQ(-EIO, apply(5, "two", 1));
+    EXPECT_EQ(-EHOSTUNREACH, apply(5, "two", 1));
     set("outage=0");
     EXPECT_EQ(1u, version());
 }
