siskinctl: check, apply, show, diff, watch, status, flows, drain, undrain

apply wants to be told the version that was edited (--on) once one is in force: without it another operator's changes, never seen, would be taken back without a word. The loser of a race gets three lists: what the other changed, what its own files changed, and where both touch the same.

--- /dev/null
+++ b/siskinctl/apply.c
@@ -0,0 +1,326 @@
+/* siskinctl apply, and drain of an upstream, which is a small apply. */
+#include "siskinctl/ctl.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define EDIT_TRIES 5
+
+/* ---- The report to the loser of a race ---- */
+
+typedef struct {
+    uint64_t on;      /* the version that both edited */
+    json_t *mine;     /* what each changed since; NULL when that version */
+    json_t *theirs;   /* is no longer kept */
+    json_t *between;  /* from theirs to mine */
+    json_t *collided; /* lines of mine that touch what theirs touches */
+} race_t;
+
+static void
+race_fill(race_t *r, plat_t *p, const conf_bundle_t *mine,
+          const conf_bundle_t *theirs, uint64_t on)
+{
+    conf_bundle_t base = {0};
+
+    *r = (race_t){.on = on};
+    r->between = ctl_diff(theirs, mine);
+    if (on == 0 || plat_history(p, on, &base, NULL) == 0) {
+        r->mine = ctl_diff(&base, mine);
+        r->theirs = ctl_diff(&base, theirs);
+        r->collided = ctl_collisions(r->mine, r->theirs);
+    }
+    bundle_free(&base);
+}
+
+static void
+race_free(race_t *r)
+{
+    json_decref(r->mine);
+    json_decref(r->theirs);
+    json_decref(r->between);
+    json_decref(r->collided);
+}
+
+static void
+section(const char *title, const json_t *lines)
+{
+    if (json_array_size(lines) > 0) {
+        printf("%s\n", title);
+        ctl_lines(lines);
+    }
+}
+
+static void
+race_print(const race_t *r, const conf_bundle_t *theirs)
+{
+    unsigned long long version = theirs->version;
+
+    printf("Version %llu came first (change %s).  Nothing was written.\n",
+           version, theirs->change_id);
+    if (r->mine == NULL) {
+        section("From that version to your files:", r->between);
+    }
+    else {
+        section("It changed:", r->theirs);
+        section("Your files changed:", r->mine);
+        section("Both changed; of your files:", r->collided);
+    }
+    printf("Bring your files up to it (siskinctl show), then apply them with "
+           "--on %llu.\n",
+           version);
+}
+
+static json_t *
+or_null(json_t *list)
+{
+    return list != NULL ? json_incref(list) : json_null();
+}
+
+static ctl_exit_t
+lost(const options_t *o, plat_t *p, const conf_bundle_t *mine,
+     const conf_bundle_t *theirs, uint64_t on)
+{
+    race_t r;
+
+    race_fill(&r, p, mine, theirs, on);
+    if (o->json) {
+        ctl_json(json_pack(
+            "{sI ss so so so so}", "lost_to", (json_int_t)theirs->version,
+            "change_id", theirs->change_id, "theirs", or_null(r.theirs),
+            "mine", or_null(r.mine), "difference", or_null(r.between),
+            "collisions", or_null(r.collided)));
+    }
+    else {
+        race_print(&r, theirs);
+    }
+    race_free(&r);
+    return CTL_LOST;
+}
+
+/* ---- apply ---- */
+
+static ctl_exit_t
+accepted(const options_t *o, const conf_bundle_t *b, bool changed)
+{
+    if (o->json) {
+        ctl_json(json_pack("{sI ss sb}", "version", (json_int_t)b->version,
+                           "change_id", b->change_id, "changed", changed));
+    }
+    else if (changed) {
+        printf("version %llu\n", (unsigned long long)b->version);
+    }
+    return CTL_OK;
+}
+
+static ctl_exit_t
+write_version(const options_t *o, plat_t *p, conf_bundle_t *b, uint64_t on)
+{
+    conf_bundle_t theirs;
+    err_t e = {0};
+    int rc = plat_apply(p, b, on, &theirs, &e);
+    ctl_exit_t code;
+
+    if (rc == 0) {
+        return accepted(o, b, true);
+    }
+    if (rc == -EAGAIN && theirs.n > 0) {
+        code = lost(o, p, b, &theirs, on);
+    }
+    else {
+        code = ctl_fail(o, ctl_exit_of(rc), &e);
+    }
+    bundle_free(&theirs);
+    return code;
+}
+
+/* Without --on the version in force might be one that the operator never
+ * saw; its changes would be taken back without a word. */
+static ctl_exit_t
+fail_not_on(const options_t *o, uint64_t version)
+{
+    err_t e;
+
+    err_set(&e, -EINVAL, "apply", "platform",
+            "version %llu is in force; look at it with siskinctl diff, then "
+            "say --on %llu",
+            (unsigned long long)version, (unsigned long long)version);
+    return ctl_fail(o, CTL_USAGE, &e);
+}
+
+static ctl_exit_t
+apply_files(const options_t *o, plat_t *p, conf_bundle_t *b)
+{
+    conf_bundle_t cur;
+    ctl_exit_t code = ctl_read_platform(o, p, &cur);
+    uint64_t on = o->on >= 0 ? (uint64_t)o->on : 0;
+
+    if (code != CTL_OK) {
+        return code;
+    }
+    if (cur.n > 0 && cur.hash == b->hash) {
+        code = accepted(o, &cur, false);
+    }
+    else if (cur.n > 0 && o->on < 0) {
+        code = fail_not_on(o, cur.version);
+    }
+    else {
+        code = write_version(o, p, b, on);
+    }
+    bundle_free(&cur);
+    return code;
+}
+
+static bool
+change_id_valid(const char *s)
+{
+    size_t n = strspn(s, "0123456789abcdefghijklmnopqrstuvwxyz"
+                         "ABCDEFGHIJKLMNOPQRSTUVWXYZ-_.");
+
+    return n > 0 && n < CHANGE_ID_LEN && s[n] == '\0';
+}
+
+static ctl_exit_t
+set_change_id(const options_t *o, conf_bundle_t *b)
+{
+    err_t e;
+
+    if (o->change_id == NULL) {
+        ctl_change_id(b->change_id);
+        return CTL_OK;
+    }
+    if (!change_id_valid(o->change_id)) {
+        err_set(&e, -EINVAL, "apply", "--change-id",
+                "doesn't fit; expected 1 to %d letters, digits, '-', '_' and "
+                "'.'",
+                CHANGE_ID_LEN - 1);
+        return ctl_fail(o, CTL_USAGE, &e);
+    }
+    strcpy(b->change_id, o->change_id);
+    return CTL_OK;
+}
+
+ctl_exit_t
+cmd_apply(const options_t *o)
+{
+    conf_bundle_t b;
+    plat_t *p;
+    ctl_exit_t code = ctl_read_files(o, &b);
+
+    if (code != CTL_OK) {
+        return code;
+    }
+    code = set_change_id(o, &b);
+    if (code == CTL_OK) {
+        p = plat_new(o->platform);
+        code = apply_files(o, p, &b);
+        plat_free(p);
+    }
+    bundle_free(&b);
+    return code;
+}
+
+/* ---- drain --upstream ---- */
+
+/* Edits the overlay that has the upstream.  -ENOENT: none has. */
+static int
+edit_bundle(conf_bundle_t *b, const addr_t *a, bool draining, err_t *e)
+{
+    char addr[ADDR_STRLEN];
+    char *text;
+
+    for (size_t i = 1; i < b->n; i++) {
+        text = conf_set_draining(b->text[i], a, draining, e);
+        if (text != NULL) {
+            free(b->text[i]);
+            b->text[i] = text;
+            return 0;
+        }
+        if (e->code != -ENOENT) {
+            return e->code;
+        }
+    }
+    return err_set(e, -ENOENT, "drain", addr_text(a, addr),
+                   "no upstream in force has this address");
+}
+
+/* The bundle of the edited texts, with its own hash. */
+static int
+remake(conf_bundle_t *b, err_t *e)
+{
+    conf_source_t src[SOURCES_MAX];
+    conf_bundle_t made;
+    int rc;
+
+    for (size_t i = 0; i < b->n; i++) {
+        src[i] = (conf_source_t){b->file[i], b->text[i]};
+    }
+    rc = bundle_make(&made, src, b->n, e);
+    if (rc == 0) {
+        bundle_free(b);
+        *b = made;
+    }
+    return rc;
+}
+
+/* One try on the version in force.  -EAGAIN: another version came first. */
+static int
+drain_once(plat_t *p, const addr_t *a, bool draining, conf_bundle_t *b,
+           bool *changed, err_t *e)
+{
+    conf_t *before, *after;
+    uint64_t revision, on;
+    int rc = plat_config(p, b, &revision, e);
+
+    if (rc < 0) {
+        return rc == -EIO ? -EHOSTUNREACH : rc;
+    }
+    on = b->version;
+    before = bundle_conf(b, e);
+    rc = edit_bundle(b, a, draining, e);
+    if (rc == 0) {
+        rc = remake(b, e);
+    }
+    after = rc == 0 ? bundle_conf(b, e) : NULL;
+    *changed = before != NULL && after != NULL &&
+               conf_diff(before, after, NULL, NULL) > 0;
+    conf_free(before);
+    conf_free(after);
+    b->version = on;
+    if (rc < 0 || !*changed) {
+        return rc;
+    }
+    ctl_change_id(b->change_id);
+    return plat_apply(p, b, on, NULL, e);
+}
+
+ctl_exit_t
+ctl_drain_upstream(const options_t *o, bool draining)
+{
+    conf_bundle_t b = {0};
+    bool changed = false;
+    err_t e = {0};
+    addr_t a;
+    plat_t *p;
+    int rc = -EAGAIN;
+
+    if (addr_parse(&a, o->upstream) < 0) {
+        err_set(&e, -EINVAL, "drain", o->upstream,
+                "is no address; expected IP:PORT");
+        return ctl_fail(o, CTL_USAGE, &e);
+    }
+    p = plat_new(o->platform);
+    for (int i = 0; i < EDIT_TRIES && rc == -EAGAIN; i++) {
+        bundle_free(&b);
+        rc = drain_once(p, &a, draining, &b, &changed, &e);
+    }
+    plat_free(p);
+    if (rc < 0) {
+        bundle_free(&b);
+        return ctl_fail(o, ctl_exit_of(rc), &e);
+    }
+    accepted(o, &b, changed);
+    bundle_free(&b);
+    return CTL_OK;
+}
--- /dev/null
+++ b/siskinctl/instance.c
@@ -0,0 +1,99 @@
+/* siskinctl status, flows, drain and undrain: the admin port of an instance.
+ */
+#include "plat/http.h"
+#include "siskinctl/ctl.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CALL_MS 3000
+
+static ctl_exit_t
+fail_status(const options_t *o, const http_call_t *c, const http_reply_t *r)
+{
+    err_t e;
+
+    err_set(&e, -EPROTO, c->step, o->admin, "answered with status %ld: %.160s",
+            r->status, r->body);
+    return ctl_fail(o, CTL_NO, &e);
+}
+
+/* Calls the instance and prints the JSON that it answers with. */
+static ctl_exit_t
+call(const options_t *o, const http_call_t *c, bool print)
+{
+    char url[128];
+    http_reply_t r;
+    err_t e = {0};
+    json_t *body;
+    ctl_exit_t code = CTL_OK;
+    http_t *h;
+    int rc;
+
+    snprintf(url, sizeof(url), "http://%s", o->admin);
+    h = http_new(url);
+    rc = http_call(h, c, &r, &e);
+    if (rc < 0) {
+        http_free(h);
+        /* A drain or its end may have taken effect. */
+        code = c->method == HTTP_GET || rc == -ECONNREFUSED ? CTL_AWAY
+                                                            : CTL_UNKNOWN;
+        return ctl_fail(o, code, &e);
+    }
+    body = json_loads(r.body, 0, NULL);
+    if (r.status != 200 || (print && body == NULL)) {
+        code = fail_status(o, c, &r);
+    }
+    else if (o->json) {
+        ctl_json(body != NULL ? json_incref(body) : json_object());
+    }
+    else if (print) {
+        ctl_table(body);
+    }
+    json_decref(body);
+    http_free(h);
+    return code;
+}
+
+ctl_exit_t
+cmd_status(const options_t *o)
+{
+    const http_call_t c = {
+        .path = "/status", .timeout_ms = CALL_MS, .step = "status"};
+
+    return call(o, &c, true);
+}
+
+ctl_exit_t
+cmd_flows(const options_t *o)
+{
+    const http_call_t c = {
+        .path = "/flows", .timeout_ms = CALL_MS, .step = "flows"};
+
+    return call(o, &c, true);
+}
+
+static ctl_exit_t
+set_drain(const options_t *o, bool draining)
+{
+    const http_call_t c = {.method = HTTP_POST,
+                           .path = draining ? "/drain" : "/undrain",
+                           .timeout_ms = CALL_MS,
+                           .step = draining ? "drain" : "undrain"};
+
+    return o->upstream != NULL ? ctl_drain_upstream(o, draining)
+                               : call(o, &c, false);
+}
+
+ctl_exit_t
+cmd_drain(const options_t *o)
+{
+    return set_drain(o, true);
+}
+
+ctl_exit_t
+cmd_undrain(const options_t *o)
+{
+    return set_drain(o, false);
+}
--- /dev/null
+++ b/siskinctl/main.c
@@ -0,0 +1,236 @@
+/* siskinctl: check, apply and follow the configuration, look at instances.
+ * One table names each command, what it is for and which options it takes.
+ */
+#include "siskinctl/ctl.h"
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PLATFORM_DEFAULT "http://127.0.0.1:8500"
+#define ADMIN_DEFAULT "127.0.0.1:6004"
+#define ERRORS_MAX 5
+
+typedef enum {
+    OPT_JSON = 1 << 0,
+    OPT_SETTINGS = 1 << 1,
+    OPT_PLATFORM = 1 << 2,
+    OPT_ADMIN = 1 << 3,
+    OPT_UPSTREAM = 1 << 4,
+    OPT_INTO = 1 << 5,
+    OPT_ON = 1 << 6, /* and --change-id */
+    OPT_COUNT = 1 << 7,
+    OPT_FILES = 1 << 8,    /* one at least */
+    OPT_FILE_OPT = 1 << 9, /* one at most */
+} opt_t;
+
+static const struct {
+    const char *name;
+    ctl_exit_t (*run)(const options_t *o);
+    unsigned opts;
+    const char *help;
+} commands[] = {
+    {"check", cmd_check, OPT_JSON | OPT_SETTINGS | OPT_FILES,
+     "Checks a base file and its overlays as a whole."},
+    {"apply", cmd_apply, OPT_JSON | OPT_PLATFORM | OPT_ON | OPT_FILES,
+     "Makes the files the next version, if none came since the one edited."},
+    {"show", cmd_show, OPT_JSON | OPT_PLATFORM | OPT_INTO | OPT_FILE_OPT,
+     "Prints the version in force, or one of its texts (base, a data "
+     "centre)."},
+    {"diff", cmd_diff, OPT_JSON | OPT_PLATFORM | OPT_FILES,
+     "Tells what applying the files would change."},
+    {"watch", cmd_watch, OPT_JSON | OPT_PLATFORM | OPT_COUNT,
+     "Tells each new version and what it changes."},
+    {"status", cmd_status, OPT_JSON | OPT_ADMIN,
+     "Shows an instance's version, peers, upstreams, services."},
+    {"flows", cmd_flows, OPT_JSON | OPT_ADMIN, "Shows an instance's flows."},
+    {"drain", cmd_drain, OPT_JSON | OPT_PLATFORM | OPT_ADMIN | OPT_UPSTREAM,
+     "Drains an instance, or with --upstream an upstream everywhere."},
+    {"undrain", cmd_undrain,
+     OPT_JSON | OPT_PLATFORM | OPT_ADMIN | OPT_UPSTREAM,
+     "Takes a drain back."},
+};
+
+#define N_COMMANDS (sizeof(commands) / sizeof(commands[0]))
+
+/* The options of one command, in argtable's form. */
+typedef struct {
+    struct arg_lit *help, *json, *settings;
+    struct arg_str *platform, *admin, *upstream, *into, *change_id;
+    struct arg_int *on, *count;
+    struct arg_file *files;
+    struct arg_end *end;
+    void *table[16];
+    size_t n;
+} args_t;
+
+static void *
+take(args_t *a, bool wanted, void *arg)
+{
+    if (wanted) {
+        a->table[a->n++] = arg;
+        return arg;
+    }
+    free(arg);
+    return NULL;
+}
+
+static void
+args_build(args_t *a, unsigned opts)
+{
+    int least = opts & OPT_FILES ? 1 : 0;
+    int most = opts & OPT_FILES ? CTL_FILES_MAX : 1;
+    const char *what = opts & OPT_FILES ? "FILE" : "NAME";
+
+    *a = (args_t){0};
+    a->help = take(a, true, arg_lit0("h", "help", "print this"));
+    a->json = take(a, opts & OPT_JSON,
+                   arg_lit0(NULL, "json", "JSON on standard output"));
+    a->settings = take(
+        a, opts & OPT_SETTINGS,
+        arg_lit0(NULL, "settings", "the files are settings of instances"));
+    a->platform = take(a, opts & OPT_PLATFORM,
+                       arg_str0("p", "platform", "URL",
+                                "the platform (" PLATFORM_DEFAULT
+                                ", or $SISKIN_PLATFORM)"));
+    a->admin = take(a, opts & OPT_ADMIN,
+                    arg_str0("a", "admin", "IP:PORT",
+                             "admin port of the instance (" ADMIN_DEFAULT
+                             ", or $SISKIN_ADMIN)"));
+    a->upstream = take(a, opts & OPT_UPSTREAM,
+                       arg_str0("u", "upstream", "IP:PORT",
+                                "the upstream, in place of an instance"));
+    a->into = take(
+        a, opts & OPT_INTO,
+        arg_str0(NULL, "into", "DIR", "write the texts to new files there"));
+    a->on = take(a, opts & OPT_ON,
+                 arg_int0(NULL, "on", "N", "the version that was edited"));
+    a->change_id = take(a, opts & OPT_ON,
+                        arg_str0(NULL, "change-id", "ID",
+                                 "of an earlier try whose outcome is "
+                                 "unknown"));
+    a->count = take(a, opts & OPT_COUNT,
+                    arg_int0("n", "count", "N", "stop after N versions"));
+    a->files = take(a, opts & (OPT_FILES | OPT_FILE_OPT),
+                    arg_filen(NULL, NULL, what, least, most,
+                              opts & OPT_FILES ? "base file and overlays"
+                                               : "base, or a data centre"));
+    a->end = take(a, true, arg_end(ERRORS_MAX));
+}
+
+static const char *
+string_or_env(const struct arg_str *arg, const char *env, const char *absent)
+{
+    const char *s = getenv(env);
+
+    if (arg != NULL && arg->count > 0) {
+        return arg->sval[0];
+    }
+    return s != NULL && *s != '\0' ? s : absent;
+}
+
+static const char *
+string_or_null(const struct arg_str *arg)
+{
+    return arg != NULL && arg->count > 0 ? arg->sval[0] : NULL;
+}
+
+static bool
+given(const struct arg_lit *arg)
+{
+    return arg != NULL && arg->count > 0;
+}
+
+static void
+options_fill(options_t *o, const args_t *a)
+{
+    *o = (options_t){
+        .json = given(a->json),
+        .settings = given(a->settings),
+        .platform =
+            string_or_env(a->platform, "SISKIN_PLATFORM", PLATFORM_DEFAULT),
+        .admin = string_or_env(a->admin, "SISKIN_ADMIN", ADMIN_DEFAULT),
+        .upstream = string_or_null(a->upstream),
+        .into = string_or_null(a->into),
+        .change_id = string_or_null(a->change_id),
+        .on = a->on != NULL && a->on->count > 0 ? a->on->ival[0] : -1,
+        .count =
+            a->count != NULL && a->count->count > 0 ? a->count->ival[0] : 0,
+    };
+    for (int i = 0; a->files != NULL && i < a->files->count; i++) {
+        o->files[o->n_files++] = a->files->filename[i];
+    }
+}
+
+static void
+usage(FILE *to)
+{
+    fprintf(to, "usage: siskinctl COMMAND [OPTION]... [FILE]...\n"
+                "       siskinctl COMMAND --help\n\n");
+    for (size_t i = 0; i < N_COMMANDS; i++) {
+        fprintf(to, "  %-8s %s\n", commands[i].name, commands[i].help);
+    }
+    fprintf(to, "\nexit codes: 0 done; 1 no, refused, or it differs; 2 bad "
+                "usage or files;\n3 platform or instance out of reach; 4 "
+                "outcome unknown; 5 lost a race\n");
+}
+
+static void
+command_help(size_t i, args_t *a)
+{
+    printf("usage: siskinctl %s", commands[i].name);
+    arg_print_syntax(stdout, a->table, "\n");
+    printf("%s\n\n", commands[i].help);
+    arg_print_glossary(stdout, a->table, "  %-22s %s\n");
+}
+
+static ctl_exit_t
+run(size_t i, int argc, char **argv)
+{
+    char name[64];
+    args_t a;
+    options_t o;
+    ctl_exit_t rc;
+    int errors;
+
+    snprintf(name, sizeof(name), "siskinctl %s", commands[i].name);
+    args_build(&a, commands[i].opts);
+    errors = arg_parse(argc, argv, a.table);
+    if (a.help->count > 0) {
+        command_help(i, &a);
+        rc = CTL_OK;
+    }
+    else if (errors > 0) {
+        arg_print_errors(stderr, a.end, name);
+        fprintf(stderr, "Try \"%s --help\".\n", name);
+        rc = CTL_USAGE;
+    }
+    else {
+        options_fill(&o, &a);
+        rc = commands[i].run(&o);
+    }
+    arg_freetable(a.table, a.n);
+    return rc;
+}
+
+int
+main(int argc, char **argv)
+{
+    if (argc < 2) {
+        usage(stderr);
+        return CTL_USAGE;
+    }
+    if (strcmp(argv[1], "--help") == 0 || strcmp(argv[1], "-h") == 0) {
+        usage(stdout);
+        return CTL_OK;
+    }
+    for (size_t i = 0; i < N_COMMANDS; i++) {
+        if (strcmp(commands[i].name, argv[1]) == 0) {
+            return run(i, argc - 1, argv + 1);
+        }
+    }
+    fprintf(stderr, "siskinctl: no command \"%s\"\n", argv[1]);
+    usage(stderr);
+    return CTL_USAGE;
+}
--- /dev/null
+++ b/siskinctl/version.c
@@ -0,0 +1,277 @@
+/* siskinctl check, diff, show and watch: files and versions, read only. */
+#include "siskinctl/ctl.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define WATCH_MS 30000
+#define AWAY_S 1 /* between tries while the platform is out of reach */
+
+/* ---- check ---- */
+
+static ctl_exit_t
+check_settings(const options_t *o)
+{
+    settings_t s;
+    err_t e = {0};
+
+    for (size_t i = 0; i < o->n_files; i++) {
+        if (settings_read(&s, o->files[i], &e) < 0) {
+            return ctl_fail(o, CTL_USAGE, &e);
+        }
+    }
+    return CTL_OK;
+}
+
+ctl_exit_t
+cmd_check(const options_t *o)
+{
+    conf_bundle_t b;
+    ctl_exit_t code;
+
+    code = o->settings ? check_settings(o) : ctl_read_files(o, &b);
+    if (code == CTL_OK && !o->settings) {
+        bundle_free(&b);
+    }
+    if (code == CTL_OK && o->json) {
+        ctl_json(json_pack("{sb}", "ok", 1));
+    }
+    return code;
+}
+
+/* ---- diff ---- */
+
+static ctl_exit_t
+print_diff(const options_t *o, const conf_bundle_t *cur,
+           const conf_bundle_t *files)
+{
+    json_t *lines = ctl_diff(cur, files);
+    bool same = cur->n > 0 && cur->hash == files->hash;
+
+    if (o->json) {
+        ctl_json(json_pack("{sI sb sO}", "version", (json_int_t)cur->version,
+                           "same", same, "differences", lines));
+    }
+    else {
+        ctl_lines(lines);
+    }
+    if (!same && json_array_size(lines) == 0 && !o->json) {
+        printf("Only comments or layout differ.\n");
+    }
+    json_decref(lines);
+    return same ? CTL_OK : CTL_NO;
+}
+
+ctl_exit_t
+cmd_diff(const options_t *o)
+{
+    conf_bundle_t files, cur;
+    plat_t *p;
+    ctl_exit_t code = ctl_read_files(o, &files);
+
+    if (code != CTL_OK) {
+        return code;
+    }
+    p = plat_new(o->platform);
+    code = ctl_read_platform(o, p, &cur);
+    plat_free(p);
+    if (code == CTL_OK) {
+        code = print_diff(o, &cur, &files);
+        bundle_free(&cur);
+    }
+    bundle_free(&files);
+    return code;
+}
+
+/* ---- show ---- */
+
+static ctl_exit_t
+fail_show(const options_t *o, const char *peer, const char *text)
+{
+    err_t e;
+
+    err_set(&e, -ENOENT, "show", peer, "%s", text);
+    return ctl_fail(o, CTL_NO, &e);
+}
+
+static ctl_exit_t
+show_one(const options_t *o, const conf_bundle_t *b)
+{
+    for (size_t i = 0; i < b->n; i++) {
+        if (strcmp(b->file[i], o->files[0]) == 0) {
+            fputs(b->text[i], stdout);
+            return CTL_OK;
+        }
+    }
+    return fail_show(o, o->files[0],
+                     "no such text; expected base or a data centre in force");
+}
+
+/* "x": a file that stands there may hold an operator's unapplied edits. */
+static ctl_exit_t
+write_file(const options_t *o, const char *name, const char *text)
+{
+    char path[512];
+    FILE *f;
+    int bad;
+
+    snprintf(path, sizeof(path), "%s/%s.toml", o->into, name);
+    f = fopen(path, "wx");
+    if (f == NULL) {
+        return fail_show(o, path, strerror(errno));
+    }
+    bad = fputs(text, f) < 0;
+    bad |= fclose(f) != 0;
+    return bad ? fail_show(o, path, "can't be written whole") : CTL_OK;
+}
+
+static ctl_exit_t
+show_into(const options_t *o, const conf_bundle_t *b)
+{
+    ctl_exit_t code = CTL_OK;
+
+    for (size_t i = 0; i < b->n && code == CTL_OK; i++) {
+        code = write_file(o, b->file[i], b->text[i]);
+    }
+    if (code == CTL_OK) {
+        printf("version %llu\n", (unsigned long long)b->version);
+    }
+    return code;
+}
+
+static ctl_exit_t
+show_all(const options_t *o, const conf_bundle_t *b)
+{
+    char *json;
+
+    if (o->json) {
+        json = bundle_write(b);
+        puts(json);
+        free(json);
+        return CTL_OK;
+    }
+    printf("# version %llu, change %s, hash %016llx\n",
+           (unsigned long long)b->version, b->change_id,
+           (unsigned long long)b->hash);
+    for (size_t i = 0; i < b->n; i++) {
+        printf("\n# ---- %s ----\n%s", b->file[i], b->text[i]);
+    }
+    return CTL_OK;
+}
+
+static ctl_exit_t
+show(const options_t *o, const conf_bundle_t *b)
+{
+    if (b->n == 0) {
+        return fail_show(o, o->platform, "no version has been applied yet");
+    }
+    if (o->n_files > 0) {
+        return show_one(o, b);
+    }
+    return o->into != NULL ? show_into(o, b) : show_all(o, b);
+}
+
+ctl_exit_t
+cmd_show(const options_t *o)
+{
+    conf_bundle_t b;
+    plat_t *p = plat_new(o->platform);
+    ctl_exit_t code = ctl_read_platform(o, p, &b);
+
+    plat_free(p);
+    if (code == CTL_OK) {
+        code = show(o, &b);
+        bundle_free(&b);
+    }
+    return code;
+}
+
+/* ---- watch ---- */
+
+static void
+tell_version(const options_t *o, const conf_bundle_t *old,
+             const conf_bundle_t *b)
+{
+    json_t *lines = old->n > 0 ? ctl_diff(old, b) : json_array();
+
+    if (o->json) {
+        ctl_json(json_pack("{sI ss sO}", "version", (json_int_t)b->version,
+                           "change_id", b->change_id, "differences", lines));
+    }
+    else {
+        printf("version %llu, change %s\n", (unsigned long long)b->version,
+               b->change_id);
+        ctl_lines(lines);
+    }
+    fflush(stdout);
+    json_decref(lines);
+}
+
+/* Waits for a version later than LAST's.  -ENODATA: none yet. */
+static int
+next_version(plat_t *p, const conf_bundle_t *last, uint64_t *revision,
+             conf_bundle_t *next, err_t *e)
+{
+    ms_t wait = last->n > 0 || *revision > 0 ? WATCH_MS : 0;
+    uint64_t seen;
+    char *json;
+    int rc = plat_get(p, PLAT_CONFIG_KEY, wait, *revision, &json, &seen, e);
+
+    if (rc < 0) {
+        return rc;
+    }
+    if (json == NULL) {
+        *revision = 0;
+        sleep(AWAY_S);
+        return -ENODATA;
+    }
+    rc = bundle_read(next, json, e);
+    free(json);
+    if (rc < 0) {
+        return rc;
+    }
+    /* A stale read shows an earlier version again. */
+    if (next->version <= last->version) {
+        bundle_free(next);
+        return -ENODATA;
+    }
+    *revision = seen;
+    return 0;
+}
+
+ctl_exit_t
+cmd_watch(const options_t *o)
+{
+    plat_t *p = plat_new(o->platform);
+    conf_bundle_t last = {0}, next;
+    uint64_t revision = 0;
+    int64_t told = 0;
+    bool away = false;
+    err_t e;
+    int rc;
+
+    while (o->count == 0 || told < o->count) {
+        rc = next_version(p, &last, &revision, &next, &e);
+        if (rc == 0) {
+            tell_version(o, &last, &next);
+            bundle_free(&last);
+            last = next;
+            told++;
+        }
+        else if (rc != -ENODATA) {
+            if (!away) {
+                ctl_fail(o, CTL_AWAY, &e);
+                fflush(stdout);
+            }
+            sleep(AWAY_S);
+        }
+        away = rc < 0 && rc != -ENODATA;
+    }
+    bundle_free(&last);
+    plat_free(p);
+    return CTL_OK;
+}
--- /dev/null
+++ b/test/ctl_test.cc
@@ -0,0 +1,107 @@
+// siskinctl against an instance's admin port, which a canned server plays.
+#include "standin/rest.h"
+
+#include <gtest/gtest.h>
+#include <stdio.h>
+#include <string.h>
+#include <string>
+#include <sys/wait.h>
+#include <unistd.h>
+
+static const char *const status = R"({"instance":"moravia-1",
+"data_centre":"brno-sal-a","state":"active","version":7,"version_age_ms":1200,
+"flows":12,"peers":[{"name":"moravia-2","state":"active","version":7},
+{"name":"moravia-10","state":"suspect","version":6}],
+"upstreams":[],"services":[{"name":"dohled","requests":{"urgent":3,"feed":1},
+"refused":{"full":2}}]})";
+
+class Ctl : public testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        rest = si_rest_open(0, serve, this, NULL);
+        ASSERT_TRUE(rest);
+    }
+    void
+    TearDown() override
+    {
+        si_rest_close(rest);
+    }
+    static si_reply_t
+    serve(void *arg, const si_request_t *r)
+    {
+        Ctl *self = (Ctl *)arg;
+        self->seen += std::string(r->method) + " " + r->path + "\n";
+        return {self->answer, json_loads(status, 0, NULL)};
+    }
+    // The output of a command; its exit code goes to CODE.
+    std::string
+    run(const std::string &command)
+    {
+        char self[512], buf[4096];
+        ssize_t len = readlink("/proc/self/exe", self, sizeof(self) - 1);
+        std::string dir(self, len > 0 ? (size_t)len : 0);
+        dir.erase(dir.rfind('/'));
+        FILE *f =
+            popen((dir + "/siskinctl " + command + " --admin 127.0.0.1:" +
+                   std::to_string(si_rest_port(rest)) + " 2>/dev/null")
+                      .c_str(),
+                  "r");
+        size_t n = fread(buf, 1, sizeof(buf), f);
+        code = WEXITSTATUS(pclose(f));
+        return std::string(buf, n);
+    }
+    si_rest_t *rest;
+    int answer = 200, code = -1;
+    std::string seen;
+};
+
+TEST_F(Ctl, StatusIsShownAsLinesAndTables)
+{
+    std::string out = run("status");
+    EXPECT_EQ(0, code);
+    EXPECT_EQ("GET /status\n", seen);
+    EXPECT_NE(std::string::npos, out.find("version          7\n"));
+    EXPECT_NE(std::string::npos, out.find("\npeers\n"
+                                          "name        state    version\n"
+                                          "moravia-2   active   7\n"
+                                          "moravia-10  suspect  6\n"))
+        << out;
+    EXPECT_NE(std::string::npos, out.find("dohled  urgent=3 feed=1  full=2\n"))
+        << out;
+}
+
+TEST_F(Ctl, FlowsAreGivenAsJson)
+{
+    std::string out = run("flows --json");
+    EXPECT_EQ(0, code);
+    EXPECT_EQ("GET /flows\n", seen);
+    json_t *a = json_loads(out.c_str(), 0, NULL);
+    json_t *b = json_loads(status, 0, NULL);
+    EXPECT_TRUE(json_equal(a, b)) << out;
+    json_decref(a);
+    json_decref(b);
+}
+
+TEST_F(Ctl, DrainIsQuietAndPosts)
+{
+    EXPECT_EQ("", run("drain"));
+    EXPECT_EQ(0, code);
+    EXPECT_EQ("", run("undrain"));
+    EXPECT_EQ("POST /drain\nPOST /undrain\n", seen);
+    answer = 409;
+    run("undrain");
+    EXPECT_EQ(1, code);
+}
+
+// The instance takes the drain and its answer is lost: neither "done" nor
+// "not done" would be true.
+TEST_F(Ctl, LostAnswerToADrainIsUnknown)
+{
+    answer = 0;
+    run("drain");
+    EXPECT_EQ(4, code);
+    run("status");
+    EXPECT_EQ(3, code);
+}
--- /dev/null
+++ b/test/ctl_usage.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# The command line: help, wrong usage, an instance out of reach; the sample
+# deployments check.  usage: test/ctl_usage.sh BUILD
+. "$(dirname "$0")/ctl_lib.bash"
+
+run() {
+    ctl
+    ctl --help
+    ctl nothing
+    for c in check apply show diff watch status flows drain undrain; do
+        ctl $c --help
+    done
+    ctl check --nothing base.toml
+    ctl status
+    ctl drain
+    ctl status --json
+    cd "$root/examples" || exit 1
+    ctl check moravia/{base,brno-sal-a,brno-sal-b,olomouc-sal,ostrava-sal}.toml
+    ctl check bogota/{nave-a,nave-b,sala-datos,base}.toml
+    ctl check --settings moravia/instance-{1..7}.toml
+    ctl check --settings bogota/instance-{1..9}.toml
+    ctl check --settings moravia/base.toml
+    ctl check --json moravia/base.toml
+}
+
+run >"$dir/out"
+expect <"$dir/out"
--- a/test/plat_test.cc
+++ b/test/plat_test.cc
@@ -3,6 +3,7 @@
 #include "plat/plat.h"
 #include "plat/http.h"
 #include "standin/platform.h"
+#include "standin/rest.h"
 
 #include <errno.h>
 #include <functional>
@@ -320,6 +321,31 @@
     EXPECT_EQ(1u, version());
 }
 
+// The platform takes the write, and before it answers it goes away for long.
+// The tool can't tell whether the version stands and says so.
+TEST(Apply, WriteThatCantBeReadBackIsUnknown)
+{
+    bool written = false;
+    auto serve = [](void *arg, const si_request_t *r) -> si_reply_t {
+        bool *gone = (bool *)arg;
+        if (!*gone && strcmp(r->method, "GET") == 0) {
+            return {404, json_pack("{si}", "revision", 0)};
+        }
+        *gone = true;
+        return {0, NULL};
+    };
+    si_rest_t *rest = si_rest_open(0, serve, &written, NULL);
+    ASSERT_TRUE(rest);
+    std::string url = "http://127.0.0.1:" + std::to_string(si_rest_port(rest));
+    plat_t *p = plat_new(url.c_str());
+    Bundle x(4, "one");
+    err_t e = {};
+    EXPECT_EQ(-EIO, plat_apply(p, &x.b, 0, NULL, &e));
+    EXPECT_TRUE(strstr(e.text, "change ID one")) << e.text;
+    plat_free(p);
+    si_rest_close(rest);
+}
+
 TEST_F(Plat, StepThatSwapsAnUpstreamIsRefused)
 {
     ASSERT_EQ(0, apply(4, "one", 0));
