--- a/standin/platform.h
+++ b/standin/platform.h
@@ -20,7 +20,7 @@
 
 #define SI_PLATFORM_PARAMS                                                    \
     {                                                                         \
-        .port = 8500, .list_lag_ms = 2000, .expire_ms = 3000                  \
+        .port = 8500, .list_lag_ms = 2000, .expire_ms = 6000                  \
     }
 
 typedef struct si_platform si_platform_t;
--- a/standin/platform_main.c
+++ b/standin/platform_main.c
@@ -36,7 +36,7 @@
     struct arg_int *lag =
         arg_int0(NULL, "list-lag-ms", "MS", "lag of the list (2000)");
     struct arg_int *expire = arg_int0(
-        NULL, "expire-ms", "MS", "an instance not renewed vanishes (3000)");
+        NULL, "expire-ms", "MS", "an instance not renewed vanishes (6000)");
     struct arg_lit *help = arg_lit0("h", "help", "print this");
     struct arg_end *end = arg_end(5);
     void *table[] = {port, lag, expire, help, end};
