member: a body reader that refuses containers before it unpacks

The property over damaged bodies found that msgpack-c allocates what an array's length announces (256 GB for five bytes).

Run: member_test, 16 passed; twice under ASan and UBSan, 16 passed.

--- a/member/body.c
+++ b/member/body.c
@@ -107,9 +107,21 @@
     bool bad;
 } reader_t;
 
+/* Arrays and maps: msgpack-c allocates what their length announces before it
+ * looks for the elements, 256 GB for five bytes.  No body holds either. */
+static bool
+is_container(uint8_t first)
+{
+    return (first >= 0x80 && first <= 0x9f) ||
+           (first >= 0xdc && first <= 0xdf);
+}
+
 static bool
 get(reader_t *r, msgpack_object_type want)
 {
+    if (r->off < r->len && is_container((uint8_t)r->p[r->off])) {
+        r->bad = true;
+    }
     if (!r->bad && (msgpack_unpack_next(&r->u, r->p, r->len, &r->off) !=
                         MSGPACK_UNPACK_SUCCESS ||
                     r->u.data.type != want)) {
