siskind: the daemon, a thread a duty

receive, decide, send, watch, roster, bulk, admin and main, joined by the kernel's inboxes. Found on the way: settings' drain period is the most that a leaving instance waits, not the least; the least is the time from the platform's taking 'leaving' until its lagging list has shown it.

--- /dev/null
+++ b/siskind/admin.c
@@ -0,0 +1,175 @@
+/* The admin duty: HTTP for operators (libmicrohttpd), on a loopback address.
+ * Each answer is made from a snapshot that the decide duty gives. */
+#include "siskind/siskind.h"
+
+#include <errno.h>
+#include <microhttpd.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define ANSWER_MS 2000
+#define CONNECTIONS_MAX 16
+#define IDLE_S 5
+
+#define JSON "application/json"
+#define PROMETHEUS "text/plain; version=0.0.4"
+
+static enum MHD_Result
+reply(struct MHD_Connection *c, unsigned status, const char *type, char *text)
+{
+    struct MHD_Response *r;
+    enum MHD_Result rc;
+
+    if (text == NULL) {
+        return MHD_NO;
+    }
+    r = MHD_create_response_from_buffer(strlen(text), text,
+                                        MHD_RESPMEM_MUST_FREE);
+    if (r == NULL) {
+        free(text);
+        return MHD_NO;
+    }
+    MHD_add_response_header(r, "Content-Type", type);
+    rc = MHD_queue_response(c, status, r);
+    MHD_destroy_response(r);
+    return rc;
+}
+
+static enum MHD_Result
+fail(struct MHD_Connection *c, unsigned status, const char *text)
+{
+    return reply(c, status, JSON, strdup(text));
+}
+
+/* Asks decide, and waits a bounded time. */
+static ask_t *
+ask_decide(const daemon_t *d, ask_kind_t kind)
+{
+    ask_t *a = ask_new(kind);
+    note_t *n = note_new(MSG_ASK);
+
+    if (a == NULL || n == NULL) {
+        free(n);
+        if (a != NULL) {
+            ask_release(a);
+            ask_release(a);
+        }
+        return NULL;
+    }
+    n->ask = a;
+    if (note_post(kern_find(d->kern, "decide"), n) < 0 ||
+        ask_wait(a, ANSWER_MS) < 0) {
+        ask_release(a);
+        return NULL;
+    }
+    return a;
+}
+
+typedef enum { PAGE_METRICS, PAGE_STATUS, PAGE_FLOWS, PAGE_CHANGE } page_t;
+
+typedef struct {
+    const char *method, *path;
+    ask_kind_t ask;
+    page_t page;
+} route_t;
+
+static const route_t routes[] = {
+    {"GET", "/metrics", ASK_STATUS, PAGE_METRICS},
+    {"GET", "/status", ASK_STATUS, PAGE_STATUS},
+    {"GET", "/flows", ASK_STATUS, PAGE_FLOWS},
+    {"POST", "/drain", ASK_DRAIN, PAGE_CHANGE},
+    {"POST", "/undrain", ASK_UNDRAIN, PAGE_CHANGE},
+};
+
+static enum MHD_Result
+answer(struct MHD_Connection *c, const daemon_t *d, const route_t *route)
+{
+    ask_t *a = ask_decide(d, route->ask);
+    enum MHD_Result rc = MHD_NO;
+
+    if (a == NULL) {
+        return fail(c, MHD_HTTP_SERVICE_UNAVAILABLE,
+                    "{\"error\":\"decide is busy: ask again\"}\n");
+    }
+    switch (route->page) {
+    case PAGE_METRICS:
+        rc = reply(c, MHD_HTTP_OK, PROMETHEUS, report_metrics(d, &a->view));
+        break;
+    case PAGE_FLOWS:
+        rc = reply(c, MHD_HTTP_OK, JSON, report_flows(&a->view));
+        break;
+    case PAGE_STATUS:
+        rc = reply(c, MHD_HTTP_OK, JSON, report_status(d, &a->view));
+        break;
+    case PAGE_CHANGE:
+        rc = reply(c, a->rc < 0 ? MHD_HTTP_CONFLICT : MHD_HTTP_OK, JSON,
+                   report_status(d, &a->view));
+        break;
+    }
+    ask_release(a);
+    return rc;
+}
+
+static enum MHD_Result
+on_request(void *arg, struct MHD_Connection *c, const char *path,
+           const char *method, const char *version, const char *body,
+           size_t *body_len, void **state)
+{
+    static int seen;
+    bool known = false;
+
+    (void)version;
+    (void)body;
+    /* The first call has the headers only; a body is read and ignored. */
+    if (*state == NULL) {
+        *state = &seen;
+        return MHD_YES;
+    }
+    if (*body_len > 0) {
+        *body_len = 0;
+        return MHD_YES;
+    }
+    for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
+        if (strcmp(path, routes[i].path) != 0) {
+            continue;
+        }
+        if (strcmp(method, routes[i].method) == 0) {
+            return answer(c, arg, &routes[i]);
+        }
+        known = true;
+    }
+    return known ? fail(c, MHD_HTTP_METHOD_NOT_ALLOWED,
+                        "{\"error\":\"another method is expected\"}\n")
+                 : fail(c, MHD_HTTP_NOT_FOUND,
+                        "{\"error\":\"expected /metrics, /status, /flows, "
+                        "/drain or /undrain\"}\n");
+}
+
+void
+admin_run(duty_t *self, void *daemon)
+{
+    daemon_t *d = daemon;
+    struct sockaddr_storage ss;
+    struct MHD_Daemon *http;
+    char text[ADDR_STRLEN];
+    unsigned flags = MHD_USE_INTERNAL_POLLING_THREAD;
+
+    addr_to_sock(&d->settings.admin_addr, &ss);
+    if (ss.ss_family == AF_INET6) {
+        flags |= MHD_USE_IPv6;
+    }
+    http = MHD_start_daemon(
+        flags, 0, NULL, NULL, on_request, d, MHD_OPTION_SOCK_ADDR,
+        (struct sockaddr *)&ss, MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX,
+        MHD_OPTION_CONNECTION_TIMEOUT, IDLE_S, MHD_OPTION_END);
+    if (http == NULL) {
+        log_line(LVL_ERROR, "admin", "It can't listen. peer=%s error=\"%s\"",
+                 addr_text(&d->settings.admin_addr, text), strerror(errno));
+        return;
+    }
+    while (!duty_stopping(self)) {
+        duty_wait(self, NULL, 0, 1000);
+    }
+    MHD_stop_daemon(http);
+}
--- /dev/null
+++ b/siskind/decide.c
@@ -0,0 +1,336 @@
+/* The decide duty: owns core and members, and so every decision. */
+#include "siskind/decide.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define TAKE 64
+#define TICK_MS 20
+#define PORTS_RETRY_MS 1000
+
+/* Sizes of core's tables: 24 MB of flows, 12 MB of hints and 11 MB of
+ * exchanges when all are in use. */
+#define MAX_FLOWS 500000
+#define MAX_HINTS 500000
+#define MAX_EXCHANGES 16384
+
+static void
+on_peer(decide_t *c, const packet_t *p)
+{
+    peer_msg_t m;
+
+    if (peer_read(&m, p->data, p->len, c->d->peer_key) < 0 ||
+        m.from == c->d->self) {
+        counter_add(&c->d->count.peer_refused, 1);
+        return;
+    }
+    if (m.kind != PEER_MEMBER) {
+        core_from_peer(c->core, c->now, &m);
+        return;
+    }
+    if (members_receive(c->members, c->now, m.from, m.member.body,
+                        m.member.len) < 0) {
+        counter_add(&c->d->count.peer_refused, 1);
+    }
+}
+
+static void
+on_packet(decide_t *c, packet_t *p)
+{
+    if (c->now - p->at > STALE_MS) {
+        counter_add(&c->d->count.stale_in, 1);
+        return;
+    }
+    switch (p->sock) {
+    case SOCK_SERVICE:
+        core_from_client(c->core, c->now, &p->service, &p->remote, p->data,
+                         p->len);
+        return;
+    case SOCK_RETURN:
+    case SOCK_OWN:
+        core_from_upstream(c->core, c->now, &p->remote, p->data, p->len);
+        return;
+    case SOCK_PEER:
+        on_peer(c, p);
+        return;
+    }
+}
+
+static void
+post_ports(decide_t *c, duty_t *to)
+{
+    note_t *n = note_new(MSG_PORTS);
+
+    if (n == NULL) {
+        return;
+    }
+    n->ports = ports_hold(c->ports);
+    if (note_post(to, n) < 0) {
+        c->ports->missing = true; /* so that it is tried again */
+    }
+}
+
+/* Opens the services' sockets; those that can't be bound are tried again. */
+static void
+open_ports(decide_t *c)
+{
+    port_set_t *p = ports_make(c->conf, &c->d->settings, c->ports);
+
+    c->ports_at = c->now;
+    if (p == NULL) {
+        return;
+    }
+    ports_release(c->ports);
+    c->ports = p;
+    post_ports(c, c->send); /* first, so that answers find their socket */
+    post_ports(c, c->receive);
+}
+
+/* Gives the version in force to bulk, which serves it to peers. */
+static void
+publish(decide_t *c, char *json)
+{
+    note_t *n = note_new(MSG_BUNDLE);
+
+    if (n == NULL) {
+        free(json);
+        return;
+    }
+    n->conf.json = json;
+    note_post(c->bulk, n);
+}
+
+/* Versions only rise: a late answer of the platform or of a peer that is
+ * behind ends here. */
+static void
+on_conf(decide_t *c, note_t *n)
+{
+    conf_t *conf = n->conf.conf;
+    conf_t *old = c->conf;
+
+    if (core_set_conf(c->core, c->now, conf) < 0) {
+        return;
+    }
+    n->conf.conf = NULL;
+    c->conf = conf;
+    c->conf_at = c->now;
+    members_set_version(c->members, c->now, conf->version, conf->hash);
+    FACT_SET(c->d, version, conf->version);
+    open_ports(c);
+    publish(c, n->conf.json);
+    n->conf.json = NULL;
+    conf_free(old);
+    log_line(LVL_INFO, "decide",
+             "A version is in force. version=%llu "
+             "services=%u change=%s",
+             (unsigned long long)conf->version, conf->n_services,
+             conf->change_id);
+}
+
+static void
+on_list(decide_t *c, const note_t *n)
+{
+    uint64_t *ids = calloc(n->list.n + 1, sizeof(*ids));
+    size_t others = 0;
+    bool listed = false;
+
+    if (ids == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < n->list.n; i++) {
+        const plat_instance_t *in = &n->list.instance[i];
+        member_t m = {.id = instance_id(in->name),
+                      .peer_addr = in->peer_addr,
+                      .bulk_addr = in->bulk_addr,
+                      .state = MEMBER_JOINING};
+        ids[i] = m.id;
+        listed |= m.id == c->d->self;
+        if (m.id == c->d->self || in->leaving) {
+            continue;
+        }
+        others++;
+        memcpy(m.name, in->name, sizeof(m.name));
+        memcpy(m.data_centre, in->data_centre, sizeof(m.data_centre));
+        members_learn(c->members, c->now, &m);
+    }
+    members_listed(c->members, c->now, ids, n->list.n);
+    c->alone = listed && others == 0;
+    free(ids);
+}
+
+static void
+on_note(decide_t *c, note_t *n)
+{
+    switch (n->kind) {
+    case MSG_CONF:
+        on_conf(c, n);
+        break;
+    case MSG_LIST:
+        on_list(c, n);
+        break;
+    case MSG_ASK:
+        view_answer(c, n->ask);
+        break;
+    case MSG_LEAVE:
+        c->stopping = true;
+        life_leave(c);
+        break;
+    default:
+        break;
+    }
+}
+
+/* Tells core of members and of what is in doubt, when any of it changed. */
+static void
+tell_core(decide_t *c)
+{
+    const member_t *list;
+    size_t n;
+    uint32_t peers = 0;
+    ms_t doubt = members_doubt_at(c->members, c->now);
+    uint64_t lowest = members_lowest_version(c->members);
+
+    if (!c->members_changed && doubt == c->doubt_at && lowest == c->lowest) {
+        return;
+    }
+    c->members_changed = false;
+    c->doubt_at = doubt;
+    c->lowest = lowest;
+    n = members_list(c->members, &list);
+    core_set_members(c->core, c->now, list, n, doubt, lowest);
+    for (size_t i = 0; i < n; i++) {
+        peers += list[i].id != c->d->self && list[i].state != MEMBER_GONE;
+    }
+    FACT_SET(c->d, peers, peers);
+}
+
+static void
+tick(decide_t *c)
+{
+    c->tick_at = c->now + TICK_MS;
+    members_tick(c->members, c->now);
+    core_tick(c->core, c->now);
+    FACT_SET(c->d, watches, members_watches(c->members, WATCHERS));
+    life_tick(c);
+    if (c->ports != NULL && c->ports->missing &&
+        c->now - c->ports_at >= PORTS_RETRY_MS) {
+        open_ports(c);
+    }
+}
+
+/* The tick goes first: after a pause it drops all trust before any message
+ * from before the pause is acted on. */
+static void
+one_turn(decide_t *c, duty_t *self)
+{
+    void *msg[TAKE];
+    size_t n = duty_take(self, msg, TAKE);
+
+    c->now = clock_now();
+    if (c->now >= c->tick_at) {
+        tick(c);
+    }
+    for (size_t i = 0; i < n; i++) {
+        if (((note_t *)msg[i])->kind == MSG_PACKET) {
+            on_packet(c, msg[i]);
+        }
+        else {
+            on_note(c, msg[i]);
+        }
+        msg_drop(msg[i]);
+        if (c->members_changed) {
+            tell_core(c);
+        }
+    }
+    tell_core(c);
+    duty_wake(c->send);
+    if (n == 0) {
+        duty_wait(self, NULL, 0, c->tick_at - c->now);
+    }
+}
+
+/* The peers that the settings name: they give a new instance members and the
+ * version in force while the platform is out of reach. */
+static void
+learn_seeds(decide_t *c)
+{
+    const settings_t *s = &c->d->settings;
+
+    for (int i = 0; i < s->n_peers; i++) {
+        const settings_peer_t *p = &s->peer[i];
+        member_t m = {.id = instance_id(p->name),
+                      .peer_addr = p->peer_addr,
+                      .bulk_addr = p->bulk_addr,
+                      .state = MEMBER_JOINING};
+        memcpy(m.name, p->name, sizeof(m.name));
+        memcpy(m.data_centre, p->data_centre, sizeof(m.data_centre));
+        if (m.id != c->d->self) {
+            members_learn(c->members, c->d->started, &m);
+        }
+    }
+}
+
+static bool
+decide_open(decide_t *c, duty_t *self)
+{
+    daemon_t *d = c->d;
+    const settings_t *s = &d->settings;
+    kern_t *k = duty_kern(self);
+    member_params_t params = MEMBER_PARAMS_DEFAULT;
+    member_t me = {.id = d->self,
+                   .peer_addr = s->peer_addr,
+                   .bulk_addr = s->bulk_addr,
+                   .incarnation = (uint32_t)time(NULL),
+                   .state = MEMBER_JOINING};
+    core_params_t core = {.self = d->self,
+                          .own_addr = s->own_addr,
+                          .seed = d->self ^ (uint64_t)time(NULL),
+                          .max_flows = MAX_FLOWS,
+                          .max_hints = MAX_HINTS,
+                          .max_exchanges = MAX_EXCHANGES};
+
+    memcpy(me.name, s->name, sizeof(me.name));
+    memcpy(me.data_centre, s->data_centre, sizeof(me.data_centre));
+    c->receive = kern_find(k, "receive");
+    c->send = kern_find(k, "send");
+    c->bulk = kern_find(k, "bulk");
+    c->roster = kern_find(k, "roster");
+    c->main = kern_find(k, "main");
+    c->state = MEMBER_JOINING;
+    c->members_changed = true;
+    c->core = core_new(&core, output_core, c);
+    c->members = members_new(&me, &params, core.seed, output_member, c);
+    if (c->core == NULL || c->members == NULL) {
+        return false;
+    }
+    learn_seeds(c);
+    return true;
+}
+
+void
+decide_run(duty_t *self, void *daemon)
+{
+    decide_t *c = calloc(1, sizeof(*c));
+
+    if (c == NULL) {
+        return;
+    }
+    c->d = daemon;
+    if (!decide_open(c, self)) {
+        log_line(LVL_ERROR, "decide", "No memory for the tables.");
+        note_post(c->main, note_new(MSG_LEFT));
+    }
+    else {
+        while (!duty_stopping(self)) {
+            one_turn(c, self);
+        }
+    }
+    core_free(c->core);
+    members_free(c->members);
+    ports_release(c->ports);
+    conf_free(c->conf);
+    free(c);
+}
--- /dev/null
+++ b/siskind/life.c
@@ -0,0 +1,145 @@
+/* The instance's own life: it joins, serves, leaves. */
+#include "siskind/decide.h"
+
+#include <errno.h>
+
+/* Without the platform's list and without any peer for so long, it serves. */
+#define ALONE_MS 10000
+/* Between two counts of what is pending: each looks at every flow. */
+#define LEAVE_CHECK_MS 200
+/* So long it goes on telling that it is gone, so that its silence is not
+ * taken for a failure. */
+#define FAREWELL_MS 400
+#define FAREWELL_MAX_MS 2000
+
+static void
+enter(decide_t *c, member_state_t state)
+{
+    c->state = state;
+    c->members_changed = true;
+    members_set_self(c->members, c->now, state);
+    log_line(LVL_INFO, "life", "The instance changes state. state=%s",
+             state_name(state));
+}
+
+/* A new instance that decided before the others know of it would be a second
+ * home beside the old one.  So it waits until all have heard of it, or until
+ * nobody is there to hear: the platform's list, which lags, already shows this
+ * instance, and so would show one that came before it. */
+static bool
+may_serve(const decide_t *c)
+{
+    if (c->conf == NULL || !members_acked(c->members)) {
+        return false;
+    }
+    return FACT(c->d, peers) > 0 || c->alone ||
+           c->now - c->d->started >= ALONE_MS;
+}
+
+static ms_t
+drain_ms(const decide_t *c)
+{
+    return c->conf != NULL ? c->conf->drain_ms : DRAIN_MS;
+}
+
+/* The fabric hands callers' datagrams to this instance until the lagging list
+ * has shown it as leaving; they must be forwarded until then.  While the
+ * platform is out of reach the list can't show it. */
+static bool
+fabric_knows(const decide_t *c)
+{
+    ms_t listed_at = FACT(c->d, leave_listed_at);
+
+    return listed_at > 0 && c->now - listed_at >= LIST_LAG_MS;
+}
+
+/* It stays until the fabric knows, its requests are answered and its pins are
+ * handed over; but no longer than the operators' drain period. */
+static bool
+may_stop(decide_t *c)
+{
+    uint32_t exchanges, pins;
+    bool late = c->now - c->leave_at >= drain_ms(c);
+
+    if (c->now < c->leave_check_at) {
+        return false;
+    }
+    c->leave_check_at = c->now + LEAVE_CHECK_MS;
+    core_pending(c->core, &exchanges, &pins);
+    if (fabric_knows(c) && exchanges == 0 && pins == 0) {
+        return true;
+    }
+    if (late) {
+        log_line(LVL_WARN, "life",
+                 "The drain period is over. exchanges=%u pins=%u listed=%d",
+                 exchanges, pins, fabric_knows(c));
+    }
+    return late;
+}
+
+/* The last word to the peers has been heard, or waited for long enough. */
+static bool
+said_farewell(const decide_t *c)
+{
+    ms_t since = c->now - c->gone_at;
+
+    return since >= FAREWELL_MAX_MS ||
+           (since >= FAREWELL_MS && members_acked(c->members));
+}
+
+void
+life_tick(decide_t *c)
+{
+    switch (c->state) {
+    case MEMBER_JOINING:
+        if (may_serve(c)) {
+            enter(c, MEMBER_ACTIVE);
+        }
+        return;
+    case MEMBER_LEAVING:
+        if (c->stopping && may_stop(c)) {
+            c->gone_at = c->now;
+            enter(c, MEMBER_GONE);
+        }
+        return;
+    case MEMBER_GONE:
+        if (!c->left && said_farewell(c)) {
+            c->left = true;
+            note_post(c->main, note_new(MSG_LEFT));
+        }
+        return;
+    case MEMBER_ACTIVE:
+    case MEMBER_SUSPECT:
+        return;
+    }
+}
+
+void
+life_leave(decide_t *c)
+{
+    if (c->state == MEMBER_LEAVING || c->state == MEMBER_GONE) {
+        return;
+    }
+    c->leave_at = c->now;
+    enter(c, MEMBER_LEAVING);
+    core_leave(c->core, c->now);
+    FACT_SET(c->d, leaving, true);
+    note_post(c->roster, note_new(MSG_LEAVE));
+}
+
+/* Back in service: it joins anew, so that no other instance takes it for a
+ * home before it knows that it is one. */
+int
+life_return(decide_t *c)
+{
+    if (c->stopping || c->state == MEMBER_GONE) {
+        return -EBUSY;
+    }
+    if (c->state == MEMBER_LEAVING) {
+        FACT_SET(c->d, leaving, false);
+        FACT_SET(c->d, leave_listed_at, 0);
+        enter(c, MEMBER_JOINING);
+        note_post(c->roster, note_new(MSG_LEAVE));
+    }
+    return 0;
+}
--- /dev/null
+++ b/siskind/main.c
@@ -0,0 +1,256 @@
+/* siskind: the load balancer's daemon.  Options, start, signals, stop. */
+#include "siskind/siskind.h"
+
+#include <argtable2.h>
+#include <errno.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#define VERSION "0.1"
+
+enum { EXIT_OK, EXIT_FAILED, EXIT_USAGE };
+
+/* Sizes of the inboxes.  Decide's holds 10 ms of 100,000 datagrams a second;
+ * the sockets hold what comes beyond. */
+#define PACKET_INBOX 1024
+#define NOTE_INBOX 64
+/* Packets: an inbox full, and what both ends have in hand. */
+#define PACKETS (PACKET_INBOX + 256)
+
+#define STOP_MS 1500
+
+static const duty_spec_t duties[] = {
+    {.name = "main", .inbox = 4},
+    {.name = "send",
+     .run = send_run,
+     .inbox = PACKET_INBOX,
+     .one_sender = true},
+    {.name = "decide", .run = decide_run, .inbox = PACKET_INBOX},
+    {.name = "receive",
+     .run = receive_run,
+     .inbox = NOTE_INBOX,
+     .one_sender = true},
+    {.name = "bulk", .run = bulk_run, .inbox = NOTE_INBOX, .one_sender = true},
+    {.name = "watch", .run = watch_run, .inbox = 4, .one_sender = true},
+    {.name = "roster", .run = roster_run, .inbox = 4, .one_sender = true},
+    {.name = "admin", .run = admin_run, .inbox = 4, .one_sender = true},
+};
+
+static int
+open_sockets(daemon_t *d, err_t *e)
+{
+    d->return_fd = udp_open(&d->settings.return_addr, e);
+    if (d->return_fd < 0) {
+        return d->return_fd;
+    }
+    d->own_fd = udp_open(&d->settings.own_addr, e);
+    if (d->own_fd < 0) {
+        return d->own_fd;
+    }
+    d->peer_fd = udp_open(&d->settings.peer_addr, e);
+    return d->peer_fd < 0 ? d->peer_fd : 0;
+}
+
+static int
+read_key(daemon_t *d, err_t *e)
+{
+    size_t len = 0;
+
+    if (sodium_hex2bin(d->peer_key, sizeof(d->peer_key), d->settings.peer_key,
+                       strlen(d->settings.peer_key), NULL, &len, NULL) != 0 ||
+        len != PEER_KEY_LEN) {
+        return err_set(e, -EINVAL, "read settings", "peer_key",
+                       "expected 64 hexadecimal digits");
+    }
+    return 0;
+}
+
+static int
+open_kern(daemon_t *d)
+{
+    d->kern = kern_new();
+    d->in = pool_new(PACKETS, sizeof(packet_t));
+    d->out = pool_new(PACKETS, sizeof(packet_t));
+    if (d->kern == NULL || d->in == NULL || d->out == NULL) {
+        return -ENOMEM;
+    }
+    for (size_t i = 0; i < sizeof(duties) / sizeof(duties[0]); i++) {
+        duty_spec_t spec = duties[i];
+        spec.arg = d;
+        spec.drop = msg_drop;
+        int rc = kern_add(d->kern, &spec);
+        if (rc < 0) {
+            return rc;
+        }
+    }
+    return 0;
+}
+
+/* A descriptor that tells of signals; set up before any thread starts, so
+ * that all threads inherit the mask. */
+static int
+open_signals(void)
+{
+    sigset_t set;
+
+    signal(SIGPIPE, SIG_IGN);
+    signal(SIGHUP, SIG_IGN);
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &set, NULL);
+    return signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+/* Waits until a graceful leave is complete, or a second signal. */
+static void
+wait_for_end(daemon_t *d, int signals)
+{
+    duty_t *self = kern_find(d->kern, "main");
+    struct pollfd fds[2] = {[1] = {.fd = signals, .events = POLLIN}};
+    struct signalfd_siginfo info;
+    void *msg;
+    int seen = 0;
+
+    for (;;) {
+        duty_wait(self, fds, 2, 10000);
+        if (duty_take(self, &msg, 1) == 1) {
+            msg_drop(msg);
+            return;
+        }
+        if (read(signals, &info, sizeof(info)) != sizeof(info)) {
+            continue;
+        }
+        if (++seen == 2) {
+            log_line(LVL_WARN, "main", "It stops at once. signal=%u",
+                     info.ssi_signo);
+            return;
+        }
+        log_line(LVL_INFO, "main", "It leaves. signal=%u", info.ssi_signo);
+        note_post(kern_find(d->kern, "decide"), note_new(MSG_LEAVE));
+    }
+}
+
+static int
+start(daemon_t *d, err_t *e)
+{
+    int rc = read_key(d, e);
+
+    if (rc == 0) {
+        rc = open_sockets(d, e);
+    }
+    if (rc == 0) {
+        rc = open_kern(d);
+    }
+    return rc;
+}
+
+static int
+run(daemon_t *d)
+{
+    err_t e = {0};
+    int signals = open_signals();
+    int rc;
+
+    d->self = instance_id(d->settings.name);
+    d->started = clock_now();
+    rc = start(d, &e);
+    if (rc < 0) {
+        log_line(LVL_ERROR, "main",
+                 "It can't start. step=\"%s\" peer=%s "
+                 "error=\"%s\"",
+                 e.step, e.peer, e.text);
+        return EXIT_FAILED;
+    }
+    rc = kern_start(d->kern);
+    if (rc < 0) {
+        log_line(LVL_ERROR, "main", "No threads. error=\"%s\"", strerror(-rc));
+        return EXIT_FAILED;
+    }
+    log_line(LVL_INFO, "main", "It runs. data_centre=%s",
+             d->settings.data_centre);
+    wait_for_end(d, signals);
+    /* A call to the platform may still block; the process ends without it. */
+    if (kern_stop(d->kern, STOP_MS) == 0) {
+        kern_free(d->kern);
+        pool_free(d->in);
+        pool_free(d->out);
+    }
+    log_line(LVL_INFO, "main", "It has stopped.");
+    return EXIT_OK;
+}
+
+static int
+with_settings(const char *file, bool check)
+{
+    static daemon_t d;
+    err_t e = {0};
+    int rc;
+
+    if (settings_read(&d.settings, file, &e) < 0) {
+        fprintf(stderr, "siskind: %s: %s\n", e.peer, e.text);
+        return EXIT_FAILED;
+    }
+    if (check) {
+        printf("%s: instance %s of data centre %s\n", file, d.settings.name,
+               d.settings.data_centre);
+        return EXIT_OK;
+    }
+    if (sodium_init() < 0 ||
+        log_open(d.settings.name, d.settings.log_level) < 0) {
+        fprintf(stderr, "siskind: can't start libsodium or log4c\n");
+        return EXIT_FAILED;
+    }
+    rc = run(&d);
+    log_close();
+    return rc;
+}
+
+static void
+print_help(void **table)
+{
+    printf("usage: siskind");
+    arg_print_syntax(stdout, table, "\n");
+    printf("The load balancer's daemon: one process an instance.\n\n");
+    arg_print_glossary(stdout, table, "  %-16s %s\n");
+    printf("\nSIGTERM and SIGINT: leave gracefully; a second one stops at "
+           "once.\nExit codes: 0 stopped as asked, 1 failed, 2 wrong "
+           "options.\nExample: siskind /etc/siskin/instance.toml\n");
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_lit *help = arg_lit0("h", "help", "print this");
+    struct arg_lit *version = arg_lit0("V", "version", "print the version");
+    struct arg_lit *check = arg_lit0("c", "check", "check the settings only");
+    struct arg_file *file =
+        arg_file0(NULL, NULL, "SETTINGS.toml", "the instance's own settings");
+    struct arg_end *end = arg_end(5);
+    void *table[] = {help, version, check, file, end};
+    int errors = arg_parse(argc, argv, table);
+    int rc = EXIT_OK;
+
+    if (help->count > 0) {
+        print_help(table);
+    }
+    else if (version->count > 0) {
+        printf("siskind %s\n", VERSION);
+    }
+    else if (errors > 0 || file->count == 0) {
+        arg_print_errors(stderr, end, "siskind");
+        fprintf(stderr, "siskind: expected one file of settings; see "
+                        "siskind --help\n");
+        rc = EXIT_USAGE;
+    }
+    else {
+        rc = with_settings(file->filename[0], check->count > 0);
+    }
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return rc;
+}
--- /dev/null
+++ b/siskind/message.c
@@ -0,0 +1,62 @@
+/* Messages between duties: made, posted, dropped. */
+#include "siskind/siskind.h"
+
+#include <errno.h>
+#include <stdlib.h>
+
+note_t *
+note_new(msg_kind_t kind)
+{
+    note_t *n = calloc(1, sizeof(*n));
+
+    if (n != NULL) {
+        n->kind = kind;
+    }
+    return n;
+}
+
+void
+msg_drop(void *msg)
+{
+    note_t *n = msg;
+
+    switch (n->kind) {
+    case MSG_PACKET:
+        pool_put(((packet_t *)msg)->pool, msg);
+        return;
+    case MSG_PORTS:
+        ports_release(n->ports);
+        break;
+    case MSG_CONF:
+    case MSG_BUNDLE:
+        conf_free(n->conf.conf);
+        free(n->conf.json);
+        break;
+    case MSG_LIST:
+        free(n->list.instance);
+        break;
+    case MSG_ASK:
+        ask_release(n->ask);
+        break;
+    case MSG_FETCH:
+    case MSG_LEAVE:
+    case MSG_LEFT:
+        break;
+    }
+    free(n);
+}
+
+int
+note_post(duty_t *to, note_t *n)
+{
+    int rc;
+
+    if (n == NULL) {
+        return -ENOMEM;
+    }
+    rc = duty_post(to, n);
+    if (rc < 0) {
+        msg_drop(n);
+    }
+    return rc;
+}
--- /dev/null
+++ b/siskind/metrics.c
@@ -0,0 +1,200 @@
+/* /metrics: counters and histograms as Prometheus text. */
+#include "siskind/siskind.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Histogram bounds shown: one a power of two, to 2^18 ms (over 4 minutes). */
+#define BOUND_STEP 4
+#define BOUND_LAST 71
+
+static void
+counter(FILE *f, const char *name, const char *label, const char *value,
+        uint64_t n)
+{
+    fprintf(f, "siskin_%s{%s=\"%s\"} %llu\n", name, label, value,
+            (unsigned long long)n);
+}
+
+static void
+total(FILE *f, const char *name, uint64_t n)
+{
+    fprintf(f, "# TYPE siskin_%s counter\nsiskin_%s %llu\n", name, name,
+            (unsigned long long)n);
+}
+
+static void
+gauge(FILE *f, const char *name, uint64_t n)
+{
+    fprintf(f, "# TYPE siskin_%s gauge\nsiskin_%s %llu\n", name, name,
+            (unsigned long long)n);
+}
+
+static void
+instance_metrics(FILE *f, const daemon_t *d, const view_t *v)
+{
+    const counters_t *c = &d->count;
+
+    gauge(f, "version", v->version);
+    gauge(f, "version_age_milliseconds", (uint64_t)v->version_age);
+    gauge(f, "flows", v->flows);
+    gauge(f, "hints", v->hints);
+    gauge(f, "exchanges", v->exchanges);
+    gauge(f, "peers", v->n_peers);
+    total(f, "datagrams_received_total", counter_read(&c->received));
+    total(f, "datagrams_sent_total", counter_read(&c->sent));
+    total(f, "stale_received_total", counter_read(&c->stale_in));
+    total(f, "stale_sent_total", counter_read(&c->stale_out));
+    total(f, "too_long_total", counter_read(&c->too_long));
+    total(f, "peer_refused_total", counter_read(&c->peer_refused));
+    total(f, "send_full_total", counter_read(&c->send_full));
+    total(f, "send_failed_total", counter_read(&c->send_failed));
+    total(f, "no_socket_total", counter_read(&c->no_socket));
+    total(f, "control_bytes_total", counter_read(&c->control_bytes));
+    total(f, "platform_calls_total",
+          counter_read(&c->watch_calls) + counter_read(&c->roster_calls));
+    total(f, "bulk_served_total", counter_read(&c->bulk_served));
+    total(f, "bulk_fetched_total", counter_read(&c->bulk_fetched));
+    total(f, "bulk_refused_total", counter_read(&c->bulk_refused));
+    total(f, "bulk_bytes_total", counter_read(&c->bulk_bytes));
+}
+
+static void
+ring_metrics(FILE *f, const daemon_t *d)
+{
+    static const char *const sock[] = {[SOCK_SERVICE] = "service",
+                                       [SOCK_RETURN] = "return",
+                                       [SOCK_OWN] = "own",
+                                       [SOCK_PEER] = "peer"};
+    static const char *const duty[] = {"receive", "decide", "send",
+                                       "roster",  "bulk",   "main"};
+
+    fprintf(f, "# TYPE siskin_shed_total counter\n");
+    for (int i = 0; i < 4; i++) {
+        counter(f, "shed_total", "socket", sock[i],
+                counter_read(&d->count.shed[i]));
+    }
+    fprintf(f, "# TYPE siskin_inbox_full_total counter\n");
+    for (size_t i = 0; i < sizeof(duty) / sizeof(duty[0]); i++) {
+        counter(f, "inbox_full_total", "duty", duty[i],
+                duty_full(kern_find(d->kern, duty[i])));
+    }
+}
+
+static void
+wait_metrics(FILE *f, const char *service, const char *class, const hist_t *h)
+{
+    uint64_t sum = 0;
+
+    for (int i = 0; i <= BOUND_LAST; i++) {
+        sum += h->slot[i];
+        if (i % BOUND_STEP == BOUND_STEP - 1) {
+            fprintf(f,
+                    "siskin_wait_milliseconds_bucket{service=\"%s\","
+                    "class=\"%s\",le=\"%llu\"} %llu\n",
+                    service, class, (unsigned long long)hist_bound(i),
+                    (unsigned long long)sum);
+        }
+    }
+    fprintf(f,
+            "siskin_wait_milliseconds_bucket{service=\"%s\",class=\"%s\","
+            "le=\"+Inf\"} %llu\n",
+            service, class, (unsigned long long)h->count);
+    fprintf(f,
+            "siskin_wait_milliseconds_sum{service=\"%s\",class=\"%s\"} "
+            "%llu\n",
+            service, class, (unsigned long long)h->sum);
+    fprintf(f,
+            "siskin_wait_milliseconds_count{service=\"%s\",class=\"%s\"} "
+            "%llu\n",
+            service, class, (unsigned long long)h->count);
+}
+
+/* The plain counters of a service, by name. */
+static const struct {
+    const char *name;
+    size_t offset;
+} service_counters[] = {
+#define FIELD(x)                                                              \
+    {                                                                         \
+#x "_total", offsetof(core_stats_t, x)                                \
+    }
+    FIELD(datagrams_in), FIELD(datagrams_out), FIELD(malformed),
+    FIELD(steered),      FIELD(steered_in),    FIELD(steer_loops),
+    FIELD(hinted),       FIELD(misdirected),   FIELD(retries),
+    FIELD(duplicates),   FIELD(fenced),        FIELD(late_answers),
+    FIELD(silent_flows), FIELD(sync_sent),     FIELD(sync_bytes),
+    FIELD(flow_evicted), FIELD(untrusted),
+#undef FIELD
+};
+
+static void
+service_metrics(FILE *f, const view_t *v)
+{
+    size_t n = sizeof(service_counters) / sizeof(service_counters[0]);
+
+    for (size_t k = 0; k < n; k++) {
+        fprintf(f, "# TYPE siskin_%s counter\n", service_counters[k].name);
+        for (size_t i = 0; i < v->n_services; i++) {
+            const char *stats = (const char *)&v->services[i].stats;
+            counter(f, service_counters[k].name, "service",
+                    v->services[i].name,
+                    *(const uint64_t *)(stats + service_counters[k].offset));
+        }
+    }
+}
+
+static void
+service_counter(FILE *f, const char *name, const char *service,
+                const char *label, const char *value, uint64_t n)
+{
+    fprintf(f, "siskin_%s{service=\"%s\",%s=\"%s\"} %llu\n", name, service,
+            label, value, (unsigned long long)n);
+}
+
+static void
+class_metrics(FILE *f, const view_t *v)
+{
+    fprintf(f, "# TYPE siskin_requests_total counter\n");
+    for (size_t i = 0; i < v->n_services; i++) {
+        const service_view_t *s = &v->services[i];
+        for (int k = 0; k < CLASS_COUNT; k++) {
+            service_counter(f, "requests_total", s->name, "class",
+                            class_name((class_t)k), s->stats.requests[k]);
+        }
+    }
+    fprintf(f, "# TYPE siskin_refused_total counter\n");
+    for (size_t i = 0; i < v->n_services; i++) {
+        const service_view_t *s = &v->services[i];
+        for (int k = 0; k < REFUSE_COUNT; k++) {
+            service_counter(f, "refused_total", s->name, "reason",
+                            refuse_name((refuse_t)k), s->stats.refused[k]);
+        }
+    }
+    fprintf(f, "# TYPE siskin_wait_milliseconds histogram\n");
+    for (size_t i = 0; i < v->n_services; i++) {
+        const service_view_t *s = &v->services[i];
+        for (int k = 0; k < CLASS_COUNT; k++) {
+            wait_metrics(f, s->name, class_name((class_t)k),
+                         &s->stats.wait_ms[k]);
+        }
+    }
+}
+
+char *
+report_metrics(const daemon_t *d, const view_t *v)
+{
+    char *text = NULL;
+    size_t len = 0;
+    FILE *f = open_memstream(&text, &len);
+
+    if (f == NULL) {
+        return NULL;
+    }
+    instance_metrics(f, d, v);
+    ring_metrics(f, d);
+    service_metrics(f, v);
+    class_metrics(f, v);
+    fclose(f);
+    return text;
+}
--- /dev/null
+++ b/siskind/platform.c
@@ -0,0 +1,276 @@
+/* The watch and roster duties: what the platform knows.  Its calls block, so
+ * each has its own thread, client and back-off. */
+#include "siskind/siskind.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WATCH_MS 8000      /* a waiting read of the configuration */
+#define WATCH_PAUSE_MS 200 /* between two reads, whatever came */
+#define IDLE_MS 500        /* looks again whether it should watch */
+#define BACKOFF_MIN_MS 200
+#define BACKOFF_MAX_MS 5000
+/* Each call counts against the platform's rates.  A watcher reads the list
+ * often, so that a suspect is confirmed gone; the others have members by
+ * gossip and read it only against what gossip can lose. */
+#define LIST_WATCHER_MS 2000
+#define LIST_OTHER_MS 60000
+/* The list forgets an instance that has not renewed itself for some time. */
+#define RENEW_MS 2000
+
+typedef struct {
+    rng_t rng;
+    ms_t wait; /* the next wait, before jitter; 0: the last call succeeded */
+    bool down; /* an outage has been logged */
+} backoff_t;
+
+/* How long to wait after a failed call: doubling, with jitter, so that the
+ * fleet does not return all at once when the platform does. */
+static ms_t
+backoff_next(backoff_t *b)
+{
+    b->wait = b->wait == 0 ? BACKOFF_MIN_MS : b->wait * 2;
+    if (b->wait > BACKOFF_MAX_MS) {
+        b->wait = BACKOFF_MAX_MS;
+    }
+    return b->wait / 2 + rng_below(&b->rng, (uint32_t)b->wait / 2 + 1);
+}
+
+/* Logs where an outage starts and ends, not each failed call. */
+static void
+note_result(backoff_t *b, const char *part, int rc, const err_t *e)
+{
+    if (rc < 0 && !b->down) {
+        log_line(LVL_WARN, part,
+                 "The platform can't be used. step=\"%s\" "
+                 "peer=%s error=\"%s\"",
+                 e->step, e->peer, e->text);
+    }
+    if (rc == 0 && b->down) {
+        log_line(LVL_INFO, part, "The platform can be used again.");
+    }
+    b->down = rc < 0;
+    if (rc == 0) {
+        b->wait = 0;
+    }
+}
+
+int
+offer_bundle(daemon_t *d, char *json, const char *part, const char *from)
+{
+    conf_bundle_t b = {0};
+    err_t e = {0};
+    note_t *n;
+    int rc = bundle_read(&b, json, &e);
+
+    if (rc < 0) {
+        log_line(LVL_WARN, part,
+                 "A configuration is refused. from=%s "
+                 "step=\"%s\" error=\"%s\"",
+                 from, e.step, e.text);
+        free(json);
+        return rc;
+    }
+    if (b.version <= FACT(d, version)) {
+        bundle_free(&b);
+        free(json);
+        return -ESTALE;
+    }
+    n = note_new(MSG_CONF);
+    if (n != NULL) {
+        n->conf.json = json;
+        n->conf.conf = bundle_conf(&b, &e);
+    }
+    bundle_free(&b);
+    if (n == NULL || n->conf.conf == NULL) {
+        log_line(LVL_WARN, part,
+                 "A configuration is refused. from=%s "
+                 "peer=%s error=\"%s\"",
+                 from, e.peer, e.text);
+        if (n != NULL) {
+            msg_drop(n);
+        }
+        else {
+            free(json);
+        }
+        return -EINVAL;
+    }
+    return note_post(kern_find(d->kern, "decide"), n);
+}
+
+/* Few instances watch; one that knows no version or no peer must. */
+static bool
+should_watch(const daemon_t *d)
+{
+    return FACT(d, watches) || FACT(d, version) == 0 || FACT(d, peers) == 0;
+}
+
+/* One waiting read; returns how long to pause before the next. */
+static ms_t
+watch_once(daemon_t *d, plat_t *p, uint64_t *revision, backoff_t *b)
+{
+    char *json = NULL;
+    uint64_t got = 0;
+    err_t e = {0};
+    int rc =
+        plat_get(p, PLAT_CONFIG_KEY, WATCH_MS, *revision, &json, &got, &e);
+
+    note_result(b, "watch", rc, &e);
+    if (rc < 0) {
+        free(json);
+        return backoff_next(b);
+    }
+    /* A stale read has a lower revision.  It is kept as it came: the next
+     * read then returns at once, and versions never fall. */
+    if (json != NULL && got != *revision) {
+        offer_bundle(d, json, "watch", d->settings.platform_url);
+    }
+    else {
+        free(json);
+    }
+    *revision = got;
+    return WATCH_PAUSE_MS;
+}
+
+void
+watch_run(duty_t *self, void *daemon)
+{
+    daemon_t *d = daemon;
+    backoff_t b = {.rng = {.seed = d->self, .count = 1}};
+    uint64_t revision = 0;
+    plat_t *p = plat_new(d->settings.platform_url);
+
+    while (p != NULL && !duty_stopping(self)) {
+        ms_t pause = IDLE_MS;
+        if (should_watch(d)) {
+            pause = watch_once(d, p, &revision, &b);
+            d->count.watch_calls = plat_calls(p);
+        }
+        duty_wait(self, NULL, 0, pause);
+    }
+    plat_free(p);
+}
+
+static void
+describe(const daemon_t *d, plat_instance_t *i)
+{
+    const settings_t *s = &d->settings;
+
+    *i = (plat_instance_t){.leaving = FACT(d, leaving),
+                           .return_addr = s->return_addr,
+                           .peer_addr = s->peer_addr,
+                           .bulk_addr = s->bulk_addr};
+    memcpy(i->name, s->name, sizeof(i->name));
+    memcpy(i->data_centre, s->data_centre, sizeof(i->data_centre));
+    memcpy(i->service_ip, s->bind_ip, sizeof(i->service_ip));
+}
+
+static int
+renew(const daemon_t *d, plat_t *p, err_t *e)
+{
+    plat_instance_t me;
+
+    describe(d, &me);
+    return plat_register(p, &me, e);
+}
+
+static int
+read_list(const daemon_t *d, plat_t *p, err_t *e)
+{
+    note_t *n = note_new(MSG_LIST);
+    int rc;
+
+    if (n == NULL) {
+        return -ENOMEM;
+    }
+    n->list.instance = calloc(PLAT_INSTANCES_MAX, sizeof(plat_instance_t));
+    if (n->list.instance == NULL) {
+        msg_drop(n);
+        return -ENOMEM;
+    }
+    rc =
+        plat_instances(p, n->list.instance, PLAT_INSTANCES_MAX, &n->list.n, e);
+    if (rc < 0) {
+        msg_drop(n);
+        return rc;
+    }
+    note_post(kern_find(d->kern, "decide"), n);
+    return 0;
+}
+
+static ms_t
+list_period(const daemon_t *d)
+{
+    return FACT(d, watches) || FACT(d, peers) == 0 ? LIST_WATCHER_MS
+                                                   : LIST_OTHER_MS;
+}
+
+typedef struct {
+    plat_t *plat;
+    backoff_t backoff;
+    ms_t renewed_at, read_at;
+    bool leaving; /* as last registered */
+} roster_t;
+
+/* Makes the calls that are due; returns how long to pause. */
+static ms_t
+roster_once(daemon_t *d, roster_t *r)
+{
+    err_t e = {0};
+    ms_t now = clock_now();
+    int rc = 0;
+    bool leaving = FACT(d, leaving);
+
+    if (now - r->renewed_at >= RENEW_MS || leaving != r->leaving) {
+        rc = renew(d, r->plat, &e);
+        if (rc == 0) {
+            r->renewed_at = now;
+            if (leaving && !r->leaving) {
+                FACT_SET(d, leave_listed_at, now);
+            }
+            r->leaving = leaving;
+        }
+    }
+    if (rc == 0 && now - r->read_at >= list_period(d)) {
+        rc = read_list(d, r->plat, &e);
+        if (rc == 0) {
+            r->read_at = now;
+        }
+    }
+    note_result(&r->backoff, "roster", rc, &e);
+    return rc < 0 ? backoff_next(&r->backoff) : IDLE_MS;
+}
+
+/* The inbox only wakes it: what it has to do stands in the facts. */
+static void
+empty_inbox(duty_t *self)
+{
+    void *msg;
+
+    while (duty_take(self, &msg, 1) == 1) {
+        msg_drop(msg);
+    }
+}
+
+void
+roster_run(duty_t *self, void *daemon)
+{
+    daemon_t *d = daemon;
+    err_t e = {0};
+    roster_t r = {.plat = plat_new(d->settings.platform_url),
+                  .backoff = {.rng = {.seed = d->self, .count = 1u << 31}},
+                  .renewed_at = -LIST_OTHER_MS,
+                  .read_at = -LIST_OTHER_MS};
+
+    while (r.plat != NULL && !duty_stopping(self)) {
+        empty_inbox(self);
+        ms_t pause = roster_once(d, &r);
+        d->count.roster_calls = plat_calls(r.plat);
+        duty_wait(self, NULL, 0, pause);
+    }
+    if (r.plat != NULL && !r.backoff.down) {
+        plat_deregister(r.plat, d->settings.name, &e);
+    }
+    plat_free(r.plat);
+}
--- /dev/null
+++ b/siskind/view.c
@@ -0,0 +1,175 @@
+/* Answers to operators' questions, made by the decide duty. */
+#include "siskind/decide.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define UPSTREAMS_MAX 4096 /* shown at most */
+
+const char *
+class_name(class_t c)
+{
+    static const char *const name[CLASS_COUNT] = {
+        [CLASS_URGENT] = "urgent", [CLASS_FEED] = "feed",
+        [CLASS_READ] = "read",     [CLASS_BULK] = "bulk",
+        [CLASS_OPAQUE] = "opaque",
+    };
+
+    return name[c];
+}
+
+const char *
+refuse_name(refuse_t r)
+{
+    static const char *const name[REFUSE_COUNT] = {
+        [REFUSE_FULL] = "full",           [REFUSE_SHARE] = "share",
+        [REFUSE_NONE] = "none",           [REFUSE_TABLE] = "table",
+        [REFUSE_MID_REUSE] = "mid_reuse", [REFUSE_UNKNOWN] = "unknown",
+        [REFUSE_UPLOAD] = "upload",
+    };
+
+    return name[r];
+}
+
+const char *
+state_name(member_state_t s)
+{
+    switch (s) {
+    case MEMBER_JOINING:
+        return "joining";
+    case MEMBER_ACTIVE:
+        return "active";
+    case MEMBER_LEAVING:
+        return "leaving";
+    case MEMBER_SUSPECT:
+        return "suspect";
+    case MEMBER_GONE:
+        return "gone";
+    }
+    return "unknown";
+}
+
+ask_t *
+ask_new(ask_kind_t kind)
+{
+    pthread_condattr_t attr;
+    ask_t *a = calloc(1, sizeof(*a));
+
+    if (a == NULL) {
+        return NULL;
+    }
+    a->kind = kind;
+    a->refs = 2;
+    pthread_mutex_init(&a->lock, NULL);
+    pthread_condattr_init(&attr);
+    pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+    pthread_cond_init(&a->done_cond, &attr);
+    pthread_condattr_destroy(&attr);
+    return a;
+}
+
+void
+ask_release(ask_t *a)
+{
+    if (__atomic_sub_fetch(&a->refs, 1, __ATOMIC_ACQ_REL) > 0) {
+        return;
+    }
+    pthread_cond_destroy(&a->done_cond);
+    pthread_mutex_destroy(&a->lock);
+    free(a->view.peers);
+    free(a->view.upstreams);
+    free(a->view.services);
+    free(a);
+}
+
+void
+ask_done(ask_t *a)
+{
+    pthread_mutex_lock(&a->lock);
+    a->done = true;
+    pthread_cond_signal(&a->done_cond);
+    pthread_mutex_unlock(&a->lock);
+}
+
+int
+ask_wait(ask_t *a, ms_t ms)
+{
+    struct timespec until;
+    bool done;
+
+    clock_gettime(CLOCK_MONOTONIC, &until);
+    until.tv_sec += ms / 1000;
+    pthread_mutex_lock(&a->lock);
+    while (!a->done) {
+        if (pthread_cond_timedwait(&a->done_cond, &a->lock, &until) != 0) {
+            break;
+        }
+    }
+    done = a->done;
+    pthread_mutex_unlock(&a->lock);
+    return done ? 0 : -ETIMEDOUT;
+}
+
+static void
+view_peers(const decide_t *c, view_t *v)
+{
+    const member_t *list;
+    size_t n = members_list(c->members, &list);
+
+    v->peers = calloc(n + 1, sizeof(*v->peers));
+    for (size_t i = 0; v->peers != NULL && i < n; i++) {
+        if (list[i].id != c->d->self) {
+            v->peers[v->n_peers++] = list[i];
+        }
+    }
+}
+
+static void
+view_services(const decide_t *c, view_t *v)
+{
+    uint32_t n = c->conf != NULL ? c->conf->n_services : 0;
+
+    v->services = calloc(n + 1, sizeof(*v->services));
+    for (uint32_t i = 0; v->services != NULL && i < n; i++) {
+        memcpy(v->services[i].name, c->conf->services[i].name, NAME_LEN);
+        core_stats(c->core, i, &v->services[i].stats);
+        v->n_services++;
+    }
+    v->upstreams = calloc(UPSTREAMS_MAX, sizeof(*v->upstreams));
+    if (v->upstreams != NULL) {
+        v->n_upstreams = core_upstreams(c->core, v->upstreams, UPSTREAMS_MAX);
+    }
+}
+
+static void
+view_fill(const decide_t *c, view_t *v)
+{
+    strcpy(v->state, state_name(c->state));
+    if (c->conf != NULL) {
+        v->version = c->conf->version;
+        v->version_age = c->now - c->conf_at;
+    }
+    core_flows(c->core, &v->flows, &v->hints, &v->exchanges);
+    core_pending(c->core, &v->pending_exchanges, &v->pending_pins);
+    view_peers(c, v);
+    view_services(c, v);
+}
+
+void
+view_answer(decide_t *c, ask_t *a)
+{
+    switch (a->kind) {
+    case ASK_STATUS:
+        break;
+    case ASK_DRAIN:
+        life_leave(c);
+        break;
+    case ASK_UNDRAIN:
+        a->rc = life_return(c);
+        break;
+    }
+    view_fill(c, &a->view);
+    ask_done(a);
+}
