--- a/core/core.h
+++ b/core/core.h
@@ -106,7 +106,10 @@
 void core_free(core_t *c);
 
 /* A newer version is in force here.  Older or equal ones are ignored
- * (-ESTALE): versions never revert. */
+ * (-ESTALE): versions never revert.  An instance that starts is given the
+ * versions of the last DOUBT_MS in order, with NOW as when each came into
+ * force at the peer it has them from: it must know which upstreams may hold
+ * requests made before it started. */
 int core_set_conf(core_t *c, ms_t now, const conf_t *conf);
 uint64_t core_version(const core_t *c);
 
--- a/core/upstreams.c
+++ b/core/upstreams.c
@@ -326,7 +326,7 @@
 
     if (m->code >> 5 != 2 || j == NULL) {
         /* Refused: the address serves another service now. */
-        up->refused |= m->code == COAP_CONFLICT || m->code == COAP_NOT_FOUND;
+        up->refused |= m->code >> 5 == 4 && m->token[0] == PROBE_TAG;
         json_decref(j);
         return;
     }
--- a/standin/exchanges.h
+++ b/standin/exchanges.h
@@ -30,6 +30,7 @@
     spp_t header;
     uint16_t mid;
     si_ex_state_t state;
+    char by[20]; /* who was the first to have it barred */
     addr_t from; /* the source of the latest copy; the answer goes there */
     ms_t at, deadline, done_at;
     uint8_t *request, *answer; /* the answer with its proxy header */
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -359,20 +359,23 @@
     load_refresh(u, now);
     snprintf(text, sizeof(text),
              "{\"service\":\"%s\",\"epoch\":%u,\"busy\":%u,\"queued\":%u,"
-             "\"slots\":%u,\"connections\":%u,\"draining\":%s}",
+             "\"slots\":%u,\"connections\":%u,\"draining\":%s,"
+             "\"age_ms\":%lld}",
              addr_text(&u->params.service, service), u->params.epoch,
              u->lie >= 0 ? (uint32_t)u->lie : u->shown_busy,
              u->lie >= 0 ? 0 : u->shown_queued, u->params.slots, u->shown_conn,
-             u->draining ? "true" : "false");
+             u->draining ? "true" : "false", (long long)(now - u->up_at));
     answer_text(u, from, header, m, COAP_CONTENT, text);
 }
 
-/* "c=IP:PORT&m=MID" */
+/* "c=IP:PORT&m=MID&o=OWNER", the owner may be missing */
 static int
-cancel_parse(const char *query, addr_t *client, uint16_t *mid)
+cancel_parse(const char *query, addr_t *client, uint16_t *mid,
+             const char **owner)
 {
     char text[ADDR_STRLEN];
     const char *amp = strstr(query, "&m=");
+    const char *by = strstr(query, "&o=");
     size_t n;
 
     if (strncmp(query, "c=", 2) != 0 || amp == NULL) {
@@ -385,12 +388,14 @@
     memcpy(text, query + 2, n);
     text[n] = '\0';
     *mid = (uint16_t)strtoul(amp + 3, NULL, 10);
+    *owner = by == NULL ? "" : by + 3;
     return addr_parse(client, text);
 }
 
 /* Bars the request, unless it has started; gives its state. */
 static const char *
-bar(si_upstream_t *u, ms_t now, const spp_t *header, uint16_t mid)
+bar(si_upstream_t *u, ms_t now, const spp_t *header, uint16_t mid,
+    const char *owner, char *by, size_t by_cap)
 {
     si_exchange_t *x = si_exchanges_find(&u->exchanges, &header->client, mid);
     coap_msg_t m;
@@ -402,6 +407,12 @@
         }
         x->state = SI_EX_BARRED;
     }
+    if (x->state != SI_EX_RUNNING && x->state != SI_EX_DONE) {
+        if (x->by[0] == '\0') {
+            snprintf(x->by, sizeof(x->by), "%s", owner);
+        }
+        snprintf(by, by_cap, "%s", x->by);
+    }
     switch (x->state) {
     case SI_EX_RUNNING:
         return "running";
@@ -427,26 +438,27 @@
           const coap_msg_t *m)
 {
     spp_t target = {.service = u->params.service};
-    const char *state;
+    const char *state, *owner;
     uint16_t mid;
-    char text[64];
+    char text[128], by[20] = "";
 
     if (!addr_eq(&header->service, &u->params.service)) {
         u->stats.probe_mismatch++;
         answer_text(u, from, header, m, FORBIDDEN, "");
         return;
     }
-    if (cancel_parse(m->query, &target.client, &mid) < 0) {
+    if (cancel_parse(m->query, &target.client, &mid, &owner) < 0) {
         answer_text(u, from, header, m, COAP_BAD_REQUEST, "");
         return;
     }
-    state = bar(u, now, &target, mid);
+    state = bar(u, now, &target, mid, owner, by, sizeof(by));
     if (state == NULL) {
         answer_text(u, from, header, m, COAP_UNAVAILABLE, "");
         return;
     }
-    snprintf(text, sizeof(text), "{\"state\":\"%s\",\"epoch\":%u}", state,
-             u->params.epoch);
+    snprintf(text, sizeof(text), "{\"state\":\"%s\"%s%s%s,\"epoch\":%u}",
+             state, by[0] == '\0' ? "" : ",\"by\":\"", by,
+             by[0] == '\0' ? "" : "\"", u->params.epoch);
     answer_text(u, from, header, m, COAP_DELETED, text);
 }
 
