core: members that didn't change cost nothing; tables take memory as used

siskind tells core of each change of the doubt time, so while a member is suspect each call ranked 4,096 slots and marked all pins as not copied, which would have sent them all again. Now an unchanged list returns at once, and only pins of slots whose backup changed are sent again. The flow table's free list touched every page at the start: 44 MB of 500,000 entries; entries are now taken from a mark that rises.

--- a/core/core.c
+++ b/core/core.c
@@ -790,7 +790,7 @@
     {
         *exchanges += 1;
     }
-    for (uint32_t i = 0; i < c->p.max_flows; i++) {
+    for (uint32_t i = 0; i < c->flow_top; i++) {
         *pins += flow_waits(mutable_c, &c->flows[i]);
     }
 }
--- a/core/flows.c
+++ b/core/flows.c
@@ -37,13 +37,6 @@
         c->hints == NULL) {
         return -ENOMEM;
     }
-    for (uint32_t i = 0; i < c->p.max_flows; i++) {
-        c->flows[i].next = i + 2;
-        c->feeds[i].next_free = i + 2;
-    }
-    c->flows[c->p.max_flows - 1].next = 0;
-    c->feeds[c->p.max_flows - 1].next_free = 0;
-    c->flow_free = c->feed_free = 1;
     return 0;
 }
 
@@ -97,12 +90,38 @@
     }
 }
 
+/* Entries are taken from the free list, then from the part of the table that
+ * was never used, whose pages cost no memory until then.  0: none left. */
+static uint32_t
+take_flow(core_t *c)
+{
+    uint32_t i = c->flow_free;
+
+    if (i != 0) {
+        c->flow_free = c->flows[i - 1].next;
+        return i;
+    }
+    return c->flow_top < c->p.max_flows ? ++c->flow_top : 0;
+}
+
+static uint32_t
+take_feed(core_t *c)
+{
+    uint32_t i = c->feed_free;
+
+    if (i != 0) {
+        c->feed_free = c->feeds[i - 1].next_free;
+        return i;
+    }
+    return c->feed_top < c->p.max_flows ? ++c->feed_top : 0;
+}
+
 /* NULL when the table is full: the flow then has no memory and follows the
  * table's first choice, and the established ones keep theirs. */
 flow_t *
 flow_add(core_t *c, uint64_t key, uint16_t service, uint16_t up, uint8_t flags)
 {
-    uint32_t i = c->flow_free;
+    uint32_t i = take_flow(c);
     uint32_t *head = &c->flow_heads[key & c->flow_mask];
     flow_t *f;
 
@@ -111,7 +130,6 @@
         return NULL;
     }
     f = &c->flows[i - 1];
-    c->flow_free = f->next;
     *f = (flow_t){.key = key,
                   .next = *head,
                   .up = up,
@@ -185,11 +203,10 @@
     feed_t *feed;
 
     if (f->feed == 0) {
-        if (c->feed_free == 0) {
+        f->feed = take_feed(c);
+        if (f->feed == 0) {
             return;
         }
-        f->feed = c->feed_free;
-        c->feed_free = c->feeds[f->feed - 1].next_free;
     }
     feed = &c->feeds[f->feed - 1];
     *feed = (feed_t){
@@ -237,7 +254,7 @@
 void
 feeds_lost(core_t *c, uint16_t up)
 {
-    for (uint32_t i = 0; i < c->p.max_flows; i++) {
+    for (uint32_t i = 0; i < c->flow_top; i++) {
         flow_t *f = &c->flows[i];
         if ((f->flags & FLOW_USED) && f->up == up && !(f->flags & FLOW_HELD)) {
             end_flow(c, f);
@@ -299,14 +316,14 @@
 void
 flow_sweep(core_t *c)
 {
-    uint32_t n = c->p.max_flows / SWEEP_TICKS + 1;
+    uint32_t n = c->flow_top / SWEEP_TICKS + 1;
 
-    for (uint32_t i = 0; i < n; i++) {
-        flow_t *f = &c->flows[c->sweep];
+    for (uint32_t i = 0; i < n && c->flow_top > 0; i++) {
+        flow_t *f = &c->flows[c->sweep % c->flow_top];
         if (f->flags & FLOW_USED) {
             check_flow(c, f);
         }
-        c->sweep = (c->sweep + 1) % c->p.max_flows;
+        c->sweep = (c->sweep + 1) % c->flow_top;
     }
 }
 
--- a/core/homes.c
+++ b/core/homes.c
@@ -135,10 +135,11 @@
            (p->state == MEMBER_ACTIVE || p->state == MEMBER_LEAVING);
 }
 
-static void
+static bool
 slot_update(core_t *c, uint32_t i)
 {
     slot_t *s = &c->slots[i];
+    slot_t old = *s;
     uint64_t home;
     ranks_t r;
 
@@ -166,6 +167,9 @@
     else {
         s->backup = home;
     }
+    s->moved = s->home != old.home || s->backup != old.backup ||
+               s->backup_joins != old.backup_joins;
+    return s->moved;
 }
 
 /* Self refuted a suspicion, or a member restarted or vanished without leaving:
@@ -195,6 +199,8 @@
                  ms_t doubt_at, uint64_t lowest)
 {
     peer_t *peers = calloc(n + 1, sizeof(*peers));
+    bool moved = false;
+    bool same;
 
     c->now = now;
     if (c->start < 0) {
@@ -204,20 +210,27 @@
     c->doubt_at = doubt_at > c->doubt_at ? doubt_at : c->doubt_at;
     c->suspects = false;
     for (size_t i = 0; i < n; i++) {
-        peers[i] = (peer_t){.id = list[i].id,
-                            .incarnation = list[i].incarnation,
-                            .state = list[i].state};
+        peers[i].id = list[i].id;
+        peers[i].incarnation = list[i].incarnation;
+        peers[i].state = list[i].state;
         c->suspects |= list[i].state == MEMBER_SUSPECT;
         if (was_doubted(c, &list[i])) {
             c->doubt_at = now;
         }
     }
+    same = n == c->n_peers && c->peers != NULL &&
+           memcmp(peers, c->peers, n * sizeof(*peers)) == 0;
     free(c->peers);
     c->peers = peers;
     c->n_peers = n;
+    if (same) {
+        return;
+    }
     c->handing = false;
     for (uint32_t i = 0; i < HOME_SLOTS; i++) {
-        slot_update(c, i);
+        moved |= slot_update(c, i);
+    }
+    if (moved) {
+        sync_targets_changed(c);
     }
-    sync_targets_changed(c);
 }
--- a/core/state.h
+++ b/core/state.h
@@ -41,6 +41,7 @@
     ms_t home_since;  /* when HOME became it, as seen here */
 
     bool backup_joins; /* BACKUP is JOINING and will take over */
+    bool moved;        /* who gets copies of its pins has changed */
 } slot_t;
 
 /* A member as the core needs it. */
@@ -230,6 +231,7 @@
 
     flow_t *flows;
     uint32_t *flow_heads, flow_mask, flow_free, flow_used, sweep;
+    uint32_t flow_top, feed_top; /* entries ever used */
     feed_t *feeds;
     uint32_t feed_free;
     hint_t *hints;
--- a/core/sync.c
+++ b/core/sync.c
@@ -146,7 +146,9 @@
 void
 sync_targets_changed(core_t *c)
 {
-    for (uint32_t i = 0; i < c->p.max_flows; i++) {
-        c->flows[i].flags &= (uint8_t)~FLOW_SYNCED;
+    for (uint32_t i = 0; i < c->flow_top; i++) {
+        if (slot_of(c, c->flows[i].key)->moved) {
+            c->flows[i].flags &= (uint8_t)~FLOW_SYNCED;
+        }
     }
 }
