core: an upload's pin belongs to its service's home; held pins are copied on

Found by the proof tests (planned leave broke uploads): copies of an upload's pin went to the home of its flow, while its blocks meet at the service's home. Two leaves in a row, or two deaths, lost pins that were only held.

--- a/core/core.c
+++ b/core/core.c
@@ -456,10 +456,10 @@
 /* ---- Datagrams from callers ---- */
 
 /* Sends D on to its home, or returns false when this is the place to decide.
- * KEY is the flow's or, for requests, the service's, which has no pins that an
- * earlier home would know. */
+ * KEY is the flow's or, for requests, the service's.  PINNED: the home before
+ * this may have a pin for it. */
 static bool
-to_home(core_t *c, const dgram_t *d, uint64_t key, bool known)
+to_home(core_t *c, const dgram_t *d, uint64_t key, bool known, bool pinned)
 {
     uint64_t home = home_of(c, key);
     uint64_t earlier;
@@ -480,7 +480,7 @@
         send_steer(c, d, home);
         return true;
     }
-    earlier = key == d->key ? earlier_home(c, key) : 0;
+    earlier = pinned ? earlier_home(c, key) : 0;
     if (earlier != 0 && earlier != c->p.self && earlier != d->from) {
         send_steer(c, d, earlier);
         return true;
@@ -522,7 +522,7 @@
     if (!mine && home_of(c, d->key) != c->p.self && use_hint(c, d)) {
         return;
     }
-    if (!to_home(c, d, d->key, mine)) {
+    if (!to_home(c, d, d->key, mine, true)) {
         opaque_at_home(c, d);
     }
 }
@@ -538,7 +538,7 @@
     if (!mine && !answer && use_hint(c, d)) {
         return;
     }
-    if (to_home(c, d, d->key, mine || answer)) {
+    if (to_home(c, d, d->key, mine || answer, true)) {
         return;
     }
     if (!mine && !answer && work != 0 && work != c->p.self &&
@@ -565,14 +565,14 @@
         return;
     }
     if (class_of(d->m) == CLASS_FEED) {
-        if (!to_home(c, d, d->key, mine && !(f->flags & FLOW_UPLOAD))) {
+        if (!to_home(c, d, d->key, mine && !(f->flags & FLOW_UPLOAD), true)) {
             feed_at_home(c, d);
         }
         return;
     }
     known = ex_find(c, d->key, d->m->mid) != NULL ||
             (mine && (f->flags & FLOW_UPLOAD));
-    if (!to_home(c, d, work_key(s, d->key), known)) {
+    if (!to_home(c, d, work_key(s, d->key), known, is_upload_block(d->m))) {
         request_at_home(c, d);
     }
 }
@@ -776,8 +776,13 @@
 static bool
 flow_waits(core_t *c, const flow_t *f)
 {
-    return (f->flags & FLOW_USED) && !(f->flags & FLOW_SYNCED) &&
-           sync_target(c, f->key) != 0 && sync_target(c, f->key) != c->p.self;
+    uint64_t to;
+
+    if (!(f->flags & FLOW_USED) || (f->flags & FLOW_SYNCED)) {
+        return false;
+    }
+    to = sync_target(c, flow_home_key(c, f));
+    return to != 0 && to != c->p.self;
 }
 
 void
--- a/core/flows.c
+++ b/core/flows.c
@@ -74,6 +74,13 @@
     }
 }
 
+uint64_t
+flow_home_key(core_t *c, const flow_t *f)
+{
+    return f->flags & FLOW_UPLOAD ? work_key(&c->services[f->service], f->key)
+                                  : f->key;
+}
+
 static void
 count_pin(core_t *c, const flow_t *f, int by)
 {
@@ -143,14 +150,22 @@
     return f;
 }
 
+static void
+own(core_t *c, flow_t *f)
+{
+    if (f->flags & FLOW_HELD) {
+        f->flags &= (uint8_t)~FLOW_HELD;
+        count_pin(c, f, 1);
+    }
+}
+
 flow_t *
 flow_own(core_t *c, uint64_t key)
 {
     flow_t *f = flow_find(c, key);
 
-    if (f != NULL && (f->flags & FLOW_HELD)) {
-        f->flags &= (uint8_t)~FLOW_HELD;
-        count_pin(c, f, 1);
+    if (f != NULL) {
+        own(c, f);
     }
     return f;
 }
@@ -300,13 +315,15 @@
         flow_remove(c, f);
         return;
     }
+    if (home_of(c, flow_home_key(c, f)) == c->p.self) {
+        own(c, f); /* so that this home's backup gets it in turn */
+    }
+    if (!(f->flags & FLOW_HELD) || c->leaving) {
+        sync_flow(c, f);
+    }
     if (f->flags & FLOW_HELD) {
-        if (c->leaving) {
-            sync_flow(c, f); /* its home may have left, too */
-        }
         return;
     }
-    sync_flow(c, f);
     if (f->feed != 0) {
         check_feed(c, f);
     }
--- a/core/request.c
+++ b/core/request.c
@@ -430,7 +430,7 @@
     send_upstream(c, first, &d->h->client, true, d->data, d->len);
 }
 
-static bool
+bool
 is_upload_block(const coap_msg_t *m)
 {
     bool more = (m->block1 & 8) != 0;
--- a/core/state.h
+++ b/core/state.h
@@ -315,6 +315,8 @@
 /* Finds KEY's flow for its home; a copy held for another home becomes this
  * one's own. */
 flow_t *flow_own(core_t *c, uint64_t key);
+/* By which key F's home is found: an upload's is its service's. */
+uint64_t flow_home_key(core_t *c, const flow_t *f);
 void flow_remove(core_t *c, flow_t *f);
 void flow_pin(core_t *c, flow_t *f, uint16_t up);
 void flow_touch(core_t *c, flow_t *f);
@@ -353,6 +355,7 @@
 void sync_targets_changed(core_t *c);
 
 /* request.c */
+bool is_upload_block(const coap_msg_t *m);
 void request_at_home(core_t *c, const dgram_t *d);
 void request_fenced(core_t *c, ex_t *ex, uint16_t u, const char *state,
                     const char *by, uint32_t epoch);
--- a/core/sync.c
+++ b/core/sync.c
@@ -76,8 +76,9 @@
 void
 sync_flow(core_t *c, flow_t *f)
 {
-    uint64_t to = sync_target(c, f->key);
-    bool over = handing_over(c, f->key);
+    uint64_t key = flow_home_key(c, f);
+    uint64_t to = sync_target(c, key);
+    bool over = handing_over(c, key);
     const bucket_t *b = bucket_of(&c->services[f->service], f->key);
     pin_t pin = {.flow = f->key,
                  .upstream = c->ups[f->up].conf.id,
@@ -136,7 +137,7 @@
         flow_t *f = flow_find(c, pin->flow);
 
         if (f != NULL && c->ups[f->up].conf.id == pin->upstream &&
-            m->from == sync_target(c, pin->flow)) {
+            m->from == sync_target(c, flow_home_key(c, f))) {
             f->flags |= FLOW_SYNCED;
         }
     }
@@ -147,8 +148,9 @@
 sync_targets_changed(core_t *c)
 {
     for (uint32_t i = 0; i < c->flow_top; i++) {
-        if (slot_of(c, c->flows[i].key)->moved) {
-            c->flows[i].flags &= (uint8_t)~FLOW_SYNCED;
+        flow_t *f = &c->flows[i];
+        if ((f->flags & FLOW_USED) && slot_of(c, flow_home_key(c, f))->moved) {
+            f->flags &= (uint8_t)~FLOW_SYNCED;
         }
     }
 }
