--- a/core/core.c
+++ b/core/core.c
@@ -78,6 +78,17 @@
     return (uint16_t)c->n_services++;
 }
 
+/* When an upstream that is new here can first have got work from anyone.  An
+ * instance that hears all others has a version at about the same time as
+ * they; one that was cut off, or starts, may have it much later. */
+static ms_t
+first_listing(const core_t *c)
+{
+    bool in_touch = !c->suspects && c->now - c->doubt_at >= DOUBT_MS;
+
+    return in_touch && !c->first_version ? c->now : INT64_MIN / 2;
+}
+
 static void
 take_upstream(core_t *c, uint16_t service, const conf_upstream_t *conf)
 {
@@ -92,6 +103,7 @@
     }
     if (u == UP_NONE) {
         u = up_add(c, conf, service);
+        c->ups[u].listed_since = first_listing(c);
     }
     c->ups[u].conf = *conf;
     c->ups[u].conf_draining = conf->draining;
@@ -126,9 +138,12 @@
         return -ESTALE;
     }
     c->now = now;
+    c->first_version = c->version == 0;
     c->version = conf->version;
     for (uint32_t i = 0; i < c->n_ups; i++) {
-        c->ups[i].listed = false;
+        up_t *u = &c->ups[i];
+        u->unlisted_at = u->listed ? now : u->unlisted_at;
+        u->listed = false;
     }
     for (uint32_t i = 0; i < conf->n_services; i++) {
         take_service(c, &conf->services[i]);
--- a/core/flows.c
+++ b/core/flows.c
@@ -278,7 +278,8 @@
 }
 
 /* Asks the upstream, as the client, for a sign of life (a CoAP ping, RFC 7252
- * 4.3).  Only that flow is given up when none comes. */
+ * 4.3).  Only that flow is given up when none comes.  An upstream that isn't
+ * trusted gets none: its address may have another service by now. */
 static void
 check_feed(core_t *c, flow_t *f)
 {
@@ -288,7 +289,7 @@
     uint8_t buf[16];
     int n;
 
-    if (silent == 0 ||
+    if (silent == 0 || !up_trusted(c, f->up) ||
         c->now - feed->heard < silent + feed->pings * FEED_PING_MS) {
         return;
     }
--- a/core/request.c
+++ b/core/request.c
@@ -36,11 +36,16 @@
 
 /* ---- Fences ---- */
 
-/* Can U be asked about a copy, and would it remember one? */
+/* Can U be asked about a copy, and would it remember one?  Not when it has
+ * restarted since it first got work, which takes it at least TRUST_MS. */
 static bool
 can_ask(const core_t *c, uint16_t u)
 {
-    return up_trusted(c, u) && c->now - c->ups[u].epoch_since >= DOUBT_MS;
+    const up_t *up = &c->ups[u];
+    bool forgot = c->now - up->epoch_since < DOUBT_MS &&
+                  up->epoch_since - up->listed_since >= TRUST_MS;
+
+    return up_trusted(c, u) && !forgot;
 }
 
 /* Has EX barred wherever a copy may be, but for its target.  When one of these
--- a/core/state.h
+++ b/core/state.h
@@ -74,8 +74,10 @@
 /* ---- upstreams.c ---- */
 
 typedef struct {
-    bool used;     /* this index is taken */
-    bool listed;   /* in the configuration in force */
+    bool used;         /* this index is taken */
+    bool listed;       /* in the configuration in force */
+    ms_t listed_since; /* no instance had it before; INT64_MIN: unknown */
+    ms_t unlisted_at;
     bool draining; /* by configuration or by its own report */
     bool conf_draining;
     uint16_t service; /* index */
@@ -215,9 +217,10 @@
     rng_t rng;
     uint64_t version, lowest;
     bool leaving;
-    bool handing;  /* a member joins: pins move by plan */
-    bool suspects; /* some member is SUSPECT */
-    ms_t doubt_at; /* last time that two homes of a key were possible */
+    bool first_version; /* the version in force is the first here */
+    bool handing;       /* a member joins: pins move by plan */
+    bool suspects;      /* some member is SUSPECT */
+    ms_t doubt_at;      /* last time that two homes of a key were possible */
     map_t up_map, service_map; /* addr_id() to index */
 
     slot_t *slots;
--- a/core/upstreams.c
+++ b/core/upstreams.c
@@ -50,6 +50,7 @@
                 .conf = *conf,
                 .epoch_since = INT64_MIN / 2,
                 .trust_until = INT64_MIN / 2,
+                .unlisted_at = INT64_MIN / 2,
                 .eject_until = INT64_MIN / 2,
                 .probe_next = c->now + rng_below(&c->rng, 100)};
     map_put(&c->up_map, conf->id, c->n_ups);
@@ -221,7 +222,9 @@
 {
     for (uint32_t i = 0; i < c->n_ups; i++) {
         up_t *up = &c->ups[i];
-        bool needed = up->listed || up->flows > 0 || up->in_flight > 0;
+        /* One just taken out is asked about copies for a while. */
+        bool needed = up->listed || up->flows > 0 || up->in_flight > 0 ||
+                      c->now - up->unlisted_at < DOUBT_MS;
 
         if (up->used && needed && c->now >= up->probe_next) {
             probe(c, (uint16_t)i);
