siskinctl: a lagging read doesn't pass for 'already in force'

apply compares the files with the version in force first. With a stale read from before the version edited, texts that go back to that older version counted as in force and were not written; the scripted run shows it (with the comparison of versions disabled the apply stays silent). Also a property: any order of lost answers and stale reads applies once.

--- a/siskinctl/apply.c
+++ b/siskinctl/apply.c
@@ -149,6 +149,15 @@
     return ctl_fail(o, CTL_USAGE, &e);
 }
 
+/* A stale read may show a version from before the one edited: that the same
+ * texts were in force then says nothing of now. */
+static bool
+in_force(const options_t *o, const conf_bundle_t *cur, const conf_bundle_t *b)
+{
+    return cur->n > 0 && cur->hash == b->hash &&
+           (o->on < 0 || cur->version >= (uint64_t)o->on);
+}
+
 static ctl_exit_t
 apply_files(const options_t *o, plat_t *p, conf_bundle_t *b)
 {
@@ -159,7 +168,7 @@
     if (code != CTL_OK) {
         return code;
     }
-    if (cur.n > 0 && cur.hash == b->hash) {
+    if (in_force(o, &cur, b)) {
         code = accepted(o, &cur, false);
     }
     else if (cur.n > 0 && o->on < 0) {
--- a/siskinctl/version.c
+++ b/siskinctl/version.c
@@ -5,11 +5,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 #include <unistd.h>
 
 #define WATCH_MS 30000
-#define AWAY_S 1 /* between tries while the platform is out of reach */
+#define RETRY_S 1 /* between tries without a new version */
 
 /* ---- check ---- */
 
@@ -216,17 +215,15 @@
 next_version(plat_t *p, const conf_bundle_t *last, uint64_t *revision,
              conf_bundle_t *next, err_t *e)
 {
-    ms_t wait = last->n > 0 || *revision > 0 ? WATCH_MS : 0;
     uint64_t seen;
     char *json;
-    int rc = plat_get(p, PLAT_CONFIG_KEY, wait, *revision, &json, &seen, e);
+    int rc =
+        plat_get(p, PLAT_CONFIG_KEY, WATCH_MS, *revision, &json, &seen, e);
 
     if (rc < 0) {
         return rc;
     }
     if (json == NULL) {
-        *revision = 0;
-        sleep(AWAY_S);
         return -ENODATA;
     }
     rc = bundle_read(next, json, e);
@@ -234,7 +231,8 @@
     if (rc < 0) {
         return rc;
     }
-    /* A stale read shows an earlier version again. */
+    /* The wait is over without a change, or a stale read shows an earlier
+     * version again. */
     if (next->version <= last->version) {
         bundle_free(next);
         return -ENODATA;
@@ -261,15 +259,15 @@
             bundle_free(&last);
             last = next;
             told++;
+            away = false;
+            continue;
         }
-        else if (rc != -ENODATA) {
-            if (!away) {
-                ctl_fail(o, CTL_AWAY, &e);
-                fflush(stdout);
-            }
-            sleep(AWAY_S);
+        if (rc != -ENODATA && !away) {
+            ctl_fail(o, CTL_AWAY, &e);
+            fflush(stdout);
         }
-        away = rc < 0 && rc != -ENODATA;
+        away = rc != -ENODATA;
+        sleep(RETRY_S);
     }
     bundle_free(&last);
     plat_free(p);
--- a/test/ctl_config.sh
+++ b/test/ctl_config.sh
@@ -65,9 +65,16 @@
     ctl show
     switch outage=0
 
+    echo "## Version 5's texts again, while a lagging read shows version 5"
+    cp base.toml nine
+    edit base.toml 's/^queue = 9/queue = 7/'
+    switch stale_reads=1
+    ctl apply --on 6 --change-id back $all
+    cp nine base.toml
+
     echo "## An upstream passes to the other service"
     edit olomouc-sal.toml 's/"archiv"/"dohled"/'
-    ctl apply --on 6 $all
+    ctl apply --on 7 $all
     cp theirs/olomouc-sal.toml .
 
     echo "## An upstream is drained, in the text that is in force"
--- a/test/plat_test.cc
+++ b/test/plat_test.cc
@@ -393,3 +393,48 @@
     }
     EXPECT_EQ((uint64_t)applied + 1, version());
 }
+
+// How often change ID stands in the version in force or those before it.
+static int
+times_applied(const conf_bundle_t *now, const std::string &id)
+{
+    int n = id == now->change_id;
+    for (size_t i = 0; i < now->n_changes; i++) {
+        n += id == now->changes[i].change_id;
+    }
+    return n;
+}
+
+// Operators with fresh and old views write while answers are lost and reads
+// lag, and each runs the command again when it failed.  Whatever the order:
+// "done" is there once, "lost the race" is not there, versions only grow, and
+// none is skipped.
+TEST_F(Plat, AnyOrderOfFaultsAppliesOnce)
+{
+    int next_id = 0;
+    ASSERT_EQ(0, apply(4, "start", 0));
+    EXPECT_TRUE(rc::check("applies once", [&] {
+        uint64_t before = version();
+        uint64_t old = (uint64_t)*rc::gen::inRange(0, 2);
+        uint64_t expect = before > old ? before - old : before;
+        int lost = *rc::gen::inRange(0, 4), stale = *rc::gen::inRange(0, 3);
+        int runs = *rc::gen::inRange(1, 3);
+        std::string id = "id-" + std::to_string(next_id++);
+        int rc = 0;
+        set(("lose_answers=" + std::to_string(lost) +
+             "&stale_reads=" + std::to_string(stale))
+                .c_str());
+        for (int i = 0; i < runs; i++) {
+            rc = apply(next_id % 100, id.c_str(), expect);
+        }
+        set("lose_answers=0&stale_reads=0");
+        Bundle now;
+        uint64_t revision;
+        RC_ASSERT(plat_config(p, &now.b, &revision, NULL) == 0);
+        int n = times_applied(&now.b, id);
+        RC_ASSERT(n == (rc == 0 ? 1 : 0));
+        RC_ASSERT(rc == 0 || rc == -EAGAIN || rc == -ESTALE);
+        RC_ASSERT(now.b.version == before + (uint64_t)n);
+        RC_CLASSIFY(rc == 0, "applied");
+    }));
+}
