conf: no address passes between a service and an upstream in one step

An instance with the old version would send datagrams with the proxy header to what is now a service's address, where they arrive as a caller's. Also a property for the edit of overlays: one upstream's mark changes and nothing else, however the overlay is written.

--- a/conf/conf.h
+++ b/conf/conf.h
@@ -84,9 +84,10 @@
 const conf_service_t *conf_service_at(const conf_t *c, const addr_t *addr);
 const conf_upstream_t *conf_upstream(const conf_service_t *s, uint64_t id);
 
-/* Checks that OLD may be followed by NEW: an address may pass from one
- * service to another only through a version without it, so that no instance
- * still trusts it in its old place.  0 or -EINVAL with E. */
+/* Checks that OLD (may be NULL) may be followed by NEW: an address may pass
+ * from one service to another, or between a service's own and an upstream's,
+ * only through a version without it, so that no instance still trusts it in
+ * its old place.  0 or -EINVAL with E. */
 int conf_step_check(const conf_t *old, const conf_t *new_, err_t *e);
 
 /* The overlay TEXT with "draining" of the upstream at A set (freed by the
--- a/conf/diff.c
+++ b/conf/diff.c
@@ -1,5 +1,6 @@
 /* What differs between two versions, and whether one may follow the other. */
 #include "conf/model.h"
+#include "wire/wire.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -175,8 +176,13 @@
 check_upstream_step(const conf_t *old, const conf_service_t *s,
                     const conf_upstream_t *u, err_t *e)
 {
+    const conf_service_t *was = conf_service_at(old, &u->addr);
+
+    if (was != NULL) {
+        return fail_passes(e, "upstream", &u->addr, was->name, s->name);
+    }
     for (uint32_t i = 0; i < old->n_services; i++) {
-        const conf_service_t *was = &old->services[i];
+        was = &old->services[i];
         if (strcmp(was->name, s->name) != 0 &&
             conf_upstream(was, u->id) != NULL) {
             return fail_passes(e, "upstream", &u->addr, was->name, s->name);
@@ -188,23 +194,34 @@
 /* A service's address is how flows and upstreams know the service, so it is
  * held to the same rule as an upstream's. */
 static int
-check_service_step(const conf_t *old, const conf_service_t *s, err_t *e)
+check_address_step(const conf_t *old, const conf_service_t *s, err_t *e)
 {
     const conf_service_t *was = conf_service_at(old, &s->addr);
-    int rc;
+    uint64_t id = addr_id(&s->addr);
 
     if (was != NULL && strcmp(was->name, s->name) != 0) {
         return fail_passes(e, "address", &s->addr, was->name, s->name);
     }
-    for (uint32_t i = 0; i < s->n_upstreams; i++) {
-        rc = check_upstream_step(old, s, &s->upstreams[i], e);
-        if (rc < 0) {
-            return rc;
+    for (uint32_t i = 0; i < old->n_services; i++) {
+        was = &old->services[i];
+        if (conf_upstream(was, id) != NULL) {
+            return fail_passes(e, "address", &s->addr, was->name, s->name);
         }
     }
     return 0;
 }
 
+static int
+check_service_step(const conf_t *old, const conf_service_t *s, err_t *e)
+{
+    int rc = check_address_step(old, s, e);
+
+    for (uint32_t i = 0; rc == 0 && i < s->n_upstreams; i++) {
+        rc = check_upstream_step(old, s, &s->upstreams[i], e);
+    }
+    return rc;
+}
+
 int
 conf_step_check(const conf_t *old, const conf_t *new_, err_t *e)
 {
--- a/siskinctl/output.c
+++ b/siskinctl/output.c
@@ -8,6 +8,7 @@
 
 #define COLUMNS_MAX 24
 #define CELL_LEN 128
+#define KEY_WIDTH 20
 
 ctl_exit_t
 ctl_fail(const options_t *o, ctl_exit_t code, const err_t *e)
@@ -203,7 +204,7 @@
     {
         if (!is_rows(value)) {
             cell(value, text, sizeof(text));
-            printf("%-16s %s\n", key, text);
+            printf("%-*s %s\n", KEY_WIDTH, key, text);
         }
     }
     json_object_foreach((json_t *)o, key, value)
--- a/test/conf_test.cc
+++ b/test/conf_test.cc
@@ -1,7 +1,9 @@
 // The operators' configuration: what is accepted, what each refusal says and
 // where, and how two versions compare.
 #include "conf/conf.h"
+#include "wire/wire.h"
 
+#include <algorithm>
 #include <errno.h>
 #include <gtest/gtest.h>
 #include <memory>
@@ -238,6 +240,74 @@
     EXPECT_EQ(-EINVAL, conf_step_check(a.get(), other.get(), nullptr));
 }
 
+// What was an upstream becomes a service's own address: an instance with the
+// old version sends it datagrams that arrive as a caller's.
+TEST(Conf, UpstreamsAddressBecomesNoServicesInOneStep)
+{
+    conf_ptr a = parse({base, brno});
+    std::string over = edit(brno, "127.2.1.2", "127.2.1.3");
+    conf_ptr b = parse({edit(base, "127.1.0.1", "127.2.1.2"), over});
+    err_t e = {};
+    EXPECT_EQ(-EINVAL, conf_step_check(a.get(), b.get(), &e));
+    EXPECT_TRUE(strstr(e.text, "127.2.1.2:5683")) << e.text;
+    EXPECT_EQ(-EINVAL, conf_step_check(b.get(), a.get(), nullptr));
+}
+
+// An overlay as people write them: keys in any order, comments, blank lines,
+// marks that are there already.
+static std::string
+upstream_text(int host)
+{
+    std::vector<std::string> lines = {
+        "service = \"dohled\"",
+        "  address=\"127.2.1." + std::to_string(host) + ":5683\" # rack 4"};
+    switch (*rc::gen::inRange(0, 3)) {
+    case 1:
+        lines.push_back("draining = false");
+        break;
+    case 2:
+        lines.push_back("draining   =   true   # since Monday");
+        break;
+    }
+    if (*rc::gen::arbitrary<bool>()) {
+        lines.push_back("# draining = true");
+        lines.push_back("");
+    }
+    if (*rc::gen::arbitrary<bool>()) {
+        std::reverse(lines.begin(), lines.end());
+    }
+    std::string text = "[[upstream]]\n";
+    for (const std::string &line : lines) {
+        text += line + "\n";
+    }
+    return text;
+}
+
+RC_GTEST_PROP(Conf, DrainingChangesOneUpstreamOnly, ())
+{
+    std::string over = "data_centre = \"brno-sal-a\"\n";
+    int n = *rc::gen::inRange(1, 5), at = *rc::gen::inRange(0, n);
+    for (int i = 0; i < n; i++) {
+        over += upstream_text(i + 1);
+    }
+    over += "[[upstream]]\nservice = \"archiv\"\naddress = \"127.2.9.9:1\"";
+    conf_ptr before = parse({base, over});
+    RC_ASSERT((bool)before);
+    addr_t a;
+    addr_parse(&a, ("127.2.1." + std::to_string(at + 1) + ":5683").c_str());
+    const conf_service_t *s = conf_service(before.get(), "dohled");
+    bool was = conf_upstream(s, addr_id(&a))->draining;
+    err_t e = {};
+    char *set = conf_set_draining(over.c_str(), &a, !was, &e);
+    RC_ASSERT(set != nullptr);
+    conf_ptr after = parse({base, set});
+    free(set);
+    RC_ASSERT((bool)after);
+    RC_ASSERT(diff(before.get(), after.get()).size() == 1u);
+    s = conf_service(after.get(), "dohled");
+    RC_ASSERT(conf_upstream(s, addr_id(&a))->draining == !was);
+}
+
 TEST(Conf, DrainingIsEditedInItsOverlay)
 {
     addr_t archiv, far, other;
--- a/test/ctl_test.cc
+++ b/test/ctl_test.cc
@@ -62,7 +62,7 @@
     std::string out = run("status");
     EXPECT_EQ(0, code);
     EXPECT_EQ("GET /status\n", seen);
-    EXPECT_NE(std::string::npos, out.find("version          7\n"));
+    EXPECT_NE(std::string::npos, out.find("version              7\n"));
     EXPECT_NE(std::string::npos, out.find("\npeers\n"
                                           "name        state    version\n"
                                           "moravia-2   active   7\n"
