--- a/conf/fields.h
+++ b/conf/fields.h
@@ -36,6 +36,53 @@
     };
 } field_t;
 
+/* Descriptions of a member: KEY in the file, member M of struct S. */
+#define FIELD(key_, kind_, required_, s, m)                                   \
+    .key = key_, .kind = kind_, .required = required_, .offset = offsetof(s, m)
+#define U16_FIELD(key_, required_, s, m, min_, max_, unit_)                   \
+    {                                                                         \
+        FIELD(key_, FIELD_U16, required_, s, m), .number = {                  \
+            .min = min_,                                                      \
+            .max = max_,                                                      \
+            .unit = unit_                                                     \
+        }                                                                     \
+    }
+#define U32_FIELD(key_, required_, s, m, min_, max_, unit_)                   \
+    {                                                                         \
+        FIELD(key_, FIELD_U32, required_, s, m), .number = {                  \
+            .min = min_,                                                      \
+            .max = max_,                                                      \
+            .unit = unit_                                                     \
+        }                                                                     \
+    }
+#define BOOL_FIELD(key_, required_, s, m)                                     \
+    {                                                                         \
+        FIELD(key_, FIELD_BOOL, required_, s, m)                              \
+    }
+#define NAME_FIELD(key_, required_, s, m)                                     \
+    {                                                                         \
+        FIELD(key_, FIELD_NAME, required_, s, m)                              \
+    }
+#define ADDR_FIELD(key_, required_, s, m)                                     \
+    {                                                                         \
+        FIELD(key_, FIELD_ADDR, required_, s, m)                              \
+    }
+#define TEXT_FIELD(key_, required_, s, m)                                     \
+    {                                                                         \
+        FIELD(key_, FIELD_TEXT, required_, s, m), .text = {                   \
+            .cap = sizeof(((s *)0)->m)                                        \
+        }                                                                     \
+    }
+#define CHOICE_FIELD(key_, required_, s, m, names_)                           \
+    {                                                                         \
+        FIELD(key_, FIELD_CHOICE, required_, s, m), .choice = {               \
+            .names = names_                                                   \
+        }                                                                     \
+    }
+
+#define REQUIRED true
+#define OPTIONAL false
+
 /* The fields that one struct takes from a table. */
 typedef struct {
     const field_t *fields;
--- a/conf/model.h
+++ b/conf/model.h
@@ -5,6 +5,9 @@
 #include "conf/conf.h"
 #include "conf/fields.h"
 
+#define SLOTS_MAX 10000
+#define CONNECTIONS_MAX 10000000
+
 /* Members of conf_service_t, and of conf_upstream_t. */
 extern const field_t service_fields[];
 extern const size_t n_service_fields;
--- a/conf/parse.c
+++ b/conf/parse.c
@@ -21,38 +21,29 @@
 };
 
 static const field_t site_fields[] = {
-    {"name", FIELD_NAME, true, offsetof(draft_t, site), {{0}}},
-    {"drain_ms",
-     FIELD_U32,
-     false,
-     offsetof(draft_t, drain_ms),
-     {.number = {1000, 3600000, "milliseconds"}}},
+    NAME_FIELD("name", REQUIRED, draft_t, site),
+    U32_FIELD("drain_ms", OPTIONAL, draft_t, drain_ms, 1000, 3600000,
+              "milliseconds"),
 };
 
-#define LIMIT_FIELDS(needed)                                                  \
+#define LIMIT_FIELDS(required)                                                \
     {                                                                         \
-        {"slots",                                                             \
-         FIELD_U16,                                                           \
-         needed,                                                              \
-         offsetof(limits_t, slots),                                           \
-         {.number = {1, 10000, "requests"}}},                                 \
-            {"connections",                                                   \
-             FIELD_U32,                                                       \
-             needed,                                                          \
-             offsetof(limits_t, connections),                                 \
-             {.number = {1, 10000000, "flows"}}},                             \
-    }
-static const field_t base_limits[] = LIMIT_FIELDS(true);
-static const field_t overlay_limits[] = LIMIT_FIELDS(false);
+        U16_FIELD("slots", required, limits_t, slots, 1, SLOTS_MAX,           \
+                  "requests"),                                                \
+            U32_FIELD("connections", required, limits_t, connections, 1,      \
+                      CONNECTIONS_MAX, "flows"),                              \
+    }
+static const field_t base_limits[] = LIMIT_FIELDS(REQUIRED);
+static const field_t overlay_limits[] = LIMIT_FIELDS(OPTIONAL);
 
 typedef struct {
     char name[NAME_LEN];
 } name_field_t;
 
 static const field_t data_centre_field[] = {
-    {"data_centre", FIELD_NAME, true, offsetof(name_field_t, name), {{0}}}};
+    NAME_FIELD("data_centre", REQUIRED, name_field_t, name)};
 static const field_t service_name_field[] = {
-    {"service", FIELD_NAME, true, offsetof(name_field_t, name), {{0}}}};
+    NAME_FIELD("service", REQUIRED, name_field_t, name)};
 
 static const char *const base_tables[] = {"site", "service", NULL};
 static const char *const overlay_tables[] = {"service", "upstream", NULL};
--- a/conf/settings.c
+++ b/conf/settings.c
@@ -7,47 +7,28 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define AT(member) offsetof(settings_t, member)
-#define TEXT_OF(member)                                                       \
-    {                                                                         \
-        .text = { sizeof(((settings_t *)0)->member) }                         \
-    }
-
 /* In the order of log_level_t. */
 static const char *const levels[] = {"error", "warn", "info", "debug", NULL};
 
 static const field_t settings_fields[] = {
-    {"name", FIELD_NAME, true, AT(name), {{0}}},
-    {"data_centre", FIELD_NAME, true, AT(data_centre), {{0}}},
-    {"bind_ip", FIELD_TEXT, false, AT(bind_ip), TEXT_OF(bind_ip)},
-    {"return_addr", FIELD_ADDR, true, AT(return_addr), {{0}}},
-    {"own_addr", FIELD_ADDR, true, AT(own_addr), {{0}}},
-    {"peer_addr", FIELD_ADDR, true, AT(peer_addr), {{0}}},
-    {"bulk_addr", FIELD_ADDR, true, AT(bulk_addr), {{0}}},
-    {"admin_addr", FIELD_ADDR, false, AT(admin_addr), {{0}}},
-    {"platform_url", FIELD_TEXT, true, AT(platform_url),
-     TEXT_OF(platform_url)},
-    {"peer_key", FIELD_TEXT, true, AT(peer_key), TEXT_OF(peer_key)},
-    {"log_level", FIELD_CHOICE, false, AT(log_level), {.choice = {levels}}},
+    NAME_FIELD("name", REQUIRED, settings_t, name),
+    NAME_FIELD("data_centre", REQUIRED, settings_t, data_centre),
+    TEXT_FIELD("bind_ip", OPTIONAL, settings_t, bind_ip),
+    ADDR_FIELD("return_addr", REQUIRED, settings_t, return_addr),
+    ADDR_FIELD("own_addr", REQUIRED, settings_t, own_addr),
+    ADDR_FIELD("peer_addr", REQUIRED, settings_t, peer_addr),
+    ADDR_FIELD("bulk_addr", REQUIRED, settings_t, bulk_addr),
+    ADDR_FIELD("admin_addr", OPTIONAL, settings_t, admin_addr),
+    TEXT_FIELD("platform_url", REQUIRED, settings_t, platform_url),
+    TEXT_FIELD("peer_key", REQUIRED, settings_t, peer_key),
+    CHOICE_FIELD("log_level", OPTIONAL, settings_t, log_level, levels),
 };
 
 static const field_t peer_fields[] = {
-    {"name", FIELD_NAME, true, offsetof(settings_peer_t, name), {{0}}},
-    {"data_centre",
-     FIELD_NAME,
-     true,
-     offsetof(settings_peer_t, data_centre),
-     {{0}}},
-    {"peer_addr",
-     FIELD_ADDR,
-     true,
-     offsetof(settings_peer_t, peer_addr),
-     {{0}}},
-    {"bulk_addr",
-     FIELD_ADDR,
-     true,
-     offsetof(settings_peer_t, bulk_addr),
-     {{0}}},
+    NAME_FIELD("name", REQUIRED, settings_peer_t, name),
+    NAME_FIELD("data_centre", REQUIRED, settings_peer_t, data_centre),
+    ADDR_FIELD("peer_addr", REQUIRED, settings_peer_t, peer_addr),
+    ADDR_FIELD("bulk_addr", REQUIRED, settings_peer_t, bulk_addr),
 };
 
 static const char *const settings_tables[] = {"peer", NULL};
