--- a/member/internal.h
+++ b/member/internal.h
@@ -36,7 +36,7 @@
     uint64_t target; /* of MSG_PING_FOR and MSG_ACK_FOR */
     member_t sender; /* id is not sent: the envelope names the sender */
     uint64_t hash;   /* of the sender's version in force */
-    member_t echo;   /* the receiver, as the sender knows it */
+    member_t echo;   /* the receiver (ID and life), as the sender knows it */
 } msg_head_t;
 
 /* A body being written. */
--- a/member/member.h
+++ b/member/member.h
@@ -122,8 +122,9 @@
 typedef struct {
     uint64_t sent, sent_bytes; /* messages and bytes of their bodies */
     uint64_t received, malformed;
-    uint64_t suspected; /* members whose silence was noticed here first */
-    uint64_t refuted;   /* suspicions of self that were refuted */
+    uint64_t misaddressed; /* for an instance that had this address before */
+    uint64_t suspected;    /* members whose silence was noticed here first */
+    uint64_t refuted;      /* suspicions of self that were refuted */
     uint64_t pauses;    /* gaps between ticks that dropped pings in progress */
     uint64_t conflicts; /* a peer with the same version and another hash */
     uint32_t count[MEMBER_GONE + 1]; /* members by state, self included */
--- a/member/members.c
+++ b/member/members.c
@@ -360,7 +360,6 @@
     p->acked_incarnation = echo->incarnation;
     p->acked_revision = echo->revision;
     if (echo->incarnation != 0) {
-        rec.member.id = m->self_id;
         view_apply(m, now, &rec);
     }
 }
@@ -453,10 +452,16 @@
     peer_t *p;
 
     m->stats.received++;
-    if (from == m->self_id || body_read(body, len, &head, rec, &n) < 0) {
+    if (body_read(body, len, &head, rec, &n) < 0) {
         m->stats.malformed++;
         return -EPROTO;
     }
+    /* A dead instance's address has passed to this one, and its peers (self
+     * among them) look for it here: what they say isn't about self. */
+    if (head.echo.id != m->self_id || from == m->self_id) {
+        m->stats.misaddressed++;
+        return 0;
+    }
     m->n_fix = 0;
     p = take_records(m, now, from, &head, rec, n);
     if (p == NULL) { /* unknown: it repeats itself with its addresses */
--- a/test/member_test.cc
+++ b/test/member_test.cc
@@ -20,7 +20,8 @@
 // messages waiting when it wakes.
 struct Node {
     Net *net;
-    int i;
+    int i;      // its place, which is its address
+    int called; // its name
     members_t *m;
     bool up = true, paused = false;
     int side = 0; // of a partition
@@ -115,7 +116,7 @@
         int i = (int)node.size();
         node.push_back(std::make_unique<Node>());
         node[i]->net = this;
-        node[i]->i = i;
+        node[i]->i = node[i]->called = i;
         start(i, seeds);
         return *node[i];
     }
@@ -124,8 +125,9 @@
     start(int i, const std::vector<int> &seeds)
     {
         member_params_t params = MEMBER_PARAMS_DEFAULT;
-        member_t self = named(i, clock);
         Node &n = *node[i];
+        member_t self = named(n.called, clock);
+        self.peer_addr = self.bulk_addr = addr_of(i);
         n.up = true;
         n.paused = false;
         n.version = 0;
@@ -156,7 +158,7 @@
         if (!n.up || n.side != node[f.from]->side) {
             return;
         }
-        uint64_t from = instance_id(named(f.from, 0).name);
+        uint64_t from = named(node[f.from]->called, 0).id;
         if (n.paused) {
             n.waiting.push_back(f.body);
             n.waiting_from.push_back(from);
@@ -190,7 +192,7 @@
         if (n.version != 0) {
             members_set_version(n.m, now, n.version, n.version * 7);
         }
-        if (state(n.i, n.i) == MEMBER_JOINING && members_acked(n.m)) {
+        if (state(n.i, n.called) == MEMBER_JOINING && members_acked(n.m)) {
             members_set_self(n.m, now, MEMBER_ACTIVE);
         }
     }
@@ -387,6 +389,24 @@
     }
 }
 
+// An instance dies and its address passes to a new one under another name.
+// Peers go on looking for the dead one there; the newcomer must not take their
+// suspicion for its own (seen before: it refuted each second and never became
+// ACTIVE, for each refutation has to be confirmed again by all).
+TEST(Member, NewInstanceAtADeadOnesAddress)
+{
+    auto net = fleet(8, 14);
+    net->kill(7);
+    net->run(4000);
+    net->node[7]->called = 20;
+    net->start(7, upto(7));
+    net->run(10000);
+    EXPECT_EQ(8, net->seen(20, MEMBER_ACTIVE));
+    EXPECT_EQ(MEMBER_SUSPECT, net->state(0, 7));
+    EXPECT_EQ(0u, net->stats(7).refuted);
+    EXPECT_LT(0u, net->stats(7).misaddressed);
+}
+
 // The wall clock goes back between two lives: the new one looks older than
 // what the peers remember.  Their records tell it so, and it rises above.
 TEST(Member, RestartWithAnEarlierClock)
