--- a/bench/load.c
+++ b/bench/load.c
@@ -22,6 +22,7 @@
 #define PAYLOAD 272 /* a setpoint's size */
 #define FLOWS_MAX 4096
 #define WARM_MS 2000
+#define START_MS 3000 /* until the balancer trusts the upstream */
 
 typedef struct {
     addr_t service, upstream;
@@ -66,14 +67,43 @@
     return recvmmsg(fd, b->msgs, BATCH, MSG_WAITFORONE, NULL);
 }
 
+/* Answers the balancer's identity probe (docs/UPSTREAM.md) in place. */
+static void
+answer_probe(const addr_t *service, uint8_t *data, size_t cap, size_t *len)
+{
+    coap_msg_t m = COAP_MSG_INIT;
+    coap_msg_t r = COAP_MSG_INIT;
+    char text[ADDR_STRLEN], body[256];
+    int n;
+
+    if (coap_decode(&m, data + SPP_LEN, *len - SPP_LEN) < 0 ||
+        !coap_path_is(&m, ".well-known", "load")) {
+        return;
+    }
+    n = snprintf(body, sizeof(body),
+                 "{\"service\":\"%s\",\"epoch\":1,\"busy\":0,\"queued\":0,"
+                 "\"slots\":2,\"connections\":0,\"draining\":false}",
+                 addr_text(service, text));
+    r.type = COAP_T_ACK;
+    r.code = COAP_CONTENT;
+    r.mid = m.mid;
+    r.token_len = m.token_len;
+    memcpy(r.token, m.token, sizeof(r.token));
+    r.payload = (const uint8_t *)body;
+    r.payload_len = (size_t)n;
+    n = coap_encode(data + SPP_LEN, cap - SPP_LEN, &r);
+    *len = n < 0 ? *len : SPP_LEN + (size_t)n;
+}
+
 /* The upstream: sends each datagram back, header and all. */
 static void *
 echo_main(void *arg)
 {
+    const options_t *o = arg;
     batch_t *b = calloc(1, sizeof(*b));
     struct timeval wait = {.tv_usec = 100000};
     struct sockaddr_storage ss;
-    socklen_t len = addr_to_sock(arg, &ss);
+    socklen_t len = addr_to_sock(&o->upstream, &ss);
     int buffer = 4 << 20;
     int fd = socket(ss.ss_family, SOCK_DGRAM, 0);
 
@@ -85,7 +115,12 @@
     while (!__atomic_load_n(&ended, __ATOMIC_RELAXED)) {
         int n = read_batch(fd, b);
         for (int i = 0; i < n; i++) {
-            b->iov[i].iov_len = b->msgs[i].msg_len;
+            size_t n_bytes = b->msgs[i].msg_len;
+            if (n_bytes > SPP_LEN && n_bytes != SPP_LEN + PAYLOAD) {
+                answer_probe(&o->service, b->data[i], sizeof(b->data[i]),
+                             &n_bytes);
+            }
+            b->iov[i].iov_len = n_bytes;
         }
         if (n > 0) {
             sendmmsg(fd, b->msgs, (unsigned)n, 0);
@@ -220,7 +255,8 @@
         fprintf(stderr, "load: expected 1 to %d flows\n", FLOWS_MAX);
         return 2;
     }
-    pthread_create(&echo, NULL, echo_main, &o.upstream);
+    pthread_create(&echo, NULL, echo_main, &o);
+    usleep(1000 * START_MS);
     open_flows(&o);
     pthread_create(&count, NULL, count_main, NULL);
     measure(&o);
--- a/siskind/main.c
+++ b/siskind/main.c
@@ -15,9 +15,9 @@
 
 enum { EXIT_OK, EXIT_FAILED, EXIT_USAGE };
 
-/* Sizes of the inboxes.  Decide's holds 10 ms of 100,000 datagrams a second;
+/* Sizes of the inboxes.  Decide's holds 40 ms of 100,000 datagrams a second;
  * the sockets hold what comes beyond. */
-#define PACKET_INBOX 1024
+#define PACKET_INBOX 4096
 #define NOTE_INBOX 64
 /* Packets: an inbox full, and what both ends have in hand. */
 #define PACKETS (PACKET_INBOX + 256)
--- a/siskind/receive.c
+++ b/siskind/receive.c
@@ -13,11 +13,13 @@
 #define INBOX_BATCH 16
 /* Batches read of one socket before the others have their turn. */
 #define TURNS 4
+#define GATHER_US 200 /* at the least between two turns */
 
 typedef struct {
     daemon_t *d;
     duty_t *decide;
     int epoll;
+    int64_t turn_us; /* when the last turn began */
     port_set_t *ports;
     packet_t *hand[BATCH]; /* empty packets, to be filled by the next read */
     struct mmsghdr msgs[BATCH];
@@ -237,14 +239,39 @@
     read_socket(r, &s);
 }
 
+static int64_t
+now_us(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
+}
+
+/* Lets datagrams gather, as network cards do, so that under load each wake-up
+ * of the three threads serves many.  A datagram that comes alone isn't held
+ * up. */
+static void
+gather(receive_t *r)
+{
+    int64_t left = r->turn_us + GATHER_US - now_us();
+
+    if (left > 0) {
+        struct timespec ts = {.tv_nsec = left * 1000};
+        nanosleep(&ts, NULL);
+    }
+}
+
 static void
 one_turn(duty_t *self, receive_t *r)
 {
     struct epoll_event ev[EVENTS_MAX];
     int n;
 
+    gather(r);
     n = epoll_wait(r->epoll, ev, EVENTS_MAX, duty_sleep(self) ? 1000 : 0);
     duty_awake(self);
+    r->turn_us = now_us();
     for (int i = 0; i < n; i++) {
         on_event(r, ev[i].data.u64);
     }
