--- a/core/core.c
+++ b/core/core.c
@@ -78,15 +78,34 @@
     return (uint16_t)c->n_services++;
 }
 
-/* When an upstream that is new here can first have got work from anyone.  An
- * instance that hears all others has a version at about the same time as
- * they; one that was cut off, or starts, may have it much later. */
+void
+core_history_complete(core_t *c)
+{
+    c->history_complete = true;
+}
+
+bool
+core_history_is_complete(const core_t *c)
+{
+    return c->history_complete;
+}
+
+/* When an upstream that is new here can first have got work from anyone;
+ * INT64_MIN / 2 when that isn't known.  An instance that hears all others has
+ * a version at about the same time as they; one that was cut off may have it
+ * much later.  With its first version an instance knows if it was there before
+ * all others, or was given what was in force over all of DOUBT_MS. */
 static ms_t
-first_listing(const core_t *c)
+first_listing(core_t *c)
 {
     bool in_touch = !c->suspects && c->now - c->doubt_at >= DOUBT_MS;
+    bool known = in_touch;
 
-    return in_touch && !c->first_version ? c->now : INT64_MIN / 2;
+    if (c->first_version) {
+        c->history_complete |= !c->met_elder;
+        known = c->history_complete || c->last_tick - c->now >= DOUBT_MS;
+    }
+    return known ? c->now : INT64_MIN / 2;
 }
 
 static void
--- a/core/core.h
+++ b/core/core.h
@@ -111,6 +111,10 @@
  * force at the peer it has them from: it must know which upstreams may hold
  * requests made before it started. */
 int core_set_conf(core_t *c, ms_t now, const conf_t *conf);
+/* Said before the first core_set_conf(): no instance had a version before that
+ * one.  A peer that was told so, or that started before any other, knows. */
+void core_history_complete(core_t *c);
+bool core_history_is_complete(const core_t *c);
 uint64_t core_version(const core_t *c);
 
 /* The members changed.  LIST as members_list() gives it; DOUBT_AT and LOWEST
--- a/core/homes.c
+++ b/core/homes.c
@@ -194,6 +194,15 @@
     return m->state == MEMBER_JOINING && p->state == MEMBER_ACTIVE;
 }
 
+/* Was M there before this instance?  One that starts along with it is first
+ * seen JOINING. */
+static bool
+is_elder(const core_t *c, const member_t *m)
+{
+    return m->id != c->p.self && m->state != MEMBER_JOINING &&
+           m->state != MEMBER_GONE && peer_find(c, m->id) == NULL;
+}
+
 void
 core_set_members(core_t *c, ms_t now, const member_t *list, size_t n,
                  ms_t doubt_at, uint64_t lowest)
@@ -214,6 +223,9 @@
         peers[i].incarnation = list[i].incarnation;
         peers[i].state = list[i].state;
         c->suspects |= list[i].state == MEMBER_SUSPECT;
+        if (is_elder(c, &list[i])) {
+            c->met_elder = true;
+        }
         if (was_doubted(c, &list[i])) {
             c->doubt_at = now;
         }
--- a/core/state.h
+++ b/core/state.h
@@ -217,10 +217,12 @@
     rng_t rng;
     uint64_t version, lowest;
     bool leaving;
-    bool first_version; /* the version in force is the first here */
-    bool handing;       /* a member joins: pins move by plan */
-    bool suspects;      /* some member is SUSPECT */
-    ms_t doubt_at;      /* last time that two homes of a key were possible */
+    bool first_version;    /* the version in force is the first here */
+    bool history_complete; /* no instance had a version before that */
+    bool met_elder;        /* a member was there before this instance */
+    bool handing;          /* a member joins: pins move by plan */
+    bool suspects;         /* some member is SUSPECT */
+    ms_t doubt_at; /* last time that two homes of a key were possible */
     map_t up_map, service_map; /* addr_id() to index */
 
     slot_t *slots;
