--- a/plat/http.c
+++ b/plat/http.c
@@ -32,7 +32,8 @@
     http_t *h = calloc(1, sizeof(*h));
 
     pthread_once(&once, init_curl);
-    if (h == NULL) {
+    if (h == NULL || strlen(url) >= sizeof(h->url)) {
+        free(h);
         return NULL;
     }
     snprintf(h->url, sizeof(h->url), "%s", url);
--- a/plat/http.h
+++ b/plat/http.h
@@ -27,7 +27,8 @@
     char *body; /* ends in a NUL; valid until the next call */
 } http_reply_t;
 
-/* URL as "http://127.0.0.1:8500"; for one thread. */
+/* URL as "http://127.0.0.1:8500", shorter than 128; for one thread.  NULL
+ * when it is longer, or without memory. */
 http_t *http_new(const char *url);
 void http_free(http_t *h);
 /* 0 with any status below 500.  -ECONNREFUSED: the call did not get there;
--- a/siskinctl/apply.c
+++ b/siskinctl/apply.c
@@ -222,7 +222,7 @@
     }
     code = set_change_id(o, &b);
     if (code == CTL_OK) {
-        p = plat_new(o->platform);
+        p = ctl_platform(o);
         code = apply_files(o, p, &b);
         plat_free(p);
     }
@@ -319,7 +319,7 @@
                 "is no address; expected IP:PORT");
         return ctl_fail(o, CTL_USAGE, &e);
     }
-    p = plat_new(o->platform);
+    p = ctl_platform(o);
     for (int i = 0; i < EDIT_TRIES && rc == -EAGAIN; i++) {
         bundle_free(&b);
         rc = drain_once(p, &a, draining, &b, &changed, &e);
--- a/siskinctl/ctl.h
+++ b/siskinctl/ctl.h
@@ -61,6 +61,9 @@
 
 /* The checked bundle of the files named. */
 ctl_exit_t ctl_read_files(const options_t *o, conf_bundle_t *b);
+/* The platform that the options name; ends the program when there is no
+ * memory for it or the URL is too long. */
+plat_t *ctl_platform(const options_t *o);
 /* The version in force; CTL_AWAY when it can't be read. */
 ctl_exit_t ctl_read_platform(const options_t *o, plat_t *p, conf_bundle_t *b);
 /* A fresh change ID. */
--- a/siskinctl/files.c
+++ b/siskinctl/files.c
@@ -71,6 +71,21 @@
     return rc < 0 ? ctl_fail(o, CTL_USAGE, &e) : CTL_OK;
 }
 
+plat_t *
+ctl_platform(const options_t *o)
+{
+    plat_t *p = plat_new(o->platform);
+
+    if (p == NULL) {
+        fprintf(stderr,
+                "siskinctl: no call to %.40s can be made; expected a "
+                "URL shorter than 128\n",
+                o->platform);
+        exit(CTL_USAGE);
+    }
+    return p;
+}
+
 ctl_exit_t
 ctl_read_platform(const options_t *o, plat_t *p, conf_bundle_t *b)
 {
--- a/siskinctl/instance.c
+++ b/siskinctl/instance.c
@@ -19,31 +19,46 @@
     return ctl_fail(o, CTL_NO, &e);
 }
 
-/* Calls the instance and prints the JSON that it answers with. */
 static ctl_exit_t
-call(const options_t *o, const http_call_t *c, bool print)
+open_admin(const options_t *o, const char *step, http_t **h)
 {
     char url[128];
-    http_reply_t r;
     err_t e = {0};
-    json_t *body;
-    ctl_exit_t code = CTL_OK;
-    http_t *h;
-    int rc;
+    addr_t a;
 
+    if (addr_parse(&a, o->admin) < 0) {
+        err_set(&e, -EINVAL, step, o->admin,
+                "is no address; expected IP:PORT");
+        return ctl_fail(o, CTL_USAGE, &e);
+    }
     snprintf(url, sizeof(url), "http://%s", o->admin);
-    h = http_new(url);
-    rc = http_call(h, c, &r, &e);
-    if (rc < 0) {
-        http_free(h);
-        /* A drain or its end may have taken effect. */
-        code = c->method == HTTP_GET || rc == -ECONNREFUSED ? CTL_AWAY
-                                                            : CTL_UNKNOWN;
-        return ctl_fail(o, code, &e);
+    *h = http_new(url);
+    if (*h == NULL) {
+        err_set(&e, -ENOMEM, step, o->admin, "Out of memory.");
+        return ctl_fail(o, CTL_AWAY, &e);
     }
-    body = json_loads(r.body, 0, NULL);
-    if (r.status != 200 || (print && body == NULL)) {
-        code = fail_status(o, c, &r);
+    return CTL_OK;
+}
+
+/* Of a POST that was sent and not answered nobody knows whether it took
+ * effect. */
+static ctl_exit_t
+exit_of_call(const http_call_t *c, int rc)
+{
+    return c->method == HTTP_GET || rc == -ECONNREFUSED ? CTL_AWAY
+                                                        : CTL_UNKNOWN;
+}
+
+/* Prints the JSON that the instance answered with. */
+static ctl_exit_t
+answer(const options_t *o, const http_call_t *c, const http_reply_t *r,
+       bool print)
+{
+    json_t *body = json_loads(r->body, 0, NULL);
+    ctl_exit_t code = CTL_OK;
+
+    if (r->status != 200 || (print && body == NULL)) {
+        code = fail_status(o, c, r);
     }
     else if (o->json) {
         ctl_json(body != NULL ? json_incref(body) : json_object());
@@ -52,6 +67,28 @@
         ctl_table(body);
     }
     json_decref(body);
+    return code;
+}
+
+static ctl_exit_t
+call(const options_t *o, const http_call_t *c, bool print)
+{
+    http_reply_t r;
+    err_t e = {0};
+    http_t *h;
+    ctl_exit_t code = open_admin(o, c->step, &h);
+    int rc;
+
+    if (code != CTL_OK) {
+        return code;
+    }
+    rc = http_call(h, c, &r, &e);
+    if (rc < 0) {
+        code = ctl_fail(o, exit_of_call(c, rc), &e);
+    }
+    else {
+        code = answer(o, c, &r, print);
+    }
     http_free(h);
     return code;
 }
--- a/siskinctl/version.c
+++ b/siskinctl/version.c
@@ -75,7 +75,7 @@
     if (code != CTL_OK) {
         return code;
     }
-    p = plat_new(o->platform);
+    p = ctl_platform(o);
     code = ctl_read_platform(o, p, &cur);
     plat_free(p);
     if (code == CTL_OK) {
@@ -178,7 +178,7 @@
 cmd_show(const options_t *o)
 {
     conf_bundle_t b;
-    plat_t *p = plat_new(o->platform);
+    plat_t *p = ctl_platform(o);
     ctl_exit_t code = ctl_read_platform(o, p, &b);
 
     plat_free(p);
@@ -244,7 +244,7 @@
 ctl_exit_t
 cmd_watch(const options_t *o)
 {
-    plat_t *p = plat_new(o->platform);
+    plat_t *p = ctl_platform(o);
     conf_bundle_t last = {0}, next;
     uint64_t revision = 0;
     int64_t told = 0;
--- a/test/ctl_usage.sh
+++ b/test/ctl_usage.sh
@@ -14,6 +14,8 @@
     ctl status
     ctl drain
     ctl status --json
+    ctl status --admin nowhere
+    ctl show --platform "http://$(printf 'x%.0s' {1..200})"
     cd "$root/examples" || exit 1
     ctl check moravia/{base,brno-sal-a,brno-sal-b,olomouc-sal,ostrava-sal}.toml
     ctl check bogota/{nave-a,nave-b,sala-datos,base}.toml
