--- a/test/ctl_config.sh
+++ b/test/ctl_config.sh
@@ -85,7 +85,17 @@
     ctl undrain --upstream 127.2.4.1:5683
     ctl drain --upstream 127.2.9.9:5683
     ctl drain --upstream here
-    ctl watch --count 1
+
+    echo "## A watch tells the next version when it comes"
+    ctl watch --count 2 >watched &
+    local watch=$!
+    for _ in $(seq 200); do
+        grep -q '^version 9' watched && break
+        sleep 0.05
+    done
+    ctl drain --upstream 127.2.3.1:5683
+    wait "$watch"
+    cat watched
 
     echo "## The texts in force go to new files only"
     mkdir fresh
