--- a/standin/upstream_main.c
+++ b/standin/upstream_main.c
@@ -18,8 +18,8 @@
 
 #define UPSTREAMS_MAX 256
 #define TICK_MS 5
-#define BURST 64 /* datagrams read from one socket before the next */
-#define DOWN_MS 2000
+#define BURST 64     /* datagrams read from one socket before the next */
+#define DOWN_MS 5000 /* longer than TRUST_MS, as docs/UPSTREAM.md asks */
 #define FILES_MAX 17 /* a base and 16 data centres */
 
 typedef struct {
--- a/test/standin_test.cc
+++ b/test/standin_test.cc
@@ -418,6 +418,16 @@
     EXPECT_EQ(1u, b.stats().barred);
 }
 
+// Two instances cancel the same request: both learn who came first.
+TEST(Upstream, TellsWhoBarredFirst)
+{
+    bed b;
+    b.put(well_known(COAP_DELETE, "exchange", "c=127.20.9.1:4000&m=7&o=aa"));
+    EXPECT_EQ("{\"state\":\"barred\",\"by\":\"aa\",\"epoch\":1}", b.text());
+    b.put(well_known(COAP_DELETE, "exchange", "c=127.20.9.1:4000&m=7&o=bb"));
+    EXPECT_EQ("{\"state\":\"barred\",\"by\":\"aa\",\"epoch\":1}", b.text());
+}
+
 TEST(Upstream, BarsWhatIsQueuedAndTellsOfWhatHasStarted)
 {
     bed b;
@@ -514,10 +524,13 @@
 TEST(Upstream, LoadCanFreezeAndLie)
 {
     bed b;
+    b.run(50);
     b.put(request(COAP_POST, 1, "ack", "p1"));
+    si_upstream_tick(b.u, b.now);
     b.put(well_known(COAP_GET, "load"));
     EXPECT_EQ("{\"service\":\"127.20.0.1:5683\",\"epoch\":1,\"busy\":1,"
-              "\"queued\":0,\"slots\":2,\"connections\":1,\"draining\":false}",
+              "\"queued\":0,\"slots\":2,\"connections\":1,\"draining\":false,"
+              "\"age_ms\":50}",
               b.text());
     si_upstream_freeze(b.u, true);
     b.run(100);
