--- a/standin/caller_main.c
+++ b/standin/caller_main.c
@@ -27,6 +27,7 @@
     si_client_params_t params;
     FILE *log;
     bool json;
+    int lose, repeat; /* of 100 datagrams */
     uint64_t seed;
 } options_t;
 
@@ -47,9 +48,8 @@
 } run_t;
 
 static void
-send_any(void *arg, const uint8_t *data, size_t len)
+send_one(slot_t *s, const uint8_t *data, size_t len)
 {
-    slot_t *s = arg;
     si_target_t t;
     char text[ADDR_STRLEN];
     addr_t to = s->run->o->service;
@@ -69,6 +69,17 @@
     si_udp_send(s->fd, &to, data, len);
 }
 
+static void
+send_any(void *arg, const uint8_t *data, size_t len)
+{
+    slot_t *s = arg;
+    int copies = si_fabric_copies(s->run->fabric);
+
+    for (int i = 0; i < copies; i++) {
+        send_one(s, data, len);
+    }
+}
+
 static void
 log_line_out(void *arg, const char *line)
 {
@@ -314,6 +325,7 @@
         close_all(&r);
         return 1;
     }
+    si_fabric_faults(r.fabric, o->lose, o->repeat);
     await_fabric(&r);
     rc = open_all(&r);
     if (rc < 0) {
@@ -333,6 +345,7 @@
     struct arg_str *platform, *service, *from;
     struct arg_int *kind[SI_KINDS];
     struct arg_int *seconds, *grace, *every, *ack, *silence, *blocks, *seed;
+    struct arg_int *lose, *repeat;
     struct arg_file *log;
     struct arg_lit *json, *help;
     struct arg_end *end;
@@ -359,6 +372,8 @@
                             "a feed so long silent is broken (10000)"),
         .blocks = arg_int0(NULL, "blocks", "N", "blocks of an upload (8)"),
         .seed = arg_int0(NULL, "seed", "N", "random seed (1)"),
+        .lose = arg_int0(NULL, "lose", "N", "of 100 datagrams (0)"),
+        .repeat = arg_int0(NULL, "repeat", "N", "of 100 datagrams (0)"),
         .log = arg_file0(NULL, "log", "FILE", "log of outcomes"),
         .json = arg_lit0(NULL, "json", "summary as JSON"),
         .help = arg_lit0("h", "help", "print this"),
@@ -390,6 +405,8 @@
     o->params.blocks =
         (uint32_t)si_option_int(a->blocks, (int)o->params.blocks);
     o->seed = (uint64_t)si_option_int(a->seed, 1);
+    o->lose = si_option_int(a->lose, 0);
+    o->repeat = si_option_int(a->repeat, 0);
     o->json = a->json->count > 0;
     return 0;
 }
--- a/standin/fabric.c
+++ b/standin/fabric.c
@@ -21,6 +21,7 @@
     pthread_mutex_t lock;
     pthread_cond_t wake;
     rng_t rng;
+    int lose, repeat; /* of 100 datagrams */
     si_target_t list[SI_FABRIC_MAX];
     size_t n;
     addr_t returns[RETURNS_MAX]; /* every return address seen */
@@ -220,6 +221,29 @@
     free(f);
 }
 
+void
+si_fabric_faults(si_fabric_t *f, int lose, int repeat)
+{
+    pthread_mutex_lock(&f->lock);
+    f->lose = lose;
+    f->repeat = repeat;
+    pthread_mutex_unlock(&f->lock);
+}
+
+int
+si_fabric_copies(si_fabric_t *f)
+{
+    int k, copies = 1;
+
+    pthread_mutex_lock(&f->lock);
+    if (f->lose + f->repeat > 0) {
+        k = (int)rng_below(&f->rng, 100);
+        copies = k < f->lose ? 0 : k < f->lose + f->repeat ? 2 : 1;
+    }
+    pthread_mutex_unlock(&f->lock);
+    return copies;
+}
+
 static size_t
 count_staying(const si_fabric_t *f)
 {
--- a/standin/fabric.h
+++ b/standin/fabric.h
@@ -34,6 +34,11 @@
 /* Reads the platform's answer.  The number of instances, or -EPROTO. */
 int si_fabric_parse(const char *json, si_target_t *out, size_t cap);
 
+/* Of 100 datagrams, so many are lost and so many delivered twice. */
+void si_fabric_faults(si_fabric_t *f, int lose, int repeat);
+/* How often the next datagram arrives: 0, 1 or 2 times. */
+int si_fabric_copies(si_fabric_t *f);
+
 /* A random instance that isn't leaving (any, if all are).  False when the
  * list is empty. */
 bool si_fabric_pick(si_fabric_t *f, si_target_t *out);
--- a/standin/upstream_main.c
+++ b/standin/upstream_main.c
@@ -43,14 +43,18 @@
 send_reply(void *arg, const addr_t *to, const uint8_t *data, size_t len)
 {
     slot_t *s = arg;
+    si_fabric_t *f = s->host->fabric;
     si_target_t t;
+    int copies;
 
-    if (si_fabric_is_return(s->host->fabric, to) &&
-        si_fabric_pick(s->host->fabric, &t)) {
-        si_udp_send(s->fd, &t.return_addr, data, len);
+    if (!si_fabric_is_return(f, to)) {
+        si_udp_send(s->fd, to, data, len);
         return;
     }
-    si_udp_send(s->fd, to, data, len);
+    copies = si_fabric_copies(f);
+    for (int i = 0; i < copies && si_fabric_pick(f, &t); i++) {
+        si_udp_send(s->fd, &t.return_addr, data, len);
+    }
 }
 
 static void
@@ -307,42 +311,12 @@
     free(h);
 }
 
-static int
-run(const char *platform, const struct arg_file *conf, uint16_t admin,
-    FILE *log, const si_upstream_params_t *defaults)
-{
-    host_t *h = calloc(1, sizeof(*h));
-    err_t e = {0};
-    int rc = 1;
-
-    if (h == NULL) {
-        return 1;
-    }
-    h->log = log;
-    h->epoll = epoll_create1(EPOLL_CLOEXEC);
-    pthread_mutex_init(&h->lock, NULL);
-    h->fabric = si_fabric_open(platform, (uint64_t)getpid());
-    if (h->fabric != NULL && open_files(h, conf->filename, (size_t)conf->count,
-                                        defaults, &e) == 0) {
-        h->rest = si_rest_open(admin, on_admin, h, &e);
-    }
-    if (h->rest == NULL) {
-        fprintf(stderr, "si_upstream: %s: %s\n", e.peer, e.text);
-    }
-    else {
-        loop(h);
-        rc = 0;
-    }
-    host_close(h);
-    return rc;
-}
-
 /* The command line; argtable wants its entries in one array. */
 typedef struct {
     struct arg_str *platform;
     struct arg_file *conf, *log;
     struct arg_int *admin, *service, *queue, *cold, *feed, *con, *ack, *lag;
-    struct arg_int *epoch;
+    struct arg_int *epoch, *lose, *repeat;
     struct arg_lit *help;
     struct arg_end *end;
 } args_t;
@@ -364,6 +338,8 @@
         .ack = arg_int0(NULL, "ack-timeout-ms", "MS", "ACK_TIMEOUT (2000)"),
         .lag = arg_int0(NULL, "load-lag-ms", "MS", "age of the load (0)"),
         .epoch = arg_int0(NULL, "epoch", "N", "start epoch (the clock)"),
+        .lose = arg_int0(NULL, "lose", "N", "of 100 datagrams (0)"),
+        .repeat = arg_int0(NULL, "repeat", "N", "of 100 datagrams (0)"),
         .help = arg_lit0("h", "help", "print this"),
         .end = arg_end(10)};
 }
@@ -384,24 +360,61 @@
     return p;
 }
 
-static int
-run_logged(const args_t *a)
+static host_t *
+host_open(const args_t *a, FILE *log, err_t *e)
 {
-    si_upstream_params_t p = params_read(a);
     const char *platform = a->platform->count ? a->platform->sval[0] : NULL;
+    si_upstream_params_t p = params_read(a);
+    host_t *h = calloc(1, sizeof(*h));
+
+    if (h == NULL) {
+        err_set(e, -ENOMEM, "start", "", "out of memory");
+        return NULL;
+    }
+    h->log = log;
+    h->epoll = epoll_create1(EPOLL_CLOEXEC);
+    pthread_mutex_init(&h->lock, NULL);
+    h->fabric = si_fabric_open(platform, (uint64_t)getpid());
+    if (h->fabric == NULL) {
+        err_set(e, -ENOMEM, "start", "", "no thread for the fabric");
+    }
+    else if (open_files(h, a->conf->filename, (size_t)a->conf->count, &p, e) ==
+             0) {
+        si_fabric_faults(h->fabric, si_option_int(a->lose, 0),
+                         si_option_int(a->repeat, 0));
+        h->rest = si_rest_open((uint16_t)si_option_int(a->admin, 8600),
+                               on_admin, h, e);
+    }
+    if (h->rest == NULL) {
+        host_close(h);
+        return NULL;
+    }
+    return h;
+}
+
+static int
+run(const args_t *a)
+{
     FILE *log = si_log_open("si_upstream", a->log, stdout);
-    int rc;
+    err_t e = {0};
+    host_t *h;
 
     if (log == NULL) {
         return 2;
     }
     si_catch_stop();
-    rc = run(platform, a->conf, (uint16_t)si_option_int(a->admin, 8600), log,
-             &p);
+    h = host_open(a, log, &e);
+    if (h == NULL) {
+        fprintf(stderr, "si_upstream: %s: %s\n", e.peer, e.text);
+    }
+    else {
+        loop(h);
+        host_close(h);
+    }
     if (log != stdout) {
         fclose(log);
     }
-    return rc;
+    return h != NULL ? 0 : 1;
 }
 
 int
@@ -413,7 +426,7 @@
 
     memcpy(table, &a, sizeof(a));
     if (si_args("si_upstream", argc, argv, table, a.help, a.end, &rc)) {
-        rc = run_logged(&a);
+        rc = run(&a);
     }
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return rc;
--- a/test/path_kill.sh
+++ b/test/path_kill.sh
@@ -7,15 +7,16 @@
 # Flows that break are counted: this is no planned change.
 B=${1:?usage: test/path_kill.sh BUILD}
 . test/bed.bash
+faults="--lose 2 --repeat 5"
 
 run() {
     site_copy moravia
-    site_start
+    site_start $faults
     instances_start
     caller_start dohled --service 127.1.0.1:5683 --feeds 60 --acks 40 \
-        --reads 10 --every-ms 100
+        --reads 10 --every-ms 100 $faults
     caller_start archiv --service 127.1.0.2:5684 --uploads 6 \
-        --from 127.10.0.1 --seed 2 --every-ms 100
+        --from 127.10.0.1 --seed 2 --every-ms 100 $faults
     until_true "feeds" logged_at_least 60 "^feed established"
     echo "$count instances serve 60 feeds"
     switch outage=1
--- a/test/standin_test.cc
+++ b/test/standin_test.cc
@@ -235,6 +235,21 @@
     EXPECT_FALSE(si_fabric_is_return(f.get(), &never));
 }
 
+TEST(Fabric, LosesAndRepeatsAsAsked)
+{
+    std::unique_ptr<si_fabric_t, void (*)(si_fabric_t *)> f(
+        si_fabric_open(nullptr, 1), si_fabric_close);
+    EXPECT_EQ(1, si_fabric_copies(f.get()));
+    si_fabric_faults(f.get(), 20, 30);
+    int seen[3] = {};
+    for (int i = 0; i < 1000; i++) {
+        seen[si_fabric_copies(f.get())]++;
+    }
+    EXPECT_NEAR(200, seen[0], 60);
+    EXPECT_NEAR(500, seen[1], 60);
+    EXPECT_NEAR(300, seen[2], 60);
+}
+
 // ---- One upstream ----
 
 struct datagram {
