--- a/core/core.c
+++ b/core/core.c
@@ -78,6 +78,36 @@
     return (uint16_t)c->n_services++;
 }
 
+void
+core_history_complete(core_t *c)
+{
+    c->history_complete = true;
+}
+
+bool
+core_history_is_complete(const core_t *c)
+{
+    return c->history_complete;
+}
+
+/* When an upstream that is new here can first have got work from anyone;
+ * INT64_MIN / 2 when that isn't known.  An instance that hears all others has
+ * a version at about the same time as they; one that was cut off may have it
+ * much later.  With its first version an instance knows if it was there before
+ * all others, or was given what was in force over all of DOUBT_MS. */
+static ms_t
+first_listing(core_t *c)
+{
+    bool in_touch = !c->suspects && c->now - c->doubt_at >= DOUBT_MS;
+    bool known = in_touch;
+
+    if (c->first_version) {
+        c->history_complete |= !c->met_elder;
+        known = c->history_complete || c->last_tick - c->now >= DOUBT_MS;
+    }
+    return known ? c->now : INT64_MIN / 2;
+}
+
 static void
 take_upstream(core_t *c, uint16_t service, const conf_upstream_t *conf)
 {
@@ -92,6 +122,7 @@
     }
     if (u == UP_NONE) {
         u = up_add(c, conf, service);
+        c->ups[u].listed_since = first_listing(c);
     }
     c->ups[u].conf = *conf;
     c->ups[u].conf_draining = conf->draining;
@@ -126,9 +157,12 @@
         return -ESTALE;
     }
     c->now = now;
+    c->first_version = c->version == 0;
     c->version = conf->version;
     for (uint32_t i = 0; i < c->n_ups; i++) {
-        c->ups[i].listed = false;
+        up_t *u = &c->ups[i];
+        u->unlisted_at = u->listed ? now : u->unlisted_at;
+        u->listed = false;
     }
     for (uint32_t i = 0; i < conf->n_services; i++) {
         take_service(c, &conf->services[i]);
