member: the lowest version is kept, not searched for at each turn; fleet_bench

It is looked for only after a change that may move it.

fleet_bench measures what the fleet's and the configuration's size cost the core.

--- /dev/null
+++ b/bench/fleet_bench.c
@@ -0,0 +1,405 @@
+/* fleet_bench: what the size of the fleet and of the configuration costs one
+ * instance, outside membership: the home table, the configuration (text,
+ * model, a change), identity probes, flow state, and a new flow.  Pure: the
+ * core with fakes for its peers and upstreams, and simulated time.
+ *
+ * usage: fleet_bench
+ */
+#include "conf/conf.h"
+#include "core/core.h"
+#include "member/member.h"
+#include "plat/plat.h"
+#include "wire/wire.h"
+
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define MB (1024.0 * 1024)
+#define UPSTREAMS_A_SERVICE 6.67 /* 120,000 by 18,000 */
+#define TEXT_MAX (16 << 20)      /* past what the platform holds */
+#define PROBE_S 4
+#define OVERHEAD 28
+#define QUEUE 65536
+
+static double
+cpu_ms(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+    return (double)ts.tv_sec * 1e3 + (double)ts.tv_nsec / 1e6;
+}
+
+static size_t
+heap(void)
+{
+    struct mallinfo2 i = mallinfo2();
+
+    return i.uordblks + i.hblkhd;
+}
+
+static addr_t
+addr_at(uint8_t net, uint32_t i, uint16_t port)
+{
+    addr_t a = {.port = port};
+
+    a.ip[10] = a.ip[11] = 255;
+    a.ip[12] = net;
+    a.ip[13] = (uint8_t)(i >> 16);
+    a.ip[14] = (uint8_t)(i >> 8);
+    a.ip[15] = (uint8_t)i;
+    return a;
+}
+
+/* ---- A core with upstreams that answer its probes ---- */
+
+typedef struct {
+    addr_t upstream;
+    size_t len;
+    uint8_t data[128];
+} probe_t;
+
+typedef struct {
+    core_t *core;
+    bool answering;
+    uint64_t sent, bytes; /* to upstreams */
+    size_t n;
+    probe_t probe[QUEUE];
+} fake_t;
+
+static fake_t fake;
+
+static void
+on_core(void *arg, const core_out_t *out)
+{
+    fake_t *f = arg;
+    probe_t *p = &f->probe[f->n];
+
+    if (out->kind != CORE_TO_UPSTREAM) {
+        return;
+    }
+    f->sent++;
+    f->bytes += SPP_LEN + out->upstream.len + OVERHEAD;
+    if (!f->answering || !out->upstream.own || f->n == QUEUE ||
+        out->upstream.len + SPP_LEN > sizeof(p->data)) {
+        return;
+    }
+    p->upstream = out->upstream.upstream;
+    spp_write(p->data, &out->upstream.header);
+    memcpy(p->data + SPP_LEN, out->upstream.data, out->upstream.len);
+    p->len = SPP_LEN + out->upstream.len;
+    f->n++;
+}
+
+static void
+answer(core_t *c, ms_t now, const probe_t *p)
+{
+    uint8_t out[512];
+    char text[ADDR_STRLEN], json[256];
+    spp_t h;
+    coap_msg_t m;
+    int n;
+
+    if (spp_read(&h, p->data, p->len) < 0 ||
+        coap_decode(&m, p->data + SPP_LEN, p->len - SPP_LEN) < 0) {
+        abort();
+    }
+    n = snprintf(json, sizeof(json),
+                 "{\"service\":\"%s\",\"epoch\":1,\"busy\":0,\"queued\":0,"
+                 "\"slots\":2,\"connections\":0,\"draining\":false}",
+                 addr_text(&h.service, text));
+    m.code = COAP_CONTENT;
+    m.path_n = 0;
+    m.payload = (const uint8_t *)json;
+    m.payload_len = (size_t)n;
+    memcpy(out, p->data, SPP_LEN);
+    n = coap_encode(out + SPP_LEN, sizeof(out) - SPP_LEN, &m);
+    core_from_upstream(c, now, &p->upstream, out, SPP_LEN + (size_t)n);
+}
+
+static void
+tick_for(core_t *c, ms_t *now, ms_t span)
+{
+    for (ms_t end = *now + span; *now < end; *now += 50) {
+        core_tick(c, *now);
+        for (size_t i = 0; i < fake.n; i++) {
+            answer(c, *now, &fake.probe[i]);
+        }
+        fake.n = 0;
+    }
+}
+
+static core_t *
+new_core(uint32_t flows, uint32_t hints, uint32_t exchanges)
+{
+    core_params_t p = {.self = instance_id("entry-00000"),
+                       .own_addr = addr_at(10, 1, 6001),
+                       .seed = 1,
+                       .max_flows = flows,
+                       .max_hints = hints,
+                       .max_exchanges = exchanges};
+
+    fake.n = 0;
+    fake.sent = fake.bytes = 0;
+    return core_new(&p, on_core, &fake);
+}
+
+/* ---- The home table ---- */
+
+static member_t
+member_at(uint32_t i)
+{
+    member_t m = {.incarnation = 1, .state = MEMBER_ACTIVE};
+
+    snprintf(m.name, sizeof(m.name), "entry-%05u", i);
+    m.id = instance_id(m.name);
+    m.peer_addr = m.bulk_addr = addr_at(11, i, 6002);
+    return m;
+}
+
+static int
+by_id(const void *a, const void *b)
+{
+    const member_t *x = a;
+    const member_t *y = b;
+
+    return x->id < y->id ? -1 : x->id > y->id;
+}
+
+static void
+home_row(uint32_t n)
+{
+    enum { CHANGES = 5 };
+    member_t *all = calloc(n, sizeof(*all));
+    size_t before = heap();
+    core_t *c = new_core(1024, 1024, 64);
+    double start, first;
+
+    for (uint32_t i = 0; i < n; i++) {
+        all[i] = member_at(i);
+    }
+    qsort(all, n, sizeof(*all), by_id);
+    start = cpu_ms();
+    core_set_members(c, 1000, all, n, INT64_MIN, 0);
+    first = cpu_ms() - start;
+    start = cpu_ms();
+    for (int i = 0; i < CHANGES; i++) {
+        all[n / 2].state = i % 2 ? MEMBER_ACTIVE : MEMBER_LEAVING;
+        core_set_members(c, 1100 + i, all, n, INT64_MIN, 0);
+    }
+    printf("%6u %10.2f %10.2f %10.3f\n", n, first,
+           (cpu_ms() - start) / CHANGES, (double)(heap() - before) / MB);
+    core_free(c);
+    free(all);
+}
+
+/* ---- The configuration ---- */
+
+typedef struct {
+    char *base, *overlay;
+    size_t len;
+} text_t;
+
+static char *
+write_base(uint32_t services)
+{
+    char *s = malloc(TEXT_MAX);
+    char a[ADDR_STRLEN];
+    int n = sprintf(s, "[site]\nname = \"fleet\"\ndrain_ms = 30000\n");
+
+    for (uint32_t i = 0; i < services; i++) {
+        addr_t at = addr_at(10, 1000 + i, 5683);
+        n += sprintf(
+            s + n,
+            "\n[service.s%05u]\naddress = \"%s\"\nprotocol = "
+            "\"coap\"\nprefer = \"balance\"\nslots = 2\nconnections = 2000\n",
+            i, addr_text(&at, a));
+    }
+    return s;
+}
+
+static char *
+write_overlay(uint32_t services, uint32_t upstreams, bool drain_one)
+{
+    char *s = malloc(TEXT_MAX);
+    char a[ADDR_STRLEN];
+    int n = sprintf(s, "data_centre = \"dc-1\"\n");
+
+    for (uint32_t i = 0; i < upstreams; i++) {
+        addr_t at = addr_at(12, 1 + i, 5683);
+        n += sprintf(s + n,
+                     "\n[[upstream]]\nservice = \"s%05u\"\n"
+                     "address = \"%s\"\n%s",
+                     i % services, addr_text(&at, a),
+                     drain_one && i == 0 ? "draining = true\n" : "");
+    }
+    return s;
+}
+
+static conf_t *
+parse(uint32_t services, uint32_t upstreams, bool drain_one, size_t *len,
+      double *ms)
+{
+    char *base = write_base(services);
+    char *overlay = write_overlay(services, upstreams, drain_one);
+    conf_source_t src[2] = {{"base", base}, {"dc-1", overlay}};
+    err_t e = {0};
+    double start = cpu_ms();
+    conf_t *c = conf_parse(src, 2, &e);
+
+    *ms = cpu_ms() - start;
+    *len = strlen(base) + strlen(overlay);
+    if (c == NULL) {
+        fprintf(stderr, "%s: %s\n", e.peer, e.text);
+        exit(1);
+    }
+    free(base);
+    free(overlay);
+    return c;
+}
+
+static void
+conf_row(uint32_t upstreams)
+{
+    uint32_t services = (uint32_t)(upstreams / UPSTREAMS_A_SERVICE + 0.5);
+    size_t len, before = heap(), model, core_mem;
+    double parse_ms, first_ms, change_ms, probe_ms;
+    conf_t *conf = parse(services, upstreams, false, &len, &parse_ms);
+    conf_t *next;
+    core_t *c;
+    ms_t now = 1000;
+    member_t self = member_at(0);
+
+    model = heap() - before;
+    next = parse(services, upstreams, true, &len, &parse_ms);
+    conf->version = 1;
+    next->version = 2;
+    before = heap();
+    c = new_core(1024, 1024, 64);
+    core_set_members(c, now, &self, 1, INT64_MIN, 1);
+    first_ms = cpu_ms();
+    core_set_conf(c, now, conf);
+    first_ms = cpu_ms() - first_ms;
+    change_ms = cpu_ms();
+    core_set_conf(c, now, next);
+    change_ms = cpu_ms() - change_ms;
+    core_mem = heap() - before;
+    fake.answering = true;
+    tick_for(c, &now, 2000);
+    fake.sent = fake.bytes = 0;
+    probe_ms = cpu_ms();
+    tick_for(c, &now, PROBE_S * 1000);
+    probe_ms = cpu_ms() - probe_ms;
+    printf("%6u %6u %9zu %8.2f %8.3f %8.2f %8.2f %8.2f %8.1f %10.0f %8.3f\n",
+           services, upstreams, len, parse_ms, (double)model / MB, first_ms,
+           change_ms, (double)core_mem / MB, (double)fake.sent / PROBE_S,
+           (double)fake.bytes / PROBE_S, probe_ms / PROBE_S / 10);
+    fflush(stdout);
+    core_free(c);
+    conf_free(conf);
+    conf_free(next);
+}
+
+/* ---- Flows ---- */
+
+static double
+table_mb(uint32_t flows, uint32_t hints, uint32_t exchanges)
+{
+    size_t before = heap();
+    core_t *c = new_core(flows, hints, exchanges);
+    double mb = (double)(heap() - before) / MB;
+
+    core_free(c);
+    return mb;
+}
+
+static void
+state_row(uint32_t n)
+{
+    double least = table_mb(64, 64, 64);
+
+    printf("%8u %10.3f %10.3f %10.3f\n", n, table_mb(n, 64, 64) - least,
+           table_mb(64, n, 64) - least, table_mb(64, 64, n) - least);
+}
+
+/* New opaque flows at their home, which is this instance: us each. */
+static void
+open_row(uint32_t flows)
+{
+    conf_t conf = {.version = 1, .n_services = 1};
+    conf_service_t s = {.name = "feeds",
+                        .addr = addr_at(10, 1000, 5683),
+                        .proto = PROTO_UDP,
+                        .prefer = PREFER_BALANCE,
+                        .queue = 4,
+                        .caller_share = 1000,
+                        .flow_idle_ms = 600000,
+                        .n_upstreams = 16};
+    conf_upstream_t ups[16];
+    core_t *c = new_core(2 * flows, 1024, 64);
+    member_t self = member_at(0);
+    ms_t now = 1000;
+    double start;
+    uint32_t used, hints, exchanges;
+
+    for (uint32_t i = 0; i < 16; i++) {
+        ups[i] = (conf_upstream_t){.addr = addr_at(12, 1 + i, 5683),
+                                   .slots = 1000,
+                                   .connections = 1000000,
+                                   .weight = 1};
+        ups[i].id = addr_id(&ups[i].addr);
+    }
+    s.upstreams = ups;
+    conf.services = &s;
+    fake.answering = true;
+    core_set_members(c, now, &self, 1, INT64_MIN, 1);
+    core_set_conf(c, now, &conf);
+    tick_for(c, &now, 1000);
+    fake.answering = false;
+    start = cpu_ms();
+    for (uint32_t i = 0; i < flows; i++) {
+        addr_t client = addr_at(100, i, (uint16_t)(1024 + i % 50000));
+        core_from_client(c, now, &s.addr, &client, (const uint8_t *)"x", 1);
+    }
+    start = cpu_ms() - start;
+    core_flows(c, &used, &hints, &exchanges);
+    printf("%8u %10.3f %10u\n", flows, start * 1e3 / flows, used);
+    core_free(c);
+}
+
+int
+main(void)
+{
+    static const uint32_t members[] = {8, 128, 1024, 4096, 14000};
+    static const uint32_t upstreams[] = {32, 128, 512, 2048, 8192, 11500};
+    static const uint32_t flows[] = {1024, 8192, 32768, 131072};
+
+    printf("# The home table: build, one member's change (ms of CPU), MB.\n"
+           "#    n      build     change         MB\n");
+    for (size_t i = 0; i < 5; i++) {
+        home_row(members[i]);
+    }
+    printf("# The configuration: text, parse, model; the core: first, a "
+           "change, MB; probes a second,\n# their bytes, and the core's share "
+           "of a CPU in %% for them (with the fake's answers).\n"
+           "#  svc    ups      text parse_ms model_MB first_ms chang_ms  "
+           "core_MB  probe_s probe_B_s    cpu_%%\n");
+    for (size_t i = 0; i < 6; i++) {
+        conf_row(upstreams[i]);
+    }
+    printf("# Tables of N entries, MB: flows, hints, exchanges.\n"
+           "#      n      flows      hints  exchanges\n");
+    for (size_t i = 0; i < 4; i++) {
+        state_row(flows[i]);
+    }
+    printf("# Opening N flows of a udp service at their home: us a flow; "
+           "flows that need memory.\n"
+           "#      n         us       kept\n");
+    for (size_t i = 0; i < 4; i++) {
+        open_row(flows[i]);
+    }
+    return 0;
+}
--- a/bench/member_bench.c
+++ b/bench/member_bench.c
@@ -500,6 +500,19 @@
     return sum;
 }
 
+/* One look for who watches the platform, us. */
+static double
+watch_us(void)
+{
+    enum { ROUNDS = 200 };
+    double start = cpu_s();
+
+    for (int i = 0; i < ROUNDS; i++) {
+        members_watches(fleet.node[i % fleet.n].m, 2);
+    }
+    return (cpu_s() - start) * 1e6 / ROUNDS;
+}
+
 static void
 cost_row(int n)
 {
@@ -511,9 +524,9 @@
     run(2000);
     idle = steady(false, &version);
     busy = steady(true, &version);
-    printf("%6d %8.0f %6.1f %7.0f %8.0f %6.1f %7.0f %9zu\n", n, idle.bytes,
-           idle.messages, idle.cpu_us, busy.bytes, busy.messages, busy.cpu_us,
-           memory);
+    printf("%6d %8.0f %6.1f %7.0f %8.0f %6.1f %7.0f %9zu %8.1f\n", n,
+           idle.bytes, idle.messages, idle.cpu_us, busy.bytes, busy.messages,
+           busy.cpu_us, memory, watch_us());
     fflush(stdout);
     fleet_free();
 }
@@ -648,7 +661,7 @@
            "replaced, 560 failed,\n# 12,000 versions a day, at every size).  "
            "CPU includes the driver's switch.\n"
            "#    n   idle_B  msg/s  cpu_us   busy_B  msg/s  cpu_us   "
-           "mem_B\n");
+           "mem_B watch_us\n");
     for (int i = 0; i < count; i++) {
         cost_row(n[i]);
     }
--- a/member/internal.h
+++ b/member/internal.h
@@ -117,6 +117,8 @@
     ms_t spread_until; /* self's state is news until then */
     uint64_t pings;
     ms_t doubt_at;
+    uint64_t lowest; /* see members_lowest_version() */
+    bool lowest_stale;
     uint64_t fetch_version;
     ms_t fetch_at;
     member_stats_t stats;
@@ -154,6 +156,8 @@
  * NULL when it isn't known. */
 peer_t *view_apply(members_t *m, ms_t now, const record_t *rec);
 void view_set_state(members_t *m, ms_t now, peer_t *p, member_state_t state);
+/* The member has VERSION in force, or a newer one. */
+void view_set_version(members_t *m, member_t *r, uint64_t version);
 /* Self's own state has a new revision: it is news again. */
 void view_self_changed(members_t *m, ms_t now);
 /* Adds a member that is not yet known. */
--- a/member/member.h
+++ b/member/member.h
@@ -141,7 +141,7 @@
 /* The lowest version known in force among members not GONE.  A JOINING member
  * without any version decides nothing and doesn't count; one that was never
  * heard counts as 0. */
-uint64_t members_lowest_version(const members_t *m);
+uint64_t members_lowest_version(members_t *m);
 /* Is self one of the WATCHERS instances of its data centre (lowest rank by
  * hash among ACTIVE) that watch the platform for the others?  A self that is
  * JOINING is, while fewer than WATCHERS are ACTIVE. */
--- a/member/members.c
+++ b/member/members.c
@@ -288,6 +288,7 @@
             continue;
         }
         m->stats.count[MEMBER_GONE]--;
+        m->lowest_stale = true;
         m->gossip_n -= !list_empty(&m->peer[i]->gossip);
         drop_probes(m, m->peer[i]);
         table_remove(m, m->peer[i]);
@@ -511,6 +512,7 @@
         return NULL;
     }
     m->stats.count[r.state]++;
+    m->lowest_stale = true;
     return m;
 }
 
@@ -586,6 +588,7 @@
     }
     m->stats.count[self->state]--;
     m->stats.count[state]++;
+    m->lowest_stale = true;
     self->state = state;
     self->left = state == MEMBER_GONE;
     self->revision++;
@@ -602,7 +605,7 @@
     if (version <= self->version) {
         return;
     }
-    self->version = version;
+    view_set_version(m, self, version);
     m->self_hash = hash;
     m->n_fix = 0;
     for (int i = 0; i < VERSION_FANOUT; i++) {
@@ -656,8 +659,8 @@
     return m->stats.count[MEMBER_SUSPECT] > 0 ? now : m->doubt_at;
 }
 
-uint64_t
-members_lowest_version(const members_t *m)
+static uint64_t
+find_lowest(const members_t *m)
 {
     uint64_t lowest = UINT64_MAX;
 
@@ -672,6 +675,16 @@
     return lowest == UINT64_MAX ? 0 : lowest;
 }
 
+uint64_t
+members_lowest_version(members_t *m)
+{
+    if (m->lowest_stale) {
+        m->lowest = find_lowest(m);
+        m->lowest_stale = false;
+    }
+    return m->lowest;
+}
+
 static uint64_t
 watch_rank(const member_t *r)
 {
--- a/member/view.c
+++ b/member/view.c
@@ -59,11 +59,25 @@
     m->stats.count[state]++;
     r->state = state;
     r->changed_at = now;
+    m->lowest_stale = true;
     note_silent(m, p);
     queue(m, p);
     emit_change(m, p);
 }
 
+/* Only a member that may have been the last with its version moves the lowest
+ * one: a look at all members for each message would cost more than the rest.
+ */
+void
+view_set_version(members_t *m, member_t *r, uint64_t version)
+{
+    if (version <= r->version) {
+        return;
+    }
+    m->lowest_stale |= r->version <= m->lowest;
+    r->version = version;
+}
+
 void
 view_self_changed(members_t *m, ms_t now)
 {
@@ -216,9 +230,8 @@
     else if (cmp < 0) {
         remember_fix(m, p);
     }
-    if (said->incarnation == rec_of(m, p)->incarnation &&
-        said->version > rec_of(m, p)->version) {
-        rec_of(m, p)->version = said->version;
+    if (said->incarnation == rec_of(m, p)->incarnation) {
+        view_set_version(m, rec_of(m, p), said->version);
     }
     return p;
 }
--- a/test/member_test.cc
+++ b/test/member_test.cc
@@ -232,6 +232,21 @@
         return s;
     }
 
+    // The lowest version as member.h defines it, from the list.
+    uint64_t
+    lowest(int i)
+    {
+        const member_t *r;
+        size_t n = members_list(node[i]->m, &r);
+        uint64_t v = UINT64_MAX;
+        for (; n > 0; n--, r++) {
+            bool empty = r->state == MEMBER_JOINING && r->version == 0 &&
+                         r->incarnation != 0;
+            v = r->state == MEMBER_GONE || empty ? v : std::min(v, r->version);
+        }
+        return v == UINT64_MAX ? 0 : v;
+    }
+
     // How many live instances see OF in STATE.
     int
     seen(int of, member_state_t s)
@@ -586,6 +601,9 @@
         for (auto &n : net.node) {
             const member_t *list = nullptr;
             size_t k = n->up ? members_list(n->m, &list) : 0;
+            if (n->up) {
+                RC_ASSERT(members_lowest_version(n->m) == net.lowest(n->i));
+            }
             for (size_t j = 0; j < k; j++) {
                 uint64_t &last =
                     known[{n->i, n->life, list[j].id, list[j].incarnation}];
