--- a/bench/fleet_bench.c
+++ b/bench/fleet_bench.c
@@ -370,6 +370,49 @@
     core_free(c);
 }
 
+/* ---- Messages between instances ---- */
+
+static void
+size_row(const char *what, const peer_msg_t *m)
+{
+    static const uint8_t key[PEER_KEY_LEN] = {1};
+    uint8_t out[PEER_MSG_MAX];
+    int n = peer_write(out, sizeof(out), m, key);
+
+    printf("%-24s %5d %5d\n", what, n, n + OVERHEAD);
+}
+
+static void
+sync_row(const char *what, int pins)
+{
+    peer_msg_t m = {.kind = PEER_SYNC, .from = UINT64_MAX};
+
+    m.sync.n = (uint16_t)pins;
+    for (int i = 0; i < pins; i++) {
+        m.sync.pin[i] = (pin_t){
+            .flow = UINT64_MAX, .upstream = UINT64_MAX, .kind = PIN_UPLOAD};
+    }
+    size_row(what, &m);
+}
+
+static void
+sizes(void)
+{
+    peer_msg_t steer = {.kind = PEER_STEER, .from = UINT64_MAX};
+    peer_msg_t hint = {.kind = PEER_HINT, .from = UINT64_MAX};
+
+    steer.steer.version = 12000;
+    steer.steer.service = addr_at(10, 1000, 5683);
+    steer.steer.client = addr_at(100, 1, 40000);
+    hint.hint.flow = hint.hint.upstream = UINT64_MAX;
+    hint.hint.lease_ms = HINT_LEASE_MS;
+    printf("# Messages, most bytes: sealed, with UDP and IPv4.\n");
+    size_row("steer, without datagram", &steer);
+    size_row("hint", &hint);
+    sync_row("sync, 1 pin", 1);
+    sync_row("sync, 32 pins", SYNC_MAX);
+}
+
 int
 main(void)
 {
@@ -377,6 +420,7 @@
     static const uint32_t upstreams[] = {32, 128, 512, 2048, 8192, 11500};
     static const uint32_t flows[] = {1024, 8192, 32768, 131072};
 
+    sizes();
     printf("# The home table: build, one member's change (ms of CPU), MB.\n"
            "#    n      build     change         MB\n");
     for (size_t i = 0; i < 5; i++) {
