member: a newcomer knows all members before it serves

With the address of one peer an instance was ACTIVE as soon as that peer had confirmed it, and held the two for the only homes. The head now tells how many live members its sender knows; a JOINING instance waits until it knows as many, and peers send it more records while it knows fewer.

--- a/bench/fleet_bench.c
+++ b/bench/fleet_bench.c
@@ -23,6 +23,7 @@
 #define PROBE_S 15
 #define OVERHEAD 28
 #define QUEUE 65536
+#define SYNC_QUEUE 64
 
 static double
 cpu_ms(void)
@@ -69,16 +70,31 @@
     uint64_t bytes_in;    /* their answers */
     size_t n;
     probe_t probe[QUEUE];
+    size_t n_sync;
+    peer_msg_t sync[SYNC_QUEUE]; /* copies that the backup confirms */
 } fake_t;
 
 static fake_t fake;
 
+static void
+on_peer(fake_t *f, const core_out_t *out)
+{
+    if (out->peer.msg.kind == PEER_SYNC && f->n_sync < SYNC_QUEUE) {
+        f->sync[f->n_sync] = out->peer.msg;
+        f->sync[f->n_sync].kind = PEER_SYNC_ACK;
+        f->sync[f->n_sync++].from = out->peer.to;
+    }
+}
+
 static void
 on_core(void *arg, const core_out_t *out)
 {
     fake_t *f = arg;
     probe_t *p = &f->probe[f->n];
 
+    if (out->kind == CORE_TO_PEER) {
+        on_peer(f, out);
+    }
     if (out->kind != CORE_TO_UPSTREAM) {
         return;
     }
@@ -95,6 +111,7 @@
     f->n++;
 }
 
+/* An upstream's load report: 0 to 2 busy slots, by its address. */
 static void
 answer(core_t *c, ms_t now, const probe_t *p)
 {
@@ -109,9 +126,9 @@
         abort();
     }
     n = snprintf(json, sizeof(json),
-                 "{\"service\":\"%s\",\"epoch\":1,\"busy\":0,\"queued\":0,"
+                 "{\"service\":\"%s\",\"epoch\":1,\"busy\":%d,\"queued\":0,"
                  "\"slots\":2,\"connections\":0,\"draining\":false}",
-                 addr_text(&h.service, text));
+                 addr_text(&h.service, text), p->upstream.ip[15] % 3);
     m.code = COAP_CONTENT;
     m.path_n = 0;
     m.payload = (const uint8_t *)json;
@@ -131,6 +148,10 @@
             answer(c, *now, &fake.probe[i]);
         }
         fake.n = 0;
+        for (size_t i = 0; i < fake.n_sync; i++) {
+            core_from_peer(c, *now, &fake.sync[i]);
+        }
+        fake.n_sync = 0;
     }
 }
 
@@ -329,7 +350,25 @@
            table_mb(64, n, 64) - least, table_mb(64, 64, n) - least);
 }
 
-/* New opaque flows at their home, which is this instance: us each. */
+/* Pins copied to the backup home, of those at home here, and the bytes of one
+ * copy. */
+static void
+sync_share(core_t *c, ms_t *now, uint32_t used)
+{
+    core_stats_t stats;
+    uint64_t before;
+
+    do {
+        core_stats(c, 0, &stats);
+        before = stats.sync_sent;
+        tick_for(c, now, 5000);
+        core_stats(c, 0, &stats);
+    } while (stats.sync_sent > before);
+    printf(" %10.3f %10.1f\n", (double)stats.sync_sent / used,
+           (double)stats.sync_bytes / (double)stats.sync_sent);
+}
+
+/* New opaque flows, half of them at home here: us each. */
 static void
 open_row(uint32_t flows)
 {
@@ -340,11 +379,11 @@
                         .prefer = PREFER_BALANCE,
                         .queue = 4,
                         .caller_share = 1000,
-                        .flow_idle_ms = 600000,
+                        .flow_idle_ms = 6000000,
                         .n_upstreams = 16};
     conf_upstream_t ups[16];
     core_t *c = new_core(2 * flows, 1024, 64);
-    member_t self = member_at(0);
+    member_t both[2] = {member_at(0), member_at(1)};
     ms_t now = 1000;
     double start;
     uint32_t used, hints, exchanges;
@@ -358,10 +397,11 @@
     }
     s.upstreams = ups;
     conf.services = &s;
+    qsort(both, 2, sizeof(both[0]), by_id);
     fake.answering = true;
-    core_set_members(c, now, &self, 1, INT64_MIN, 1);
+    core_set_members(c, now, both, 2, INT64_MIN, 1);
     core_set_conf(c, now, &conf);
-    tick_for(c, &now, 1000);
+    tick_for(c, &now, DOUBT_MS + 2000); /* until it is sure to be the home */
     fake.answering = false;
     start = cpu_ms();
     for (uint32_t i = 0; i < flows; i++) {
@@ -369,8 +409,10 @@
         core_from_client(c, now, &s.addr, &client, (const uint8_t *)"x", 1);
     }
     start = cpu_ms() - start;
+    fake.answering = true;
     core_flows(c, &used, &hints, &exchanges);
-    printf("%8u %10.3f %10u\n", flows, start * 1e3 / flows, used);
+    printf("%8u %10.3f %10u", flows, start * 1e3 / flows, used);
+    sync_share(c, &now, used);
     core_free(c);
 }
 
@@ -443,9 +485,9 @@
     for (size_t i = 0; i < 4; i++) {
         state_row(flows[i]);
     }
-    printf("# Opening N flows of a udp service at their home: us a flow; "
-           "flows that need memory.\n"
-           "#      n         us       kept\n");
+    printf("# N flows of a udp service, half of them at home here: us a flow; "
+           "pins kept; share of\n# them copied to the backup, bytes a copy.\n"
+           "#      n         us       kept     copied      bytes\n");
     for (size_t i = 0; i < 4; i++) {
         open_row(flows[i]);
     }
--- a/member/body.c
+++ b/member/body.c
@@ -65,6 +65,7 @@
     bad |= put_life(&pk, &h->sender);
     bad |= msgpack_pack_uint64(&pk, h->sender.version);
     bad |= msgpack_pack_uint64(&pk, h->hash);
+    bad |= msgpack_pack_uint32(&pk, h->live);
     bad |= msgpack_pack_uint64(&pk, h->echo.id);
     bad |= put_life(&pk, &h->echo);
     bad |= msgpack_pack_uint64(&pk, h->target);
@@ -197,6 +198,7 @@
     get_life(r, &h->sender);
     h->sender.version = get_uint(r, UINT64_MAX);
     h->hash = get_uint(r, UINT64_MAX);
+    h->live = (uint32_t)get_uint(r, UINT32_MAX);
     h->echo.id = get_uint(r, UINT64_MAX);
     get_life(r, &h->echo);
     h->target = get_uint(r, UINT64_MAX);
--- a/member/internal.h
+++ b/member/internal.h
@@ -36,6 +36,7 @@
     uint64_t target; /* of MSG_PING_FOR and MSG_ACK_FOR */
     member_t sender; /* id is not sent: the envelope names the sender */
     uint64_t hash;   /* of the sender's version in force */
+    uint32_t live;   /* members that the sender holds to be live */
     member_t echo;   /* the receiver (ID and life), as the sender knows it */
 } msg_head_t;
 
@@ -59,7 +60,8 @@
     uint64_t id;
     uint32_t index; /* of its record in members_t.list */
     uint32_t acked_incarnation, acked_revision; /* of self, as it knows it */
-    uint8_t sent; /* times that its last change was passed on */
+    uint32_t live; /* members that it holds to be live */
+    uint8_t sent;  /* times that its last change was passed on */
     ms_t heard_at;
     ms_t born_at;     /* its incarnation was first heard of */
     ms_t off_list_at; /* first seen missing from the platform's list */
@@ -99,6 +101,7 @@
     uint64_t self_id;
     peer_t *self;
     uint64_t self_hash;
+    uint32_t told_live; /* live members by the last message */
 
     link_t gossip[GOSSIP_MAX]; /* by times sent */
     size_t gossip_n;
@@ -150,6 +153,15 @@
     return r->state != MEMBER_SUSPECT && r->state != MEMBER_GONE;
 }
 
+static inline uint32_t
+live_count(const members_t *m)
+{
+    const uint32_t *count = m->stats.count;
+
+    return count[MEMBER_JOINING] + count[MEMBER_ACTIVE] +
+           count[MEMBER_LEAVING];
+}
+
 /* ---- What is known of each, and its spread ---- */
 
 /* Takes in what a message says of a member.  Returns the member's entry, or
--- a/member/member.h
+++ b/member/member.h
@@ -132,7 +132,8 @@
 
 void members_stats(const members_t *m, member_stats_t *out);
 /* True when self has heard all members that are ACTIVE or JOINING say that
- * they know self's state; a JOINING self may then become ACTIVE. */
+ * they know self's state; a JOINING self may then become ACTIVE.  It also
+ * has to know as many live members as the last peer that it heard. */
 bool members_acked(const members_t *m);
 /* The latest time at which any member was SUSPECT or came back from it, or
  * a member vanished without leaving; INT64_MIN when never.  While this is
--- a/member/members.c
+++ b/member/members.c
@@ -39,7 +39,17 @@
            p->acked_revision >= self->revision;
 }
 
-/* One record in turn, so that what gossip has missed is mended in time. */
+/* Records unasked for: one on some pings, so that what gossip has missed is
+ * mended in time; more for a newcomer that knows fewer members. */
+static int
+fillers(const members_t *m, const peer_t *to, msg_kind_t kind)
+{
+    if (rec_of(m, to)->state == MEMBER_JOINING && to->live < live_count(m)) {
+        return m->params.gossip_per_msg;
+    }
+    return kind == MSG_PING && m->pings % FILL_EVERY == 0 ? 1 : 0;
+}
+
 static void
 put_filler(members_t *m, body_t *b)
 {
@@ -88,6 +98,7 @@
                        .target = target,
                        .sender = *rec_of(m, self),
                        .hash = m->self_hash,
+                       .live = live_count(m),
                        .echo = *rec_of(m, to)};
 
     if (body_head(&b, &head) < 0) {
@@ -101,7 +112,7 @@
     put_target(m, &b, target);
     put_fixes(m, &b);
     view_gossip(m, now, &b, to);
-    if (kind == MSG_PING && m->pings % FILL_EVERY == 0) {
+    for (int i = fillers(m, to, kind); i > 0; i--) {
         put_filler(m, &b);
     }
     emit_send(m, to, &out, b.len);
@@ -469,6 +480,7 @@
         return 0;
     }
     p->heard_at = now;
+    p->live = m->told_live = head.live;
     take_echo(m, now, p, &head.echo);
     if (head.sender.version == self_of(m)->version &&
         head.hash != m->self_hash) {
@@ -637,9 +649,22 @@
     *out = m->stats;
 }
 
+/* A newcomer that was told of one peer, and confirmed by it, would take itself
+ * for the home of half of the flows; so it waits until it knows as many live
+ * members as the last peer that it heard. */
+static bool
+knows_all(const members_t *m)
+{
+    return self_of(m)->state != MEMBER_JOINING ||
+           live_count(m) >= m->told_live;
+}
+
 bool
 members_acked(const members_t *m)
 {
+    if (!knows_all(m)) {
+        return false;
+    }
     for (size_t i = 0; i < m->n; i++) {
         const member_t *r = &m->list[i];
         if (r->id == m->self_id ||
--- a/test/member_test.cc
+++ b/test/member_test.cc
@@ -311,6 +311,26 @@
     }
 }
 
+// An instance joins with the address of one peer, which confirms at once that
+// it knows the newcomer.  If it served now, it would hold itself and that peer
+// for the only homes, and take flows that have theirs.  It has to know all
+// members, and all of them it, before it is ACTIVE.
+TEST(Member, NewcomerKnowsAllBeforeItServes)
+{
+    for (uint64_t seed = 20; seed < 40; seed++) {
+        auto net = fleet(9, seed);
+        net->add({0});
+        while (net->state(9, 9) == MEMBER_JOINING && net->now < 60000) {
+            net->run(TICK);
+        }
+        EXPECT_EQ(MEMBER_ACTIVE, net->state(9, 9));
+        for (int i = 0; i < 9; i++) {
+            EXPECT_EQ(MEMBER_ACTIVE, net->state(9, i)) << seed;
+            EXPECT_NE(MEMBER_GONE, net->state(i, 9)) << seed;
+        }
+    }
+}
+
 // An instance is killed.  Whoever pings it next gets no answer, asks two
 // others, and suspects it; gossip tells all within seconds.  It stays a doubt
 // until two readings of the platform's list, gone_ms apart, are without it.
