--- a/wire/coap.c
+++ b/wire/coap.c
@@ -3,17 +3,35 @@
 
 #include <coap3/coap.h>
 #include <errno.h>
+#include <pthread.h>
 #include <string.h>
 
-/* libcoap copies the bytes it parses, so each thread keeps one PDU. */
+/* libcoap copies the bytes it parses, so each thread keeps one PDU, which is
+ * freed when the thread ends. */
 static __thread coap_pdu_t *scratch;
+static pthread_key_t scratch_key;
+static pthread_once_t scratch_once = PTHREAD_ONCE_INIT;
+
+static void
+scratch_free(void *pdu)
+{
+    coap_delete_pdu(pdu);
+}
+
+static void
+scratch_start(void)
+{
+    coap_set_log_level(LOG_EMERG);
+    pthread_key_create(&scratch_key, scratch_free);
+}
 
 static coap_pdu_t *
 scratch_pdu(void)
 {
     if (scratch == NULL) {
-        coap_set_log_level(LOG_EMERG);
+        pthread_once(&scratch_once, scratch_start);
         scratch = coap_pdu_init(0, 0, 0, DATAGRAM_MAX);
+        pthread_setspecific(scratch_key, scratch);
     }
     return scratch;
 }
