siskind: a joining instance waits for its first probes

Without it a restarted instance could become a home that trusts no upstream yet and refuse work. At most 1.5 s, so a dead upstream doesn't keep it out.

--- a/siskind/decide.h
+++ b/siskind/decide.h
@@ -4,6 +4,8 @@
 
 #include "siskind/siskind.h"
 
+#define UPSTREAMS_SHOWN 4096 /* at most, in one snapshot */
+
 typedef struct {
     daemon_t *d;
     duty_t *receive, *send, *bulk, *roster, *main;
--- a/siskind/life.c
+++ b/siskind/life.c
@@ -2,9 +2,12 @@
 #include "siskind/decide.h"
 
 #include <errno.h>
+#include <stdlib.h>
 
 /* Without the platform's list and without any peer for so long, it serves. */
 #define ALONE_MS 10000
+/* With a version in force for so long, it serves whatever it trusts. */
+#define WARM_MS 1500
 /* Between two counts of what is pending: each looks at every flow. */
 #define LEAVE_CHECK_MS 200
 /* So long it goes on telling that it is gone, so that its silence is not
@@ -22,6 +25,31 @@
              state_name(state));
 }
 
+/* An instance that served before its first probes are answered would refuse
+ * work for want of trusted upstreams, though all are well: callers would see
+ * each restart.  An upstream that is down delays it no longer than WARM_MS. */
+static bool
+is_warm(const decide_t *c)
+{
+    core_upstream_t *up;
+    size_t n;
+    bool warm = true;
+
+    if (c->now - c->conf_at >= WARM_MS) {
+        return true;
+    }
+    up = calloc(UPSTREAMS_SHOWN, sizeof(*up));
+    if (up == NULL) {
+        return true;
+    }
+    n = core_upstreams(c->core, up, UPSTREAMS_SHOWN);
+    for (size_t i = 0; i < n; i++) {
+        warm = warm && up[i].trusted;
+    }
+    free(up);
+    return warm;
+}
+
 /* A new instance that decided before the others know of it would be a second
  * home beside the old one.  So it waits until all have heard of it, or until
  * nobody is there to hear: the platform's list, which lags, already shows this
@@ -29,7 +57,7 @@
 static bool
 may_serve(const decide_t *c)
 {
-    if (c->conf == NULL || !members_acked(c->members)) {
+    if (c->conf == NULL || !members_acked(c->members) || !is_warm(c)) {
         return false;
     }
     return FACT(c->d, peers) > 0 || c->alone ||
--- a/siskind/view.c
+++ b/siskind/view.c
@@ -6,8 +6,6 @@
 #include <string.h>
 #include <time.h>
 
-#define UPSTREAMS_MAX 4096 /* shown at most */
-
 const char *
 class_name(class_t c)
 {
@@ -137,9 +135,10 @@
         core_stats(c->core, i, &v->services[i].stats);
         v->n_services++;
     }
-    v->upstreams = calloc(UPSTREAMS_MAX, sizeof(*v->upstreams));
+    v->upstreams = calloc(UPSTREAMS_SHOWN, sizeof(*v->upstreams));
     if (v->upstreams != NULL) {
-        v->n_upstreams = core_upstreams(c->core, v->upstreams, UPSTREAMS_MAX);
+        v->n_upstreams =
+            core_upstreams(c->core, v->upstreams, UPSTREAMS_SHOWN);
     }
 }
 
