--- a/core/core.c
+++ b/core/core.c
@@ -78,6 +78,17 @@
     return (uint16_t)c->n_services++;
 }
 
+/* When an upstream that is new here can first have got work from anyone.  An
+ * instance that hears all others has a version at about the same time as
+ * they; one that was cut off, or starts, may have it much later. */
+static ms_t
+first_listing(const core_t *c)
+{
+    bool in_touch = !c->suspects && c->now - c->doubt_at >= DOUBT_MS;
+
+    return in_touch && !c->first_version ? c->now : INT64_MIN / 2;
+}
+
 static void
 take_upstream(core_t *c, uint16_t service, const conf_upstream_t *conf)
 {
@@ -92,6 +103,7 @@
     }
     if (u == UP_NONE) {
         u = up_add(c, conf, service);
+        c->ups[u].listed_since = first_listing(c);
     }
     c->ups[u].conf = *conf;
     c->ups[u].conf_draining = conf->draining;
@@ -126,9 +138,12 @@
         return -ESTALE;
     }
     c->now = now;
+    c->first_version = c->version == 0;
     c->version = conf->version;
     for (uint32_t i = 0; i < c->n_ups; i++) {
-        c->ups[i].listed = false;
+        up_t *u = &c->ups[i];
+        u->unlisted_at = u->listed ? now : u->unlisted_at;
+        u->listed = false;
     }
     for (uint32_t i = 0; i < conf->n_services; i++) {
         take_service(c, &conf->services[i]);
@@ -456,10 +471,10 @@
 /* ---- Datagrams from callers ---- */
 
 /* Sends D on to its home, or returns false when this is the place to decide.
- * KEY is the flow's or, for requests, the service's, which has no pins that an
- * earlier home would know. */
+ * KEY is the flow's or, for requests, the service's.  PINNED: the home before
+ * this may have a pin for it. */
 static bool
-to_home(core_t *c, const dgram_t *d, uint64_t key, bool known)
+to_home(core_t *c, const dgram_t *d, uint64_t key, bool known, bool pinned)
 {
     uint64_t home = home_of(c, key);
     uint64_t earlier;
@@ -480,7 +495,7 @@
         send_steer(c, d, home);
         return true;
     }
-    earlier = key == d->key ? earlier_home(c, key) : 0;
+    earlier = pinned ? earlier_home(c, key) : 0;
     if (earlier != 0 && earlier != c->p.self && earlier != d->from) {
         send_steer(c, d, earlier);
         return true;
@@ -522,7 +537,7 @@
     if (!mine && home_of(c, d->key) != c->p.self && use_hint(c, d)) {
         return;
     }
-    if (!to_home(c, d, d->key, mine)) {
+    if (!to_home(c, d, d->key, mine, true)) {
         opaque_at_home(c, d);
     }
 }
@@ -538,7 +553,7 @@
     if (!mine && !answer && use_hint(c, d)) {
         return;
     }
-    if (to_home(c, d, d->key, mine || answer)) {
+    if (to_home(c, d, d->key, mine || answer, true)) {
         return;
     }
     if (!mine && !answer && work != 0 && work != c->p.self &&
@@ -565,14 +580,14 @@
         return;
     }
     if (class_of(d->m) == CLASS_FEED) {
-        if (!to_home(c, d, d->key, mine && !(f->flags & FLOW_UPLOAD))) {
+        if (!to_home(c, d, d->key, mine && !(f->flags & FLOW_UPLOAD), true)) {
             feed_at_home(c, d);
         }
         return;
     }
     known = ex_find(c, d->key, d->m->mid) != NULL ||
             (mine && (f->flags & FLOW_UPLOAD));
-    if (!to_home(c, d, work_key(s, d->key), known)) {
+    if (!to_home(c, d, work_key(s, d->key), known, is_upload_block(d->m))) {
         request_at_home(c, d);
     }
 }
@@ -776,8 +791,13 @@
 static bool
 flow_waits(core_t *c, const flow_t *f)
 {
-    return (f->flags & FLOW_USED) && !(f->flags & FLOW_SYNCED) &&
-           sync_target(c, f->key) != 0 && sync_target(c, f->key) != c->p.self;
+    uint64_t to;
+
+    if (!(f->flags & FLOW_USED) || (f->flags & FLOW_SYNCED)) {
+        return false;
+    }
+    to = sync_target(c, flow_home_key(c, f));
+    return to != 0 && to != c->p.self;
 }
 
 void
@@ -790,7 +810,7 @@
     {
         *exchanges += 1;
     }
-    for (uint32_t i = 0; i < c->p.max_flows; i++) {
+    for (uint32_t i = 0; i < c->flow_top; i++) {
         *pins += flow_waits(mutable_c, &c->flows[i]);
     }
 }
--- a/core/state.h
+++ b/core/state.h
@@ -41,6 +41,7 @@
     ms_t home_since;  /* when HOME became it, as seen here */
 
     bool backup_joins; /* BACKUP is JOINING and will take over */
+    bool moved;        /* who gets copies of its pins has changed */
 } slot_t;
 
 /* A member as the core needs it. */
@@ -73,8 +74,10 @@
 /* ---- upstreams.c ---- */
 
 typedef struct {
-    bool used;     /* this index is taken */
-    bool listed;   /* in the configuration in force */
+    bool used;         /* this index is taken */
+    bool listed;       /* in the configuration in force */
+    ms_t listed_since; /* no instance had it before; INT64_MIN: unknown */
+    ms_t unlisted_at;
     bool draining; /* by configuration or by its own report */
     bool conf_draining;
     uint16_t service; /* index */
@@ -214,9 +217,10 @@
     rng_t rng;
     uint64_t version, lowest;
     bool leaving;
-    bool handing;  /* a member joins: pins move by plan */
-    bool suspects; /* some member is SUSPECT */
-    ms_t doubt_at; /* last time that two homes of a key were possible */
+    bool first_version; /* the version in force is the first here */
+    bool handing;       /* a member joins: pins move by plan */
+    bool suspects;      /* some member is SUSPECT */
+    ms_t doubt_at;      /* last time that two homes of a key were possible */
     map_t up_map, service_map; /* addr_id() to index */
 
     slot_t *slots;
@@ -230,6 +234,7 @@
 
     flow_t *flows;
     uint32_t *flow_heads, flow_mask, flow_free, flow_used, sweep;
+    uint32_t flow_top, feed_top; /* entries ever used */
     feed_t *feeds;
     uint32_t feed_free;
     hint_t *hints;
@@ -313,6 +318,8 @@
 /* Finds KEY's flow for its home; a copy held for another home becomes this
  * one's own. */
 flow_t *flow_own(core_t *c, uint64_t key);
+/* By which key F's home is found: an upload's is its service's. */
+uint64_t flow_home_key(core_t *c, const flow_t *f);
 void flow_remove(core_t *c, flow_t *f);
 void flow_pin(core_t *c, flow_t *f, uint16_t up);
 void flow_touch(core_t *c, flow_t *f);
@@ -351,6 +358,7 @@
 void sync_targets_changed(core_t *c);
 
 /* request.c */
+bool is_upload_block(const coap_msg_t *m);
 void request_at_home(core_t *c, const dgram_t *d);
 void request_fenced(core_t *c, ex_t *ex, uint16_t u, const char *state,
                     const char *by, uint32_t epoch);
