--- a/siskind/decide.c
+++ b/siskind/decide.c
@@ -11,11 +11,13 @@
 #define TICK_MS 20
 #define PORTS_RETRY_MS 1000
 
-/* Sizes of core's tables: 24 MB of flows, 12 MB of hints and 11 MB of
- * exchanges when all are in use. */
+/* Sizes of core's tables: 16 MB of flows, 12 MB of hints and 38 MB of
+ * exchanges when all are in use.  A record of a non-idempotent request lives
+ * for EXCHANGE_MS, so these are 530 such requests a second, sustained, of the
+ * flows whose home this is. */
 #define MAX_FLOWS 500000
 #define MAX_HINTS 500000
-#define MAX_EXCHANGES 16384
+#define MAX_EXCHANGES 131072
 
 static void
 on_peer(decide_t *c, const packet_t *p)
