--- a/Makefile
+++ b/Makefile
@@ -98,6 +98,12 @@
 	$(MAKE) -j8 B=build-san OPT="-O1 -g" \
 	    SAN="-fsanitize=address,undefined -fno-omit-frame-pointer" test
 
+# More schedules of faults than CI has time for: make soak N=20000 SEED=7
+N    ?= 5000
+SEED ?= $(shell date +%s)
+soak: $(B)/core_prop_test
+	SISKIN_SCHEDULES=$(N) SISKIN_SEED=$(SEED) $(B)/core_prop_test
+
 demo: setup
 	$(MAKE) -j8 all
 	./test/demo $(B)
@@ -106,6 +112,6 @@
 	rm -rf build build-san
 
 .PHONY: all tests benches format format-check lint setup test check sanitize \
-        demo clean
+        soak demo clean
 .SECONDARY:
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/test/core_prop_test.cc
@@ -0,0 +1,193 @@
+// Promises that hold in any schedule of faults, under RapidCheck.  The verdict
+// is the same on each run: the seed is fixed, unless SISKIN_SEED names another
+// one; SISKIN_SCHEDULES says how many schedules are tried (make soak).  What
+// RapidCheck prints of a failure is a script for core_test.cc.
+#include "test/fleet.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char zeros[] =
+    "twice 0, false not-run 0, misdelivered 0, crossed 0, reverts 0";
+
+static bool
+configure(void)
+{
+    const char *n = getenv("SISKIN_SCHEDULES"), *seed = getenv("SISKIN_SEED");
+    std::string params = "max_success=" + std::string(n ? n : "60") +
+                         " seed=" + std::string(seed ? seed : "4");
+
+    return setenv("RC_PARAMS", params.c_str(), 0) == 0;
+}
+
+static const bool configured = configure();
+
+static int
+pick(int from, int to)
+{
+    return *rc::gen::inRange(from, to);
+}
+
+static std::string
+num(int n)
+{
+    return std::to_string(n);
+}
+
+/* A change that operators make. */
+static std::string
+planned(int up)
+{
+    switch (pick(0, 8)) {
+    case 0:
+        return "join";
+    case 1:
+    case 2:
+        return "leave " + num(pick(0, 2));
+    case 3:
+        return "drain " + num(pick(0, up));
+    case 4:
+        return "undrain " + num(pick(0, up));
+    case 5:
+        return "weight " + num(pick(0, up)) + " " + num(pick(1, 100));
+    case 6:
+        return "add " +
+               std::string(*rc::gen::element("monitor", "archive", "raw"));
+    default:
+        return "push";
+    }
+}
+
+static std::string
+unplanned(int instances, int up)
+{
+    std::string i = num(pick(0, instances)), u = num(pick(0, up));
+
+    switch (pick(0, 15)) {
+    case 0:
+        return "kill " + i;
+    case 12:
+        return "up-kill " + u;
+    case 13:
+        return "deaf " + i + " " + num(pick(0, instances));
+    case 14:
+        return "run-ms " + num(pick(20, 4000));
+    case 1:
+        return "kill home:P" + num(pick(1, 4));
+    case 2:
+        return "restart " + i;
+    case 3:
+    case 4:
+        return "pause " + i + " " + num(pick(200, 6000));
+    case 5:
+        return "isolate " + i;
+    case 6:
+        return "part " + i + " " + num(pick(0, instances));
+    case 7:
+        return "cut " + i + " " + u;
+    case 8:
+        return "up-restart " + u + " " + num(pick(1500, 4000));
+    case 9:
+        return "recycle " + num(pick(0, 4)) + " archive";
+    case 10:
+        return "freeze " + u + " " + num(pick(0, 2));
+    default:
+        return "heal";
+    }
+}
+
+static std::string
+load(int t)
+{
+    switch (t / 400 % 4) {
+    case 0:
+        return "post monitor 4";
+    case 1:
+        return "post archive 3";
+    case 2:
+        return "read monitor 2";
+    default:
+        return t < 8000 ? "feed monitor 2" : "post monitor 2";
+    }
+}
+
+/* Load from 4 to 24 s, and FAULTS, each at its time, among it. */
+static std::string
+script_of(std::multimap<int, std::string> lines)
+{
+    std::string s;
+
+    lines.insert({4000, "post monitor 4"});
+    for (int t = 4400; t < 24000; t += 400) {
+        lines.insert({t, load(t)});
+    }
+    lines.insert({4400, "raw 6"});
+    lines.insert({4500, "upload archive 2 blocks=40"});
+    lines.insert({11000, "upload archive 2 blocks=20"});
+    lines.insert({75000, "end"});
+    for (auto &[t, line] : lines) {
+        s += num(t) + " " + line + "\n";
+    }
+    return s;
+}
+
+RC_GTEST_PROP(AnySchedule, NoSecondRunNoFalseNotRunNoWrongService, ())
+{
+    fleet_options_t o;
+    std::multimap<int, std::string> faults;
+    int up = 10;
+
+    o.seed = (uint64_t)pick(1, 1000000);
+    o.instances = pick(2, 8);
+    o.warm_ms = *rc::gen::element(0, 55000);
+    o.loss = *rc::gen::element(0.0, 0.02, 0.15);
+    o.duplicate = *rc::gen::element(0.0, 0.05);
+    o.skew_ms = *rc::gen::element(300, 3000, 9000);
+    o.run_ms = *rc::gen::element(20, 300, 1800, 5000);
+    int n = pick(1, 9);
+    for (int k = 0; k < n; k++) {
+        std::string line =
+            pick(0, 3) == 0 ? planned(up) : unplanned(o.instances, up);
+        faults.insert({pick(4010, 22000), line});
+    }
+    std::string script = script_of(faults);
+    fleet_t f(o);
+    f.play(script);
+    RC_LOG() << "seed " << o.seed << " instances " << o.instances << " warm "
+             << o.warm_ms << " loss " << o.loss << " duplicate " << o.duplicate
+             << " skew " << o.skew_ms << " run " << o.run_ms << "\n"
+             << script << f.promises() << std::endl;
+    RC_ASSERT(f.promises().rfind(zeros, 0) == 0);
+}
+
+/* Only what operators plan: nothing is cut, nothing is left unanswered. */
+RC_GTEST_PROP(PlannedSchedule, BreaksNothing, ())
+{
+    fleet_options_t o;
+    std::multimap<int, std::string> changes;
+
+    o.seed = (uint64_t)pick(1, 1000000);
+    o.instances = pick(3, 8);
+    o.skew_ms = *rc::gen::element(300, 3000);
+    o.run_ms = *rc::gen::element(20, 300);
+    int n = pick(1, 7);
+    for (int k = 0; k < n; k++) {
+        changes.insert({pick(4010, 22000), planned(10)});
+    }
+    std::string script = script_of(changes);
+    fleet_t f(o);
+    f.play(script);
+    tally_t &t = f.tally;
+    RC_LOG() << "seed " << o.seed << " instances " << o.instances << " skew "
+             << o.skew_ms << " run " << o.run_ms << "\n"
+             << script << f.report() << "broken feeds " << t.broken_feeds
+             << " uploads " << t.broken_uploads << " flows " << t.broken_flows
+             << " unknown " << t.unknown << " timeouts " << t.timeouts
+             << std::endl;
+    RC_ASSERT(f.promises().rfind(zeros, 0) == 0);
+    RC_ASSERT(t.drain_work == 0);
+    RC_ASSERT(t.broken_feeds + t.broken_uploads + t.broken_flows == 0);
+    RC_ASSERT(t.unknown + t.timeouts == 0);
+}
--- /dev/null
+++ b/test/core_test.cc
@@ -0,0 +1,485 @@
+// The ten hazards of the design, as scripted runs: the script on the left of
+// each test, the expected report on the right.  Times are virtual.
+#include "test/fleet.h"
+
+#include <gtest/gtest.h>
+#include <string.h>
+
+static const char zeros[] =
+    "twice 0, false not-run 0, misdelivered 0, crossed 0, reverts 0, "
+    "late work on leaving 0";
+
+/* Every call of KIND whose outcome differs from WANT, a line each. */
+static std::string
+others(const fleet_t &f, call_kind_t kind, const std::string &want)
+{
+    std::string s;
+
+    for (const call_t &c : f.calls) {
+        if (c.kind == kind && c.outcome != want) {
+            s += c.id + " " + c.outcome + "\n";
+        }
+    }
+    return s;
+}
+
+/* Plays SCRIPT under seeds 1 to SEEDS: the promises hold, and what CHECK
+ * looks for. */
+static void
+each_seed(fleet_options_t o, int seeds, const char *script,
+          void (*check)(fleet_t &) = nullptr)
+{
+    for (int seed = 1; seed <= seeds; seed++) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        o.seed = (uint64_t)seed;
+        fleet_t f(o);
+        f.play(script);
+        EXPECT_EQ(zeros, f.promises());
+        if (check != nullptr) {
+            check(f);
+        }
+    }
+}
+
+/* A fleet that has just started: no home is sure of anything. */
+static fleet_options_t
+cold(void)
+{
+    fleet_options_t o;
+
+    o.warm_ms = 0;
+    return o;
+}
+
+static void
+nothing_cut(fleet_t &f)
+{
+    EXPECT_EQ("", others(f, CALL_FEED, "live"));
+    EXPECT_EQ("", others(f, CALL_RAW, "live"));
+    EXPECT_EQ("", others(f, CALL_UPLOAD, "done"));
+    EXPECT_EQ("", others(f, CALL_POST, "done"));
+}
+
+/* A healthy fleet first: without faults everything is answered. */
+TEST(Fleet, AnswersEverythingWithoutFaults)
+{
+    fleet_t f(fleet_options_t{});
+    f.play(R"(
+        4000  feed monitor
+        4000  raw
+        4500  post monitor
+        5000  read archive
+        5000  upload archive blocks=6
+        30000 end)");
+    EXPECT_EQ(std::string("F1 live\n"
+                          "O2 live\n"
+                          "P3 done, ran 1\n"
+                          "R4 done\n"
+                          "U5 done\n") +
+                  zeros + "\n",
+              f.report());
+}
+
+/* 1. Mid-flow datagram at an instance that never saw the flow.
+ * The caller sees its feed stop, or its archive refused half way.  A new
+ * version moves buckets, or a new instance takes the flow's next datagram,
+ * and the choice made there differs from the one made at opening. */
+TEST(Hazard1, FlowsSurviveStrangersAndUnevenVersions)
+{
+    fleet_options_t o;
+    o.skew_ms = 3000;
+
+    each_seed(o, 5, R"(
+        4000  feed monitor 30
+        4000  raw 30
+        5000  upload archive 6 blocks=60
+        6000  add monitor
+        6000  add raw
+        6500  add archive
+        8000  join
+        9000  weight 0 30
+        9500  weight 4 40
+        10000 weight 7 1
+        12000 leave 0
+        13000 add raw
+        16000 join
+        17000 leave 1
+        60000 end)",
+              nothing_cut);
+}
+
+/* 2. "Not run" that ran.
+ * The caller reads "not run" and files the setpoint again; it lands twice.
+ * Copy 1 went through the home, which then died; the retransmission reaches
+ * the next home, which can't reach that upstream and would refuse. */
+TEST(Hazard2, NewHomeDoesNotSayNotRunOfWhatRan)
+{
+    each_seed(fleet_options_t(), 10, R"(
+        4000 run-ms 6000
+        5000 post monitor
+        5100 kill home:P1
+        5100 cut-all 0
+        5100 cut-all 1
+        5100 cut-all 2
+        5100 cut-all 3
+        60000 end)",
+              [](fleet_t &f) {
+                  EXPECT_EQ("unknown", f.calls[0].outcome);
+                  EXPECT_EQ(1u, f.runs["P1"].size());
+              });
+}
+
+/* 2, short pause.  The home sleeps 1.7 s, longer than its peers' patience.
+ * They forward copy 1 at the next home; the sleeper, sure that nothing has
+ * happened, reads copy 2 and has no room for it. */
+TEST(Hazard2, SleeperThatWasReplacedDoesNotSayNotRun)
+{
+    each_seed(fleet_options_t(), 10, R"(
+        4000 run-ms 300
+        4500 post monitor client=9
+        5000 pause home:P1 1700
+        6100 post monitor client=9
+        6100 post monitor client=9
+        6600 run-ms 8000
+        6700 post monitor 40
+        60000 end)");
+}
+
+/* 3. Second run.
+ * Two crews go to one hall.  The home forwards the acknowledgement and dies;
+ * the upstream it chose leaves the table; its backup dies too, and copies
+ * reach a home for which another upstream is the first choice. */
+TEST(Hazard3, RetransmissionNeverRunsElsewhere)
+{
+    static const char script[] = R"(
+        4000 run-ms 2500
+        5000 post monitor 6
+        5060 kill home:P1
+        5060 drain 0
+        5060 weight 1 90
+        6000 drain 2
+        8000 add monitor
+        9000 kill home:P2
+        90000 end)";
+
+    each_seed(fleet_options_t(), 10, script);
+    each_seed(cold(), 10, script);
+}
+
+/* 3, upstream death.  The upstream runs the setpoint and dies before it
+ * answers.  The caller must hear "outcome unknown" or nothing, and no other
+ * upstream may get the copies that follow. */
+TEST(Hazard3, DeathOfTheUpstreamEndsTheRequest)
+{
+    each_seed(fleet_options_t(), 10, R"(
+        4000 run-ms 3000
+        5000 post monitor
+        6000 up-restart ran:P1 2000
+        90000 end)",
+              [](fleet_t &f) {
+                  EXPECT_EQ(1u, f.runs["P1"].size());
+                  EXPECT_NE("done", f.calls[0].outcome);
+                  EXPECT_NE("open", f.calls[0].outcome);
+              });
+}
+
+/* 3, message ID reuse.  A caller that restarted uses message ID 77 again for
+ * another setpoint: within EXCHANGE_LIFETIME that is refused, as the upstream
+ * would take it for a copy; afterwards it runs. */
+TEST(Hazard3, MessageIdMayBeUsedAgainAfterItsLifetime)
+{
+    fleet_t f(fleet_options_t{});
+    f.play(R"(
+        5000   post monitor client=7 mid=77 token=1
+        60000  post monitor client=7 mid=77 token=2
+        320000 post monitor client=7 mid=77 token=3
+        330000 end)");
+    EXPECT_EQ(std::string("P1 done, ran 1\n"
+                          "P2 not run, ran 0\n"
+                          "P3 done, ran 1\n") +
+                  zeros + "\n",
+              f.report());
+}
+
+/* 4. Wrong service.
+ * Alarm acknowledgements arrive at the archive.  An address passes from one
+ * service to the other while one instance holds the old version, or wakes
+ * with a probe's answer that lay in its socket and is older than it looks. */
+TEST(Hazard4, RecycledAddressGetsNothingOfItsOldService)
+{
+    fleet_options_t o;
+    o.skew_ms = 4000;
+
+    each_seed(o, 20, R"(
+        4000  feed monitor 6
+        5000  recycle 0 archive
+        5100  post monitor 20
+        5600  pause 1 900
+        6000  isolate 2
+        6000  post monitor 20
+        6400  pause 3 1400
+        6800  post monitor 20
+        7100  post archive 20
+        7600  pause 4 1600
+        8000  post monitor 20
+        9000  heal
+        9200  post archive 20
+        9300  recycle 1 archive
+        11000 post monitor 30
+        12000 pause 0 3000
+        15100 post monitor 30
+        60000 end)");
+}
+
+/* 5. Late and crossed answers.
+ * A technician takes over a port whose last user is still waited for, and its
+ * token too.  The first request's answer comes late and separate, so that
+ * only the token could match: the second must not take it for its own. */
+TEST(Hazard5, LateAnswerIsNotTakenForAnother)
+{
+    each_seed(fleet_options_t(), 10, R"(
+        4000  run-ms 7000
+        5000  post monitor client=5 mid=10 token=9
+        9000  gone P1
+        9000  post monitor client=5 mid=11 token=9
+        60000 end)");
+}
+
+/* 5, epochs.  An answer from an upstream's earlier life, or to a request that
+ * was cancelled, arrives when the port serves another caller. */
+TEST(Hazard5, AnswerOfAnEarlierEpochIsDropped)
+{
+    each_seed(fleet_options_t(), 10, R"(
+        4000  run-ms 4000
+        5000  post monitor client=5 mid=10 token=9
+        7000  up-restart ran:P1 1600
+        9000  gone P1
+        9000  run-ms 200
+        11000 post monitor client=5 mid=12 token=9
+        60000 end)");
+}
+
+/* 6. Drain of an instance and of upstreams, with a change of configuration.
+ * The caller sees a feed stop or an archive cut on a planned stop.  The
+ * fabric still hands datagrams to the leaving instance for 2 s, the version
+ * is uneven, and only the leaving instance knew of some pins. */
+TEST(Hazard6, LeavingCutsNothing)
+{
+    static const char script[] = R"(
+        4000  feed monitor 20
+        4000  raw 20
+        5000  upload archive 4 blocks=80
+        6000  post monitor 4
+        6010  leave 0
+        6010  drain 0
+        6020  drain 4
+        6030  weight 1 20
+        6030  drain 7
+        6100  post monitor 4
+        9000  join
+        10500 post monitor 4
+        11000 leave 1
+        11000 undrain 4
+        12000 post monitor 4
+        60000 end)";
+
+    each_seed(fleet_options_t(), 5, script, nothing_cut);
+    each_seed(cold(), 5, script, nothing_cut);
+}
+
+/* 6, two leave, one soon after the other.  The second holds the first one's
+ * pins for it, and must hand those on as well. */
+TEST(Hazard6, LeavingOneAfterTheOtherCutsNothing)
+{
+    fleet_options_t o;
+    o.instances = 3;
+
+    each_seed(o, 10, R"(
+        4000  feed monitor 20
+        4000  raw 20
+        4500  upload archive 3 blocks=60
+        5000  leave 1
+        9370  leave 0
+        60000 end)",
+              nothing_cut);
+}
+
+/* 6, cut off.  An instance that hears neither peers nor the platform learns
+ * from the upstream itself that it is leaving; and those that suspect the cut
+ * off instance open no feed where an earlier version would have. */
+TEST(Hazard6, CutOffInstanceStopsNewWorkOnLeavingUpstream)
+{
+    each_seed(fleet_options_t(), 5, R"(
+        5000  isolate 2
+        7000  drain 0
+        14000 post monitor 60
+        15000 feed monitor 20
+        40000 end)");
+}
+
+/* 7. Silent flow.
+ * A feed freezes without a word: something between the ends has lost track of
+ * its flow, while new ones work.  The caller must be told, soon, and the
+ * other feeds left alone. */
+TEST(Hazard7, SilentFeedIsToldAndOthersLive)
+{
+    fleet_options_t o;
+    o.feed_silent_ms = 3000;
+
+    each_seed(o, 5, R"(
+        4000  feed monitor 8
+        10000 mute F3
+        40000 end)",
+              [](fleet_t &f) {
+                  EXPECT_EQ("F3 ended\n", others(f, CALL_FEED, "live"));
+                  EXPECT_LT(f.calls[2].ended - f.origin, 19000);
+                  EXPECT_EQ(9u, f.calls.size()); /* it opened anew */
+              });
+}
+
+/* 8. Versions.
+ * A change that operators made vanishes: a stale read or a peer cut off for a
+ * minute brings the old version back.  And while two versions are in force,
+ * one acknowledgement must not run under each. */
+TEST(Hazard8, VersionsNeverRevertAndTwoInForceDoNotRunTwice)
+{
+    static const char script[] = R"(
+        4000  run-ms 1500
+        5000  isolate 1
+        5500  weight 0 90
+        6000  drain 1
+        7000  post monitor 30
+        9000  add monitor
+        12000 post monitor 30
+        20000 heal
+        20300 post monitor 30
+        21000 weight 0 5
+        22000 post monitor 30
+        120000 end)";
+    auto newest = [](fleet_t &f) {
+        for (const instance_t &n : f.inst) {
+            EXPECT_EQ(5u, core_version(n.core)) << n.name;
+        }
+    };
+    fleet_options_t o;
+
+    o.loss = 0.1;
+    each_seed(o, 10, script, newest);
+    o.warm_ms = 0;
+    each_seed(o, 10, script, newest);
+}
+
+/* 9. Two faults at once, each pair of them, under load.  Whatever is lost,
+ * nothing runs twice, nothing that ran is called "not run", and nothing
+ * reaches the wrong service. */
+TEST(Hazard9, AnyTwoFaultsAtOnce)
+{
+    static const char *const faults[] = {
+        "kill home:P1",      "join",        "leave 0",  "drain 0",
+        "pause 1 2500",      "isolate 2",   "part 0 3", "restart 3",
+        "up-restart 1 1600", "weight 2 60", "mute F11", "recycle 3 archive",
+    };
+    fleet_options_t o;
+
+    o.loss = 0.02;
+    for (const char *first : faults) {
+        for (const char *second : faults) {
+            SCOPED_TRACE(std::string(first) + " + " + second);
+            std::string script = "4000 run-ms 400\n5000 post monitor 10\n"
+                                 "5000 feed monitor 4\n5300 ";
+            script += std::string(first) + "\n5350 post monitor 10\n"
+                                           "5400 post archive 5\n5500 ";
+            script += std::string(second) + "\n6200 post monitor 10\n"
+                                            "8000 heal\n"
+                                            "8100 post monitor 10\n60000 end";
+            each_seed(o, 1, script.c_str());
+        }
+    }
+}
+
+/* 9, one death.  The caller's feed must go on when an instance dies: its home
+ * was the only one to know a pin that differs from the first choice, but for
+ * the backup's copy.  Only datagrams in flight are lost. */
+TEST(Hazard9, DeathOfAnInstanceBreaksNoFlow)
+{
+    fleet_options_t o;
+    o.instances = 7;
+
+    each_seed(o, 5, R"(
+        4000  feed monitor 60
+        4000  raw 60
+        5000  upload archive 3 blocks=60
+        9000  kill 2
+        60000 end)",
+              nothing_cut);
+}
+
+/* 9, death of an upstream.  Its own feeds are lost, and their callers are
+ * told within seconds; nobody else's are. */
+TEST(Hazard9, DeathOfAnUpstreamEndsItsOwnFeedsAlone)
+{
+    each_seed(fleet_options_t(), 5, "4000 feed monitor 40\n9000 end",
+              [](fleet_t &f) {
+                  ms_t died = f.now;
+                  std::string own;
+                  for (const call_t &c : f.calls) {
+                      own += f.holder(c.id) == 1 ? c.id + " ended\n" : "";
+                  }
+                  EXPECT_NE("", own);
+                  f.kill_upstream(1);
+                  f.run_until(f.now + 30000);
+                  EXPECT_EQ(own, others(f, CALL_FEED, "live"));
+                  for (const call_t &c : f.calls) {
+                      EXPECT_LT(c.over ? c.ended - died : 0, 4000) << c.id;
+                  }
+              });
+}
+
+/* Opens N requests, one each 50 ms: half of what 4 x 2 slots can do in
+ * 200 ms each.  Returns how many ran at upstream PLACE ("0/1"). */
+static int
+load_at(fleet_t &f, int n, const std::string &place)
+{
+    int at = 0;
+
+    for (int i = 0; i < n; i++) {
+        f.open(CALL_POST, SERVICE_MONITOR);
+        f.run_until(f.now + 50);
+    }
+    f.run_until(f.now + 20000);
+    for (const call_t &c : f.calls) {
+        for (const std::string &where : f.runs[c.id]) {
+            at += where == place;
+        }
+    }
+    return at;
+}
+
+/* 10. Lying load and health.
+ * One upstream's report is frozen at idle, so that the least loaded of the
+ * reports draws everything; it sheds, and callers are refused while others
+ * have room.  What an instance sees itself must count more. */
+TEST(Hazard10, FrozenReportDoesNotDrawEverything)
+{
+    fleet_options_t o;
+    o.run_ms = 200;
+
+    each_seed(o, 3, "4000 freeze 0 0\n5000 end", [](fleet_t &f) {
+        EXPECT_LT(load_at(f, 600, "0/1"), 300); /* its fair share is 150 */
+        EXPECT_EQ(600, f.tally.done);
+        EXPECT_EQ(zeros, f.promises());
+    });
+}
+
+/* 10, cold.  An upstream that has just started looks idle to all instances at
+ * once, and must not draw everything. */
+TEST(Hazard10, ColdUpstreamDoesNotDrawEverything)
+{
+    fleet_options_t o;
+    o.run_ms = 200;
+
+    each_seed(o, 3, "4000 up-restart 0 3000\n7500 end", [](fleet_t &f) {
+        EXPECT_LT(load_at(f, 100, "0/2"), 30); /* its fair share is 25 */
+        EXPECT_EQ(zeros, f.promises());
+    });
+}
--- /dev/null
+++ b/test/fleet.cc
@@ -0,0 +1,913 @@
+/* fleet: time, links, the fabric, instances, the members' views and the
+ * operators' actions.  fleet_ends.cc has the upstreams and the callers. */
+#include "test/fleet.h"
+
+#include <algorithm>
+#include <errno.h>
+#include <stdarg.h>
+#include <string.h>
+
+enum { PARTY_PLATFORM = -2 };
+
+static const uint8_t peer_key[PEER_KEY_LEN] = {7};
+static const ms_t tick_ms = 50;
+static const ms_t observe_ms = 100;
+static const ms_t inbox_age_ms = 1000; /* older datagrams are dropped */
+static const ms_t leave_max_ms = 60000;
+
+static addr_t
+address(uint8_t a, uint8_t b, int host, uint16_t port)
+{
+    addr_t r = {};
+
+    r.ip[10] = r.ip[11] = 255;
+    r.ip[12] = a;
+    r.ip[13] = b;
+    r.ip[14] = (uint8_t)(host >> 8);
+    r.ip[15] = (uint8_t)host;
+    r.port = port;
+    return r;
+}
+
+addr_t
+fleet_service_addr(int service)
+{
+    return address(10, 0, service + 1, 5683);
+}
+
+addr_t
+fleet_client_addr(int client)
+{
+    return address(192, 168, client, 40000);
+}
+
+/* ---- Time and links ---- */
+
+void
+fleet_t::at(ms_t when, std::function<void()> fn)
+{
+    events.push({std::max(when, now), order++, std::move(fn)});
+}
+
+void
+fleet_t::after(ms_t span, std::function<void()> fn)
+{
+    at(now + span, std::move(fn));
+}
+
+void
+fleet_t::run_until(ms_t when)
+{
+    while (!events.empty() && events.top().at <= when) {
+        event_t e = events.top();
+        events.pop();
+        now = e.at;
+        e.fn();
+    }
+    now = when;
+}
+
+void
+fleet_t::note(const char *fmt, ...)
+{
+    char line[256];
+    va_list ap;
+
+    if (!tracing) {
+        return;
+    }
+    va_start(ap, fmt);
+    vsnprintf(line, sizeof(line), fmt, ap);
+    va_end(ap);
+    trace.push_back(std::to_string(now - origin) + " " + line);
+}
+
+bool
+fleet_t::chance(double p)
+{
+    return p > 0 && rng_below(&rng, 1000000) < p * 1000000;
+}
+
+bool
+fleet_t::is_cut(int a, int b) const
+{
+    return cuts.count({a, b}) > 0;
+}
+
+/* One datagram from FROM to TO: lost, delayed, out of order or doubled. */
+void
+fleet_t::carry(int from, int to, std::function<void()> fn)
+{
+    int copies = chance(opt.duplicate) ? 2 : 1;
+
+    if (is_cut(from, to) || chance(loss)) {
+        return;
+    }
+    for (int k = 0; k < copies; k++) {
+        after(1 + rng_below(&rng, (uint32_t)opt.jitter_ms + 1), fn);
+    }
+}
+
+void
+fleet_t::cut_one_way(int from, int to)
+{
+    note("cut %d %d", from, to);
+    cuts.insert({from, to});
+}
+
+void
+fleet_t::cut(int a, int b)
+{
+    cut_one_way(a, b);
+    cut_one_way(b, a);
+}
+
+void
+fleet_t::heal()
+{
+    note("heal");
+    cuts.clear();
+}
+
+void
+fleet_t::isolate(int i)
+{
+    for (int j = 0; j < (int)inst.size(); j++) {
+        if (j != i) {
+            cut(i, j);
+        }
+    }
+    cut(i, PARTY_PLATFORM);
+}
+
+/* ---- Configuration ---- */
+
+std::shared_ptr<fleet_t::conf_box_t>
+fleet_t::make_conf()
+{
+    static const char *const names[] = {"monitor", "archive", "raw"};
+    auto box = std::make_shared<conf_box_t>();
+
+    for (auto &[u, entry] : model) {
+        box->upstreams[model_service[u]].push_back(entry);
+    }
+    /* Sorted by name, as conf.h says: archive, monitor, raw. */
+    static const int sorted[] = {SERVICE_ARCHIVE, SERVICE_MONITOR,
+                                 SERVICE_RAW};
+    for (int k = 0; k < SERVICE_COUNT; k++) {
+        int s = sorted[k];
+        auto &list = box->upstreams[s];
+        std::sort(list.begin(), list.end(),
+                  [](const conf_upstream_t &a, const conf_upstream_t &b) {
+                      return a.id < b.id;
+                  });
+        conf_service_t &c = box->services[k];
+        c = {};
+        strcpy(c.name, names[s]);
+        c.addr = fleet_service_addr(s);
+        c.proto = s == SERVICE_RAW ? PROTO_UDP : PROTO_COAP;
+        c.prefer = PREFER_STABILITY;
+        c.urgent_slots = s == SERVICE_ARCHIVE ? 0 : 1;
+        c.queue = (uint16_t)opt.queue;
+        c.retry_percent = 10;
+        c.caller_share = 64;
+        c.request_ms = 60000;
+        c.flow_idle_ms = 300000;
+        c.upload_idle_ms = 60000;
+        c.feed_silent_ms = opt.feed_silent_ms;
+        c.come_back_s = 2;
+        c.n_upstreams = (uint32_t)list.size();
+        c.upstreams = list.data();
+    }
+    box->conf.version = versions.size() + 1;
+    box->conf.hash = hash_mix(box->conf.version, 99);
+    strcpy(box->conf.site, "test");
+    box->conf.drain_ms = leave_max_ms;
+    box->conf.n_services = SERVICE_COUNT;
+    box->conf.services = box->services;
+    return box;
+}
+
+void
+fleet_t::take_conf(int i, uint64_t version, ms_t when)
+{
+    instance_t &n = inst[i];
+
+    note("version %d at %s", (int)version, n.name.c_str());
+    core_set_conf(n.core, when, &versions[version - 1]->conf);
+    n.version = std::max(n.version, core_version(n.core));
+    n.in_force[n.version] = when;
+}
+
+/* An instance that starts has the versions of the last DOUBT_MS from a peer,
+ * with the times at which they came into force there; at the first start of
+ * all, and when no peer can be reached, the platform's version alone. */
+void
+fleet_t::give_history(int i)
+{
+    for (int j = 0; j < (int)inst.size(); j++) {
+        if (j == i || !reachable(i, j) || inst[j].in_force.empty()) {
+            continue;
+        }
+        for (auto &[version, when] : inst[j].in_force) {
+            take_conf(i, version, when);
+        }
+        return;
+    }
+    give_conf(i, versions.size());
+}
+
+/* A version reaches instance I, at once or when it can be reached; now and
+ * then a stale read brings an old one afterwards. */
+void
+fleet_t::give_conf(int i, uint64_t version)
+{
+    instance_t &n = inst[i];
+
+    if (!n.alive || n.version >= version) {
+        return;
+    }
+    bool access = !is_cut(i, PARTY_PLATFORM);
+    for (int j = 0; j < (int)inst.size() && !access; j++) {
+        access = inst[j].version >= version && reachable(i, j);
+    }
+    if (n.paused || !access) {
+        after(100, [=] { give_conf(i, version); });
+        return;
+    }
+    take_conf(i, version, now);
+    if (chance(0.2) && version > 1) {
+        core_set_conf(n.core, now, &versions[version - 2]->conf);
+    }
+    if (core_version(n.core) != n.version || n.version < version) {
+        tally.reverts++;
+    }
+    for (auto &[u, entry] : model) {
+        bool all = entry.draining && up[u].drain_from == MS_NEVER;
+        for (int j = 0; j < (int)inst.size() && all; j++) {
+            all = !inst[j].alive || inst[j].paused ||
+                  is_cut(j, PARTY_PLATFORM) ||
+                  inst[j].version >= versions.size();
+        }
+        if (all) {
+            up[u].drain_from = now;
+        }
+    }
+}
+
+void
+fleet_t::push_conf()
+{
+    versions.push_back(make_conf());
+    uint64_t v = versions.size();
+    note("push version %d", (int)v);
+    for (int i = 0; i < (int)inst.size(); i++) {
+        after(20 + rng_below(&rng, (uint32_t)opt.skew_ms + 1),
+              [=] { give_conf(i, v); });
+    }
+}
+
+void
+fleet_t::drain(int u, bool on)
+{
+    if (model.count(u) == 0 || model[u].draining == on) {
+        return;
+    }
+    note("drain %d %d", u, on);
+    model[u].draining = on;
+    up[u].drain_from = MS_NEVER;
+    after(rng_below(&rng, 1000), [=] { up[u].draining = on; });
+    push_conf();
+}
+
+void
+fleet_t::set_weight(int u, int weight)
+{
+    if (model.count(u) > 0) {
+        note("weight %d %d", u, weight);
+        model[u].weight = (uint16_t)weight;
+        push_conf();
+    }
+}
+
+void
+fleet_t::add_upstream(int service)
+{
+    upstream_add(service);
+    note("add upstream %d to %d", (int)up.size() - 1, service);
+    push_conf();
+}
+
+/* The operator takes the address out, the process changes its service, and
+ * the address comes back in its new place.  Nobody waits for anybody. */
+void
+fleet_t::recycle(int u, int service)
+{
+    if (model.count(u) == 0 || !up[u].up) {
+        return;
+    }
+    note("recycle %d to %d", u, service);
+    conf_upstream_t entry = model[u];
+    model.erase(u);
+    push_conf();
+    after(rng_below(&rng, 500),
+          [=] { restart_upstream(u, TRUST_MS + 100, service); });
+    after(1000 + rng_below(&rng, 2000), [=] {
+        model[u] = entry;
+        model[u].draining = false;
+        model_service[u] = service;
+        push_conf();
+    });
+}
+
+/* ---- Instances ---- */
+
+int
+fleet_t::add_instance(const std::string &name)
+{
+    int i = (int)inst.size();
+
+    inst.push_back({});
+    inst[i].name = name;
+    inst[i].id = instance_id(name.c_str());
+    inst[i].own = address(10, 2, i, 7000);
+    for (auto &n : inst) {
+        n.view.resize(inst.size());
+    }
+    return i;
+}
+
+void
+fleet_t::start_instance(int i)
+{
+    instance_t &n = inst[i];
+    core_params_t p = {.self = n.id,
+                       .own_addr = n.own,
+                       .seed = opt.seed * 1000 + (uint64_t)i,
+                       .max_flows = 4096,
+                       .max_hints = 4096,
+                       .max_exchanges = opt.max_exchanges};
+
+    n.life++;
+    n.alive = true;
+    n.paused = false;
+    n.started = now;
+    n.version = 0;
+    n.inbox.clear();
+    emit_boxes.push_back({this, i});
+    n.core = core_new(&p, emit, &emit_boxes.back());
+    n.in_force.clear();
+    give_history(i);
+    int life = n.life;
+    after(rng_below(&rng, (uint32_t)tick_ms), [=] { tick(i, life); });
+}
+
+void
+fleet_t::stop_instance(int i)
+{
+    inst[i].alive = false;
+    inst[i].life++;
+    core_free(inst[i].core);
+    inst[i].core = nullptr;
+}
+
+fleet_t::fleet_t(const fleet_options_t &options)
+    : opt(options), rng{options.seed, 0}, loss(options.loss)
+{
+    for (int s = 0; s < SERVICE_COUNT; s++) {
+        for (int k = 0; k < opt.upstreams[s]; k++) {
+            upstream_add(s);
+        }
+    }
+    versions.push_back(make_conf());
+    for (int i = 0; i < opt.instances; i++) {
+        add_instance("entry-" + std::to_string(i));
+    }
+    for (auto &n : inst) {
+        for (auto &v : n.view) {
+            v = {true, MEMBER_ACTIVE, 1, 1, now, 0};
+        }
+    }
+    for (int i = 0; i < opt.instances; i++) {
+        start_instance(i);
+        give_members(i);
+    }
+    run_until(now + opt.warm_ms);
+    origin = opt.warm_ms;
+}
+
+fleet_t::~fleet_t()
+{
+    for (auto &n : inst) {
+        if (n.alive) {
+            core_free(n.core);
+        }
+    }
+}
+
+void
+fleet_t::tick(int i, int life)
+{
+    instance_t &n = inst[i];
+
+    if (n.life != life) {
+        return;
+    }
+    after(tick_ms, [=] { tick(i, life); });
+    if (n.paused) {
+        return;
+    }
+    if ((now - n.started) / observe_ms !=
+        (now - tick_ms - n.started) / observe_ms) {
+        observe(i);
+        try_activate(i);
+    }
+    core_tick(n.core, now);
+}
+
+/* A datagram for instance I: kept while it is paused, by the kernel. */
+void
+fleet_t::to_instance(int i, std::function<void(instance_t &)> fn)
+{
+    instance_t &n = inst[i];
+
+    if (!n.alive) {
+        return;
+    }
+    if (n.paused) {
+        n.inbox.push_back({now, [=] { fn(inst[i]); }});
+        return;
+    }
+    fn(n);
+}
+
+void
+fleet_t::pause(int i, ms_t span)
+{
+    if (!inst[i].alive || inst[i].paused) {
+        return;
+    }
+    note("pause %s %d", inst[i].name.c_str(), (int)span);
+    inst[i].paused = true;
+    int life = inst[i].life;
+    after(span, [=] {
+        if (inst[i].life == life) {
+            wake(i);
+        }
+    });
+}
+
+/* What waited in the sockets may be read before or after the clock is. */
+void
+fleet_t::wake(int i)
+{
+    instance_t &n = inst[i];
+    bool tick_first = chance(0.5);
+
+    note("wake %s", n.name.c_str());
+    n.paused = false;
+    if (tick_first) {
+        core_tick(n.core, now);
+    }
+    std::deque<queued_t> inbox;
+    inbox.swap(n.inbox);
+    for (auto &q : inbox) {
+        if (now - q.at <= inbox_age_ms) {
+            q.fn();
+        }
+    }
+}
+
+int
+fleet_t::join()
+{
+    int i = add_instance("entry-" + std::to_string(inst.size()));
+
+    note("join %s", inst[i].name.c_str());
+    inst[i].state = MEMBER_JOINING;
+    inst[i].in_fabric = false;
+    start_instance(i);
+    give_members(i);
+    return i;
+}
+
+void
+fleet_t::restart_instance(int i)
+{
+    instance_t &n = inst[i];
+
+    if (!n.alive) {
+        return;
+    }
+    note("restart %s", n.name.c_str());
+    stop_instance(i);
+    n.incarnation++;
+    n.state = MEMBER_JOINING;
+    n.view.assign(inst.size(), view_t());
+    n.doubt = now; /* peers tell that its earlier life did not end cleanly */
+    start_instance(i);
+    give_members(i);
+}
+
+/* Known by all that it can reach, and they by it: it becomes a home. */
+void
+fleet_t::try_activate(int i)
+{
+    instance_t &n = inst[i];
+
+    if (n.state != MEMBER_JOINING || now - n.started < 500) {
+        return;
+    }
+    for (int j = 0; j < (int)inst.size(); j++) {
+        if (j == i || !inst[j].alive || inst[j].paused || !reachable(i, j)) {
+            continue;
+        }
+        const view_t &there = inst[j].view[i];
+        if (!there.known || there.incarnation != n.incarnation ||
+            !n.view[j].known) {
+            return;
+        }
+    }
+    note("active %s", n.name.c_str());
+    n.state = MEMBER_ACTIVE;
+    n.in_fabric = true;
+    give_members(i);
+}
+
+void
+fleet_t::leave(int i)
+{
+    instance_t &n = inst[i];
+
+    if (!n.alive || n.paused || n.state != MEMBER_ACTIVE) {
+        return;
+    }
+    note("leave %s", n.name.c_str());
+    n.state = MEMBER_LEAVING;
+    core_leave(n.core, now);
+    give_members(i);
+    after(500 + rng_below(&rng, (uint32_t)opt.fabric_lag_ms),
+          [=] { inst[i].in_fabric = false; });
+    int life = n.life;
+    at(now + opt.fabric_lag_ms + 1000, [=] { try_stop(i, life); });
+}
+
+void
+fleet_t::try_stop(int i, int life)
+{
+    instance_t &n = inst[i];
+    uint32_t exchanges, pins;
+
+    if (n.life != life) {
+        return;
+    }
+    core_pending(n.core, &exchanges, &pins);
+    bool done = exchanges == 0 && pins == 0 && !n.in_fabric;
+    if (n.paused || (!done && now - n.started < leave_max_ms * 100)) {
+        after(200, [=] { try_stop(i, life); });
+        return;
+    }
+    note("stop %s", n.name.c_str());
+    n.left = true;
+    stop_instance(i);
+}
+
+void
+fleet_t::kill(int i)
+{
+    if (!inst[i].alive) {
+        return;
+    }
+    note("kill %s", inst[i].name.c_str());
+    stop_instance(i);
+    after(500 + rng_below(&rng, (uint32_t)opt.fabric_lag_ms),
+          [=] { inst[i].in_fabric = false; });
+}
+
+/* The fabric's list lags, so that a dead one may be picked: -1. */
+int
+fleet_t::fabric_pick()
+{
+    std::vector<int> listed;
+
+    for (int i = 0; i < (int)inst.size(); i++) {
+        if (inst[i].in_fabric) {
+            listed.push_back(i);
+        }
+    }
+    if (listed.empty()) {
+        return -1;
+    }
+    int i = listed[rng_below(&rng, (uint32_t)listed.size())];
+    return inst[i].alive ? i : -1;
+}
+
+/* ---- Members ---- */
+
+/* Heartbeats pass, directly or round one other instance. */
+bool
+fleet_t::reachable(int i, int j)
+{
+    auto joined = [&](int a, int b) { return !is_cut(a, b) && !is_cut(b, a); };
+    if (!inst[j].alive || inst[j].paused || !inst[i].alive) {
+        return false;
+    }
+    if (joined(i, j)) {
+        return true;
+    }
+    for (int k = 0; k < (int)inst.size(); k++) {
+        if (k != i && k != j && inst[k].alive && !inst[k].paused &&
+            joined(i, k) && joined(k, j)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A suspected instance hears of it and refutes: only it may raise its
+ * incarnation, and only a higher one ends the suspicion. */
+void
+fleet_t::refute(int j, uint32_t suspected)
+{
+    instance_t &n = inst[j];
+
+    if (!n.alive || n.paused || n.incarnation > suspected) {
+        return;
+    }
+    note("%s refutes", n.name.c_str());
+    n.incarnation = suspected + 1;
+    n.doubt = now;
+    give_members(j);
+}
+
+/* What I hears of J, which answers. */
+bool
+fleet_t::hear(int i, int j)
+{
+    instance_t &n = inst[i];
+    view_t &v = n.view[j];
+    const instance_t &peer = inst[j];
+    bool suspect = v.known && v.state == MEMBER_SUSPECT;
+
+    v.heard = now;
+    if (!chance(opt.hear)) {
+        return false;
+    }
+    if (suspect && v.incarnation == peer.incarnation) {
+        uint32_t incarnation = v.incarnation;
+        after(rng_below(&rng, 300), [=] { refute(j, incarnation); });
+        return false;
+    }
+    bool same = v.known && v.state == peer.state &&
+                v.incarnation == peer.incarnation && v.version == peer.version;
+    if (v.known && v.incarnation != peer.incarnation &&
+        v.state != MEMBER_GONE) {
+        n.doubt = now;
+    }
+    if (!same) {
+        v = {true, peer.state, peer.incarnation, peer.version, now, now};
+    }
+    return !same;
+}
+
+/* I's belief about J takes one step.  True when something changed. */
+bool
+fleet_t::observe_one(int i, int j)
+{
+    instance_t &n = inst[i];
+    view_t &v = n.view[j];
+    const instance_t &peer = inst[j];
+    ms_t patience = opt.suspect_ms + (ms_t)((i * 7 + j * 13) % 5) * 100;
+
+    if (reachable(i, j)) {
+        return hear(i, j);
+    }
+    if (!v.known || v.state == MEMBER_GONE) {
+        return false;
+    }
+    bool left = v.state == MEMBER_LEAVING && peer.left;
+    bool dead = v.state == MEMBER_SUSPECT && !peer.alive &&
+                now - v.changed > opt.gone_ms;
+    if (left || dead) {
+        v.state = MEMBER_GONE;
+        v.changed = now;
+        return true;
+    }
+    if (v.state == MEMBER_SUSPECT) {
+        n.doubt = now;
+        return false;
+    }
+    if (now - v.heard <= patience) {
+        return false;
+    }
+    v.state = MEMBER_SUSPECT;
+    v.changed = n.doubt = now;
+    return true;
+}
+
+void
+fleet_t::observe(int i)
+{
+    bool changed = false;
+
+    for (int j = 0; j < (int)inst.size(); j++) {
+        if (j != i && observe_one(i, j)) {
+            changed = true;
+        }
+    }
+    if (changed) {
+        give_members(i);
+    }
+}
+
+void
+fleet_t::give_members(int i)
+{
+    instance_t &n = inst[i];
+    std::vector<member_t> list;
+    uint64_t lowest = n.version;
+
+    for (int j = 0; j < (int)inst.size(); j++) {
+        view_t v = n.view[j];
+        if (j == i) {
+            v = {true, n.state, n.incarnation, n.version, now, n.started};
+        }
+        if (!v.known) {
+            continue;
+        }
+        member_t m = {};
+        m.id = inst[j].id;
+        snprintf(m.name, sizeof(m.name), "%s", inst[j].name.c_str());
+        strcpy(m.data_centre, "brno-sal-a");
+        m.peer_addr = address(10, 3, j, 7001);
+        m.bulk_addr = address(10, 3, j, 7002);
+        m.incarnation = v.incarnation;
+        m.state = v.state;
+        m.version = v.version;
+        m.changed_at = v.changed;
+        list.push_back(m);
+        if (v.state != MEMBER_GONE) {
+            lowest = std::min(lowest, v.version);
+        }
+    }
+    std::sort(
+        list.begin(), list.end(),
+        [](const member_t &a, const member_t &b) { return a.id < b.id; });
+    core_set_members(n.core, now, list.data(), list.size(), n.doubt, lowest);
+}
+
+/* The instance that forwarded a request; else the home of its flow. */
+int
+fleet_t::home_of(const call_t &c)
+{
+    addr_t service = fleet_service_addr(c.service);
+    uint64_t flow = flow_key(&service, &c.client);
+    uint64_t home = 0;
+
+    if (forwarder.count(c.id) > 0) {
+        return forwarder[c.id];
+    }
+    for (auto &n : inst) {
+        home = n.alive ? core_home(n.core, flow) : home;
+    }
+    for (int i = 0; i < (int)inst.size(); i++) {
+        if (inst[i].id == home) {
+            return i;
+        }
+    }
+    return 0;
+}
+
+/* ---- What a core sends ---- */
+
+void
+fleet_t::emit(void *arg, const core_out_t *out)
+{
+    auto *box = static_cast<emit_box_t *>(arg);
+
+    box->f->from_core(box->i, out);
+}
+
+void
+fleet_t::from_core(int i, const core_out_t *out)
+{
+    switch (out->kind) {
+    case CORE_TO_CLIENT: {
+        addr_t service = out->client.service, client = out->client.client;
+        bytes_t data(out->client.data, out->client.data + out->client.len);
+        carry(i, PARTY_OUTSIDE,
+              [=] { client_receive(service, client, data); });
+        break;
+    }
+    case CORE_TO_UPSTREAM:
+        send_upstream(i, out);
+        break;
+    case CORE_TO_PEER:
+        send_peer(i, out);
+        break;
+    }
+}
+
+/* The payload ID of a datagram that asks for work; "" for others. */
+std::string
+fleet_t::work_id(const uint8_t *data, size_t len)
+{
+    std::string text((const char *)data, len);
+    coap_msg_t m;
+
+    if (coap_decode(&m, data, len) < 0) {
+        return text.substr(0, text.find('.'));
+    }
+    if (m.code == COAP_POST) {
+        return std::string((const char *)m.payload, m.payload_len);
+    }
+    bool get = m.code == COAP_GET && m.path_n > 1;
+    return get && !coap_path_is(&m, ".well-known", "load") ? m.path[1] : "";
+}
+
+void
+fleet_t::send_upstream(int i, const core_out_t *out)
+{
+    bytes_t data(SPP_LEN + out->upstream.len);
+    int source = out->upstream.own ? i : PARTY_OUTSIDE;
+
+    spp_write(data.data(), &out->upstream.header);
+    memcpy(data.data() + SPP_LEN, out->upstream.data, out->upstream.len);
+    std::string id = work_id(out->upstream.data, out->upstream.len);
+    if (!id.empty()) {
+        first_forwarded.insert({id, now});
+        forwarder[id] = i;
+        note("%s forwards %s", inst[i].name.c_str(), id.c_str());
+    }
+    for (int u = 0; u < (int)up.size(); u++) {
+        if (addr_eq(&up[u].addr, &out->upstream.upstream)) {
+            carry(i, PARTY_UPSTREAM + u,
+                  [=] { upstream_receive(u, source, data); });
+            return;
+        }
+    }
+}
+
+void
+fleet_t::send_peer(int i, const core_out_t *out)
+{
+    auto data = std::make_shared<bytes_t>(PEER_MSG_MAX);
+    int n = peer_write(data->data(), data->size(), &out->peer.msg, peer_key);
+
+    if (n < 0) {
+        note("peer_write: %d", n);
+        return;
+    }
+    data->resize((size_t)n);
+    for (int j = 0; j < (int)inst.size(); j++) {
+        if (inst[j].id != out->peer.to) {
+            continue;
+        }
+        carry(i, j, [=] {
+            to_instance(j, [=](instance_t &to) {
+                peer_msg_t m;
+                if (peer_read(&m, data->data(), data->size(), peer_key) == 0) {
+                    core_from_peer(to.core, now, &m);
+                }
+            });
+        });
+    }
+}
+
+/* ---- What callers and upstreams send through the fabric ---- */
+
+void
+fleet_t::client_send(const addr_t &service, const addr_t &client,
+                     const bytes_t &data)
+{
+    int i = fabric_pick();
+
+    if (i < 0) {
+        return;
+    }
+    carry(PARTY_OUTSIDE, i, [=] {
+        to_instance(i, [=](instance_t &n) {
+            core_from_client(n.core, now, &service, &client, data.data(),
+                             data.size());
+        });
+    });
+}
+
+void
+fleet_t::upstream_send(int u, int dest, const spp_t &h, const bytes_t &data)
+{
+    bytes_t all(SPP_LEN + data.size());
+    addr_t from = up[u].addr;
+    int i = dest == PARTY_OUTSIDE ? fabric_pick() : dest;
+
+    if (i < 0 || muted.count(addr_id(&h.client) ^ up[u].id) > 0) {
+        return;
+    }
+    spp_write(all.data(), &h);
+    memcpy(all.data() + SPP_LEN, data.data(), data.size());
+    carry(PARTY_UPSTREAM + u, i, [=] {
+        to_instance(i, [=](instance_t &n) {
+            core_from_upstream(n.core, now, &from, all.data(), all.size());
+        });
+    });
+}
--- /dev/null
+++ b/test/script.cc
@@ -0,0 +1,216 @@
+/* script: runs written as text, a line an action: "MS VERB ARGUMENTS".
+ *
+ * Calls are named as in the report (P1, F2: letter, then their number in the
+ * order of opening).  An instance is a number or "home:P1"; an upstream is a
+ * number, "holder:F2" (of a feed) or "ran:P1" (of a request). */
+#include "test/fleet.h"
+
+#include <sstream>
+#include <stdexcept>
+
+typedef std::vector<std::string> words_t;
+
+static call_t &
+find_call(fleet_t &f, const std::string &id)
+{
+    for (call_t &c : f.calls) {
+        if (c.id == id) {
+            return c;
+        }
+    }
+    throw std::runtime_error("no call " + id);
+}
+
+static int
+instance_of(fleet_t &f, const std::string &s)
+{
+    if (s.rfind("home:", 0) == 0) {
+        return f.home_of(find_call(f, s.substr(5)));
+    }
+    return std::stoi(s);
+}
+
+static int
+upstream_of(fleet_t &f, const std::string &s)
+{
+    if (s.rfind("holder:", 0) == 0) {
+        return f.holder(s.substr(7));
+    }
+    if (s.rfind("ran:", 0) == 0) {
+        auto &list = f.runs[s.substr(4)];
+        return list.empty() ? 0 : std::stoi(list.front());
+    }
+    return std::stoi(s);
+}
+
+static int
+service_of(const std::string &s)
+{
+    return s == "monitor"   ? SERVICE_MONITOR
+           : s == "archive" ? SERVICE_ARCHIVE
+                            : SERVICE_RAW;
+}
+
+static call_kind_t
+kind_of(const std::string &verb)
+{
+    static const std::map<std::string, call_kind_t> kinds = {
+        {"post", CALL_POST},     {"read", CALL_READ}, {"feed", CALL_FEED},
+        {"upload", CALL_UPLOAD}, {"raw", CALL_RAW},
+    };
+
+    return kinds.at(verb);
+}
+
+static int
+number(const words_t &w, size_t i, int otherwise)
+{
+    return i < w.size() ? std::stoi(w[i]) : otherwise;
+}
+
+/* post SERVICE [COUNT] | post SERVICE client=N mid=N token=N */
+static void
+open_calls(fleet_t &f, const words_t &w)
+{
+    int service = w[0] == "raw" ? SERVICE_RAW : service_of(w[1]);
+    int client = -1, mid = -1, token = -1, count = 1, blocks = 8;
+
+    for (size_t i = w[0] == "raw" ? 1 : 2; i < w.size(); i++) {
+        size_t eq = w[i].find('=');
+        std::string key = w[i].substr(0, eq);
+        int v = std::stoi(w[i].substr(eq == std::string::npos ? 0 : eq + 1));
+        (key == "client"   ? client
+         : key == "mid"    ? mid
+         : key == "token"  ? token
+         : key == "blocks" ? blocks
+                           : count) = v;
+    }
+    for (int i = 0; i < count; i++) {
+        call_t &c = f.open(kind_of(w[0]), service, client, (uint32_t)blocks);
+        if (mid >= 0) {
+            c.mid = (uint16_t)mid;
+        }
+        if (token >= 0) {
+            c.token.assign(4, (uint8_t)token);
+        }
+    }
+}
+
+static bool
+instance_verb(fleet_t &f, const words_t &w)
+{
+    const std::string &v = w[0];
+
+    if (v == "join") {
+        f.join();
+    }
+    else if (v == "kill") {
+        f.kill(instance_of(f, w[1]));
+    }
+    else if (v == "leave") {
+        f.leave(instance_of(f, w[1]));
+    }
+    else if (v == "restart") {
+        f.restart_instance(instance_of(f, w[1]));
+    }
+    else if (v == "pause") {
+        f.pause(instance_of(f, w[1]), std::stoi(w[2]));
+    }
+    else if (v == "isolate") {
+        f.isolate(instance_of(f, w[1]));
+    }
+    else if (v == "cut") { /* an instance from an upstream */
+        f.cut(instance_of(f, w[1]), PARTY_UPSTREAM + upstream_of(f, w[2]));
+    }
+    else if (v == "cut-all") { /* every instance from an upstream */
+        for (int i = 0; i < (int)f.inst.size(); i++) {
+            f.cut(i, PARTY_UPSTREAM + upstream_of(f, w[1]));
+        }
+    }
+    else if (v == "part") { /* two instances from each other */
+        f.cut(instance_of(f, w[1]), instance_of(f, w[2]));
+    }
+    else if (v == "deaf") { /* the first doesn't hear the second */
+        f.cut_one_way(instance_of(f, w[2]), instance_of(f, w[1]));
+    }
+    else if (v == "heal") {
+        f.heal();
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
+static bool
+upstream_verb(fleet_t &f, const words_t &w)
+{
+    const std::string &v = w[0];
+
+    if (v == "push") {
+        f.push_conf();
+    }
+    else if (v == "add") {
+        f.add_upstream(service_of(w[1]));
+    }
+    else if (v == "drain" || v == "undrain") {
+        f.drain(upstream_of(f, w[1]), v == "drain");
+    }
+    else if (v == "weight") {
+        f.set_weight(upstream_of(f, w[1]), std::stoi(w[2]));
+    }
+    else if (v == "recycle") {
+        f.recycle(upstream_of(f, w[1]), service_of(w[2]));
+    }
+    else if (v == "up-restart") {
+        f.restart_upstream(upstream_of(f, w[1]), number(w, 2, TRUST_MS));
+    }
+    else if (v == "up-kill") {
+        f.kill_upstream(upstream_of(f, w[1]));
+    }
+    else if (v == "freeze") { /* its load report says BUSY from now on */
+        f.up[upstream_of(f, w[1])].reported = number(w, 2, 0);
+    }
+    else if (v == "run-ms") { /* how long requests take from now on */
+        for (upstream_t &u : f.up) {
+            u.run_ms = std::stoi(w[1]);
+        }
+    }
+    else if (v == "gone") { /* its caller has left; the port may be reused */
+        find_call(f, w[1]).over = true;
+        find_call(f, w[1]).outcome = "gone";
+    }
+    else if (v == "mute") {
+        f.mute(find_call(f, w[1]));
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
+void
+fleet_t::play(const std::string &script)
+{
+    std::istringstream in(script);
+    std::string line;
+
+    while (std::getline(in, line)) {
+        std::istringstream parts(line);
+        std::string when, word;
+        words_t w;
+        if (!(parts >> when) || when[0] == '#') {
+            continue;
+        }
+        while (parts >> word) {
+            w.push_back(word);
+        }
+        run_until(origin + std::stoi(when));
+        if (w.empty() || w[0] == "end") {
+            continue;
+        }
+        if (!instance_verb(*this, w) && !upstream_verb(*this, w)) {
+            open_calls(*this, w);
+        }
+    }
+}
