core: eight homes for a service's flows; probes only where needed; wait for a new upstream

Cause 1: each instance probed every upstream, which at 14,000 daemons and 120,000 servers is 7.5 MB/s an instance. A service's flows now have 8 homes found by (service, flow mod 8), and an instance probes the upstreams of services whose home or backup it may be, and those it holds hints for. Cause 2 (proof test, PlannedSchedule, 1 in ~100): a fence that met a new upstream before its first probe said "outcome unknown"; it waits up to 1 s. Failed on the way: a waiting record was moved to the end of the list that the tick walks, which then never ended; records now stay where they are.

--- a/core/core.c
+++ b/core/core.c
@@ -328,7 +328,7 @@
     if (!first) {
         return second ? b->second : up_next(c, s, key, b->first);
     }
-    if (!second || !home_sure(c, key)) {
+    if (!second || !home_sure(c, flow_group(s, key))) {
         return b->first;
     }
     load1 = (uint64_t)c->ups[b->first].flows * c->ups[b->second].conf.weight;
@@ -348,7 +348,8 @@
 {
     uint16_t old = earlier_first(c, s, key, c->now - OLD_FLOW_MS);
 
-    if (old != UP_NONE && !home_sure(c, key) && up_trusted(c, old)) {
+    if (old != UP_NONE && !home_sure(c, flow_group(s, key)) &&
+        up_trusted(c, old)) {
         return old;
     }
     return choose_flow(c, s, key);
@@ -553,10 +554,10 @@
     flow_t *f = flow_find(c, d->key);
     bool mine = flow_mine(c, f);
 
-    if (!mine && home_of(c, d->key) != c->p.self && use_hint(c, d)) {
+    if (!mine && home_of(c, d->home) != c->p.self && use_hint(c, d)) {
         return;
     }
-    if (!to_home(c, d, d->key, mine, true)) {
+    if (!to_home(c, d, d->home, mine, true)) {
         opaque_at_home(c, d);
     }
 }
@@ -572,7 +573,7 @@
     if (!mine && !answer && use_hint(c, d)) {
         return;
     }
-    if (to_home(c, d, d->key, mine || answer, true)) {
+    if (to_home(c, d, d->home, mine || answer, true)) {
         return;
     }
     if (!mine && !answer && work != 0 && work != c->p.self &&
@@ -599,7 +600,7 @@
         return;
     }
     if (class_of(d->m) == CLASS_FEED) {
-        if (!to_home(c, d, d->key, mine && !(f->flags & FLOW_UPLOAD), true)) {
+        if (!to_home(c, d, d->home, mine && !(f->flags & FLOW_UPLOAD), true)) {
             feed_at_home(c, d);
         }
         return;
@@ -629,6 +630,7 @@
     }
     c->services[service].stats.datagrams_in++;
     d.key = flow_key(&h->service, &h->client);
+    d.home = flow_group(&c->services[service], d.key);
     if (c->services[service].conf.proto == PROTO_UDP) {
         opaque_in(c, &d);
         return;
@@ -651,6 +653,16 @@
     datagram_in(c, &h, 0, 0, data, len);
 }
 
+static void
+want_upstream(core_t *c, uint64_t id, ms_t lease)
+{
+    uint16_t u = up_find_id(c, id);
+
+    if (u != UP_NONE) {
+        c->ups[u].wanted_until = c->now + lease;
+    }
+}
+
 void
 core_from_peer(core_t *c, ms_t now, const peer_msg_t *m)
 {
@@ -664,6 +676,7 @@
                     m->steer.len);
         return;
     case PEER_HINT:
+        want_upstream(c, m->hint.upstream, (ms_t)m->hint.lease_ms);
         hint_put(c, m->hint.flow, m->hint.upstream, (ms_t)m->hint.lease_ms);
         return;
     case PEER_SYNC:
--- a/core/core.h
+++ b/core/core.h
@@ -153,7 +153,7 @@
     uint64_t requests[CLASS_COUNT];
     uint64_t retries, duplicates, fenced, late_answers, silent_flows;
     uint64_t sync_sent, sync_bytes;
-    uint64_t flow_evicted, untrusted;
+    uint64_t flow_evicted, untrusted, probes;
     hist_t wait_ms[CLASS_COUNT]; /* request forwarded to answer */
 } core_stats_t;
 
@@ -169,8 +169,9 @@
 size_t core_upstreams(const core_t *c, core_upstream_t *out, size_t cap);
 void core_flows(const core_t *c, uint32_t *flows, uint32_t *hints,
                 uint32_t *exchanges);
-/* The home of a flow among the members; 0 when there is none. */
-uint64_t core_home(const core_t *c, uint64_t flow);
+/* The home of a flow; 0 when there is none. */
+uint64_t core_home(const core_t *c, const addr_t *service,
+                   const addr_t *client);
 
 #ifdef __cplusplus
 }
--- a/core/exchanges.c
+++ b/core/exchanges.c
@@ -157,7 +157,12 @@
 void
 ex_state(core_t *c, ex_t *ex, ex_state_t state)
 {
+    bool stays = is_active(ex->state) && is_active(state);
+
     ex->state = state;
+    if (stays) {
+        return; /* moved to the end, ex_tick() would come to it again */
+    }
     list_remove(&ex->in);
     list_append(is_active(state) ? &c->ex_active : &c->ex_kept, &ex->in);
     if (!is_active(state) && c->n_buf_free < c->n_bufs / BUFS_KEPT) {
@@ -247,6 +252,10 @@
 static void
 ask_again(core_t *c, ex_t *ex)
 {
+    if (ex->waiting) {
+        request_fence(c, ex);
+        return;
+    }
     if (c->now < ex->retry_at) {
         return;
     }
--- a/core/flows.c
+++ b/core/flows.c
@@ -77,8 +77,9 @@
 uint64_t
 flow_home_key(core_t *c, const flow_t *f)
 {
-    return f->flags & FLOW_UPLOAD ? work_key(&c->services[f->service], f->key)
-                                  : f->key;
+    return f->flags & FLOW_UPLOAD
+               ? work_key(&c->services[f->service], f->key)
+               : flow_group(&c->services[f->service], f->key);
 }
 
 static void
--- a/core/homes.c
+++ b/core/homes.c
@@ -26,9 +26,15 @@
 }
 
 uint64_t
-core_home(const core_t *c, uint64_t flow)
+core_home(const core_t *c, const addr_t *service, const addr_t *client)
 {
-    return c->slots[flow >> 52].home;
+    uint32_t i = map_get(&c->service_map, addr_id(service));
+    uint64_t key = flow_key(service, client);
+
+    if (i == MAP_NONE) {
+        return 0;
+    }
+    return c->slots[flow_group(&c->services[i], key) >> 52].home;
 }
 
 uint64_t
@@ -167,6 +173,8 @@
     else {
         s->backup = home;
     }
+    s->mine =
+        r.active[1] == NULL || hash_mix(c->p.self, i) >= r.active_score[1];
     s->moved = s->home != old.home || s->backup != old.backup ||
                s->backup_joins != old.backup_joins;
     return s->moved;
@@ -242,6 +250,9 @@
     for (uint32_t i = 0; i < HOME_SLOTS; i++) {
         moved |= slot_update(c, i);
     }
+    for (uint32_t i = 0; i < c->n_services; i++) {
+        service_mine(c, &c->services[i]);
+    }
     if (moved) {
         sync_targets_changed(c);
     }
--- a/core/request.c
+++ b/core/request.c
@@ -16,7 +16,8 @@
 #define TRIES_MAX 2    /* forwards after the first was shed */
 #define RETRY_FLOOR 10 /* retries allowed whatever the budget */
 #define PERCENT 100
-#define FENCE_AGAIN_MS 60 /* until a cancellation is sent again */
+#define FIRST_PROBE_MS 1000 /* a new upstream is waited for so long */
+#define FENCE_AGAIN_MS 60   /* until a cancellation is sent again */
 
 static service_t *
 service_of(core_t *c, const ex_t *ex)
@@ -48,17 +49,35 @@
     return up_trusted(c, u) && !forgot;
 }
 
+/* Is one of them new, and has it yet to answer its first probe? */
+static bool
+unproven(const core_t *c, const uint16_t *at, int n)
+{
+    for (int i = 0; i < n; i++) {
+        const up_t *up = &c->ups[at[i]];
+        if (up->listed && !up->verified && !up->refused) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Has EX barred wherever a copy may be, but for its target.  When one of these
  * can't be asked, or the target has restarted and forgotten, nobody can say
  * what became of a copy. */
-static void
-start_fence(core_t *c, ex_t *ex)
+void
+request_fence(core_t *c, ex_t *ex)
 {
     service_t *s = service_of(c, ex);
     uint16_t at[CHOICES_MAX];
     int n = all_choices(c, s, ex->key, at);
 
     ex->n_fence = 0;
+    ex->waiting = unproven(c, at, n) && c->now - ex->sent < FIRST_PROBE_MS;
+    if (ex->waiting) {
+        ex_state(c, ex, EX_FENCING);
+        return;
+    }
     for (int i = 0; i < n; i++) {
         if (!can_ask(c, at[i])) {
             request_unknown(c, ex);
@@ -143,7 +162,7 @@
     ex_count(c, ex, false);
     ex->refuse_after = true;
     ex->why = why;
-    start_fence(c, ex);
+    request_fence(c, ex);
 }
 
 /* ---- Forwarding ---- */
@@ -259,7 +278,7 @@
         request_forward(c, ex);
         return;
     }
-    start_fence(c, ex);
+    request_fence(c, ex);
 }
 
 /* The request runs at U or has run there: a copy brings its answer. */
--- a/core/state.h
+++ b/core/state.h
@@ -42,6 +42,7 @@
 
     bool backup_joins; /* BACKUP is JOINING and will take over */
     bool moved;        /* who gets copies of its pins has changed */
+    bool mine;         /* self is its home or backup, or would be if ACTIVE */
 } slot_t;
 
 /* A member as the core needs it. */
@@ -78,7 +79,8 @@
     bool listed;       /* in the configuration in force */
     ms_t listed_since; /* no instance had it before; INT64_MIN: unknown */
     ms_t unlisted_at;
-    bool draining; /* by configuration or by its own report */
+    ms_t wanted_until; /* a hint for it is held here until then */
+    bool draining;     /* by configuration or by its own report */
     bool conf_draining;
     uint16_t service; /* index */
     conf_upstream_t conf;
@@ -183,11 +185,12 @@
     uint16_t fence[FENCE_MAX]; /* upstreams still to answer */
     bool refuse_after;         /* barred everywhere: say "not run" */
     bool found;                /* an earlier copy was found at its upstream */
-    refuse_t why;              /* of that refusal */
-    uint8_t final;             /* code of the final answer, EX_REFUSED */
-    uint32_t come_back;        /* its Max-Age */
-    uint16_t len;              /* of what the buffer holds, 0: nothing */
-    uint32_t buf;              /* index + 1 into ex_bufs, 0: none */
+    bool waiting;       /* a choice is new and has not answered a probe yet */
+    refuse_t why;       /* of that refusal */
+    uint8_t final;      /* code of the final answer, EX_REFUSED */
+    uint32_t come_back; /* its Max-Age */
+    uint16_t len;       /* of what the buffer holds, 0: nothing */
+    uint32_t buf;       /* index + 1 into ex_bufs, 0: none */
 } ex_t;
 
 /* ---- a service ---- */
@@ -202,6 +205,7 @@
     bucket_t *buckets;
     uint16_t *ups; /* indices of its listed upstreams */
     uint32_t n_ups;
+    bool mine; /* this instance may be the home of some of its keys */
     uint32_t groups;
     ms_t groups_since;
     uint64_t forwarded, retried; /* for the retry budget */
@@ -261,6 +265,7 @@
     uint16_t service;
     const spp_t *h;
     uint64_t key;
+    uint64_t home; /* key of the flow's home */
     uint64_t from; /* the steering instance, 0: from the caller */
     uint8_t hops;
     const uint8_t *data;
@@ -284,6 +289,10 @@
 bucket_t *bucket_of(service_t *s, uint64_t key);
 void table_build(core_t *c, uint16_t service);
 uint64_t work_key(const service_t *s, uint64_t flow);
+/* By which key the home of a flow is found. */
+uint64_t flow_group(const service_t *s, uint64_t flow);
+/* Notes whether this instance may be the home of keys of S. */
+void service_mine(core_t *c, service_t *s);
 /* Where another home may have sent a request of KEY: the present choices, and
  * earlier ones that are not past.  Returns how many were written to OUT. */
 int all_choices(core_t *c, service_t *s, uint64_t key, uint16_t *out);
@@ -362,6 +371,8 @@
 /* request.c */
 bool is_upload_block(const coap_msg_t *m);
 void request_at_home(core_t *c, const dgram_t *d);
+/* Has EX barred wherever a copy may be but its target; then it goes on. */
+void request_fence(core_t *c, ex_t *ex);
 void request_fenced(core_t *c, ex_t *ex, uint16_t u, const char *state,
                     const char *by, uint32_t epoch);
 
--- a/core/table.c
+++ b/core/table.c
@@ -9,6 +9,8 @@
 
 #define BUCKETS_MIN 256
 #define BUCKETS_PER_UPSTREAM 32
+#define FLOW_GROUPS 8 /* homes that share a service's flows */
+#define GROUP_SALT 0x666c6f77
 
 bucket_t *
 bucket_of(service_t *s, uint64_t key)
@@ -27,6 +29,26 @@
     return hash_mix(s->id, group);
 }
 
+/* A service's flows have FLOW_GROUPS homes and not one each, so that an
+ * instance is home for few services and need know only their upstreams. */
+uint64_t
+flow_group(const service_t *s, uint64_t flow)
+{
+    return hash_mix(s->id ^ GROUP_SALT, (flow >> 20) % FLOW_GROUPS);
+}
+
+void
+service_mine(core_t *c, service_t *s)
+{
+    s->mine = false;
+    for (uint64_t i = 0; i < FLOW_GROUPS; i++) {
+        s->mine |= slot_of(c, hash_mix(s->id ^ GROUP_SALT, i))->mine;
+    }
+    for (uint64_t i = 0; i < s->groups; i++) {
+        s->mine |= slot_of(c, hash_mix(s->id, i))->mine;
+    }
+}
+
 /* Weighted rendezvous score: -w / ln(u), u uniform in (0, 1). */
 static double
 score(const up_t *u, uint64_t bucket)
@@ -137,6 +159,7 @@
         }
         *b = fresh;
     }
+    service_mine(c, s);
 }
 
 static int
--- a/core/upstreams.c
+++ b/core/upstreams.c
@@ -51,6 +51,7 @@
                 .epoch_since = INT64_MIN / 2,
                 .trust_until = INT64_MIN / 2,
                 .unlisted_at = INT64_MIN / 2,
+                .wanted_until = INT64_MIN / 2,
                 .eject_until = INT64_MIN / 2,
                 .probe_next = c->now + rng_below(&c->rng, 100)};
     map_put(&c->up_map, conf->id, c->n_ups);
@@ -214,17 +215,28 @@
     if (up->misses < UINT8_MAX) {
         up->misses++; /* until the answer comes */
     }
+    c->services[up->service].stats.probes++;
     own_request(c, u, &m);
 }
 
+/* An instance asks the upstreams that it may have to choose from or to send
+ * to, not all: at 120,000 of them that would be all that it does.  One just
+ * taken out is asked about copies for a while. */
+static bool
+probe_needed(const core_t *c, const up_t *up)
+{
+    bool chosen = up->listed || c->now - up->unlisted_at < DOUBT_MS;
+
+    return (chosen && c->services[up->service].mine) || up->flows > 0 ||
+           up->uploads > 0 || up->in_flight > 0 || c->now < up->wanted_until;
+}
+
 void
 up_probe_tick(core_t *c)
 {
     for (uint32_t i = 0; i < c->n_ups; i++) {
         up_t *up = &c->ups[i];
-        /* One just taken out is asked about copies for a while. */
-        bool needed = up->listed || up->flows > 0 || up->in_flight > 0 ||
-                      c->now - up->unlisted_at < DOUBT_MS;
+        bool needed = probe_needed(c, up);
 
         if (up->used && needed && c->now >= up->probe_next) {
             probe(c, (uint16_t)i);
--- a/test/fleet.cc
+++ b/test/fleet.cc
@@ -761,14 +761,13 @@
 fleet_t::home_of(const call_t &c)
 {
     addr_t service = fleet_service_addr(c.service);
-    uint64_t flow = flow_key(&service, &c.client);
     uint64_t home = 0;
 
     if (forwarder.count(c.id) > 0) {
         return forwarder[c.id];
     }
     for (auto &n : inst) {
-        home = n.alive ? core_home(n.core, flow) : home;
+        home = n.alive ? core_home(n.core, &service, &c.client) : home;
     }
     for (int i = 0; i < (int)inst.size(); i++) {
         if (inst[i].id == home) {
