--- a/core/core.c
+++ b/core/core.c
@@ -7,6 +7,9 @@
 
 /* So long after a change an unknown flow may be an old one. */
 #define OLD_FLOW_MS 3000
+/* No call for so long is a pause; calls come each 20 to 50 ms, and others take
+ * an instance for dead after 600 ms. */
+#define PAUSE_MS 400
 
 #define HINT_AFTER                                                            \
     3 /* steered datagrams of a flow, until its hint is sent                  \
@@ -30,7 +33,7 @@
         return NULL;
     }
     c->doubt_at = INT64_MIN / 2;
-    c->start = c->last_tick = -1;
+    c->start = c->last_call = -1;
     return c;
 }
 
@@ -103,7 +106,7 @@
 
     if (c->first_version) {
         c->history_complete |= !c->met_elder;
-        known = c->history_complete || c->last_tick - c->now >= DOUBT_MS;
+        known = c->history_complete || c->last_call - c->now >= DOUBT_MS;
     }
     return known ? c->now : INT64_MIN / 2;
 }
@@ -321,24 +324,26 @@
 choose_flow(core_t *c, service_t *s, uint64_t key)
 {
     const bucket_t *b = bucket_of(s, key);
-    bool first = up_eligible(c, b->first);
-    bool second = up_eligible(c, b->second);
+    bool first = up_eligible(c, b->choice[0]);
+    bool second = up_eligible(c, b->choice[1]);
     uint64_t load1, load2;
 
     if (!first) {
-        return second ? b->second : up_next(c, s, key, b->first);
+        return second ? b->choice[1] : up_next(c, s, key, b->choice[0]);
     }
     if (!second || !home_sure(c, flow_group(s, key))) {
-        return b->first;
+        return b->choice[0];
     }
-    load1 = (uint64_t)c->ups[b->first].flows * c->ups[b->second].conf.weight;
-    load2 = (uint64_t)c->ups[b->second].flows * c->ups[b->first].conf.weight;
+    load1 = (uint64_t)c->ups[b->choice[0]].flows *
+            c->ups[b->choice[1]].conf.weight;
+    load2 = (uint64_t)c->ups[b->choice[1]].flows *
+            c->ups[b->choice[0]].conf.weight;
     if (s->conf.prefer == PREFER_STABILITY) {
         /* Each flow on the second choice needs a copy at the backup; taken
          * only when the first is a tenth busier. */
         load2 += load2 / 10 + 1;
     }
-    return load2 < load1 ? b->second : b->first;
+    return load2 < load1 ? b->choice[1] : b->choice[0];
 }
 
 /* An unknown flow of a bucket that changed moments ago, at a home that may
@@ -387,7 +392,7 @@
         }
         f = flow_add(c, d->key, d->service, up, 0);
         if (f == NULL) {
-            up = bucket_of(s, d->key)->first;
+            up = bucket_of(s, d->key)->choice[0];
             if (up != UP_NONE && up_trusted(c, up)) {
                 send_upstream(c, up, &d->h->client, false, d->data, d->len);
             }
@@ -473,7 +478,9 @@
     flow_t *f = flow_own(c, d->key);
 
     if (ex != NULL && ex->up != UP_NONE) {
-        send_upstream(c, ex->up, &d->h->client, true, d->data, d->len);
+        if (up_trusted(c, ex->up)) {
+            send_upstream(c, ex->up, &d->h->client, true, d->data, d->len);
+        }
         return;
     }
     if (f == NULL || (f->flags & FLOW_UPLOAD)) {
@@ -482,7 +489,9 @@
     }
     flow_touch(c, f);
     maybe_hint(c, d, f);
-    send_upstream(c, f->up, &d->h->client, false, d->data, d->len);
+    if (up_trusted(c, f->up)) {
+        send_upstream(c, f->up, &d->h->client, false, d->data, d->len);
+    }
     if (f->up2 != UP_NONE && up_trusted(c, f->up2)) {
         send_upstream(c, f->up2, &d->h->client, false, d->data, d->len);
     }
@@ -612,6 +621,41 @@
     }
 }
 
+/* After a pause nothing learned before it may be trusted: upstreams may have
+ * changed their service, and others have taken this instance for dead. */
+static void
+wake(core_t *c)
+{
+    for (uint32_t i = 0; i < c->n_ups; i++) {
+        c->ups[i].trust_until = c->now;
+        c->ups[i].probe_next = c->now;
+        c->ups[i].misses = 0; /* nobody asked it meanwhile */
+    }
+    c->doubt_at = c->now;
+}
+
+/* Called first by each entry.  A gap in the calls is a pause of this process.
+ * Others may have taken it for dead meanwhile, and acted in its place, before
+ * it hears of that: the doubt must start before the first datagram is decided
+ * on, not at the next tick. */
+static void
+enter(core_t *c, ms_t now)
+{
+    ms_t gap = c->last_call < 0 ? 0 : now - c->last_call;
+
+    c->now = now;
+    c->last_call = now;
+    if (c->start < 0) {
+        c->start = now;
+    }
+    if (gap > PAUSE_MS) {
+        c->doubt_at = now;
+    }
+    if (gap > TRUST_MS) {
+        wake(c);
+    }
+}
+
 static void
 datagram_in(core_t *c, const spp_t *h, uint64_t from, uint8_t hops,
             const uint8_t *data, size_t len)
@@ -649,7 +693,7 @@
 {
     spp_t h = {.client = *client, .service = *service};
 
-    c->now = now;
+    enter(c, now);
     datagram_in(c, &h, 0, 0, data, len);
 }
 
@@ -668,7 +712,7 @@
 {
     spp_t h;
 
-    c->now = now;
+    enter(c, now);
     switch (m->kind) {
     case PEER_STEER:
         h = (spp_t){.client = m->steer.client, .service = m->steer.service};
@@ -720,6 +764,9 @@
         s->stats.malformed++;
         return;
     }
+    if (f != NULL && f->up == u && coap_is_response(&m)) {
+        upload_answered(c, f, &m);
+    }
     if (f != NULL && f->up == u) {
         bool pinged = f->feed != 0 && c->feeds[f->feed - 1].pings > 0;
         flow_touch(c, f);
@@ -751,7 +798,7 @@
     spp_t h;
     coap_msg_t m;
 
-    c->now = now;
+    enter(c, now);
     if (u == UP_NONE || spp_read(&h, data, len) < 0) {
         if (c->n_services > 0) {
             c->services[0].stats.malformed++;
@@ -779,30 +826,10 @@
 
 /* ---- Time ---- */
 
-/* After a pause nothing learned before it may be trusted: upstreams may have
- * changed their service, and others have taken this instance for dead. */
-static void
-wake(core_t *c)
-{
-    for (uint32_t i = 0; i < c->n_ups; i++) {
-        c->ups[i].trust_until = c->now;
-        c->ups[i].probe_next = c->now;
-        c->ups[i].misses = 0; /* nobody asked it meanwhile */
-    }
-    c->doubt_at = c->now;
-}
-
 void
 core_tick(core_t *c, ms_t now)
 {
-    c->now = now;
-    if (c->start < 0) {
-        c->start = c->last_tick = now;
-    }
-    if (now - c->last_tick > TRUST_MS) {
-        wake(c);
-    }
-    c->last_tick = now;
+    enter(c, now);
     if (c->n_services == 0) {
         return;
     }
--- a/core/exchanges.c
+++ b/core/exchanges.c
@@ -41,12 +41,6 @@
     }
     list_init(&c->ex_active);
     list_init(&c->ex_kept);
-    for (uint32_t i = 0; i < c->p.max_exchanges; i++) {
-        list_init(&c->exs[i].in);
-        c->exs[i].next = i + 2;
-    }
-    c->exs[c->p.max_exchanges - 1].next = 0;
-    c->ex_free = 1;
     return 0;
 }
 
@@ -170,12 +164,25 @@
     }
 }
 
+/* From the free list, then from the part of the table never used.  0: none. */
+static uint32_t
+take_ex(core_t *c)
+{
+    uint32_t i = c->ex_free;
+
+    if (i != 0) {
+        c->ex_free = c->exs[i - 1].next;
+        return i;
+    }
+    return c->ex_top < c->p.max_exchanges ? ++c->ex_top : 0;
+}
+
 /* A new record for the request D.  NULL when the table or the buffers are
  * full. */
 ex_t *
 ex_add(core_t *c, const dgram_t *d)
 {
-    uint32_t i = c->ex_free;
+    uint32_t i = take_ex(c);
     uint32_t *head = &c->ex_heads[d->key & c->ex_mask];
     ex_t *ex;
 
@@ -183,8 +190,8 @@
         return NULL;
     }
     ex = &c->exs[i - 1];
-    c->ex_free = ex->next;
-    *ex = (ex_t){.key = d->key,
+    *ex = (ex_t){.life = (uint8_t)(ex->life + 1),
+                 .key = d->key,
                  .next = *head,
                  .service = d->service,
                  .up = UP_NONE,
@@ -298,6 +305,15 @@
     ask_again(c, ex);
 }
 
+/* A record is kept as long as its message ID may not be used again; when the
+ * table fills, as long as copies of the request may come, which is what at
+ * most once needs. */
+static ms_t
+keep_ms(const core_t *c)
+{
+    return c->ex_used > c->p.max_exchanges / 4 * 3 ? DOUBT_MS : EXCHANGE_MS;
+}
+
 /* The kept records are in the order in which they were kept, so those that
  * have expired come first. */
 void
@@ -309,7 +325,7 @@
     }
     while (!list_empty(&c->ex_kept)) {
         ex_t *ex = LIST_OWNER(c->ex_kept.next, ex_t, in);
-        if (c->now - ex->sent < EXCHANGE_MS) {
+        if (c->now - ex->sent < keep_ms(c)) {
             break;
         }
         ex_remove(c, ex);
--- a/core/flows.c
+++ b/core/flows.c
@@ -90,12 +90,26 @@
     if (f->flags & FLOW_HELD) {
         return;
     }
-    if (f->flags & FLOW_UPLOAD) {
+    if (!(f->flags & FLOW_UPLOAD)) {
+        u->flows += (uint32_t)by;
+    }
+    else if (!(f->flags & FLOW_ENDED)) {
         u->uploads += (uint32_t)by;
     }
-    else {
-        u->flows += (uint32_t)by;
+}
+
+/* An upload takes a slot until its last block is answered, or one is refused;
+ * the pin stays, for copies of that block. */
+void
+upload_answered(core_t *c, flow_t *f, const coap_msg_t *m)
+{
+    bool last = (f->flags & FLOW_LAST) || m->code >> 5 > 2;
+
+    if (!(f->flags & FLOW_UPLOAD) || (f->flags & FLOW_ENDED) || !last) {
+        return;
     }
+    count_pin(c, f, -1);
+    f->flags |= FLOW_ENDED;
 }
 
 /* Entries are taken from the free list, then from the part of the table that
--- a/core/homes.c
+++ b/core/homes.c
@@ -221,7 +221,7 @@
 
     c->now = now;
     if (c->start < 0) {
-        c->start = c->last_tick = now;
+        c->start = c->last_call = now;
     }
     c->lowest = lowest;
     c->doubt_at = doubt_at > c->doubt_at ? doubt_at : c->doubt_at;
--- a/core/request.c
+++ b/core/request.c
@@ -16,6 +16,7 @@
 #define TRIES_MAX 2    /* forwards after the first was shed */
 #define RETRY_FLOOR 10 /* retries allowed whatever the budget */
 #define PERCENT 100
+#define BLOCK_MORE 8        /* RFC 7959 2.2 */
 #define FIRST_PROBE_MS 1000 /* a new upstream is waited for so long */
 #define FENCE_AGAIN_MS 60   /* until a cancellation is sent again */
 
@@ -210,23 +211,25 @@
     return best;
 }
 
-/* The less loaded of the two choices, with room for CLS.  A non-idempotent
+/* The least loaded of KEY's choices, with room for CLS.  A non-idempotent
  * request goes to no other: a home without the record has only them to ask. */
 static uint16_t
-choose_pair(core_t *c, service_t *s, uint64_t key, class_t cls)
+choose_ranked(core_t *c, service_t *s, uint64_t key, class_t cls)
 {
     const bucket_t *b = bucket_of(s, key);
-    bool first = up_eligible(c, b->first) && up_room(c, b->first, cls);
-    bool second = up_eligible(c, b->second) && up_room(c, b->second, cls);
+    uint16_t best = UP_NONE;
 
-    if (first && second) {
-        return up_load(c, b->second) < up_load(c, b->first) ? b->second
-                                                            : b->first;
-    }
-    if (first) {
-        return b->first;
+    for (int i = 0; i < CHOICES; i++) {
+        uint16_t u = b->choice[i];
+
+        if (!up_eligible(c, u) || !up_room(c, u, cls)) {
+            continue;
+        }
+        if (best == UP_NONE || up_load(c, u) < up_load(c, best)) {
+            best = u;
+        }
     }
-    return second ? b->second : UP_NONE;
+    return best;
 }
 
 static uint16_t
@@ -235,9 +238,9 @@
     service_t *s = service_of(c, ex);
 
     if (!ex->idempotent) {
-        return choose_pair(c, s, ex->key, ex->cls);
+        return choose_ranked(c, s, ex->key, ex->cls);
     }
-    return choose_free(c, s, bucket_of(s, ex->key)->first, ex->cls);
+    return choose_free(c, s, bucket_of(s, ex->key)->choice[0], ex->cls);
 }
 
 static bool
@@ -372,6 +375,11 @@
     service_of(c, ex)->stats.duplicates++;
     switch (ex->state) {
     case EX_REFUSED:
+        if (ex->final == COAP_UNAVAILABLE && !sure_of(c, ex)) {
+            /* Since it was refused here, another home may have run it. */
+            request_unknown(c, ex);
+            return;
+        }
         send_final(c, ex);
         return;
     case EX_DONE:
@@ -404,7 +412,7 @@
 upload_open(core_t *c, const dgram_t *d)
 {
     service_t *s = &c->services[d->service];
-    uint16_t first = bucket_of(s, d->key)->first;
+    uint16_t first = bucket_of(s, d->key)->choice[0];
     uint16_t up = first;
     flow_t *f;
 
@@ -419,7 +427,9 @@
     f = flow_add(c, d->key, d->service, up, FLOW_UPLOAD);
     if (f == NULL) {
         answer_now(c, d, COAP_UNAVAILABLE, come_back(c, s), REFUSE_TABLE);
+        return NULL;
     }
+    sync_flow(c, f);
     return f;
 }
 
@@ -428,14 +438,16 @@
 upload_block(core_t *c, const dgram_t *d)
 {
     service_t *s = &c->services[d->service];
-    uint16_t first = bucket_of(s, d->key)->first;
+    uint16_t first = bucket_of(s, d->key)->choice[0];
     flow_t *f = flow_own(c, d->key);
+    bool first_block = d->m->block1 >> 4 == 0;
 
-    if (f != NULL && (!up_trusted(c, f->up) || !(f->flags & FLOW_UPLOAD))) {
+    if (f != NULL && (!up_trusted(c, f->up) || !(f->flags & FLOW_UPLOAD) ||
+                      (first_block && (f->flags & FLOW_ENDED)))) {
         flow_remove(c, f);
         f = NULL;
     }
-    if (f == NULL && d->m->block1 >> 4 == 0) {
+    if (f == NULL && first_block) {
         f = upload_open(c, d);
         if (f == NULL) {
             return;
@@ -443,6 +455,9 @@
     }
     if (f != NULL) {
         flow_touch(c, f);
+        if (!(d->m->block1 & BLOCK_MORE)) {
+            f->flags |= FLOW_LAST;
+        }
         send_upstream(c, f->up, &d->h->client, true, d->data, d->len);
         return;
     }
@@ -457,7 +472,7 @@
 bool
 is_upload_block(const coap_msg_t *m)
 {
-    bool more = (m->block1 & 8) != 0;
+    bool more = (m->block1 & BLOCK_MORE) != 0;
 
     return m->block1 != COAP_NONE && (m->block1 >> 4 > 0 || more);
 }
--- a/core/state.h
+++ b/core/state.h
@@ -55,19 +55,20 @@
 /* ---- table.c ---- */
 
 #define UP_NONE UINT16_MAX
+#define CHOICES 3     /* upstreams that a bucket names */
 #define EARLIER_MAX 3 /* earlier pairs of choices remembered for a bucket */
-#define CHOICES_MAX (2 + 2 * EARLIER_MAX)
+#define CHOICES_MAX (CHOICES + CHOICES * EARLIER_MAX)
 #define GROUP_UPSTREAMS 64
 
 /* The choices that a bucket had before a change. */
 typedef struct {
-    uint16_t first, second; /* upstream indices */
-    uint64_t version;       /* the version that changed them */
-    ms_t until;             /* when that came into force here */
+    uint16_t choice[CHOICES]; /* upstream indices */
+    uint64_t version;         /* the version that changed them */
+    ms_t until;               /* when that came into force here */
 } earlier_t;
 
 typedef struct {
-    uint16_t first, second;
+    uint16_t choice[CHOICES]; /* by rank; the third only for PREFER_BALANCE */
     uint8_t n_earlier;
     earlier_t earlier[EARLIER_MAX];
 } bucket_t;
@@ -112,7 +113,9 @@
     FLOW_UPLOAD = 2, /* a block-wise upload */
     FLOW_HELD = 4,   /* held for another home */
     FLOW_SYNCED = 8, /* the sync target has it */
-    FLOW_USED = 16
+    FLOW_USED = 16,
+    FLOW_LAST = 32, /* an upload whose last block was forwarded */
+    FLOW_ENDED = 64 /* and answered: it takes no slot any more */
 };
 
 /* A flow pinned to an upstream; 32 bytes. */
@@ -170,6 +173,7 @@
 
     bool counted;  /* in its upstream's in_flight and caller's share */
     uint8_t tries; /* forwards that an upstream shed */
+    uint8_t life;  /* counts the uses of this entry */
     uint16_t mid;
     uint16_t answer_mid; /* of a separate response, 0: none */
     uint16_t service;
@@ -217,7 +221,7 @@
     core_params_t p;
     core_emit_t *emit;
     void *arg;
-    ms_t now, start, last_tick;
+    ms_t now, start, last_call;
     rng_t rng;
     uint64_t version, lowest;
     bool leaving;
@@ -247,7 +251,7 @@
     uint32_t hint_mask;
 
     ex_t *exs;
-    uint32_t *ex_heads, ex_mask, ex_free, ex_used;
+    uint32_t *ex_heads, ex_mask, ex_free, ex_used, ex_top;
     link_t ex_active, ex_kept;
     uint8_t (*ex_bufs)[EX_BUF];
     uint32_t *ex_buf_free, n_buf_free, n_bufs;
@@ -334,6 +338,8 @@
 void flow_remove(core_t *c, flow_t *f);
 void flow_pin(core_t *c, flow_t *f, uint16_t up);
 void flow_touch(core_t *c, flow_t *f);
+/* M answers a block of the upload F. */
+void upload_answered(core_t *c, flow_t *f, const coap_msg_t *m);
 void flow_set_feed(core_t *c, flow_t *f, const dgram_t *d);
 void flow_sweep(core_t *c);
 void feeds_lost(core_t *c, uint16_t up);
--- a/core/sync.c
+++ b/core/sync.c
@@ -84,8 +84,8 @@
                  .upstream = c->ups[f->up].conf.id,
                  .kind = f->flags & FLOW_UPLOAD ? PIN_UPLOAD : PIN_FLOW};
 
-    if (to == 0 || (f->flags & FLOW_SYNCED) || (f->up == b->first && !over) ||
-        !spend(c)) {
+    if (to == 0 || (f->flags & FLOW_SYNCED) ||
+        (f->up == b->choice[0] && !over) || !spend(c)) {
         return;
     }
     sync_add(c, to, &pin);
--- a/core/table.c
+++ b/core/table.c
@@ -59,38 +59,51 @@
     return -(double)u->conf.weight / log(x);
 }
 
+/* Puts U into the order of choices by its score. */
+static void
+rank_insert(bucket_t *out, double *scores, uint16_t u, double v)
+{
+    for (int i = 0; i < CHOICES; i++) {
+        if (out->choice[i] == UP_NONE || v > scores[i]) {
+            uint16_t last_u = out->choice[i];
+            double last_v = scores[i];
+
+            out->choice[i] = u;
+            scores[i] = v;
+            u = last_u;
+            v = last_v;
+        }
+        if (u == UP_NONE) {
+            return;
+        }
+    }
+}
+
 static void
 bucket_rank(core_t *c, service_t *s, uint32_t b, bucket_t *out)
 {
-    double best = -1, next = -1;
+    double scores[CHOICES];
 
-    out->first = out->second = UP_NONE;
+    for (int i = 0; i < CHOICES; i++) {
+        out->choice[i] = UP_NONE;
+    }
     for (uint32_t i = 0; i < s->n_ups; i++) {
         uint16_t u = s->ups[i];
-        const up_t *up = &c->ups[u];
-        double v;
 
-        if (up->conf_draining) {
-            continue;
-        }
-        v = score(up, b);
-        if (v > best) {
-            next = best;
-            out->second = out->first;
-            best = v;
-            out->first = u;
-        }
-        else if (v > next) {
-            next = v;
-            out->second = u;
+        if (!c->ups[u].conf_draining) {
+            rank_insert(out, scores, u, score(&c->ups[u], b));
         }
     }
+    if (s->conf.prefer == PREFER_STABILITY) {
+        /* One choice less to ask when in doubt. */
+        out->choice[CHOICES - 1] = UP_NONE;
+    }
 }
 
 static void
 remember_earlier(core_t *c, bucket_t *b, const bucket_t *old)
 {
-    if (old->first == UP_NONE) {
+    if (old->choice[0] == UP_NONE) {
         return;
     }
     if (b->n_earlier == EARLIER_MAX) {
@@ -98,10 +111,11 @@
                 (EARLIER_MAX - 1) * sizeof(b->earlier[0]));
         b->n_earlier--;
     }
-    b->earlier[b->n_earlier++] = (earlier_t){.first = old->first,
-                                             .second = old->second,
-                                             .version = c->version,
-                                             .until = c->now};
+    earlier_t *e = &b->earlier[b->n_earlier++];
+
+    memcpy(e->choice, old->choice, sizeof(e->choice));
+    e->version = c->version;
+    e->until = c->now;
 }
 
 static uint32_t
@@ -127,7 +141,7 @@
             b[i] = s->buckets[i & (s->n_buckets - 1)];
         }
         else {
-            b[i].first = b[i].second = UP_NONE;
+            memset(b[i].choice, 0xFF, sizeof(b[i].choice)); /* UP_NONE */
         }
     }
     free(s->buckets);
@@ -154,7 +168,7 @@
         bucket_t fresh = *b;
 
         bucket_rank(c, s, i, &fresh);
-        if (fresh.first != b->first || fresh.second != b->second) {
+        if (memcmp(fresh.choice, b->choice, sizeof(b->choice)) != 0) {
             remember_earlier(c, &fresh, b);
         }
         *b = fresh;
@@ -189,13 +203,14 @@
 all_choices(core_t *c, service_t *s, uint64_t key, uint16_t *out)
 {
     const bucket_t *b = bucket_of(s, key);
-    int n = add_choice(out, 0, b->first);
+    int n = 0;
 
-    n = add_choice(out, n, b->second);
-    for (int i = 0; i < b->n_earlier; i++) {
-        if (!is_past(c, &b->earlier[i])) {
-            n = add_choice(out, n, b->earlier[i].first);
-            n = add_choice(out, n, b->earlier[i].second);
+    for (int i = 0; i < CHOICES; i++) {
+        n = add_choice(out, n, b->choice[i]);
+    }
+    for (int e = 0; e < b->n_earlier; e++) {
+        for (int i = 0; !is_past(c, &b->earlier[e]) && i < CHOICES; i++) {
+            n = add_choice(out, n, b->earlier[e].choice[i]);
         }
     }
     return n;
@@ -221,8 +236,9 @@
 
     (void)c;
     for (int i = 0; i < b->n_earlier; i++) {
-        if (b->earlier[i].until >= since && b->earlier[i].first != b->first) {
-            return b->earlier[i].first;
+        if (b->earlier[i].until >= since &&
+            b->earlier[i].choice[0] != b->choice[0]) {
+            return b->earlier[i].choice[0];
         }
     }
     return UP_NONE;
--- a/core/upstreams.c
+++ b/core/upstreams.c
@@ -16,6 +16,7 @@
 #define REPORT_OLD_MS 4000 /* a load report older than this is ignored */
 #define FROZEN_REPORTS 4   /* unchanged so often ... */
 #define FROZEN_FINISHED 4  /* ... while so many requests finished */
+#define STUCK_REPORTS 8    /* unchanged so often, whatever finished */
 #define SLOW_START_MS 8000 /* a started upstream gets its full share after */
 #define SHEDS_EJECT 3      /* sheds in a row that eject */
 #define EJECT_MS 2000
@@ -88,12 +89,15 @@
 
 /* Is the report worth anything: recent, and not frozen?  A report that stays
  * the same while requests come and go is a stuck gauge; believing it sends
- * everything to the upstream whose gauge stuck low. */
+ * everything to the upstream whose gauge stuck low, and nothing to one whose
+ * gauge stuck high, where then nothing finishes: so a value that stays for
+ * long is not believed either. */
 static bool
 report_usable(const core_t *c, const up_t *up)
 {
     bool frozen =
-        up->same >= FROZEN_REPORTS && up->finished >= FROZEN_FINISHED;
+        (up->same >= FROZEN_REPORTS && up->finished >= FROZEN_FINISHED) ||
+        up->same >= STUCK_REPORTS;
 
     return c->now - up->probe_sent < REPORT_OLD_MS && !frozen;
 }
@@ -328,7 +332,7 @@
         return;
     }
     ex = &c->exs[index];
-    if (ex->state == EX_FENCING && ex->mid == mid) {
+    if (ex->state == EX_FENCING && ex->mid == mid && ex->life == m->token[7]) {
         request_fenced(c, ex, u, state, by, epoch);
     }
 }
@@ -349,7 +353,7 @@
         memcmp(m->token + 3, &up->probe_seq, 2) == 0) {
         take_load(c, u, j);
     }
-    else if (m->token_len == 7 && m->token[0] == CANCEL_TAG) {
+    else if (m->token_len == 8 && m->token[0] == CANCEL_TAG) {
         take_cancelled(c, u, m, j);
     }
     json_decref(j);
@@ -365,10 +369,11 @@
 
     m.type = COAP_T_NON;
     m.code = COAP_DELETE;
-    m.token_len = 7;
+    m.token_len = 8;
     m.token[0] = CANCEL_TAG;
     memcpy(m.token + 1, &index, 4);
     memcpy(m.token + 5, &ex->mid, 2);
+    m.token[7] = ex->life;
     m.path_n = 2;
     strcpy(m.path[1], "exchange");
     snprintf(m.query, sizeof(m.query), "c=%s&m=%u&o=%016llx",
