plat: deltas between versions, by zstd with the old one as prefix

A delta names both ends by hash, so one made for another version is refused before any memory is taken.

Ruled out: line diffs (a format and a matcher of our own), per-service records (a second model of versions).

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 O       = $(B)/obj
 SAN    ?=
 PKGS    = ck libzmq libcoap-3-notls argtable2 log4c jansson libmicrohttpd \
-          libcurl libsodium msgpack libxxhash
+          libcurl libsodium msgpack libxxhash libzstd
 WARN    = -Wall -Wextra -Wshadow -Wvla
 OPT    ?= -O2 -g
 CPPFLAGS += -D_GNU_SOURCE -I. $(shell pkg-config --cflags $(PKGS))
--- /dev/null
+++ b/plat/delta.c
@@ -0,0 +1,203 @@
+/* Differences between two versions as bytes: a zstd frame whose prefix is the
+ * old version, behind a header that names both ends by content.
+ *
+ * Header, little endian: "SKD1", hash of the old bytes, hash of the new ones
+ * (8 bytes each), length of the new ones (4 bytes).
+ */
+#include "plat/plat.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zstd.h>
+
+#define MAGIC "SKD1"
+#define MAGIC_LEN 4
+#define OLD_HASH_AT MAGIC_LEN
+#define NEW_HASH_AT (OLD_HASH_AT + 8)
+#define LENGTH_AT (NEW_HASH_AT + 8)
+#define HEADER_LEN (LENGTH_AT + 4)
+#define LEVEL 3
+#define WINDOW_LOG_MIN 17
+#define WINDOW_LOG_MAX 26 /* a prefix and a text of BLOB_MAX each */
+#define SEED 0x534b4431u
+
+void
+blob_free(blob_t *b)
+{
+    free(b->data);
+    *b = (blob_t){0};
+}
+
+static uint64_t
+blob_hash(const blob_t *b)
+{
+    return hash64(b->data, b->len, SEED + b->len);
+}
+
+static void
+put_number(uint8_t *to, uint64_t v, int bytes)
+{
+    for (int i = 0; i < bytes; i++) {
+        to[i] = (uint8_t)(v >> (8 * i));
+    }
+}
+
+static uint64_t
+get_number(const uint8_t *from, int bytes)
+{
+    uint64_t v = 0;
+
+    for (int i = 0; i < bytes; i++) {
+        v |= (uint64_t)from[i] << (8 * i);
+    }
+    return v;
+}
+
+/* Room for LEN bytes and a NUL behind them, so that a text is a string. */
+static int
+reserve(blob_t *b, size_t len)
+{
+    b->data = malloc(len + 1);
+    if (b->data == NULL) {
+        return -ENOMEM;
+    }
+    b->data[len] = '\0';
+    b->len = len;
+    return 0;
+}
+
+/* ---- Making ---- */
+
+static void
+write_header(uint8_t *to, const blob_t *old, const blob_t *new_)
+{
+    memcpy(to, MAGIC, MAGIC_LEN);
+    put_number(to + OLD_HASH_AT, blob_hash(old), 8);
+    put_number(to + NEW_HASH_AT, blob_hash(new_), 8);
+    put_number(to + LENGTH_AT, new_->len, 4);
+}
+
+/* The window reaches from the end of the new bytes to the start of the old:
+ * a smaller one would forget the first part of a long prefix. */
+static int
+window_log(size_t span)
+{
+    int log = WINDOW_LOG_MIN;
+
+    while (log < WINDOW_LOG_MAX && ((size_t)1 << log) < span) {
+        log++;
+    }
+    return log;
+}
+
+static ZSTD_CCtx *
+compressor(const blob_t *old, const blob_t *new_)
+{
+    ZSTD_CCtx *z = ZSTD_createCCtx();
+
+    if (z == NULL) {
+        return NULL;
+    }
+    ZSTD_CCtx_setParameter(z, ZSTD_c_compressionLevel, LEVEL);
+    ZSTD_CCtx_setParameter(z, ZSTD_c_checksumFlag, 1);
+    ZSTD_CCtx_setParameter(z, ZSTD_c_windowLog,
+                           window_log(old->len + new_->len));
+    ZSTD_CCtx_setParameter(z, ZSTD_c_enableLongDistanceMatching, old->len > 0);
+    if (ZSTD_isError(ZSTD_CCtx_refPrefix(z, old->data, old->len))) {
+        ZSTD_freeCCtx(z);
+        return NULL;
+    }
+    return z;
+}
+
+int
+delta_make(const blob_t *old, const blob_t *new_, blob_t *out)
+{
+    size_t room = ZSTD_compressBound(new_->len);
+    ZSTD_CCtx *z;
+    size_t n;
+
+    *out = (blob_t){0};
+    if (old->len > BLOB_MAX || new_->len > BLOB_MAX) {
+        return -EFBIG;
+    }
+    z = compressor(old, new_);
+    if (z == NULL || reserve(out, HEADER_LEN + room) < 0) {
+        ZSTD_freeCCtx(z);
+        return -ENOMEM;
+    }
+    write_header(out->data, old, new_);
+    n = ZSTD_compress2(z, out->data + HEADER_LEN, room, new_->data, new_->len);
+    ZSTD_freeCCtx(z);
+    if (ZSTD_isError(n)) {
+        blob_free(out);
+        return -ENOMEM;
+    }
+    out->len = HEADER_LEN + n;
+    return 0;
+}
+
+/* ---- Applying ---- */
+
+/* The length of the new bytes, or -EBADMSG.  All is checked before memory is
+ * taken: a forged length costs nothing, and the frame must name the same. */
+static ssize_t
+check_header(const blob_t *old, const blob_t *delta, size_t limit)
+{
+    const uint8_t *p = delta->data;
+    size_t len;
+
+    if (delta->len < HEADER_LEN || memcmp(p, MAGIC, MAGIC_LEN) != 0) {
+        return -EBADMSG;
+    }
+    if (get_number(p + OLD_HASH_AT, 8) != blob_hash(old)) {
+        return -EBADMSG; /* made for another version */
+    }
+    len = get_number(p + LENGTH_AT, 4);
+    if (len > limit || len > BLOB_MAX ||
+        ZSTD_getFrameContentSize(p + HEADER_LEN, delta->len - HEADER_LEN) !=
+            len) {
+        return -EBADMSG;
+    }
+    return (ssize_t)len;
+}
+
+static bool
+expand(const blob_t *old, const blob_t *delta, blob_t *out)
+{
+    ZSTD_DCtx *z = ZSTD_createDCtx();
+    size_t n;
+
+    if (z == NULL ||
+        ZSTD_isError(
+            ZSTD_DCtx_setParameter(z, ZSTD_d_windowLogMax, WINDOW_LOG_MAX)) ||
+        ZSTD_isError(ZSTD_DCtx_refPrefix(z, old->data, old->len))) {
+        ZSTD_freeDCtx(z);
+        return false;
+    }
+    n = ZSTD_decompressDCtx(z, out->data, out->len, delta->data + HEADER_LEN,
+                            delta->len - HEADER_LEN);
+    ZSTD_freeDCtx(z);
+    return n == out->len &&
+           get_number(delta->data + NEW_HASH_AT, 8) == blob_hash(out);
+}
+
+int
+delta_apply(const blob_t *old, const blob_t *delta, size_t limit, blob_t *out)
+{
+    ssize_t len = check_header(old, delta, limit);
+
+    *out = (blob_t){0};
+    if (len < 0) {
+        return (int)len;
+    }
+    if (reserve(out, (size_t)len) < 0) {
+        return -ENOMEM;
+    }
+    if (!expand(old, delta, out)) {
+        blob_free(out);
+        return -EBADMSG;
+    }
+    return 0;
+}
--- a/plat/plat.h
+++ b/plat/plat.h
@@ -74,6 +74,26 @@
 int plat_register(plat_t *p, const plat_instance_t *i, err_t *e);
 int plat_deregister(plat_t *p, const char *name, err_t *e);
 
+/* ---- Differences between versions, as bytes ---- */
+
+/* Bytes on the heap; those that these functions return have a NUL behind
+ * them that LEN does not count. */
+typedef struct {
+    uint8_t *data;
+    size_t len;
+} blob_t;
+
+#define BLOB_MAX (32u * 1024 * 1024)
+
+void blob_free(blob_t *b);
+/* What makes NEW_ of OLD, compressed; an empty OLD gives NEW_ whole.  -EFBIG:
+ * one is longer than BLOB_MAX. */
+int delta_make(const blob_t *old, const blob_t *new_, blob_t *out);
+/* Makes NEW_ again.  -EBADMSG: the bytes are no delta, or one for another OLD,
+ * or give more than LIMIT bytes. */
+int delta_apply(const blob_t *old, const blob_t *delta, size_t limit,
+                blob_t *out);
+
 /* ---- The accepted configuration, as stored under PLAT_CONFIG_KEY ---- */
 
 #define SOURCES_MAX 17 /* a base and 16 data centres */
--- /dev/null
+++ b/test/delta_test.cc
@@ -0,0 +1,119 @@
+// Differences between versions: what was sent arrives, or nothing does.
+#include "plat/plat.h"
+
+#include <errno.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <string>
+
+static blob_t
+blob(const std::string &s)
+{
+    return {(uint8_t *)s.data(), s.size()};
+}
+
+static std::string
+take(blob_t b)
+{
+    std::string s((const char *)b.data, b.len);
+    blob_free(&b);
+    return s;
+}
+
+static std::string
+diffed(const std::string &old, const std::string &next)
+{
+    blob_t a = blob(old), b = blob(next), out;
+    EXPECT_EQ(0, delta_make(&a, &b, &out));
+    return take(out);
+}
+
+// The new bytes, or the error as text.
+static std::string
+applied(const std::string &old, const std::string &delta,
+        size_t limit = BLOB_MAX)
+{
+    blob_t a = blob(old), d = blob(delta), out;
+    int rc = delta_apply(&a, &d, limit, &out);
+    return rc == 0 ? take(out) : std::to_string(rc);
+}
+
+static const std::string refused = std::to_string(-EBADMSG);
+
+// N upstreams; one of them at another port.
+static std::string
+text_of(int n, int changed)
+{
+    std::string s;
+    for (int i = 0; i < n; i++) {
+        s += "[[upstream]]\nservice = \"s" + std::to_string(i % 97) +
+             "\"\naddress = \"10." + std::to_string(i >> 8) + "." +
+             std::to_string(i & 255) + ".1:" + (i == changed ? "9" : "5683") +
+             "\"\n";
+    }
+    return s;
+}
+
+static std::string
+edited(std::string s)
+{
+    for (int i = *rc::gen::inRange(0, 5); i > 0; i--) {
+        size_t at = *rc::gen::inRange<size_t>(0, s.size() + 1);
+        size_t cut = *rc::gen::inRange<size_t>(0, 40);
+        s.replace(at, cut, *rc::gen::arbitrary<std::string>());
+    }
+    return s;
+}
+
+RC_GTEST_PROP(Delta, GivesTheNewBytes, ())
+{
+    auto old = text_of(*rc::gen::inRange(0, 300), -1);
+    auto next = edited(old);
+    RC_ASSERT(applied(old, diffed(old, next)) == next);
+}
+
+RC_GTEST_PROP(Delta, OnAnotherBaseIsRefused, ())
+{
+    auto old = *rc::gen::arbitrary<std::string>();
+    auto other = *rc::gen::arbitrary<std::string>();
+    RC_PRE(old != other);
+    RC_ASSERT(applied(other, diffed(old, text_of(9, 1))) == refused);
+}
+
+// A changed byte may stand where no reader looks; it never changes the
+// result.
+RC_GTEST_PROP(Delta, NoChangedBytesBreakTheReader, ())
+{
+    auto old = text_of(60, -1), next = text_of(60, 7);
+    auto delta = edited(diffed(old, next));
+    auto got = applied(old, delta);
+    RC_ASSERT(got == next || got == refused);
+}
+
+RC_GTEST_PROP(Delta, NoBytesBreakTheReader, (const std::string &bytes))
+{
+    RC_ASSERT(applied("", bytes) == refused);
+    RC_ASSERT(applied("", diffed("", "").substr(0, 4) + bytes) == refused);
+}
+
+// A peer sends few bytes that would fill the memory.
+TEST(Delta, TakesNoMoreThanTheLimit)
+{
+    std::string zeros(1 << 20, '0');
+    auto delta = diffed("", zeros);
+    EXPECT_LT(delta.size(), 200u);
+    EXPECT_EQ(refused, applied("", delta, zeros.size() - 1));
+    EXPECT_EQ(zeros, applied("", delta, zeros.size()));
+    std::string forged = delta;
+    forged[20] = 1; // the length that the header names
+    EXPECT_EQ(refused, applied("", forged));
+}
+
+// The old bytes are far longer than a usual window: the match for the first
+// line lies as far back as they are long.
+TEST(Delta, OfOneChangeIsSmallHoweverLongTheText)
+{
+    auto old = text_of(100000, -1);
+    EXPECT_LT(diffed(old, text_of(100000, 3)).size(), 1000u);
+    EXPECT_LT(diffed(old, text_of(100000, 99990)).size(), 1000u);
+}
