plat: long texts are stored in parts, the head names them

Texts over 64 KB in sum now lie in a ring of 128 slots, by content hash; the head keeps version, change ID, hash and where the parts are. Parts first, then the head by compare-and-swap; unchanged parts are neither written nor read again. Short configurations stay as they were, with the same calls.

A slot is written by compare-and-swap on the revision in the head, so two writers on one head can't overwrite each other; what dead writers leave is recorded by the next head, which fences them, and is free again.

The limit of all texts is 16 MB (was 900 KB, from the one value).

--- a/conf/conf.h
+++ b/conf/conf.h
@@ -13,7 +13,7 @@
 
 #define NAME_LEN 32      /* a service, data centre or instance name + NUL */
 #define CHANGE_ID_LEN 40 /* an applied change's ID (text) + NUL */
-#define CONF_TEXT_MAX (900 * 1024) /* the platform holds values up to 1 MB */
+#define CONF_TEXT_MAX (16 * 1024 * 1024) /* of all texts together */
 
 typedef enum { PROTO_UDP, PROTO_COAP } proto_t;
 
--- a/plat/apply.c
+++ b/plat/apply.c
@@ -7,7 +7,7 @@
  * A write is delayed on its way and arrives after its sender gave up: the
  * next try has the same revision, so only one of the two can take effect.
  */
-#include "plat/plat.h"
+#include "plat/store.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -16,6 +16,7 @@
 #include <time.h>
 
 #define TRIES 5
+#define READS 3      /* of a head whose parts don't fit */
 #define PAUSE_MS 100 /* before the second try; longer before each later */
 
 static void
@@ -26,22 +27,44 @@
     nanosleep(&ts, NULL);
 }
 
-int
-plat_config(plat_t *p, conf_bundle_t *b, uint64_t *revision, err_t *e)
+/* The head, then the parts that it names.  A part may have been replaced, or
+ * either read be stale: then the head is read again. */
+static int
+read_config(plat_t *p, conf_bundle_t *b, layout_t *l, uint64_t *revision,
+            err_t *e)
 {
-    char *json;
-    int rc;
+    int rc = -ESTALE;
+    char *head;
 
     *b = (conf_bundle_t){0};
-    rc = plat_get(p, PLAT_CONFIG_KEY, 0, 0, &json, revision, e);
-    if (rc < 0 || json == NULL) {
-        return rc;
+    *l = (layout_t){0};
+    for (int i = 0; i < READS && rc == -ESTALE; i++) {
+        rc = plat_get(p, PLAT_CONFIG_KEY, 0, 0, &head, revision, e);
+        if (rc < 0 || head == NULL) {
+            return rc;
+        }
+        rc = store_read(p, head, b, l, e);
+        free(head);
     }
-    rc = bundle_read(b, json, e);
-    free(json);
     return rc;
 }
 
+int
+plat_config(plat_t *p, conf_bundle_t *b, uint64_t *revision, err_t *e)
+{
+    layout_t l;
+
+    return read_config(p, b, &l, revision, e);
+}
+
+int
+plat_expand(plat_t *p, const char *value, conf_bundle_t *b, err_t *e)
+{
+    layout_t l;
+
+    return store_read(p, value, b, &l, e);
+}
+
 /* ---- History ---- */
 
 static void
@@ -65,10 +88,10 @@
         return rc;
     }
     if (json != NULL) {
-        rc = bundle_read(b, json, e);
+        rc = plat_expand(p, json, b, e);
         free(json);
     }
-    if (rc == 0 && b->version != version) {
+    if (rc == -ESTALE || (rc == 0 && b->version != version)) {
         bundle_free(b);
         rc = err_set(e, -ENOENT, "platform read", key,
                      "version %llu is no longer kept",
@@ -80,10 +103,10 @@
 /* Keeps CUR for those who lose the race against its successor and want to
  * know what changed.  Best effort: without it they see less, not wrong. */
 static void
-keep_history(plat_t *p, const conf_bundle_t *cur)
+keep_history(plat_t *p, const conf_bundle_t *cur, const layout_t *layout)
 {
     char key[64];
-    char *old, *json = bundle_write(cur);
+    char *old, *json = store_head(cur, layout);
     uint64_t revision;
 
     history_key(key, sizeof(key), cur->version);
@@ -102,6 +125,7 @@
     uint64_t expect;
     conf_bundle_t cur; /* in force, as last read */
     uint64_t revision; /* of CUR */
+    layout_t layout;   /* of CUR */
     bool unknown;      /* a write was sent and not answered */
     bool kept;         /* CUR is in the history */
     err_t *e;
@@ -157,18 +181,47 @@
     return rc;
 }
 
-static int
-write_next(apply_t *a)
+/* Records which slots are taken, without a new version: whoever took them for
+ * a head after this one can no longer write it, so they are free again. */
+static void
+record_slots(apply_t *a, const layout_t *seen)
 {
     uint64_t revision;
     char *json;
-    int rc = check_follows(a->b, &a->cur, a->e);
 
-    if (rc < 0) {
-        return rc;
+    memcpy(a->layout.revision, seen->revision, sizeof(seen->revision));
+    json = store_head(&a->cur, &a->layout);
+    if (json != NULL && a->cur.n > 0) {
+        plat_put(a->p, PLAT_CONFIG_KEY, json, a->revision, &revision, NULL);
     }
-    follow(a->b, &a->cur);
-    json = bundle_write(a->b);
+    free(json);
+}
+
+/* The parts go first: a writer that dies here leaves only parts that no head
+ * names.  1: go round again. */
+static int
+write_parts(apply_t *a, layout_t *next)
+{
+    int rc = store_parts(a->p, a->b, &a->layout, next, a->e);
+
+    if (rc == -ENOSPC) {
+        record_slots(a, next);
+        return 1;
+    }
+    if (rc == -EIO || rc == -ETIMEDOUT) {
+        a->e->code = -EHOSTUNREACH; /* the version itself wasn't sent */
+        return 1;
+    }
+    return rc;
+}
+
+static int
+write_head(apply_t *a, const layout_t *next)
+{
+    uint64_t revision;
+    char *json = store_head(a->b, next);
+    int rc;
+
     if (json == NULL || strlen(json) > PLAT_VALUE_MAX) {
         free(json);
         return err_set(a->e, -EINVAL, "apply", "configuration",
@@ -177,7 +230,7 @@
                        PLAT_VALUE_MAX);
     }
     if (!a->kept && a->cur.n > 0) {
-        keep_history(a->p, &a->cur);
+        keep_history(a->p, &a->cur, &a->layout);
         a->kept = true;
     }
     rc = plat_put(a->p, PLAT_CONFIG_KEY, json, a->revision, &revision, a->e);
@@ -185,6 +238,21 @@
     return rc;
 }
 
+/* 1: nothing was settled, go round again. */
+static int
+write_next(apply_t *a)
+{
+    layout_t next;
+    int rc = check_follows(a->b, &a->cur, a->e);
+
+    if (rc < 0) {
+        return rc;
+    }
+    follow(a->b, &a->cur);
+    rc = write_parts(a, &next);
+    return rc != 0 ? rc : write_head(a, &next);
+}
+
 /* Before anything was written, no answer means only that: -EIO would tell the
  * operator of an unknown outcome. */
 static int
@@ -201,9 +269,9 @@
     int rc;
 
     bundle_free(&a->cur);
-    rc = plat_config(a->p, &a->cur, &a->revision, a->e);
+    rc = read_config(a->p, &a->cur, &a->layout, &a->revision, a->e);
     if (rc < 0) {
-        return a->unknown ? 1 : not_written(rc);
+        return a->unknown || rc == -ESTALE ? 1 : not_written(rc);
     }
     done = version_of_change(&a->cur, a->b->change_id);
     if (done > 0) {
--- a/plat/bundle.c
+++ b/plat/bundle.c
@@ -1,5 +1,5 @@
 /* The stored form of a version: JSON to bundle, bundle to model. */
-#include "plat/plat.h"
+#include "plat/store.h"
 
 #include <errno.h>
 #include <jansson.h>
@@ -29,7 +29,7 @@
     return b->n;
 }
 
-static uint64_t
+uint64_t
 bundle_hash(const conf_bundle_t *b)
 {
     conf_source_t src[SOURCES_MAX];
@@ -70,6 +70,17 @@
     }
 }
 
+int
+bundle_add(conf_bundle_t *b, const char *file, const char *text, err_t *e)
+{
+    int rc = add(b, file, text, e);
+
+    if (rc == 0) {
+        sort_last(b);
+    }
+    return rc;
+}
+
 /* ---- JSON ---- */
 
 static int
@@ -136,11 +147,10 @@
         if (!json_is_string(text)) {
             return fail_form(e, "an overlay is no text");
         }
-        rc = add(b, name, json_string_value(text), e);
+        rc = bundle_add(b, name, json_string_value(text), e);
         if (rc < 0) {
             return rc;
         }
-        sort_last(b);
     }
     return 0;
 }
@@ -158,18 +168,26 @@
     return *end == '\0' ? 0 : -EBADMSG;
 }
 
-static int
-read_object(conf_bundle_t *b, json_t *o, err_t *e)
+int
+bundle_head_read(conf_bundle_t *b, const json_t *o, err_t *e)
 {
-    int rc;
-
     b->version = read_version(o);
     if (b->version == 0 || copy_change_id(b->change_id, o) < 0 ||
         read_hash(&b->hash, o) < 0 ||
         read_changes(b, json_object_get(o, "changes")) < 0) {
         return fail_form(e, "version, change_id, hash or changes don't fit");
     }
-    rc = read_texts(b, o, e);
+    return 0;
+}
+
+static int
+read_object(conf_bundle_t *b, json_t *o, err_t *e)
+{
+    int rc = bundle_head_read(b, o, e);
+
+    if (rc == 0) {
+        rc = read_texts(b, o, e);
+    }
     if (rc < 0) {
         return rc;
     }
@@ -198,18 +216,12 @@
     return rc;
 }
 
-char *
-bundle_write(const conf_bundle_t *b)
+json_t *
+bundle_head_json(const conf_bundle_t *b)
 {
     char hash[17];
-    json_t *overlays = json_object();
     json_t *changes = json_array();
-    json_t *o;
-    char *text;
 
-    for (size_t i = 1; i < b->n; i++) {
-        json_object_set_new(overlays, b->file[i], json_string(b->text[i]));
-    }
     for (size_t i = 0; i < b->n_changes; i++) {
         const conf_change_t *c = &b->changes[i];
         json_array_append_new(changes, json_pack("{sI ss}", "version",
@@ -217,11 +229,37 @@
                                                  "change_id", c->change_id));
     }
     snprintf(hash, sizeof(hash), "%016llx", (unsigned long long)b->hash);
-    o = json_pack("{sI ss ss ss so so}", "version", (json_int_t)b->version,
-                  "change_id", b->change_id, "hash", hash, BASE,
-                  b->n > 0 ? b->text[0] : "", "overlays", overlays, "changes",
-                  changes);
-    text = json_dumps(o, JSON_COMPACT);
+    return json_pack("{sI ss ss so}", "version", (json_int_t)b->version,
+                     "change_id", b->change_id, "hash", hash, "changes",
+                     changes);
+}
+
+json_t *
+bundle_json(const conf_bundle_t *b)
+{
+    json_t *o = bundle_head_json(b);
+    json_t *overlays = json_object();
+    int rc;
+
+    rc = json_object_set_new(o, BASE, json_string(b->n > 0 ? b->text[0] : ""));
+    for (size_t i = 1; i < b->n; i++) {
+        rc |=
+            json_object_set_new(overlays, b->file[i], json_string(b->text[i]));
+    }
+    rc |= json_object_set_new(o, "overlays", overlays);
+    if (rc < 0) {
+        json_decref(o);
+        return NULL;
+    }
+    return o;
+}
+
+char *
+bundle_write(const conf_bundle_t *b)
+{
+    json_t *o = bundle_json(b);
+    char *text = json_dumps(o, JSON_COMPACT);
+
     json_decref(o);
     return text;
 }
@@ -276,11 +314,10 @@
             return err_set(e, -EINVAL, "check", src[i].file,
                            "names no data_centre; expected an overlay");
         }
-        rc = add(b, name, src[i].text, e);
+        rc = bundle_add(b, name, src[i].text, e);
         if (rc < 0) {
             return rc;
         }
-        sort_last(b);
     }
     return 0;
 }
--- a/plat/client.c
+++ b/plat/client.c
@@ -1,6 +1,6 @@
 /* The platform's calls: keys, leases, the list of instances. */
 #include "plat/http.h"
-#include "plat/plat.h"
+#include "plat/store.h"
 
 #include <errno.h>
 #include <jansson.h>
@@ -14,6 +14,7 @@
 struct plat {
     http_t *http;
     uint64_t calls;
+    part_cache_t cache;
 };
 
 plat_t *
@@ -36,11 +37,18 @@
 plat_free(plat_t *p)
 {
     if (p != NULL) {
+        cache_clear(&p->cache);
         http_free(p->http);
         free(p);
     }
 }
 
+part_cache_t *
+plat_cache(plat_t *p)
+{
+    return &p->cache;
+}
+
 uint64_t
 plat_calls(const plat_t *p)
 {
--- a/plat/plat.h
+++ b/plat/plat.h
@@ -32,6 +32,8 @@
 /* Earlier versions, each under the number that its version leaves over. */
 #define PLAT_HISTORY_KEY "siskin/history/%u"
 #define PLAT_HISTORY 16
+/* Parts of long texts, in a ring of slots (plat/store.h). */
+#define PLAT_TEXT_KEY "siskin/text/%u"
 #define PLAT_VALUE_MAX (1000 * 1000) /* bytes the service holds in a value */
 
 typedef struct plat plat_t;
@@ -94,7 +96,7 @@
 int delta_apply(const blob_t *old, const blob_t *delta, size_t limit,
                 blob_t *out);
 
-/* ---- The accepted configuration, as stored under PLAT_CONFIG_KEY ---- */
+/* ---- The accepted configuration ---- */
 
 #define SOURCES_MAX 17 /* a base and 16 data centres */
 
@@ -106,9 +108,11 @@
 
 #define CHANGES_MAX 16
 
-/* The stored value is JSON: {"version":N,"change_id":"...","hash":"hex",
+/* As one JSON text: {"version":N,"change_id":"...","hash":"hex",
  * "base":"...","overlays":{"brno-sal-a":"...",...},
- * "changes":[{"version":M,"change_id":"..."},...]}, newest change first. */
+ * "changes":[{"version":M,"change_id":"..."},...]}, newest change first.
+ * A short one is stored so under PLAT_CONFIG_KEY; of a long one that key has
+ * the head, and the texts lie in parts. */
 typedef struct {
     uint64_t version;
     uint64_t hash;
@@ -145,6 +149,9 @@
 
 /* Reads the version in force; the bundle is all zero when there is none. */
 int plat_config(plat_t *p, conf_bundle_t *b, uint64_t *revision, err_t *e);
+/* The bundle of VALUE, read under PLAT_CONFIG_KEY; reads the parts that it
+ * names and this client hasn't yet.  -ESTALE: VALUE or a part is stale. */
+int plat_expand(plat_t *p, const char *value, conf_bundle_t *b, err_t *e);
 /* Reads an earlier version; -ENOENT when it is no longer kept. */
 int plat_history(plat_t *p, uint64_t version, conf_bundle_t *b, err_t *e);
 
--- a/siskinctl/version.c
+++ b/siskinctl/version.c
@@ -226,7 +226,7 @@
     if (json == NULL) {
         return -ENODATA;
     }
-    rc = bundle_read(next, json, e);
+    rc = plat_expand(p, json, next, e);
     free(json);
     if (rc < 0) {
         return rc;
--- a/siskind/platform.c
+++ b/siskind/platform.c
@@ -106,6 +106,35 @@
     return FACT(d, watches) || FACT(d, version) == 0 || FACT(d, peers) == 0;
 }
 
+/* A value of the configuration's key, with the parts that it names, as the
+ * JSON that peers pass on. */
+static int
+offer_head(daemon_t *d, plat_t *p, const char *head, err_t *e)
+{
+    conf_bundle_t b;
+    char *json;
+    int rc = plat_expand(p, head, &b, e);
+
+    if (rc == -EBADMSG) { /* it stays so: no use in reading it again */
+        log_line(LVL_WARN, "watch",
+                 "A configuration is refused. from=%s step=\"%s\" "
+                 "error=\"%s\"",
+                 d->settings.platform_url, e->step, e->text);
+        return 0;
+    }
+    if (rc < 0) {
+        return rc;
+    }
+    json = bundle_write(&b);
+    bundle_free(&b);
+    if (json == NULL) {
+        return err_set(e, -ENOMEM, "bundle write", "platform",
+                       "Out of memory.");
+    }
+    offer_bundle(d, json, "watch", d->settings.platform_url);
+    return 0;
+}
+
 /* One waiting read; returns how long to pause before the next. */
 static ms_t
 watch_once(daemon_t *d, plat_t *p, uint64_t *revision, backoff_t *b)
@@ -116,19 +145,17 @@
     int rc =
         plat_get(p, PLAT_CONFIG_KEY, WATCH_MS, *revision, &json, &got, &e);
 
+    /* A stale read has a lower revision.  It is kept as it came: the next
+     * read then returns at once, and versions never fall.  A head whose parts
+     * couldn't be read is read again. */
+    if (rc == 0 && json != NULL && got != *revision) {
+        rc = offer_head(d, p, json, &e);
+    }
+    free(json);
     note_result(b, "watch", rc, &e);
     if (rc < 0) {
-        free(json);
         return backoff_next(b);
     }
-    /* A stale read has a lower revision.  It is kept as it came: the next
-     * read then returns at once, and versions never fall. */
-    if (json != NULL && got != *revision) {
-        offer_bundle(d, json, "watch", d->settings.platform_url);
-    }
-    else {
-        free(json);
-    }
     *revision = got;
     return WATCH_PAUSE_MS;
 }
--- a/test/plat_test.cc
+++ b/test/plat_test.cc
@@ -2,6 +2,7 @@
 // take effect at most once whatever happens to their answers.
 #include "plat/plat.h"
 #include "plat/http.h"
+#include "plat/store.h"
 #include "standin/platform.h"
 #include "standin/rest.h"
 
@@ -12,10 +13,24 @@
 #include <string.h>
 #include <thread>
 
+// Comment lines at the head of the base: a long text is stored in parts.
+static size_t padding;
+
+static std::string
+pad()
+{
+    std::string s;
+    while (s.size() < padding) {
+        s += "# upstreams of row " + std::to_string(s.size()) + "\n";
+    }
+    return s;
+}
+
 static std::string
 base_text(int queue)
 {
-    return "[site]\nname = \"moravia\"\n[service.dohled]\n"
+    return pad() +
+           "[site]\nname = \"moravia\"\n[service.dohled]\n"
            "address = \"127.1.0.1:5683\"\nprotocol = \"coap\"\n"
            "prefer = \"balance\"\nslots = 2\nconnections = 2000\nqueue = " +
            std::to_string(queue) + "\n";
@@ -106,11 +121,14 @@
     RC_ASSERT(rc == 0 || rc == -EBADMSG);
 }
 
-class Plat : public testing::Test {
+// Each test runs with short texts, which stand in the head, and with long ones
+// in parts.
+class Plat : public testing::TestWithParam<size_t> {
   protected:
     void
     SetUp() override
     {
+        padding = GetParam();
         si_platform_params_t params = {0, 0, 3000};
         err_t e = {};
         platform = si_platform_open(&params, &e);
@@ -123,6 +141,7 @@
     {
         plat_free(p);
         si_platform_close(platform);
+        padding = 0;
     }
     void
     set(const char *query)
@@ -153,7 +172,12 @@
     std::string url;
 };
 
-TEST_F(Plat, KeysAreReadAndSwapped)
+INSTANTIATE_TEST_SUITE_P(Texts, Plat, testing::Values(0, 600000),
+                         [](const testing::TestParamInfo<size_t> &i) {
+                             return i.param == 0 ? "short" : "long";
+                         });
+
+TEST_P(Plat, KeysAreReadAndSwapped)
 {
     char *value;
     uint64_t rev;
@@ -170,7 +194,7 @@
     EXPECT_EQ(4u, plat_calls(p));
 }
 
-TEST_F(Plat, WatchReturnsWithTheNextRevision)
+TEST_P(Plat, WatchReturnsWithTheNextRevision)
 {
     uint64_t rev;
     ASSERT_EQ(0, plat_put(p, "k", "old", 0, &rev, NULL));
@@ -191,7 +215,7 @@
     free(value);
 }
 
-TEST_F(Plat, LeaseHasOneHolder)
+TEST_P(Plat, LeaseHasOneHolder)
 {
     EXPECT_EQ(0, plat_lease(p, "watch", "a b", 60000, NULL));
     EXPECT_EQ(0, plat_lease(p, "watch", "a b", 60000, NULL));
@@ -200,7 +224,7 @@
     EXPECT_EQ(0, plat_lease(p, "watch", "c", 60000, NULL));
 }
 
-TEST_F(Plat, InstancesAreListed)
+TEST_P(Plat, InstancesAreListed)
 {
     plat_instance_t i = {"moravia-1", "brno-sal-a", true, "127.0.1.1",
                          {},          {},           {}};
@@ -220,7 +244,7 @@
     EXPECT_EQ(0u, n);
 }
 
-TEST_F(Plat, ErrorsNameStepAndPeer)
+TEST_P(Plat, ErrorsNameStepAndPeer)
 {
     plat_t *nowhere = plat_new("http://127.0.0.1:1");
     char *value;
@@ -234,7 +258,7 @@
     plat_free(nowhere);
 }
 
-TEST_F(Plat, VersionsFollowEachOther)
+TEST_P(Plat, VersionsFollowEachOther)
 {
     EXPECT_EQ(0, apply(4, "one", 0));
     EXPECT_EQ(0, apply(5, "two", 1));
@@ -248,7 +272,7 @@
 
 // The operator's write takes effect, its answer is lost, and the tool tries
 // again by itself.  Applied twice, the second would revert what came between.
-TEST_F(Plat, LostAnswerIsReadBack)
+TEST_P(Plat, LostAnswerIsReadBack)
 {
     ASSERT_EQ(0, apply(4, "one", 0));
     set("lose_answers=2"); // of the history's write and the version's
@@ -258,7 +282,7 @@
 
 // As before, but another operator has written by the time the first comes
 // back: the change is found among those before, and isn't applied again.
-TEST_F(Plat, LostAnswerIsFoundBehindALaterVersion)
+TEST_P(Plat, LostAnswerIsFoundBehindALaterVersion)
 {
     ASSERT_EQ(0, apply(4, "one", 0));
     ASSERT_EQ(0, apply(5, "two", 1));
@@ -271,7 +295,7 @@
 
 // Two operators edit version 1.  The second is told what the first wrote,
 // and nothing of it is lost.
-TEST_F(Plat, LoserOfARaceGetsTheOthersVersion)
+TEST_P(Plat, LoserOfARaceGetsTheOthersVersion)
 {
     ASSERT_EQ(0, apply(4, "one", 0));
     ASSERT_EQ(0, apply(5, "theirs", 1));
@@ -285,7 +309,7 @@
 
 // A writer reads the version, is paused, and wakes after another wrote.  It
 // still believes that it may write; its revision is old and is refused.
-TEST_F(Plat, PausedWriterIsFenced)
+TEST_P(Plat, PausedWriterIsFenced)
 {
     Bundle seen;
     uint64_t revision;
@@ -301,7 +325,7 @@
 
 // A read that lags shows version 1 while 2 is in force.  The write based on
 // it is refused, the next read shows why.
-TEST_F(Plat, StaleReadDoesNotRevert)
+TEST_P(Plat, StaleReadDoesNotRevert)
 {
     ASSERT_EQ(0, apply(4, "one", 0));
     ASSERT_EQ(0, apply(5, "two", 1));
@@ -312,7 +336,7 @@
     EXPECT_EQ(3u, version());
 }
 
-TEST_F(Plat, OutageWritesNothing)
+TEST_P(Plat, OutageWritesNothing)
 {
     ASSERT_EQ(0, apply(4, "one", 0));
     set("outage=1");
@@ -346,7 +370,7 @@
     si_rest_close(rest);
 }
 
-TEST_F(Plat, StepThatSwapsAnUpstreamIsRefused)
+TEST_P(Plat, StepThatSwapsAnUpstreamIsRefused)
 {
     ASSERT_EQ(0, apply(4, "one", 0));
     std::string base = base_text(4);
@@ -366,7 +390,7 @@
 
 // Many writers at once, answers lost in between: each version number is made
 // by one change, and a change that was told "applied" is there.
-TEST_F(Plat, RacingWritersLoseNothing)
+TEST_P(Plat, RacingWritersLoseNothing)
 {
     const int writers = 4, rounds = 5;
     std::vector<std::thread> threads;
@@ -409,7 +433,7 @@
 // lag, and each runs the command again when it failed.  Whatever the order:
 // "done" is there once, "lost the race" is not there, versions only grow, and
 // none is skipped.
-TEST_F(Plat, AnyOrderOfFaultsAppliesOnce)
+TEST_P(Plat, AnyOrderOfFaultsAppliesOnce)
 {
     int next_id = 0;
     ASSERT_EQ(0, apply(4, "start", 0));
@@ -438,3 +462,149 @@
         RC_CLASSIFY(rc == 0, "applied");
     }));
 }
+
+// ---- Parts ----
+
+class Parts : public Plat {
+  protected:
+    // A writer that stops after any step.
+    struct Writer {
+        plat_t *p = nullptr;
+        Bundle now, next;
+        layout_t cur = {}, after = {};
+        uint64_t revision = 0;
+        int state = 0; // 0: idle, 1: has read, 2: has written parts
+        ~Writer()
+        {
+            plat_free(p);
+        }
+    };
+    void
+    read(Writer &w)
+    {
+        char *head;
+        bundle_free(&w.now.b);
+        ASSERT_EQ(
+            0, plat_get(w.p, PLAT_CONFIG_KEY, 0, 0, &head, &w.revision, NULL));
+        ASSERT_EQ(0, store_read(w.p, head, &w.now.b, &w.cur, NULL));
+        free(head);
+        w.state = 1;
+    }
+    int
+    parts(Writer &w, int queue, const char *id)
+    {
+        Bundle fresh(queue, id);
+        std::swap(w.next.b, fresh.b);
+        w.next.b.version = w.now.b.version + 1;
+        w.state = 2;
+        return store_parts(w.p, &w.next.b, &w.cur, &w.after, NULL);
+    }
+    int
+    head(Writer &w)
+    {
+        char *json = store_head(&w.next.b, &w.after);
+        uint64_t r;
+        int rc = plat_put(w.p, PLAT_CONFIG_KEY, json, w.revision, &r, NULL);
+        free(json);
+        w.state = 0;
+        return rc;
+    }
+    // The version in force, with all its parts, for one who has none yet.
+    std::string
+    in_force()
+    {
+        plat_t *fresh = plat_new(url.c_str());
+        Bundle now;
+        uint64_t r;
+        EXPECT_EQ(0, plat_config(fresh, &now.b, &r, NULL));
+        plat_free(fresh);
+        return now.b.n > 0 ? now.b.change_id : "";
+    }
+};
+
+INSTANTIATE_TEST_SUITE_P(Texts, Parts, testing::Values(600000));
+
+TEST_P(Parts, OnlyWhatChangedIsWrittenAndRead)
+{
+    plat_t *reader = plat_new(url.c_str());
+    Bundle first, second;
+    uint64_t r;
+    ASSERT_EQ(0, apply(4, "one", 0));
+    ASSERT_EQ(0, plat_config(reader, &first.b, &r, NULL));
+    EXPECT_EQ(5u, plat_calls(reader)); // the head and four parts
+    uint64_t before = plat_calls(p);
+    ASSERT_EQ(0, apply(5, "two", 1));
+    // the head, one part, the history's read and write, the head
+    EXPECT_EQ(before + 5, plat_calls(p));
+    ASSERT_EQ(0, plat_config(reader, &second.b, &r, NULL));
+    EXPECT_EQ(7u, plat_calls(reader)); // the head and one part
+    EXPECT_STREQ("two", second.b.change_id);
+    plat_free(reader);
+}
+
+// Operators' tools die between parts and head, more often than there are
+// slots.  What they leave takes no room for good.
+TEST_P(Parts, DeadWritersDontFillTheRing)
+{
+    ASSERT_EQ(0, apply(4, "start", 0));
+    for (int i = 0; i < SLOTS + 5; i++) {
+        Writer w;
+        w.p = plat_new(url.c_str());
+        read(w);
+        parts(w, 100 + i, std::to_string(i).c_str());
+    }
+    EXPECT_EQ(0, apply(5, "after", 1));
+    EXPECT_EQ("after", in_force());
+    EXPECT_EQ(0, apply(6, "again", 2));
+    EXPECT_EQ("again", in_force());
+}
+
+// A tool that died is run again with its change ID: it finds its own parts.
+TEST_P(Parts, SecondTryUsesThePartsOfTheFirst)
+{
+    ASSERT_EQ(0, apply(4, "one", 0));
+    Writer first, second;
+    first.p = plat_new(url.c_str());
+    second.p = plat_new(url.c_str());
+    read(first);
+    ASSERT_EQ(0, parts(first, 5, "two"));
+    read(second);
+    ASSERT_EQ(0, parts(second, 5, "two"));
+    EXPECT_EQ(0, memcmp(first.after.part, second.after.part,
+                        sizeof(first.after.part)));
+    ASSERT_EQ(0, head(second));
+    EXPECT_EQ("two", in_force());
+}
+
+// Writers read, write parts and write heads in any order, stop anywhere, and
+// wake after others wrote.  An accepted head names parts that were given to
+// another in between: no instance could read the version in force.  The slot's
+// compare-and-swap and the head's together rule it out.
+TEST_P(Parts, AcceptedVersionIsWholeInAnyOrderOfWriters)
+{
+    int id = 0;
+    ASSERT_EQ(0, apply(4, "start", 0));
+    EXPECT_TRUE(rc::check("is whole", [&] {
+        Writer w[3];
+        for (Writer &x : w) {
+            x.p = plat_new(url.c_str());
+        }
+        std::string expected = in_force();
+        for (int n = *rc::gen::inRange(3, 15); n > 0; n--) {
+            Writer &x = w[*rc::gen::inRange(0, 3)];
+            if (x.state == 0 || *rc::gen::inRange(0, 4) == 0) {
+                read(x);
+                continue;
+            }
+            if (x.state == 1) {
+                int queue = 10 + *rc::gen::inRange(0, 3);
+                std::string name = std::to_string(id++ % 3);
+                x.state = parts(x, queue, name.c_str()) == 0 ? 2 : 0;
+                continue;
+            }
+            std::string mine = x.next.b.change_id;
+            expected = head(x) == 0 ? mine : expected;
+            RC_ASSERT(in_force() == expected);
+        }
+    }));
+}
