--- a/member/member.h
+++ b/member/member.h
@@ -132,7 +132,8 @@
 
 void members_stats(const members_t *m, member_stats_t *out);
 /* True when self has heard all members that are ACTIVE or JOINING say that
- * they know self's state; a JOINING self may then become ACTIVE. */
+ * they know self's state; a JOINING self may then become ACTIVE.  It also
+ * has to know as many live members as the last peer that it heard. */
 bool members_acked(const members_t *m);
 /* The latest time at which any member was SUSPECT or came back from it, or
  * a member vanished without leaving; INT64_MIN when never.  While this is
@@ -141,7 +142,7 @@
 /* The lowest version known in force among members not GONE.  A JOINING member
  * without any version decides nothing and doesn't count; one that was never
  * heard counts as 0. */
-uint64_t members_lowest_version(const members_t *m);
+uint64_t members_lowest_version(members_t *m);
 /* Is self one of the WATCHERS instances of its data centre (lowest rank by
  * hash among ACTIVE) that watch the platform for the others?  A self that is
  * JOINING is, while fewer than WATCHERS are ACTIVE. */
--- a/test/member_test.cc
+++ b/test/member_test.cc
@@ -232,6 +232,21 @@
         return s;
     }
 
+    // The lowest version as member.h defines it, from the list.
+    uint64_t
+    lowest(int i)
+    {
+        const member_t *r;
+        size_t n = members_list(node[i]->m, &r);
+        uint64_t v = UINT64_MAX;
+        for (; n > 0; n--, r++) {
+            bool empty = r->state == MEMBER_JOINING && r->version == 0 &&
+                         r->incarnation != 0;
+            v = r->state == MEMBER_GONE || empty ? v : std::min(v, r->version);
+        }
+        return v == UINT64_MAX ? 0 : v;
+    }
+
     // How many live instances see OF in STATE.
     int
     seen(int of, member_state_t s)
@@ -296,6 +311,26 @@
     }
 }
 
+// An instance joins with the address of one peer, which confirms at once that
+// it knows the newcomer.  If it served now, it would hold itself and that peer
+// for the only homes, and take flows that have theirs.  It has to know all
+// members, and all of them it, before it is ACTIVE.
+TEST(Member, NewcomerKnowsAllBeforeItServes)
+{
+    for (uint64_t seed = 20; seed < 40; seed++) {
+        auto net = fleet(9, seed);
+        net->add({0});
+        while (net->state(9, 9) == MEMBER_JOINING && net->now < 60000) {
+            net->run(TICK);
+        }
+        EXPECT_EQ(MEMBER_ACTIVE, net->state(9, 9));
+        for (int i = 0; i < 9; i++) {
+            EXPECT_EQ(MEMBER_ACTIVE, net->state(9, i)) << seed;
+            EXPECT_NE(MEMBER_GONE, net->state(i, 9)) << seed;
+        }
+    }
+}
+
 // An instance is killed.  Whoever pings it next gets no answer, asks two
 // others, and suspects it; gossip tells all within seconds.  It stays a doubt
 // until two readings of the platform's list, gone_ms apart, are without it.
@@ -586,6 +621,9 @@
         for (auto &n : net.node) {
             const member_t *list = nullptr;
             size_t k = n->up ? members_list(n->m, &list) : 0;
+            if (n->up) {
+                RC_ASSERT(members_lowest_version(n->m) == net.lowest(n->i));
+            }
             for (size_t j = 0; j < k; j++) {
                 uint64_t &last =
                     known[{n->i, n->life, list[j].id, list[j].incarnation}];
