--- a/member/member.h
+++ b/member/member.h
@@ -25,7 +25,6 @@
 /* The table grows to this; more are refused, so that a faulty peer can't fill
  * the memory. */
 #define MEMBERS_LIMIT 65536
-#define MEMBERS_MAX 1024 /* for callers' fixed arrays */
 #define MEMBER_BODY_MAX 1000
 
 typedef enum {
--- a/member/view.c
+++ b/member/view.c
@@ -3,6 +3,8 @@
  */
 #include "member/internal.h"
 
+#include <string.h>
+
 #define FULL_MS 10000 /* a newcomer's changes go out with its addresses */
 #define BACKLOG 60    /* more changes than this wait: messages are filled */
 
@@ -152,10 +154,8 @@
 static void
 copy_place(member_t *to, const member_t *from)
 {
-    for (int i = 0; i < NAME_LEN; i++) {
-        to->name[i] = from->name[i];
-        to->data_centre[i] = from->data_centre[i];
-    }
+    memcpy(to->name, from->name, sizeof(to->name));
+    memcpy(to->data_centre, from->data_centre, sizeof(to->data_centre));
     to->peer_addr = from->peer_addr;
     to->bulk_addr = from->bulk_addr;
 }
--- a/test/member_test.cc
+++ b/test/member_test.cc
@@ -548,6 +548,19 @@
     EXPECT_GT(net->longest, (size_t)MEMBER_BODY_MAX / 2);
 }
 
+static void
+leave(Net &net, Node &n)
+{
+    if (!n.up || n.paused) {
+        return;
+    }
+    members_set_self(n.m, net.now, MEMBER_LEAVING);
+    net.run(500);
+    members_set_self(n.m, net.now, MEMBER_GONE);
+    net.run(400);
+    net.kill(n.i);
+}
+
 // Any schedule of faults, then quiet: all that live agree, none of them stays
 // suspected, no version went back, and the newest is everywhere.
 static void
@@ -557,7 +570,7 @@
     int i = (int)rng_below(&net.rng, (uint32_t)n);
     Node &it = *net.node[i];
 
-    switch (rng_below(&net.rng, 8)) {
+    switch (rng_below(&net.rng, 9)) {
     case 0:
         it.up ? net.kill(i) : net.start(i, {(i + 1) % n, (i + 2) % n});
         break;
@@ -585,6 +598,9 @@
     case 7:
         net.clock += 1;
         break;
+    case 8:
+        leave(net, it);
+        break;
     }
 }
 
