siskind: a datagram that is only sent on isn't copied

The posting waits until core is done with the datagram, since receive could fill the buffer again meanwhile.

--- a/kern/kern.h
+++ b/kern/kern.h
@@ -82,7 +82,7 @@
 
 /* ---- Buffers ---- */
 
-/* Slots of one size.  One thread takes them and one other gives them back. */
+/* Slots of one size.  One thread takes them; any gives them back. */
 typedef struct pool pool_t;
 
 pool_t *pool_new(unsigned n, size_t size);
--- a/kern/pool.c
+++ b/kern/pool.c
@@ -1,4 +1,4 @@
-/* Fixed-size buffers that pass between two threads. */
+/* Fixed-size buffers that pass between threads. */
 #include "kern/kern.h"
 
 #include <ck_ring.h>
@@ -57,7 +57,7 @@
 {
     void *slot;
 
-    while (ck_ring_dequeue_spsc(&p->ring, p->slots, &slot)) {
+    while (ck_ring_dequeue_mpsc(&p->ring, p->slots, &slot)) {
         p->stack[p->n++] = slot;
     }
     return p->n > 0 ? p->stack[--p->n] : NULL;
@@ -66,5 +66,5 @@
 void
 pool_put(pool_t *p, void *slot)
 {
-    ck_ring_enqueue_spsc(&p->ring, p->slots, slot);
+    ck_ring_enqueue_mpsc(&p->ring, p->slots, slot);
 }
--- a/siskind/decide.c
+++ b/siskind/decide.c
@@ -24,7 +24,7 @@
 {
     peer_msg_t m;
 
-    if (peer_read(&m, p->data, p->len, c->d->peer_key) < 0 ||
+    if (peer_read(&m, p->data + p->start, p->len, c->d->peer_key) < 0 ||
         m.from == c->d->self) {
         counter_add(&c->d->count.peer_refused, 1);
         return;
@@ -39,21 +39,22 @@
     }
 }
 
+/* The addresses are copied, since a datagram that is sent on has its own
+ * overwritten while core still reads them. */
 static void
-on_packet(decide_t *c, packet_t *p)
+decide_packet(decide_t *c, const packet_t *p)
 {
-    if (c->now - p->at > STALE_MS) {
-        counter_add(&c->d->count.stale_in, 1);
-        return;
-    }
+    addr_t service = p->service;
+    addr_t remote = p->remote;
+    const uint8_t *data = p->data + p->start;
+
     switch (p->sock) {
     case SOCK_SERVICE:
-        core_from_client(c->core, c->now, &p->service, &p->remote, p->data,
-                         p->len);
+        core_from_client(c->core, c->now, &service, &remote, data, p->len);
         return;
     case SOCK_RETURN:
     case SOCK_OWN:
-        core_from_upstream(c->core, c->now, &p->remote, p->data, p->len);
+        core_from_upstream(c->core, c->now, &remote, data, p->len);
         return;
     case SOCK_PEER:
         on_peer(c, p);
@@ -61,6 +62,26 @@
     }
 }
 
+static void
+on_packet(decide_t *c, packet_t *p)
+{
+    if (c->now - p->at > STALE_MS) {
+        counter_add(&c->d->count.stale_in, 1);
+        msg_drop(p);
+        return;
+    }
+    c->in = p;
+    c->forward = false;
+    decide_packet(c, p);
+    c->in = NULL;
+    if (c->forward) {
+        output_forward(c, p);
+    }
+    else {
+        msg_drop(p);
+    }
+}
+
 static void
 post_ports(decide_t *c, duty_t *to)
 {
@@ -241,8 +262,8 @@
         }
         else {
             on_note(c, msg[i]);
+            msg_drop(msg[i]);
         }
-        msg_drop(msg[i]);
         if (c->members_changed) {
             tell_core(c);
         }
--- a/siskind/decide.h
+++ b/siskind/decide.h
@@ -18,6 +18,11 @@
     ms_t now;
     ms_t tick_at;
     packet_t *spare; /* an empty packet that could not be posted */
+    /* The datagram in hand, and whether it is to be sent on itself.  It is
+     * posted only when core is done with it: send may give it back at once,
+     * and receive would overwrite what core still reads. */
+    packet_t *in;
+    bool forward;
     bool members_changed;
     bool alone;      /* the platform's list shows this instance and no other */
     ms_t doubt_at;   /* as last told to core */
@@ -36,6 +41,7 @@
 int life_return(decide_t *c);
 
 /* output.c: what core and members want sent. */
+void output_forward(decide_t *c, packet_t *p);
 void output_core(void *decide, const core_out_t *out);
 void output_member(void *decide, const member_out_t *out);
 
--- a/siskind/output.c
+++ b/siskind/output.c
@@ -4,6 +4,14 @@
 #include <errno.h>
 #include <string.h>
 
+static void
+address(packet_t *p, ms_t now, sock_t sock, const addr_t *remote)
+{
+    p->sock = sock;
+    p->at = now;
+    p->remote = *remote;
+}
+
 static packet_t *
 packet_new(decide_t *c, sock_t sock, const addr_t *remote)
 {
@@ -19,13 +27,12 @@
     }
     p->kind = MSG_PACKET;
     p->pool = c->d->out;
-    p->sock = sock;
-    p->at = c->now;
-    p->remote = *remote;
+    p->start = SPP_LEN;
+    address(p, c->now, sock, remote);
     return p;
 }
 
-/* A packet that is not posted is kept: only send gives packets back. */
+/* A packet that is not posted is kept for the next. */
 static void
 packet_post(decide_t *c, packet_t *p, int len)
 {
@@ -40,39 +47,82 @@
     }
 }
 
+/* The datagram in hand itself, when DATA lies in it and it isn't taken yet:
+ * most datagrams are sent on without a copy.  Its start is set to DATA's. */
+static packet_t *
+take_in_hand(decide_t *c, const uint8_t *data, size_t len)
+{
+    packet_t *p = c->in;
+
+    if (p == NULL || c->forward || data < p->data + SPP_LEN ||
+        data + len > p->data + sizeof(p->data)) {
+        return NULL;
+    }
+    c->forward = true;
+    p->start = (uint16_t)(data - p->data);
+    p->len = (uint16_t)len;
+    return p;
+}
+
+void
+output_forward(decide_t *c, packet_t *p)
+{
+    if (duty_put(c->send, p) < 0) {
+        counter_add(&c->d->count.send_full, 1);
+        msg_drop(p);
+    }
+}
+
 static void
 to_client(decide_t *c, const core_out_t *out)
 {
-    packet_t *p;
+    const addr_t *to = &out->client.client;
+    packet_t *p = take_in_hand(c, out->client.data, out->client.len);
 
-    if (out->client.len > sizeof(p->data)) {
+    if (p != NULL) {
+        address(p, c->now, SOCK_SERVICE, to);
+        p->service = out->client.service;
         return;
     }
-    p = packet_new(c, SOCK_SERVICE, &out->client.client);
+    p = out->client.len <= PACKET_MAX ? packet_new(c, SOCK_SERVICE, to) : NULL;
     if (p == NULL) {
         return;
     }
     p->service = out->client.service;
-    memcpy(p->data, out->client.data, out->client.len);
+    memcpy(p->data + p->start, out->client.data, out->client.len);
     packet_post(c, p, (int)out->client.len);
 }
 
+/* Puts the proxy header into the room before the datagram. */
+static void
+put_header(packet_t *p, const spp_t *h)
+{
+    p->start -= SPP_LEN;
+    p->len += SPP_LEN;
+    spp_write(p->data + p->start, h);
+}
+
 static void
 to_upstream(decide_t *c, const core_out_t *out)
 {
     sock_t sock = out->upstream.own ? SOCK_OWN : SOCK_RETURN;
-    packet_t *p;
+    const addr_t *to = &out->upstream.upstream;
+    size_t len = out->upstream.len;
+    packet_t *p = take_in_hand(c, out->upstream.data, len);
 
-    if (SPP_LEN + out->upstream.len > sizeof(p->data)) {
+    if (p != NULL) {
+        address(p, c->now, sock, to);
+        put_header(p, &out->upstream.header);
         return;
     }
-    p = packet_new(c, sock, &out->upstream.upstream);
+    p = len <= PACKET_MAX ? packet_new(c, sock, to) : NULL;
     if (p == NULL) {
         return;
     }
-    spp_write(p->data, &out->upstream.header);
-    memcpy(p->data + SPP_LEN, out->upstream.data, out->upstream.len);
-    packet_post(c, p, (int)(SPP_LEN + out->upstream.len));
+    memcpy(p->data + p->start, out->upstream.data, len);
+    p->len = (uint16_t)len;
+    put_header(p, &out->upstream.header);
+    packet_post(c, p, p->len);
 }
 
 static void
@@ -84,7 +134,7 @@
     if (p == NULL) {
         return;
     }
-    len = peer_write(p->data, sizeof(p->data), m, c->d->peer_key);
+    len = peer_write(p->data + p->start, PACKET_MAX, m, c->d->peer_key);
     if (len > 0 && m->kind != PEER_STEER) {
         counter_add(&c->d->count.control_bytes, (uint64_t)len);
     }
--- a/siskind/receive.c
+++ b/siskind/receive.c
@@ -75,8 +75,8 @@
 static void
 prepare(receive_t *r, int i)
 {
-    r->iov[i] = (struct iovec){.iov_base = r->hand[i]->data,
-                               .iov_len = sizeof(r->hand[i]->data)};
+    r->iov[i] = (struct iovec){.iov_base = r->hand[i]->data + SPP_LEN,
+                               .iov_len = PACKET_MAX};
     r->msgs[i].msg_hdr =
         (struct msghdr){.msg_name = &r->remote[i],
                         .msg_namelen = sizeof(r->remote[i]),
@@ -124,6 +124,7 @@
     p->pool = r->d->in;
     p->sock = s->sock;
     p->at = arrival(&r->msgs[i].msg_hdr, now, real_now);
+    p->start = SPP_LEN;
     p->len = (uint16_t)r->msgs[i].msg_len;
     if (s->port != NULL) {
         p->service = s->port->service;
--- a/siskind/send.c
+++ b/siskind/send.c
@@ -70,7 +70,8 @@
             continue;
         }
         s->fd[i] = -1;
-        s->iov[n] = (struct iovec){.iov_base = p->data, .iov_len = p->len};
+        s->iov[n] =
+            (struct iovec){.iov_base = p->data + p->start, .iov_len = p->len};
         s->msgs[n].msg_hdr = (struct msghdr){
             .msg_name = &s->remote[n],
             .msg_namelen = addr_to_sock(&p->remote, &s->remote[n]),
--- a/siskind/siskind.h
+++ b/siskind/siskind.h
@@ -84,8 +84,9 @@
     addr_t service; /* for SOCK_SERVICE */
     addr_t remote;
     pool_t *pool;
+    uint16_t start; /* of the datagram in DATA */
     uint16_t len;
-    uint8_t data[PACKET_MAX];
+    uint8_t data[SPP_LEN + PACKET_MAX]; /* room before for a proxy header */
 } packet_t;
 
 /* A snapshot that the admin duty asks for. */
