--- a/bench/datapath.sh
+++ b/bench/datapath.sh
@@ -10,7 +10,7 @@
 seconds=4
 net=127.32.$(($$ % 250))
 dir=$(mktemp -d)
-port=$((33000 + $$ % 9000))
+port=$((12000 + $$ % 7000))
 url=http://127.0.0.1:$port
 declare -A process
 
--- a/kern/duty.c
+++ b/kern/duty.c
@@ -3,22 +3,31 @@
 
 #include <ck_ring.h>
 #include <errno.h>
+#include <linux/futex.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/eventfd.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
+/* How a duty sleeps, and so how it is woken. */
+typedef enum {
+    AWAKE,
+    ASLEEP_POLL, /* in poll() or the like, by wake_fd */
+    ASLEEP_FUTEX /* on its inbox alone: one system call in place of three */
+} sleep_t;
+
 struct duty {
     kern_t *kern;
     duty_spec_t spec;
     char name[DUTY_NAME_LEN];
     pthread_t thread;
     bool started;
-    bool stopping; /* atomic */
-    bool asleep;   /* atomic */
-    bool woken;    /* wake_fd was or will be written: read it */
-    uint64_t full; /* atomic; any sender adds */
+    bool stopping;   /* atomic */
+    uint32_t asleep; /* atomic, sleep_t; also a futex */
+    bool woken;      /* wake_fd was or will be written: read it */
+    uint64_t full;   /* atomic; any sender adds */
     int wake_fd;
     ck_ring_t ring;
     ck_ring_buffer_t *slots;
@@ -140,9 +149,19 @@
     return 0;
 }
 
+static void
+futex_wait(uint32_t *word, uint32_t value, ms_t wait_ms)
+{
+    struct timespec ts = {.tv_sec = wait_ms / 1000,
+                          .tv_nsec = wait_ms % 1000 * 1000000};
+
+    syscall(SYS_futex, word, FUTEX_WAIT_PRIVATE, value,
+            wait_ms < 0 ? NULL : &ts, NULL, 0);
+}
+
 /* A sender that sees "awake" just before the owner falls asleep would leave
  * its message lying until the next event.  The fence here and the one in
- * duty_sleep() order "put, then look" against "say asleep, then look", so at
+ * fall_asleep() order "put, then look" against "say asleep, then look", so at
  * least one side sees the other. */
 void
 duty_wake(duty_t *d)
@@ -150,12 +169,21 @@
     uint64_t one = 1;
 
     __atomic_thread_fence(__ATOMIC_SEQ_CST);
-    if (!__atomic_load_n(&d->asleep, __ATOMIC_RELAXED) ||
-        !__atomic_exchange_n(&d->asleep, false, __ATOMIC_SEQ_CST)) {
+    if (__atomic_load_n(&d->asleep, __ATOMIC_RELAXED) == AWAKE) {
         return;
     }
-    if (write(d->wake_fd, &one, sizeof(one)) < 0) {
-        return; /* the counter is full: it is awake already */
+    switch (
+        (sleep_t)__atomic_exchange_n(&d->asleep, AWAKE, __ATOMIC_SEQ_CST)) {
+    case AWAKE:
+        return; /* another sender woke it */
+    case ASLEEP_FUTEX:
+        syscall(SYS_futex, &d->asleep, FUTEX_WAKE_PRIVATE, 1, NULL, NULL, 0);
+        return;
+    case ASLEEP_POLL:
+        if (write(d->wake_fd, &one, sizeof(one)) < 0) {
+            return; /* the counter is full: it is awake already */
+        }
+        return;
     }
 }
 
@@ -185,20 +213,27 @@
     return i;
 }
 
-bool
-duty_sleep(duty_t *d)
+/* True when there is nothing to do. */
+static bool
+fall_asleep(duty_t *d, sleep_t how)
 {
-    __atomic_store_n(&d->asleep, true, __ATOMIC_SEQ_CST);
+    __atomic_store_n(&d->asleep, how, __ATOMIC_SEQ_CST);
     __atomic_thread_fence(__ATOMIC_SEQ_CST);
     return duty_depth(d) == 0 && !duty_stopping(d);
 }
 
+bool
+duty_sleep(duty_t *d)
+{
+    return fall_asleep(d, ASLEEP_POLL);
+}
+
 void
 duty_awake(duty_t *d)
 {
     uint64_t n;
 
-    if (!__atomic_exchange_n(&d->asleep, false, __ATOMIC_SEQ_CST)) {
+    if (__atomic_exchange_n(&d->asleep, AWAKE, __ATOMIC_SEQ_CST) == AWAKE) {
         d->woken = true;
     }
     /* The waker may not have written yet: then the descriptor becomes readable
@@ -211,19 +246,15 @@
 void
 duty_wait(duty_t *d, struct pollfd *fds, size_t n, ms_t wait_ms)
 {
-    struct pollfd own;
-
     if (fds == NULL) {
-        fds = &own;
-        n = 1;
+        if (fall_asleep(d, ASLEEP_FUTEX)) {
+            futex_wait(&d->asleep, ASLEEP_FUTEX, wait_ms);
+        }
+        __atomic_store_n(&d->asleep, AWAKE, __ATOMIC_SEQ_CST);
+        return;
     }
     fds[0] = (struct pollfd){.fd = d->wake_fd, .events = POLLIN};
-    if (duty_sleep(d)) {
-        poll(fds, n, (int)wait_ms);
-    }
-    else {
-        poll(fds, n, 0);
-    }
+    poll(fds, n, duty_sleep(d) ? (int)wait_ms : 0);
     duty_awake(d);
 }
 
--- a/kern/kern.h
+++ b/kern/kern.h
@@ -64,8 +64,9 @@
 int duty_post(duty_t *d, void *msg);
 /* Takes up to N messages, without waiting.  Only D itself calls this. */
 size_t duty_take(duty_t *d, void **out, size_t n);
-/* Sleeps until a message, a stop or an event on FDS, at most WAIT_MS.
- * FDS[0] is filled in here; callers use FDS[1] to FDS[N-1]. */
+/* Sleeps until a message, a stop or an event on FDS, at most WAIT_MS
+ * (negative: for ever).  FDS may be NULL; else FDS[0] is filled in here, and
+ * callers use FDS[1] to FDS[N-1]. */
 void duty_wait(duty_t *d, struct pollfd *fds, size_t n, ms_t wait_ms);
 
 /* The same in parts, for a duty that sleeps in another call, such as
--- a/test/kern_test.cc
+++ b/test/kern_test.cc
@@ -69,6 +69,7 @@
 struct echo_t {
     const char *to;
     uint64_t left; // messages that it still awaits
+    bool poll;     // it sleeps in poll(), not on its inbox alone
 };
 
 // Takes a token, passes it to the other; each sleeps in between, so that one
@@ -79,6 +80,7 @@
     echo_t *e = static_cast<echo_t *>(arg);
     duty_t *to = kern_find(duty_kern(self), e->to);
     void *msg;
+    struct pollfd fd;
 
     while (e->left > 0 && !duty_stopping(self)) {
         if (duty_take(self, &msg, 1) == 1) {
@@ -86,14 +88,15 @@
             EXPECT_EQ(0, duty_post(to, msg));
             continue;
         }
-        duty_wait(self, nullptr, 0, -1);
+        duty_wait(self, e->poll ? &fd : nullptr, 1, -1);
     }
 }
 
 TEST(Kern, NoWakeUpIsLost)
 {
     kern_t *k = kern_new();
-    echo_t a = {"b", 50000}, b = {"main", 50000}, c = {"a", 50000};
+    echo_t a = {"b", 50000, true}, b = {"main", 50000, false};
+    echo_t c = {"a", 50000, true};
     duty_spec_t s[] = {spec("a", echo_run, &a, 4, true),
                        spec("b", echo_run, &b, 4, true),
                        spec("main", nullptr, nullptr, 4, true)};
