--- a/member/internal.h
+++ b/member/internal.h
@@ -36,6 +36,7 @@
     uint64_t target; /* of MSG_PING_FOR and MSG_ACK_FOR */
     member_t sender; /* id is not sent: the envelope names the sender */
     uint64_t hash;   /* of the sender's version in force */
+    uint32_t live;   /* members that the sender holds to be live */
     member_t echo;   /* the receiver (ID and life), as the sender knows it */
 } msg_head_t;
 
@@ -59,7 +60,8 @@
     uint64_t id;
     uint32_t index; /* of its record in members_t.list */
     uint32_t acked_incarnation, acked_revision; /* of self, as it knows it */
-    uint8_t sent; /* times that its last change was passed on */
+    uint32_t live; /* members that it holds to be live */
+    uint8_t sent;  /* times that its last change was passed on */
     ms_t heard_at;
     ms_t born_at;     /* its incarnation was first heard of */
     ms_t off_list_at; /* first seen missing from the platform's list */
@@ -99,6 +101,7 @@
     uint64_t self_id;
     peer_t *self;
     uint64_t self_hash;
+    uint32_t told_live; /* live members by the last message */
 
     link_t gossip[GOSSIP_MAX]; /* by times sent */
     size_t gossip_n;
@@ -117,6 +120,8 @@
     ms_t spread_until; /* self's state is news until then */
     uint64_t pings;
     ms_t doubt_at;
+    uint64_t lowest; /* see members_lowest_version() */
+    bool lowest_stale;
     uint64_t fetch_version;
     ms_t fetch_at;
     member_stats_t stats;
@@ -148,12 +153,23 @@
     return r->state != MEMBER_SUSPECT && r->state != MEMBER_GONE;
 }
 
+static inline uint32_t
+live_count(const members_t *m)
+{
+    const uint32_t *count = m->stats.count;
+
+    return count[MEMBER_JOINING] + count[MEMBER_ACTIVE] +
+           count[MEMBER_LEAVING];
+}
+
 /* ---- What is known of each, and its spread ---- */
 
 /* Takes in what a message says of a member.  Returns the member's entry, or
  * NULL when it isn't known. */
 peer_t *view_apply(members_t *m, ms_t now, const record_t *rec);
 void view_set_state(members_t *m, ms_t now, peer_t *p, member_state_t state);
+/* The member has VERSION in force, or a newer one. */
+void view_set_version(members_t *m, member_t *r, uint64_t version);
 /* Self's own state has a new revision: it is news again. */
 void view_self_changed(members_t *m, ms_t now);
 /* Adds a member that is not yet known. */
