--- a/test/siskind_life.sh
+++ b/test/siskind_life.sh
@@ -58,6 +58,12 @@
     until_true "peer" metric_is 1 peer_refused_total -eq 1
     datagram $net.1:6000 "not an upstream"
     datagram $net.1:6001 "not an upstream either"
+    for _ in $(seq 100); do
+        for to in 7001 6000 6001 6002; do
+            head -c $((RANDOM % 1400 + 1)) /dev/urandom >/dev/udp/$net.1/$to
+        done
+    done
+    head -c 1000 /dev/urandom >/dev/tcp/$net.1/6003
     until_true "still active" state_is 1 active
 
     echo "## Drained and back"
