--- a/Makefile
+++ b/Makefile
@@ -66,6 +66,10 @@
 $(B)/%_test: $(O)/test/%_test.cc.o $(TESTOBJ) $(SIOBJ) $(LIB)
 	$(CXX) $(SAN) $^ -o $@ -lgtest_main -lgtest -lrapidcheck $(LDLIBS)
 
+# The fleet of test/ drives the decision code under virtual time.
+$(B)/balance: $(O)/bench/balance.cc.o $(TESTOBJ) $(LIB)
+	$(CXX) $(SAN) $^ -o $@ $(LDLIBS)
+
 $(B)/%: $(O)/bench/%.c.o $(SIOBJ) $(LIB)
 	$(CXX) $(SAN) $^ -o $@ $(LDLIBS)
 
@@ -98,6 +102,11 @@
 	$(MAKE) -j8 B=build-san OPT="-O1 -g" \
 	    SAN="-fsanitize=address,undefined -fno-omit-frame-pointer" test
 
+bench: $(B)/balance
+	mkdir -p docs/bench
+	$(B)/balance >docs/bench/balance.txt
+	cat docs/bench/balance.txt
+
 # More schedules of faults than CI has time for: make soak N=20000 SEED=7
 N    ?= 5000
 SEED ?= $(shell date +%s)
@@ -112,6 +121,6 @@
 	rm -rf build build-san
 
 .PHONY: all tests benches format format-check lint setup test check sanitize \
-        soak demo clean
+        soak bench demo clean
 .SECONDARY:
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- a/test/fleet.cc
+++ b/test/fleet.cc
@@ -166,8 +166,8 @@
         strcpy(c.name, names[s]);
         c.addr = fleet_service_addr(s);
         c.proto = s == SERVICE_RAW ? PROTO_UDP : PROTO_COAP;
-        c.prefer = PREFER_STABILITY;
-        c.urgent_slots = s == SERVICE_ARCHIVE ? 0 : 1;
+        c.prefer = opt.prefer;
+        c.urgent_slots = (uint16_t)opt.urgent_slots[s];
         c.queue = (uint16_t)opt.queue;
         c.retry_percent = 10;
         c.caller_share = 64;
@@ -200,8 +200,8 @@
 }
 
 /* An instance that starts has the versions of the last DOUBT_MS from a peer,
- * with the times at which they came into force there; at the first start of
- * all, and when no peer can be reached, the platform's version alone. */
+ * with the times at which they came into force there; when no peer can be
+ * reached, the platform's last two, as if in force just now. */
 void
 fleet_t::give_history(int i)
 {
@@ -209,14 +209,33 @@
         if (j == i || !reachable(i, j) || inst[j].in_force.empty()) {
             continue;
         }
+        if (core_history_is_complete(inst[j].core)) {
+            core_history_complete(inst[i].core);
+        }
         for (auto &[version, when] : inst[j].in_force) {
             take_conf(i, version, when);
         }
         return;
     }
+    if (founding) {
+        core_history_complete(inst[i].core);
+    }
     give_conf(i, versions.size());
 }
 
+std::vector<int>
+fleet_t::table(int service)
+{
+    std::vector<int> list;
+
+    for (auto &[u, entry] : model) {
+        if (model_service[u] == service && !entry.draining) {
+            list.push_back(u);
+        }
+    }
+    return list;
+}
+
 /* A version reaches instance I, at once or when it can be reached; now and
  * then a stale read brings an old one afterwards. */
 void
@@ -235,6 +254,9 @@
         after(100, [=] { give_conf(i, version); });
         return;
     }
+    if (n.version == 0 && version > 1) {
+        take_conf(i, version - 1, now); /* the platform keeps it */
+    }
     take_conf(i, version, now);
     if (chance(0.2) && version > 1) {
         core_set_conf(n.core, now, &versions[version - 2]->conf);
@@ -311,7 +333,7 @@
     model.erase(u);
     push_conf();
     after(rng_below(&rng, 500),
-          [=] { restart_upstream(u, TRUST_MS + 100, service); });
+          [=] { restart_upstream(u, TRUST_MS, service); });
     after(1000 + rng_below(&rng, 2000), [=] {
         model[u] = entry;
         model[u].draining = false;
@@ -392,6 +414,7 @@
         start_instance(i);
         give_members(i);
     }
+    founding = false;
     run_until(now + opt.warm_ms);
     origin = opt.warm_ms;
 }
@@ -793,6 +816,13 @@
 {
     switch (out->kind) {
     case CORE_TO_CLIENT: {
+        coap_msg_t m;
+        if (tracing &&
+            coap_decode(&m, out->client.data, out->client.len) == 0 &&
+            m.code >> 5 >= 4) {
+            note("%s says %d.%02d to message %u", inst[i].name.c_str(),
+                 m.code >> 5, m.code & 31, m.mid);
+        }
         addr_t service = out->client.service, client = out->client.client;
         bytes_t data(out->client.data, out->client.data + out->client.len);
         carry(i, PARTY_OUTSIDE,
@@ -837,7 +867,9 @@
     if (!id.empty()) {
         first_forwarded.insert({id, now});
         forwarder[id] = i;
-        note("%s forwards %s", inst[i].name.c_str(), id.c_str());
+        char to[ADDR_STRLEN];
+        note("%s forwards %s to %s", inst[i].name.c_str(), id.c_str(),
+             addr_text(&out->upstream.upstream, to));
     }
     for (int u = 0; u < (int)up.size(); u++) {
         if (addr_eq(&up[u].addr, &out->upstream.upstream)) {
@@ -880,17 +912,31 @@
 fleet_t::client_send(const addr_t &service, const addr_t &client,
                      const bytes_t &data)
 {
-    int i = fabric_pick();
-
-    if (i < 0) {
+    if (opt.baseline) {
+        bytes_t all(SPP_LEN + data.size());
+        spp_t h = {.client = client, .service = service};
+        int u = opt.baseline(*this, service.ip[15] - 1, client);
+        spp_write(all.data(), &h);
+        memcpy(all.data() + SPP_LEN, data.data(), data.size());
+        if (u >= 0) {
+            carry(PARTY_OUTSIDE, PARTY_UPSTREAM + u,
+                  [=] { upstream_receive(u, PARTY_OUTSIDE, all); });
+        }
         return;
     }
-    carry(PARTY_OUTSIDE, i, [=] {
-        to_instance(i, [=](instance_t &n) {
-            core_from_client(n.core, now, &service, &client, data.data(),
-                             data.size());
+    /* A datagram doubled on its way may reach two instances. */
+    for (int copies = chance(opt.duplicate) ? 2 : 1; copies > 0; copies--) {
+        int i = fabric_pick();
+        if (i < 0) {
+            continue;
+        }
+        carry(PARTY_OUTSIDE, i, [=] {
+            to_instance(i, [=](instance_t &n) {
+                core_from_client(n.core, now, &service, &client, data.data(),
+                                 data.size());
+            });
         });
-    });
+    }
 }
 
 void
@@ -898,6 +944,11 @@
 {
     bytes_t all(SPP_LEN + data.size());
     addr_t from = up[u].addr;
+    if (opt.baseline) {
+        carry(PARTY_UPSTREAM + u, PARTY_OUTSIDE,
+              [=] { client_receive(h.service, h.client, data); });
+        return;
+    }
     int i = dest == PARTY_OUTSIDE ? fabric_pick() : dest;
 
     if (i < 0 || muted.count(addr_id(&h.client) ^ up[u].id) > 0) {
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -24,6 +24,13 @@
 
 enum { SERVICE_MONITOR, SERVICE_ARCHIVE, SERVICE_RAW, SERVICE_COUNT };
 
+class fleet_t;
+
+/* A baseline without instances: the upstream for a caller's datagram, or -1
+ * to drop it. */
+typedef std::function<int(fleet_t &f, int service, const addr_t &client)>
+    baseline_t;
+
 struct fleet_options_t {
     uint64_t seed = 1;
     int instances = 5;
@@ -31,7 +38,12 @@
     int upstreams[SERVICE_COUNT] = {4, 3, 3};
     int slots = 2;
     int queue = 4;
-    ms_t run_ms = 60; /* how long an upstream works on a request */
+    ms_t run_ms = 60;  /* how long an upstream works on a request */
+    bool tail = false; /* heavy-tailed, with that mean */
+    int urgent_slots[SERVICE_COUNT] = {1, 0, 0};
+    prefer_t prefer = PREFER_STABILITY;
+    bool persist = false; /* an upload that ends is followed by another */
+    baseline_t baseline;  /* in place of the cores */
     ms_t jitter_ms = 4;
     double loss = 0, duplicate = 0;
     ms_t skew_ms = 1000;       /* a version reaches instances within this */
@@ -194,7 +206,8 @@
     void play(const std::string &script);
 
     /* ---- What is seen ---- */
-    int holder(const std::string &id); /* the upstream of a feed; or -1 */
+    int holder(const std::string &id);   /* the upstream of a feed; or -1 */
+    std::vector<int> table(int service); /* upstreams not draining */
     std::string report();   /* a line for each call, then the tally */
     std::string promises(); /* the tally's zeros alone */
     int home_of(const call_t &c);
@@ -238,6 +251,7 @@
     std::deque<emit_box_t> emit_boxes;
     uint64_t order = 0;
     std::vector<std::shared_ptr<conf_box_t>> versions; /* 0 is the first */
+    bool founding = true; /* the first instances start: nothing was before */
     std::map<int, conf_upstream_t> model; /* upstream number to its entry */
     std::map<int, int> model_service;
     std::set<std::pair<int, int>> cuts;
@@ -287,6 +301,7 @@
     void upstream_observe(int u, int source, const spp_t &h,
                           const coap_msg_t &m, uint64_t key);
     void upstream_start(int u);
+    ms_t run_span(int u, const coap_msg_t &m);
     void upstream_finish(int u, uint32_t epoch, const job_t &j);
     coap_msg_t upstream_execute(int u, const job_t &j, const coap_msg_t &m,
                                 std::string &body);
--- a/test/fleet_ends.cc
+++ b/test/fleet_ends.cc
@@ -2,6 +2,7 @@
 #include "test/fleet.h"
 
 #include <algorithm>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -200,7 +201,8 @@
         return;
     }
     if (!addr_eq(&h.service, &mine)) {
-        note("misdelivered to upstream %d", u);
+        note("misdelivered to upstream %d: type %d code %d of %d", u, m.type,
+             m.code, h.client.ip[15]);
         tally.misdelivered++;
         return;
     }
@@ -393,6 +395,21 @@
     }
 }
 
+/* How long a request runs; a block of an upload takes a quarter. */
+ms_t
+fleet_t::run_span(int u, const coap_msg_t &m)
+{
+    ms_t mean = m.block1 == COAP_NONE ? up[u].run_ms : up[u].run_ms / 4;
+
+    if (!opt.tail) {
+        return mean;
+    }
+    /* Pareto with shape 1.5: its mean is 3 times its least. */
+    double x = (rng_below(&rng, 1000000) + 1) / 1000001.0;
+    return std::min<ms_t>((ms_t)((double)mean / 3 / pow(x, 2.0 / 3)),
+                          50 * mean);
+}
+
 void
 fleet_t::upstream_start(int u)
 {
@@ -423,8 +440,7 @@
         }
         x.busy++;
         uint32_t epoch = x.epoch;
-        ms_t span = m.block1 == COAP_NONE ? x.run_ms : x.run_ms / 4;
-        after(span, [=] { upstream_finish(u, epoch, j); });
+        after(run_span(u, m), [=] { upstream_finish(u, epoch, j); });
     }
 }
 
@@ -682,6 +698,11 @@
     c.over = true;
     c.ended = now;
     c.outcome = outcome;
+    if (c.kind == CALL_UPLOAD && opt.persist) {
+        int service = c.service;
+        uint32_t blocks = c.blocks;
+        after(2000, [=] { open(CALL_UPLOAD, service, -1, blocks); });
+    }
     if (c.kind == CALL_POST) {
         hist_add(&tally.answer_ms, (uint64_t)(now - c.started));
     }
