--- a/kern/kern.h
+++ b/kern/kern.h
@@ -94,10 +94,9 @@
 /* ---- Counters: one thread adds, any thread reads ---- */
 
 static inline void
-counter_add(uint64_t *c, uint64_t n)
+counter_set(uint64_t *c, uint64_t n)
 {
-    __atomic_store_n(c, __atomic_load_n(c, __ATOMIC_RELAXED) + n,
-                     __ATOMIC_RELAXED);
+    __atomic_store_n(c, n, __ATOMIC_RELAXED);
 }
 
 static inline uint64_t
@@ -106,6 +105,12 @@
     return __atomic_load_n(c, __ATOMIC_RELAXED);
 }
 
+static inline void
+counter_add(uint64_t *c, uint64_t n)
+{
+    counter_set(c, counter_read(c) + n);
+}
+
 #ifdef __cplusplus
 }
 #endif
--- a/siskind/main.c
+++ b/siskind/main.c
@@ -175,13 +175,16 @@
     log_line(LVL_INFO, "main", "It runs. data_centre=%s",
              d->settings.data_centre);
     wait_for_end(d, signals);
-    /* A call to the platform may still block; the process ends without it. */
-    if (kern_stop(d->kern, STOP_MS) == 0) {
+    rc = kern_stop(d->kern, STOP_MS);
+    log_line(LVL_INFO, "main", "It has stopped.");
+    if (rc == 0) {
         kern_free(d->kern);
         pool_free(d->in);
         pool_free(d->out);
+        log_close();
     }
-    log_line(LVL_INFO, "main", "It has stopped.");
+    /* Else a call to the platform still blocks: the process ends without it,
+     * and frees nothing that the thread may yet use. */
     return EXIT_OK;
 }
 
@@ -190,7 +193,6 @@
 {
     static daemon_t d;
     err_t e = {0};
-    int rc;
 
     if (settings_read(&d.settings, file, &e) < 0) {
         fprintf(stderr, "siskind: %s: %s\n", e.peer, e.text);
@@ -206,9 +208,7 @@
         fprintf(stderr, "siskind: can't start libsodium or log4c\n");
         return EXIT_FAILED;
     }
-    rc = run(&d);
-    log_close();
-    return rc;
+    return run(&d);
 }
 
 static void
--- a/siskind/platform.c
+++ b/siskind/platform.c
@@ -145,7 +145,7 @@
         ms_t pause = IDLE_MS;
         if (should_watch(d)) {
             pause = watch_once(d, p, &revision, &b);
-            d->count.watch_calls = plat_calls(p);
+            counter_set(&d->count.watch_calls, plat_calls(p));
         }
         duty_wait(self, NULL, 0, pause);
     }
@@ -266,7 +266,7 @@
     while (r.plat != NULL && !duty_stopping(self)) {
         empty_inbox(self);
         ms_t pause = roster_once(d, &r);
-        d->count.roster_calls = plat_calls(r.plat);
+        counter_set(&d->count.roster_calls, plat_calls(r.plat));
         duty_wait(self, NULL, 0, pause);
     }
     if (r.plat != NULL && !r.backoff.down) {
--- a/siskind/ports.c
+++ b/siskind/ports.c
@@ -75,7 +75,7 @@
 }
 
 static port_t *
-port_open(const conf_service_t *service, const settings_t *s)
+port_open(const conf_service_t *service, const settings_t *s, bool again)
 {
     addr_t a = bind_addr(service, s);
     err_t e = {0};
@@ -83,7 +83,7 @@
     int fd = udp_open(&a, &e);
 
     if (fd < 0) {
-        log_line(LVL_ERROR, "ports",
+        log_line(again ? LVL_DEBUG : LVL_ERROR, "ports",
                  "Can't take datagrams for a service. "
                  "service=%s step=\"%s\" peer=%s error=\"%s\"",
                  service->name, e.step, e.peer, e.text);
@@ -110,7 +110,7 @@
     for (size_t i = 0; i < c->n_services; i++) {
         port_t *port = (port_t *)ports_find(old, &c->services[i].addr);
         if (port == NULL) {
-            port = port_open(&c->services[i], s);
+            port = port_open(&c->services[i], s, old && old->missing);
         }
         if (port == NULL) {
             p->missing = true;
