--- a/core/state.h
+++ b/core/state.h
@@ -42,6 +42,7 @@
 
     bool backup_joins; /* BACKUP is JOINING and will take over */
     bool moved;        /* who gets copies of its pins has changed */
+    bool mine;         /* self is its home or backup, or would be if ACTIVE */
 } slot_t;
 
 /* A member as the core needs it. */
@@ -54,19 +55,20 @@
 /* ---- table.c ---- */
 
 #define UP_NONE UINT16_MAX
+#define CHOICES 3     /* upstreams that a bucket names */
 #define EARLIER_MAX 3 /* earlier pairs of choices remembered for a bucket */
-#define CHOICES_MAX (2 + 2 * EARLIER_MAX)
+#define CHOICES_MAX (CHOICES + CHOICES * EARLIER_MAX)
 #define GROUP_UPSTREAMS 64
 
 /* The choices that a bucket had before a change. */
 typedef struct {
-    uint16_t first, second; /* upstream indices */
-    uint64_t version;       /* the version that changed them */
-    ms_t until;             /* when that came into force here */
+    uint16_t choice[CHOICES]; /* upstream indices */
+    uint64_t version;         /* the version that changed them */
+    ms_t until;               /* when that came into force here */
 } earlier_t;
 
 typedef struct {
-    uint16_t first, second;
+    uint16_t choice[CHOICES]; /* by rank; the third only for PREFER_BALANCE */
     uint8_t n_earlier;
     earlier_t earlier[EARLIER_MAX];
 } bucket_t;
@@ -78,7 +80,8 @@
     bool listed;       /* in the configuration in force */
     ms_t listed_since; /* no instance had it before; INT64_MIN: unknown */
     ms_t unlisted_at;
-    bool draining; /* by configuration or by its own report */
+    ms_t wanted_until; /* a hint for it is held here until then */
+    bool draining;     /* by configuration or by its own report */
     bool conf_draining;
     uint16_t service; /* index */
     conf_upstream_t conf;
@@ -110,7 +113,9 @@
     FLOW_UPLOAD = 2, /* a block-wise upload */
     FLOW_HELD = 4,   /* held for another home */
     FLOW_SYNCED = 8, /* the sync target has it */
-    FLOW_USED = 16
+    FLOW_USED = 16,
+    FLOW_LAST = 32, /* an upload whose last block was forwarded */
+    FLOW_ENDED = 64 /* and answered: it takes no slot any more */
 };
 
 /* A flow pinned to an upstream; 32 bytes. */
@@ -168,6 +173,7 @@
 
     bool counted;  /* in its upstream's in_flight and caller's share */
     uint8_t tries; /* forwards that an upstream shed */
+    uint8_t life;  /* counts the uses of this entry */
     uint16_t mid;
     uint16_t answer_mid; /* of a separate response, 0: none */
     uint16_t service;
@@ -183,11 +189,12 @@
     uint16_t fence[FENCE_MAX]; /* upstreams still to answer */
     bool refuse_after;         /* barred everywhere: say "not run" */
     bool found;                /* an earlier copy was found at its upstream */
-    refuse_t why;              /* of that refusal */
-    uint8_t final;             /* code of the final answer, EX_REFUSED */
-    uint32_t come_back;        /* its Max-Age */
-    uint16_t len;              /* of what the buffer holds, 0: nothing */
-    uint32_t buf;              /* index + 1 into ex_bufs, 0: none */
+    bool waiting;       /* a choice is new and has not answered a probe yet */
+    refuse_t why;       /* of that refusal */
+    uint8_t final;      /* code of the final answer, EX_REFUSED */
+    uint32_t come_back; /* its Max-Age */
+    uint16_t len;       /* of what the buffer holds, 0: nothing */
+    uint32_t buf;       /* index + 1 into ex_bufs, 0: none */
 } ex_t;
 
 /* ---- a service ---- */
@@ -202,6 +209,7 @@
     bucket_t *buckets;
     uint16_t *ups; /* indices of its listed upstreams */
     uint32_t n_ups;
+    bool mine; /* this instance may be the home of some of its keys */
     uint32_t groups;
     ms_t groups_since;
     uint64_t forwarded, retried; /* for the retry budget */
@@ -213,7 +221,7 @@
     core_params_t p;
     core_emit_t *emit;
     void *arg;
-    ms_t now, start, last_tick;
+    ms_t now, start, last_call;
     rng_t rng;
     uint64_t version, lowest;
     bool leaving;
@@ -243,7 +251,7 @@
     uint32_t hint_mask;
 
     ex_t *exs;
-    uint32_t *ex_heads, ex_mask, ex_free, ex_used;
+    uint32_t *ex_heads, ex_mask, ex_free, ex_used, ex_top;
     link_t ex_active, ex_kept;
     uint8_t (*ex_bufs)[EX_BUF];
     uint32_t *ex_buf_free, n_buf_free, n_bufs;
@@ -261,6 +269,7 @@
     uint16_t service;
     const spp_t *h;
     uint64_t key;
+    uint64_t home; /* key of the flow's home */
     uint64_t from; /* the steering instance, 0: from the caller */
     uint8_t hops;
     const uint8_t *data;
@@ -284,6 +293,10 @@
 bucket_t *bucket_of(service_t *s, uint64_t key);
 void table_build(core_t *c, uint16_t service);
 uint64_t work_key(const service_t *s, uint64_t flow);
+/* By which key the home of a flow is found. */
+uint64_t flow_group(const service_t *s, uint64_t flow);
+/* Notes whether this instance may be the home of keys of S. */
+void service_mine(core_t *c, service_t *s);
 /* Where another home may have sent a request of KEY: the present choices, and
  * earlier ones that are not past.  Returns how many were written to OUT. */
 int all_choices(core_t *c, service_t *s, uint64_t key, uint16_t *out);
@@ -325,6 +338,8 @@
 void flow_remove(core_t *c, flow_t *f);
 void flow_pin(core_t *c, flow_t *f, uint16_t up);
 void flow_touch(core_t *c, flow_t *f);
+/* M answers a block of the upload F. */
+void upload_answered(core_t *c, flow_t *f, const coap_msg_t *m);
 void flow_set_feed(core_t *c, flow_t *f, const dgram_t *d);
 void flow_sweep(core_t *c);
 void feeds_lost(core_t *c, uint16_t up);
@@ -362,6 +377,8 @@
 /* request.c */
 bool is_upload_block(const coap_msg_t *m);
 void request_at_home(core_t *c, const dgram_t *d);
+/* Has EX barred wherever a copy may be but its target; then it goes on. */
+void request_fence(core_t *c, ex_t *ex);
 void request_fenced(core_t *c, ex_t *ex, uint16_t u, const char *state,
                     const char *by, uint32_t epoch);
 
--- a/core/upstreams.c
+++ b/core/upstreams.c
@@ -16,6 +16,7 @@
 #define REPORT_OLD_MS 4000 /* a load report older than this is ignored */
 #define FROZEN_REPORTS 4   /* unchanged so often ... */
 #define FROZEN_FINISHED 4  /* ... while so many requests finished */
+#define STUCK_REPORTS 8    /* unchanged so often, whatever finished */
 #define SLOW_START_MS 8000 /* a started upstream gets its full share after */
 #define SHEDS_EJECT 3      /* sheds in a row that eject */
 #define EJECT_MS 2000
@@ -51,6 +52,7 @@
                 .epoch_since = INT64_MIN / 2,
                 .trust_until = INT64_MIN / 2,
                 .unlisted_at = INT64_MIN / 2,
+                .wanted_until = INT64_MIN / 2,
                 .eject_until = INT64_MIN / 2,
                 .probe_next = c->now + rng_below(&c->rng, 100)};
     map_put(&c->up_map, conf->id, c->n_ups);
@@ -87,12 +89,15 @@
 
 /* Is the report worth anything: recent, and not frozen?  A report that stays
  * the same while requests come and go is a stuck gauge; believing it sends
- * everything to the upstream whose gauge stuck low. */
+ * everything to the upstream whose gauge stuck low, and nothing to one whose
+ * gauge stuck high, where then nothing finishes: so a value that stays for
+ * long is not believed either. */
 static bool
 report_usable(const core_t *c, const up_t *up)
 {
     bool frozen =
-        up->same >= FROZEN_REPORTS && up->finished >= FROZEN_FINISHED;
+        (up->same >= FROZEN_REPORTS && up->finished >= FROZEN_FINISHED) ||
+        up->same >= STUCK_REPORTS;
 
     return c->now - up->probe_sent < REPORT_OLD_MS && !frozen;
 }
@@ -214,17 +219,28 @@
     if (up->misses < UINT8_MAX) {
         up->misses++; /* until the answer comes */
     }
+    c->services[up->service].stats.probes++;
     own_request(c, u, &m);
 }
 
+/* An instance asks the upstreams that it may have to choose from or to send
+ * to, not all: at 120,000 of them that would be all that it does.  One just
+ * taken out is asked about copies for a while. */
+static bool
+probe_needed(const core_t *c, const up_t *up)
+{
+    bool chosen = up->listed || c->now - up->unlisted_at < DOUBT_MS;
+
+    return (chosen && c->services[up->service].mine) || up->flows > 0 ||
+           up->uploads > 0 || up->in_flight > 0 || c->now < up->wanted_until;
+}
+
 void
 up_probe_tick(core_t *c)
 {
     for (uint32_t i = 0; i < c->n_ups; i++) {
         up_t *up = &c->ups[i];
-        /* One just taken out is asked about copies for a while. */
-        bool needed = up->listed || up->flows > 0 || up->in_flight > 0 ||
-                      c->now - up->unlisted_at < DOUBT_MS;
+        bool needed = probe_needed(c, up);
 
         if (up->used && needed && c->now >= up->probe_next) {
             probe(c, (uint16_t)i);
@@ -316,7 +332,7 @@
         return;
     }
     ex = &c->exs[index];
-    if (ex->state == EX_FENCING && ex->mid == mid) {
+    if (ex->state == EX_FENCING && ex->mid == mid && ex->life == m->token[7]) {
         request_fenced(c, ex, u, state, by, epoch);
     }
 }
@@ -337,7 +353,7 @@
         memcmp(m->token + 3, &up->probe_seq, 2) == 0) {
         take_load(c, u, j);
     }
-    else if (m->token_len == 7 && m->token[0] == CANCEL_TAG) {
+    else if (m->token_len == 8 && m->token[0] == CANCEL_TAG) {
         take_cancelled(c, u, m, j);
     }
     json_decref(j);
@@ -353,10 +369,11 @@
 
     m.type = COAP_T_NON;
     m.code = COAP_DELETE;
-    m.token_len = 7;
+    m.token_len = 8;
     m.token[0] = CANCEL_TAG;
     memcpy(m.token + 1, &index, 4);
     memcpy(m.token + 5, &ex->mid, 2);
+    m.token[7] = ex->life;
     m.path_n = 2;
     strcpy(m.path[1], "exchange");
     snprintf(m.query, sizeof(m.query), "c=%s&m=%u&o=%016llx",
--- a/test/bed.bash
+++ b/test/bed.bash
@@ -7,6 +7,7 @@
 # The samples name fixed loopback addresses: one site at a time.
 exec 9>"${TMPDIR:-/tmp}/siskin-bed.lock"
 flock -w 600 9 || { echo "another site has run for 10 minutes" >&2; exit 1; }
+SECONDS=0
 bed=$(mktemp -d)
 declare -A pid          # name to process id
 declare -a instances=() # names of the instances
@@ -17,7 +18,7 @@
 bed_fail() {
     echo "failed: $*" >&2
     for f in "$bed"/*.err; do
-        [ -s "$f" ] && { echo "-- $(basename "$f")"; tail -n 8 "$f"; } >&2
+        [ -s "$f" ] && { echo "-- $(basename "$f")"; tail -n 3 "$f"; } >&2
     done
     exit 1
 }
