--- a/bench/fleet_bench.c
+++ b/bench/fleet_bench.c
@@ -192,19 +192,27 @@
     return x->id < y->id ? -1 : x->id > y->id;
 }
 
+static member_t *
+members_at(uint32_t n)
+{
+    member_t *all = calloc(n, sizeof(*all));
+
+    for (uint32_t i = 0; i < n; i++) {
+        all[i] = member_at(i);
+    }
+    qsort(all, n, sizeof(*all), by_id);
+    return all;
+}
+
 static void
 home_row(uint32_t n)
 {
     enum { CHANGES = 5 };
-    member_t *all = calloc(n, sizeof(*all));
+    member_t *all = members_at(n);
     size_t before = heap();
     core_t *c = new_core(1024, 1024, 64);
     double start, first;
 
-    for (uint32_t i = 0; i < n; i++) {
-        all[i] = member_at(i);
-    }
-    qsort(all, n, sizeof(*all), by_id);
     start = cpu_ms();
     core_set_members(c, 1000, all, n, INT64_MIN, 0);
     first = cpu_ms() - start;
@@ -328,6 +336,32 @@
     conf_free(next);
 }
 
+/* Probes of one of N members, with the services of a group of 128. */
+static void
+probe_row(uint32_t n)
+{
+    enum { UPSTREAMS = 1097, SERVICES = 165 };
+    member_t *all = members_at(n);
+    size_t len;
+    double ms;
+    conf_t *conf = parse(SERVICES, UPSTREAMS, false, &len, &ms);
+    core_t *c = new_core(1024, 1024, 64);
+    ms_t now = 1000;
+
+    conf->version = 1;
+    core_set_members(c, now, all, n, INT64_MIN, 1);
+    core_set_conf(c, now, conf);
+    fake.answering = true;
+    tick_for(c, &now, 2000);
+    fake.sent = fake.bytes = fake.bytes_in = 0;
+    tick_for(c, &now, PROBE_S * 1000);
+    printf("%6u %8.1f %9.0f %9.0f\n", n, (double)fake.sent / PROBE_S,
+           (double)fake.bytes / PROBE_S, (double)fake.bytes_in / PROBE_S);
+    core_free(c);
+    conf_free(conf);
+    free(all);
+}
+
 /* ---- Flows ---- */
 
 static double
@@ -464,6 +498,7 @@
 {
     static const uint32_t members[] = {8, 128, 1024, 4096, 14000};
     static const uint32_t upstreams[] = {32, 128, 512, 2048, 8192, 11500};
+    static const uint32_t groups[] = {1, 8, 32, 128, 512};
     static const uint32_t flows[] = {1024, 8192, 32768, 131072};
 
     sizes();
@@ -480,6 +515,12 @@
     for (size_t i = 0; i < 6; i++) {
         conf_row(upstreams[i]);
     }
+    printf("# Probes by one of N members, 1,097 upstreams of 165 services, "
+           "without traffic: a second,\n# bytes out and in.\n"
+           "#    n  probe_s     out_B      in_B\n");
+    for (size_t i = 0; i < 5; i++) {
+        probe_row(groups[i]);
+    }
     printf("# Tables of N entries, MB: flows, hints, exchanges.\n"
            "#      n      flows      hints  exchanges\n");
     for (size_t i = 0; i < 4; i++) {
