--- a/plat/client.c
+++ b/plat/client.c
@@ -13,7 +13,7 @@
 
 struct plat {
     http_t *http;
-    uint64_t calls;
+    uint64_t calls, bytes;
     part_cache_t cache;
 };
 
@@ -55,11 +55,21 @@
     return p->calls;
 }
 
+uint64_t
+plat_bytes(const plat_t *p)
+{
+    return p->bytes;
+}
+
 static int
 call(plat_t *p, const http_call_t *c, http_reply_t *r, err_t *e)
 {
+    int rc = http_call(p->http, c, r, e);
+
     p->calls++;
-    return http_call(p->http, c, r, e);
+    p->bytes += c->body != NULL ? strlen(c->body) : 0;
+    p->bytes += rc == 0 ? strlen(r->body) : 0;
+    return rc;
 }
 
 static int
--- a/plat/plat.h
+++ b/plat/plat.h
@@ -43,6 +43,8 @@
 void plat_free(plat_t *p);
 /* Calls made so far. */
 uint64_t plat_calls(const plat_t *p);
+/* Bytes of bodies sent and received so far. */
+uint64_t plat_bytes(const plat_t *p);
 
 /* Reads KEY into *VALUE (freed by the caller; NULL when absent) and *REVISION.
  * WAIT_MS > 0 waits until the revision passes AFTER.  -ETIMEDOUT or
