--- a/conf/check.c
+++ b/conf/check.c
@@ -1,5 +1,7 @@
 /* The rules between tables: what no single value can show. */
 #include "conf/model.h"
+#include "conf/places.h"
+#include "wire/wire.h"
 
 #include <errno.h>
 #include <stdlib.h>
@@ -34,7 +36,6 @@
 check_service(const draft_t *d, uint32_t i, err_t *e)
 {
     const service_draft_t *s = &d->services[i];
-    char addr[ADDR_STRLEN];
 
     if (s->s.feed_silent_ms >= s->s.flow_idle_ms) {
         return toml_fail(e, d->base_file, s->line,
@@ -43,23 +44,37 @@
                          "below it",
                          s->s.name, s->s.flow_idle_ms);
     }
-    for (uint32_t j = 0; j < i; j++) {
-        if (addr_eq(&d->services[j].s.addr, &s->s.addr)) {
-            return toml_fail(e, d->base_file, s->line,
+    return 0;
+}
+
+/* Equal addresses are neighbours. */
+static int
+check_addresses(const draft_t *d, const places_t *services, err_t *e)
+{
+    char addr[ADDR_STRLEN];
+
+    for (size_t i = 1; i < services->n; i++) {
+        const place_t *p = &services->place[i];
+        const service_draft_t *a = &d->services[p[-1].service];
+        const service_draft_t *b = &d->services[p->service];
+        if (p[-1].id == p->id) {
+            return toml_fail(e, d->base_file, b->line,
                              "services %s and %s both have address %s; "
                              "expected one for each",
-                             d->services[j].s.name, s->s.name,
-                             addr_text(&s->s.addr, addr));
+                             a->s.name, b->s.name,
+                             addr_text(&b->s.addr, addr));
         }
     }
     return 0;
 }
 
 static int
-check_upstream(const draft_t *d, const upstream_draft_t *u, err_t *e)
+check_upstream(const draft_t *d, const places_t *services,
+               const upstream_draft_t *u, err_t *e)
 {
     const conf_service_t *s = &d->services[u->service].s;
     char addr[ADDR_STRLEN];
+    int other;
 
     if (s->urgent_slots >= u->u.slots) {
         return toml_fail(e, u->file, u->line,
@@ -68,14 +83,13 @@
                          addr_text(&u->u.addr, addr), u->u.slots, s->name,
                          s->urgent_slots);
     }
-    for (uint32_t i = 0; i < d->n_services; i++) {
-        if (addr_eq(&d->services[i].s.addr, &u->u.addr)) {
-            return toml_fail(e, u->file, u->line,
-                             "upstream %s is the address of service %s; "
-                             "expected another",
-                             addr_text(&u->u.addr, addr),
-                             d->services[i].s.name);
-        }
+    other = places_find(services, u->u.id);
+    if (other >= 0) {
+        return toml_fail(e, u->file, u->line,
+                         "upstream %s is the address of service %s; "
+                         "expected another",
+                         addr_text(&u->u.addr, addr),
+                         d->services[other].s.name);
     }
     return 0;
 }
@@ -122,22 +136,48 @@
     return 0;
 }
 
-int
-draft_check(draft_t *d, err_t *e)
+static int
+check_each(const draft_t *d, const places_t *services, err_t *e)
+{
+    int rc = 0;
+
+    for (uint32_t i = 0; rc == 0 && i < d->n_services; i++) {
+        rc = check_service(d, i, e);
+    }
+    if (rc == 0) {
+        rc = check_addresses(d, services, e);
+    }
+    for (uint32_t i = 0; rc == 0 && i < d->n_upstreams; i++) {
+        rc = check_upstream(d, services, &d->upstreams[i], e);
+    }
+    return rc;
+}
+
+static int
+check_places(const draft_t *d, err_t *e)
 {
+    places_t services;
     int rc;
 
+    if (places_open(&services, d->n_services) < 0) {
+        return err_set(e, -ENOMEM, "check", d->base_file, "Out of memory.");
+    }
     for (uint32_t i = 0; i < d->n_services; i++) {
-        rc = check_service(d, i, e);
-        if (rc < 0) {
-            return rc;
-        }
+        places_add(&services, addr_id(&d->services[i].s.addr), i);
     }
-    for (uint32_t i = 0; i < d->n_upstreams; i++) {
-        rc = check_upstream(d, &d->upstreams[i], e);
-        if (rc < 0) {
-            return rc;
-        }
+    places_sort(&services);
+    rc = check_each(d, &services, e);
+    places_close(&services);
+    return rc;
+}
+
+int
+draft_check(draft_t *d, err_t *e)
+{
+    int rc = check_places(d, e);
+
+    if (rc < 0) {
+        return rc;
     }
     if (d->n_upstreams > 0) {
         qsort(d->upstreams, d->n_upstreams, sizeof(*d->upstreams), by_id);
--- a/conf/conf.c
+++ b/conf/conf.c
@@ -68,15 +68,17 @@
     return h;
 }
 
+static int
+by_name(const void *name, const void *service)
+{
+    return strcmp(name, ((const conf_service_t *)service)->name);
+}
+
 const conf_service_t *
 conf_service(const conf_t *c, const char *name)
 {
-    for (uint32_t i = 0; i < c->n_services; i++) {
-        if (strcmp(c->services[i].name, name) == 0) {
-            return &c->services[i];
-        }
-    }
-    return NULL;
+    return bsearch(name, c->services, c->n_services, sizeof(*c->services),
+                   by_name);
 }
 
 const conf_service_t *
--- a/conf/diff.c
+++ b/conf/diff.c
@@ -1,5 +1,6 @@
 /* What differs between two versions, and whether one may follow the other. */
 #include "conf/model.h"
+#include "conf/places.h"
 #include "wire/wire.h"
 
 #include <errno.h>
@@ -172,47 +173,88 @@
                    what, addr_text(a, addr), from, to);
 }
 
+/* The version in force, by address. */
+typedef struct {
+    const conf_t *conf;
+    places_t services, upstreams;
+} old_t;
+
+static void
+old_close(old_t *o)
+{
+    places_close(&o->services);
+    places_close(&o->upstreams);
+}
+
 static int
-check_upstream_step(const conf_t *old, const conf_service_t *s,
-                    const conf_upstream_t *u, err_t *e)
+old_open(old_t *o, const conf_t *conf)
 {
-    const conf_service_t *was = conf_service_at(old, &u->addr);
+    size_t n = 0;
 
-    if (was != NULL) {
-        return fail_passes(e, "upstream", &u->addr, was->name, s->name);
+    *o = (old_t){.conf = conf};
+    for (uint32_t i = 0; i < conf->n_services; i++) {
+        n += conf->services[i].n_upstreams;
     }
-    for (uint32_t i = 0; i < old->n_services; i++) {
-        was = &old->services[i];
-        if (strcmp(was->name, s->name) != 0 &&
-            conf_upstream(was, u->id) != NULL) {
-            return fail_passes(e, "upstream", &u->addr, was->name, s->name);
+    if (places_open(&o->services, conf->n_services) < 0 ||
+        places_open(&o->upstreams, n) < 0) {
+        old_close(o);
+        return -ENOMEM;
+    }
+    for (uint32_t i = 0; i < conf->n_services; i++) {
+        const conf_service_t *s = &conf->services[i];
+        places_add(&o->services, addr_id(&s->addr), i);
+        for (uint32_t j = 0; j < s->n_upstreams; j++) {
+            places_add(&o->upstreams, s->upstreams[j].id, i);
         }
     }
+    places_sort(&o->services);
+    places_sort(&o->upstreams);
     return 0;
 }
 
+/* The name of the service that had the address in P, or NULL. */
+static const char *
+owner(const old_t *o, const places_t *p, uint64_t id)
+{
+    int i = places_find(p, id);
+
+    return i >= 0 ? o->conf->services[i].name : NULL;
+}
+
+static int
+check_upstream_step(const old_t *old, const conf_service_t *s,
+                    const conf_upstream_t *u, err_t *e)
+{
+    const char *was = owner(old, &old->services, u->id);
+
+    if (was == NULL) {
+        was = owner(old, &old->upstreams, u->id);
+        if (was == NULL || strcmp(was, s->name) == 0) {
+            return 0;
+        }
+    }
+    return fail_passes(e, "upstream", &u->addr, was, s->name);
+}
+
 /* A service's address is how flows and upstreams know the service, so it is
  * held to the same rule as an upstream's. */
 static int
-check_address_step(const conf_t *old, const conf_service_t *s, err_t *e)
+check_address_step(const old_t *old, const conf_service_t *s, err_t *e)
 {
-    const conf_service_t *was = conf_service_at(old, &s->addr);
     uint64_t id = addr_id(&s->addr);
+    const char *was = owner(old, &old->services, id);
 
-    if (was != NULL && strcmp(was->name, s->name) != 0) {
-        return fail_passes(e, "address", &s->addr, was->name, s->name);
-    }
-    for (uint32_t i = 0; i < old->n_services; i++) {
-        was = &old->services[i];
-        if (conf_upstream(was, id) != NULL) {
-            return fail_passes(e, "address", &s->addr, was->name, s->name);
+    if (was == NULL || strcmp(was, s->name) == 0) {
+        was = owner(old, &old->upstreams, id);
+        if (was == NULL) {
+            return 0;
         }
     }
-    return 0;
+    return fail_passes(e, "address", &s->addr, was, s->name);
 }
 
 static int
-check_service_step(const conf_t *old, const conf_service_t *s, err_t *e)
+check_service_step(const old_t *old, const conf_service_t *s, err_t *e)
 {
     int rc = check_address_step(old, s, e);
 
@@ -225,7 +267,8 @@
 int
 conf_step_check(const conf_t *old, const conf_t *new_, err_t *e)
 {
-    int rc;
+    old_t places;
+    int rc = 0;
 
     if (old == NULL) {
         return 0;
@@ -236,11 +279,13 @@
                        "expected the same site",
                        old->site, new_->site);
     }
-    for (uint32_t i = 0; i < new_->n_services; i++) {
-        rc = check_service_step(old, &new_->services[i], e);
-        if (rc < 0) {
-            return rc;
-        }
+    if (old_open(&places, old) < 0) {
+        return err_set(e, -ENOMEM, "step check", "configuration",
+                       "Out of memory.");
     }
-    return 0;
+    for (uint32_t i = 0; rc == 0 && i < new_->n_services; i++) {
+        rc = check_service_step(&places, &new_->services[i], e);
+    }
+    old_close(&places);
+    return rc;
 }
--- a/conf/parse.c
+++ b/conf/parse.c
@@ -123,15 +123,19 @@
 
 /* ---- An overlay ---- */
 
+static int
+by_name(const void *name, const void *draft)
+{
+    return strcmp(name, ((const service_draft_t *)draft)->s.name);
+}
+
 static int
 find_service(const draft_t *d, const char *name)
 {
-    for (uint32_t i = 0; i < d->n_services; i++) {
-        if (strcmp(d->services[i].s.name, name) == 0) {
-            return (int)i;
-        }
-    }
-    return -ENOENT;
+    const service_draft_t *s = bsearch(name, d->services, d->n_services,
+                                       sizeof(*d->services), by_name);
+
+    return s != NULL ? (int)(s - d->services) : -ENOENT;
 }
 
 static int
