--- a/plat/plat.h
+++ b/plat/plat.h
@@ -98,6 +98,35 @@
 int delta_apply(const blob_t *old, const blob_t *delta, size_t limit,
                 blob_t *out);
 
+/* ---- The last versions, as peers get them ---- */
+
+#define STEPS_MAX 8 /* differences kept; at least half as many versions */
+
+/* Makes VERSION of the one before it. */
+typedef struct {
+    uint64_t version;
+    ms_t at; /* came into force here */
+    blob_t delta;
+} step_t;
+
+/* The newest bundle's JSON, and how to get to it from the last few. */
+typedef struct {
+    uint64_t version; /* 0: none yet */
+    blob_t json;
+    step_t first; /* the oldest kept, whole */
+    size_t n;
+    step_t step[STEPS_MAX];
+} versions_t;
+
+void versions_free(versions_t *v);
+/* Adds a newer version and takes JSON (malloc).  -ESTALE: it isn't newer. */
+int versions_add(versions_t *v, uint64_t version, ms_t at, char *json);
+/* The steps for a peer that has version HAVE, oldest first; the number is
+ * returned, 0 when it has the newest.  The first is whole, and *WHOLE true,
+ * when HAVE isn't among the versions kept.  Valid until the next add. */
+size_t versions_steps(const versions_t *v, uint64_t have, bool *whole,
+                      const step_t *out[STEPS_MAX + 1]);
+
 /* ---- The accepted configuration ---- */
 
 #define SOURCES_MAX 17 /* a base and 16 data centres */
--- /dev/null
+++ b/plat/versions.c
@@ -0,0 +1,156 @@
+/* The last versions, as the newest text and the differences that led to it.
+ *
+ * Each difference is made once, by whoever learns a version, however many
+ * peers ask for it; earlier texts aren't held.
+ */
+#include "plat/plat.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const blob_t nothing;
+
+void
+versions_free(versions_t *v)
+{
+    blob_free(&v->json);
+    blob_free(&v->first.delta);
+    for (size_t i = 0; i < v->n; i++) {
+        blob_free(&v->step[i].delta);
+    }
+    *v = (versions_t){0};
+}
+
+/* Replaces TEXT by what STEP makes of it. */
+static int
+walk(blob_t *text, const step_t *step)
+{
+    blob_t next;
+    int rc = delta_apply(text, &step->delta, BLOB_MAX, &next);
+
+    if (rc == 0) {
+        blob_free(text);
+        *text = next;
+    }
+    return rc;
+}
+
+/* The version that N steps lead to, whole. */
+static int
+whole_at(const versions_t *v, size_t n, step_t *out)
+{
+    blob_t text = {0};
+    int rc = walk(&text, &v->first);
+
+    for (size_t i = 0; rc == 0 && i < n; i++) {
+        rc = walk(&text, &v->step[i]);
+    }
+    if (rc == 0) {
+        *out = v->step[n - 1];
+        rc = delta_make(&nothing, &text, &out->delta);
+    }
+    blob_free(&text);
+    return rc;
+}
+
+/* Drops the older half.  By halves, because a new first version has to be
+ * worked out and compressed whole. */
+static int
+make_room(versions_t *v)
+{
+    const size_t half = STEPS_MAX / 2;
+    step_t first;
+    int rc;
+
+    if (v->n < STEPS_MAX) {
+        return 0;
+    }
+    rc = whole_at(v, half, &first);
+    if (rc < 0) {
+        return rc;
+    }
+    blob_free(&v->first.delta);
+    v->first = first;
+    for (size_t i = 0; i < half; i++) {
+        blob_free(&v->step[i].delta);
+    }
+    v->n -= half;
+    memmove(&v->step[0], &v->step[half], v->n * sizeof(v->step[0]));
+    return 0;
+}
+
+static int
+add(versions_t *v, uint64_t version, ms_t at, const blob_t *json)
+{
+    step_t step = {.version = version, .at = at};
+    int rc = make_room(v);
+
+    if (rc == 0) {
+        rc = delta_make(&v->json, json, &step.delta);
+    }
+    if (rc < 0) {
+        return rc;
+    }
+    if (v->version == 0) {
+        v->first = step;
+    }
+    else {
+        v->step[v->n++] = step;
+    }
+    return 0;
+}
+
+int
+versions_add(versions_t *v, uint64_t version, ms_t at, char *json)
+{
+    blob_t text = {(uint8_t *)json, strlen(json)};
+    int rc = version > v->version ? add(v, version, at, &text) : -ESTALE;
+
+    if (rc < 0) {
+        blob_free(&text);
+        return rc;
+    }
+    blob_free(&v->json);
+    v->json = text;
+    v->version = version;
+    return 0;
+}
+
+/* How many steps lead to HAVE, or -1: it isn't kept. */
+static int
+steps_before(const versions_t *v, uint64_t have)
+{
+    if (have == v->first.version) {
+        return 0;
+    }
+    for (size_t i = 0; i < v->n; i++) {
+        if (v->step[i].version == have) {
+            return (int)i + 1;
+        }
+    }
+    return -1;
+}
+
+size_t
+versions_steps(const versions_t *v, uint64_t have, bool *whole,
+               const step_t *out[STEPS_MAX + 1])
+{
+    size_t n = 0;
+    int from;
+
+    *whole = false;
+    if (have >= v->version) {
+        return 0;
+    }
+    from = steps_before(v, have);
+    if (from < 0) {
+        *whole = true;
+        out[n++] = &v->first;
+        from = 0;
+    }
+    for (size_t i = (size_t)from; i < v->n; i++) {
+        out[n++] = &v->step[i];
+    }
+    return n;
+}
--- a/test/delta_test.cc
+++ b/test/delta_test.cc
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <string.h>
 #include <string>
 
 static blob_t
@@ -117,3 +118,64 @@
     EXPECT_LT(diffed(old, text_of(100000, 3)).size(), 1000u);
     EXPECT_LT(diffed(old, text_of(100000, 99990)).size(), 1000u);
 }
+
+// ---- Versions ----
+
+struct Versions {
+    versions_t v = {};
+    ~Versions()
+    {
+        versions_free(&v);
+    }
+    int
+    add(uint64_t version, const std::string &text)
+    {
+        return versions_add(&v, version, (ms_t)version * 10,
+                            strdup(text.c_str()));
+    }
+};
+
+static std::string
+text_at(uint64_t version)
+{
+    return text_of(50, (int)(version % 50)) + std::to_string(version);
+}
+
+// Versions come, with gaps, and a peer that has one of them, or none, asks.
+RC_GTEST_PROP(Versions, LeadFromAnyToTheNewest, ())
+{
+    Versions s;
+    std::vector<uint64_t> all = {0};
+    for (int n = *rc::gen::inRange(1, 40); n > 0; n--) {
+        all.push_back(all.back() + *rc::gen::inRange<uint64_t>(1, 3));
+        RC_ASSERT(s.add(all.back(), text_at(all.back())) == 0);
+    }
+    uint64_t have = *rc::gen::elementOf(all);
+    const step_t *step[STEPS_MAX + 1];
+    bool whole;
+    size_t n = versions_steps(&s.v, have, &whole, step);
+    std::string text = whole || have == 0 ? "" : text_at(have);
+    for (size_t i = 0; i < n; i++) {
+        const blob_t &d = step[i]->delta;
+        text = applied(text, std::string((char *)d.data, d.len));
+        RC_ASSERT(text == text_at(step[i]->version));
+        RC_ASSERT(step[i]->at == (ms_t)step[i]->version * 10);
+    }
+    RC_ASSERT(text == text_at(all.back()));
+    size_t kept = std::min<size_t>(all.size() - 1, STEPS_MAX / 2);
+    RC_ASSERT(!whole || have < all[all.size() - kept]);
+    RC_ASSERT(!whole || n >= kept);
+}
+
+TEST(Versions, OnlyRise)
+{
+    Versions s;
+    bool whole;
+    const step_t *step[STEPS_MAX + 1];
+    EXPECT_EQ(0u, versions_steps(&s.v, 0, &whole, step));
+    EXPECT_EQ(0, s.add(7, "seven"));
+    EXPECT_EQ(-ESTALE, s.add(7, "other"));
+    EXPECT_EQ(-ESTALE, s.add(6, "six"));
+    EXPECT_EQ(0u, versions_steps(&s.v, 8, &whole, step));
+    EXPECT_STREQ("seven", (char *)s.v.json.data);
+}
