siskind: peers pass on differences between versions, not whole copies

Each step carries its age, for an instance that starts.

An answer to a request that another version has overtaken is now stale, no reason to ask for all.

--- a/siskind/bulk.c
+++ b/siskind/bulk.c
@@ -1,10 +1,11 @@
 /* The bulk duty: configuration between instances, over ZeroMQ and CURVE.
  *
- * A request is "GET" and the version that the asker has, as text; the answer
- * is the bundle's JSON, or an empty frame when there is nothing newer.  Both
+ * A request is "GET" and the version that the asker has, as text, 0 for none;
+ * the answer (siskind/reply.h) has what leads from there to the newest.  Both
  * ends derive the same CURVE key pair from the peer key, so only instances
  * that hold it can connect.
  */
+#include "siskind/reply.h"
 #include "siskind/siskind.h"
 
 #include <errno.h>
@@ -36,7 +37,10 @@
     ms_t deadline;
     size_t n;
     candidate_t waiting[CANDIDATES];
-    char *json; /* the version in force */
+    versions_t versions; /* the one in force and the last few */
+    bool want_whole;     /* the last answer didn't fit the version here */
+    uint64_t offered;    /* fetched last; decide may not have it yet */
+    ms_t offered_at;
     char public_key[Z85_LEN], secret_key[Z85_LEN];
 } bulk_t;
 
@@ -112,17 +116,16 @@
 static void
 answer(bulk_t *b, zmq_msg_t *asker, uint64_t have)
 {
-    bool newer = b->json != NULL && FACT(b->d, version) > have;
-    size_t len = newer ? strlen(b->json) : 0;
+    int sent;
 
     if (zmq_msg_send(asker, b->server, ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0) {
         return;
     }
-    if (zmq_send(b->server, newer ? b->json : "", len, ZMQ_DONTWAIT) < 0) {
-        return;
+    sent = reply_send(b->server, &b->versions, have, clock_now());
+    if (sent > 0) {
+        counter_add(&b->d->count.bulk_served, 1);
+        counter_add(&b->d->count.bulk_bytes, (uint64_t)sent);
     }
-    counter_add(&b->d->count.bulk_served, newer ? 1 : 0);
-    counter_add(&b->d->count.bulk_bytes, len);
 }
 
 /* Reads one request: the asker's identity and a frame.  False: none. */
@@ -172,8 +175,9 @@
     zmq_setsockopt(b->client, ZMQ_CURVE_PUBLICKEY, b->public_key, Z85_LEN - 1);
     zmq_setsockopt(b->client, ZMQ_CURVE_SECRETKEY, b->secret_key, Z85_LEN - 1);
     endpoint(where, sizeof(where), &b->from.addr);
-    n = snprintf(request, sizeof(request), "GET %llu",
-                 (unsigned long long)FACT(b->d, version));
+    n = snprintf(
+        request, sizeof(request), "GET %llu",
+        (unsigned long long)(b->want_whole ? 0 : b->versions.version));
     if (zmq_connect(b->client, where) < 0 ||
         zmq_send(b->client, request, (size_t)n, ZMQ_DONTWAIT) < 0) {
         fetch_end(b);
@@ -182,13 +186,25 @@
     return 0;
 }
 
+/* What was just fetched is on its way to decide: another peer would give the
+ * same again, whole to an instance that starts.  Only for a while: should
+ * decide refuse it, gossip names the peers again. */
+static bool
+is_newer(const bulk_t *b, uint64_t version)
+{
+    if (version <= FACT(b->d, version)) {
+        return false;
+    }
+    return version > b->offered || clock_now() - b->offered_at > FETCH_MS;
+}
+
 /* Asks the next candidate that still has something newer. */
 static void
 fetch_next(bulk_t *b)
 {
     while (b->client == NULL && b->n > 0) {
         b->from = b->waiting[--b->n];
-        if (b->from.version <= FACT(b->d, version)) {
+        if (!is_newer(b, b->from.version)) {
             continue;
         }
         b->deadline = clock_now() + FETCH_MS;
@@ -216,29 +232,23 @@
 }
 
 /* An answer: the content hash and the version number are checked; a stale or
- * wrong one is dropped and another peer is asked. */
+ * wrong one is dropped and another peer is asked.  A difference that doesn't
+ * fit would not fit again, so then all is asked for. */
 static void
 fetch_answer(bulk_t *b)
 {
-    zmq_msg_t msg;
-    char *json = NULL;
-    size_t len;
+    blob_t text;
+    int rc = reply_receive(b->client, &b->versions, &text);
 
-    zmq_msg_init(&msg);
-    if (zmq_msg_recv(&msg, b->client, ZMQ_DONTWAIT) < 0) {
-        zmq_msg_close(&msg);
-        return;
-    }
-    len = zmq_msg_size(&msg);
-    if (len > 0) {
-        json = strndup(zmq_msg_data(&msg), len);
-    }
-    zmq_msg_close(&msg);
     fetch_end(b);
-    if (json == NULL || offer_bundle(b->d, json, "bulk", b->from.name) < 0) {
+    b->want_whole = rc == -EBADMSG;
+    if (rc < 0 ||
+        offer_bundle(b->d, (char *)text.data, "bulk", b->from.name) < 0) {
         counter_add(&b->d->count.bulk_refused, 1);
         return;
     }
+    b->offered = b->from.version;
+    b->offered_at = clock_now();
     counter_add(&b->d->count.bulk_fetched, 1);
 }
 
@@ -266,8 +276,8 @@
     while (duty_take(self, &msg, 1) == 1) {
         note_t *n = msg;
         if (n->kind == MSG_BUNDLE) {
-            free(b->json);
-            b->json = n->conf.json;
+            versions_add(&b->versions, n->conf.version, clock_now(),
+                         n->conf.json);
             n->conf.json = NULL;
         }
         if (n->kind == MSG_FETCH) {
@@ -340,6 +350,6 @@
     if (b->ctx != NULL) {
         zmq_ctx_term(b->ctx);
     }
-    free(b->json);
+    versions_free(&b->versions);
     free(b);
 }
--- a/siskind/decide.c
+++ b/siskind/decide.c
@@ -123,6 +123,7 @@
         return;
     }
     n->conf.json = json;
+    n->conf.version = c->conf->version;
     note_post(c->bulk, n);
 }
 
--- /dev/null
+++ b/siskind/reply.c
@@ -0,0 +1,141 @@
+/* Versions between instances, over a ZeroMQ socket. */
+#include "siskind/reply.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <zmq.h>
+
+#define HEAD_MAX 48 /* bytes of a text frame */
+
+/* ---- Sending ---- */
+
+static int
+send_frame(void *socket, const void *data, size_t len, bool more)
+{
+    int flags = ZMQ_DONTWAIT | (more ? ZMQ_SNDMORE : 0);
+
+    return zmq_send(socket, data, len, flags) < 0 ? -errno : (int)len;
+}
+
+static int
+send_step(void *socket, const step_t *step, ms_t now, bool last)
+{
+    char head[HEAD_MAX];
+    int len = snprintf(head, sizeof(head), "%llu %lld",
+                       (unsigned long long)step->version,
+                       (long long)(now - step->at));
+    int rc = send_frame(socket, head, (size_t)len, true);
+
+    if (rc >= 0) {
+        rc = send_frame(socket, step->delta.data, step->delta.len, !last);
+    }
+    return rc < 0 ? rc : rc + len;
+}
+
+int
+reply_send(void *socket, const versions_t *v, uint64_t have, ms_t now)
+{
+    const step_t *step[STEPS_MAX + 1];
+    char head[HEAD_MAX];
+    bool whole;
+    size_t n = versions_steps(v, have, &whole, step);
+    int len, rc, sent;
+
+    if (n == 0) {
+        return send_frame(socket, "", 0, false);
+    }
+    len = snprintf(head, sizeof(head), "FROM %llu",
+                   (unsigned long long)(whole ? 0 : have));
+    sent = rc = send_frame(socket, head, (size_t)len, true);
+    for (size_t i = 0; rc >= 0 && i < n; i++) {
+        rc = send_step(socket, step[i], now, i + 1 == n);
+        sent += rc;
+    }
+    return rc < 0 ? rc : sent;
+}
+
+/* ---- Receiving ---- */
+
+static bool
+has_more(void *socket)
+{
+    int more = 0;
+    size_t len = sizeof(more);
+
+    zmq_getsockopt(socket, ZMQ_RCVMORE, &more, &len);
+    return more != 0;
+}
+
+/* A text frame; its length, 0 for an empty one. */
+static int
+receive_head(void *socket, char head[HEAD_MAX])
+{
+    int n = zmq_recv(socket, head, HEAD_MAX - 1, ZMQ_DONTWAIT);
+
+    if (n < 0 || n >= HEAD_MAX) {
+        return -EBADMSG;
+    }
+    head[n] = '\0';
+    return n;
+}
+
+/* Replaces TEXT by what the next difference makes of OLD. */
+static int
+receive_step(void *socket, const blob_t *old, blob_t *text)
+{
+    char head[HEAD_MAX];
+    blob_t next, delta;
+    zmq_msg_t msg;
+    int rc = receive_head(socket, head);
+
+    if (rc <= 0 || !has_more(socket)) {
+        return -EBADMSG;
+    }
+    zmq_msg_init(&msg);
+    if (zmq_msg_recv(&msg, socket, ZMQ_DONTWAIT) < 0) {
+        zmq_msg_close(&msg);
+        return -EBADMSG;
+    }
+    delta = (blob_t){zmq_msg_data(&msg), zmq_msg_size(&msg)};
+    rc = delta_apply(old, &delta, BLOB_MAX, &next);
+    zmq_msg_close(&msg);
+    if (rc == 0) {
+        blob_free(text);
+        *text = next;
+    }
+    return rc;
+}
+
+int
+reply_receive(void *socket, const versions_t *v, blob_t *text)
+{
+    static const blob_t nothing;
+    const blob_t *old = &nothing;
+    unsigned long long from;
+    char head[HEAD_MAX];
+    int rc = receive_head(socket, head);
+
+    *text = (blob_t){0};
+    if (rc <= 0) {
+        return rc == 0 ? -ENODATA : rc;
+    }
+    if (sscanf(head, "FROM %llu", &from) != 1 || !has_more(socket)) {
+        return -EBADMSG;
+    }
+    if (from != 0) {
+        if (from != v->version) {
+            return -ESTALE; /* a version came by another way meanwhile */
+        }
+        old = &v->json;
+    }
+    rc = 0;
+    for (int i = 0; rc == 0 && has_more(socket); i++) {
+        rc = i <= STEPS_MAX ? receive_step(socket, old, text) : -EBADMSG;
+        old = text;
+    }
+    if (rc < 0) {
+        blob_free(text);
+    }
+    return rc;
+}
--- a/siskind/siskind.h
+++ b/siskind/siskind.h
@@ -100,6 +100,7 @@
         struct {
             conf_t *conf;
             char *json;
+            uint64_t version;
         } conf; /* MSG_CONF, MSG_BUNDLE (conf NULL) */
         struct {
             size_t n;
