siskind: an instance that starts learns the versions before, with their age

Peers now give all the versions that they keep, each with the time since it came into force, and whether there were none before; without a peer the platform's history gives the previous one, which counts as ended just now.

--- a/siskind/bulk.c
+++ b/siskind/bulk.c
@@ -41,6 +41,7 @@
     bool want_whole;     /* the last answer didn't fit the version here */
     uint64_t offered;    /* fetched last; decide may not have it yet */
     ms_t offered_at;
+    int taken; /* versions of the last answer that were offered */
     char public_key[Z85_LEN], secret_key[Z85_LEN];
 } bulk_t;
 
@@ -121,7 +122,8 @@
     if (zmq_msg_send(asker, b->server, ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0) {
         return;
     }
-    sent = reply_send(b->server, &b->versions, have, clock_now());
+    sent = reply_send(b->server, &b->versions, have, clock_now(),
+                      FACT(b->d, complete));
     if (sent > 0) {
         counter_add(&b->d->count.bulk_served, 1);
         counter_add(&b->d->count.bulk_bytes, (uint64_t)sent);
@@ -231,19 +233,36 @@
     b->n = i == b->n ? i + 1 : b->n;
 }
 
+/* All versions are offered, not the newest alone: an instance that starts
+ * learns from them which upstreams may hold older requests. */
+static void
+fetch_take(void *arg, const blob_t *text, ms_t age, bool complete)
+{
+    bulk_t *b = arg;
+    origin_t o = {.part = "bulk",
+                  .from = b->from.name,
+                  .age = age,
+                  .complete = complete};
+    char *json = strndup((const char *)text->data, text->len);
+
+    if (json != NULL && offer_bundle(b->d, json, &o) >= 0) {
+        b->taken++;
+    }
+}
+
 /* An answer: the content hash and the version number are checked; a stale or
  * wrong one is dropped and another peer is asked.  A difference that doesn't
  * fit would not fit again, so then all is asked for. */
 static void
 fetch_answer(bulk_t *b)
 {
-    blob_t text;
-    int rc = reply_receive(b->client, &b->versions, &text);
+    int rc;
 
+    b->taken = 0;
+    rc = reply_receive(b->client, &b->versions, fetch_take, b);
     fetch_end(b);
     b->want_whole = rc == -EBADMSG;
-    if (rc < 0 ||
-        offer_bundle(b->d, (char *)text.data, "bulk", b->from.name) < 0) {
+    if (rc < 0 || b->taken == 0) {
         counter_add(&b->d->count.bulk_refused, 1);
         return;
     }
@@ -276,8 +295,8 @@
     while (duty_take(self, &msg, 1) == 1) {
         note_t *n = msg;
         if (n->kind == MSG_BUNDLE) {
-            versions_add(&b->versions, n->conf.version, clock_now(),
-                         n->conf.json);
+            versions_add(&b->versions, n->conf.version,
+                         clock_now() - n->conf.age, n->conf.json);
             n->conf.json = NULL;
         }
         if (n->kind == MSG_FETCH) {
--- a/siskind/decide.c
+++ b/siskind/decide.c
@@ -114,7 +114,7 @@
 
 /* Gives the version in force to bulk, which serves it to peers. */
 static void
-publish(decide_t *c, char *json)
+publish(decide_t *c, char *json, ms_t age)
 {
     note_t *n = note_new(MSG_BUNDLE);
 
@@ -124,6 +124,7 @@
     }
     n->conf.json = json;
     n->conf.version = c->conf->version;
+    n->conf.age = age;
     note_post(c->bulk, n);
 }
 
@@ -135,16 +136,20 @@
     conf_t *conf = n->conf.conf;
     conf_t *old = c->conf;
 
-    if (core_set_conf(c->core, c->now, conf) < 0) {
+    if (n->conf.complete && old == NULL) {
+        core_history_complete(c->core);
+    }
+    if (core_set_conf(c->core, c->now - n->conf.age, conf) < 0) {
         return;
     }
+    FACT_SET(c->d, complete, core_history_is_complete(c->core));
     n->conf.conf = NULL;
     c->conf = conf;
-    c->conf_at = c->now;
+    c->conf_at = c->now - n->conf.age;
     members_set_version(c->members, c->now, conf->version, conf->hash);
     FACT_SET(c->d, version, conf->version);
     open_ports(c);
-    publish(c, n->conf.json);
+    publish(c, n->conf.json, n->conf.age);
     n->conf.json = NULL;
     conf_free(old);
     log_line(LVL_INFO, "decide",
--- a/siskind/platform.c
+++ b/siskind/platform.c
@@ -6,7 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define WATCH_MS 8000      /* a waiting read of the configuration */
+#define WATCH_MS 8000 /* a waiting read of the configuration */
+#define PEERS_FIRST_MS 1000
 #define WATCH_PAUSE_MS 200 /* between two reads, whatever came */
 #define IDLE_MS 500        /* looks again whether it should watch */
 #define BACKOFF_MIN_MS 200
@@ -57,7 +58,7 @@
 }
 
 int
-offer_bundle(daemon_t *d, char *json, const char *part, const char *from)
+offer_bundle(daemon_t *d, char *json, const origin_t *o)
 {
     conf_bundle_t b = {0};
     err_t e = {0};
@@ -65,10 +66,10 @@
     int rc = bundle_read(&b, json, &e);
 
     if (rc < 0) {
-        log_line(LVL_WARN, part,
+        log_line(LVL_WARN, o->part,
                  "A configuration is refused. from=%s "
                  "step=\"%s\" error=\"%s\"",
-                 from, e.step, e.text);
+                 o->from, e.step, e.text);
         free(json);
         return rc;
     }
@@ -80,14 +81,16 @@
     n = note_new(MSG_CONF);
     if (n != NULL) {
         n->conf.json = json;
+        n->conf.age = o->age;
+        n->conf.complete = o->complete;
         n->conf.conf = bundle_conf(&b, &e);
     }
     bundle_free(&b);
     if (n == NULL || n->conf.conf == NULL) {
-        log_line(LVL_WARN, part,
+        log_line(LVL_WARN, o->part,
                  "A configuration is refused. from=%s "
                  "peer=%s error=\"%s\"",
-                 from, e.peer, e.text);
+                 o->from, e.peer, e.text);
         if (n != NULL) {
             msg_drop(n);
         }
@@ -99,20 +102,56 @@
     return note_post(kern_find(d->kern, "decide"), n);
 }
 
-/* Few instances watch; one that knows no version or no peer must. */
+/* Few instances watch; one that knows no version or no peer must.  At start
+ * the peers are given time to tell theirs, with its age and those before it,
+ * which the platform can't tell. */
 static bool
 should_watch(const daemon_t *d)
 {
+    if (FACT(d, version) == 0 && d->settings.n_peers > 0 &&
+        clock_now() - d->started < PEERS_FIRST_MS) {
+        return false;
+    }
     return FACT(d, watches) || FACT(d, version) == 0 || FACT(d, peers) == 0;
 }
 
-/* A value of the configuration's key, with the parts that it names, as the
- * JSON that peers pass on. */
+/* Offers a bundle that was read from the platform. */
+static int
+offer_read(daemon_t *d, const conf_bundle_t *b, err_t *e)
+{
+    origin_t o = {.part = "watch", .from = d->settings.platform_url};
+    char *json = bundle_write(b);
+
+    if (json == NULL) {
+        return err_set(e, -ENOMEM, "bundle write", "platform",
+                       "Out of memory.");
+    }
+    offer_bundle(d, json, &o);
+    return 0;
+}
+
+/* An instance that starts without a peer must still know which upstreams may
+ * hold requests that others forwarded by the version before.  How long ago
+ * that ended isn't known: it counts as just now. */
+static void
+offer_previous(daemon_t *d, plat_t *p, uint64_t version)
+{
+    conf_bundle_t b = {0};
+    err_t e = {0};
+
+    if (FACT(d, version) != 0 || version < 2 ||
+        plat_history(p, version - 1, &b, &e) < 0) {
+        return;
+    }
+    offer_read(d, &b, &e);
+    bundle_free(&b);
+}
+
+/* A value of the configuration's key, with the parts that it names. */
 static int
 offer_head(daemon_t *d, plat_t *p, const char *head, err_t *e)
 {
     conf_bundle_t b;
-    char *json;
     int rc = plat_expand(p, head, &b, e);
 
     if (rc == -EBADMSG) { /* it stays so: no use in reading it again */
@@ -125,14 +164,10 @@
     if (rc < 0) {
         return rc;
     }
-    json = bundle_write(&b);
+    offer_previous(d, p, b.version);
+    rc = offer_read(d, &b, e);
     bundle_free(&b);
-    if (json == NULL) {
-        return err_set(e, -ENOMEM, "bundle write", "platform",
-                       "Out of memory.");
-    }
-    offer_bundle(d, json, "watch", d->settings.platform_url);
-    return 0;
+    return rc;
 }
 
 /* One waiting read; returns how long to pause before the next. */
--- a/siskind/reply.c
+++ b/siskind/reply.c
@@ -34,7 +34,8 @@
 }
 
 int
-reply_send(void *socket, const versions_t *v, uint64_t have, ms_t now)
+reply_send(void *socket, const versions_t *v, uint64_t have, ms_t now,
+           bool complete)
 {
     const step_t *step[STEPS_MAX + 1];
     char head[HEAD_MAX];
@@ -45,8 +46,8 @@
     if (n == 0) {
         return send_frame(socket, "", 0, false);
     }
-    len = snprintf(head, sizeof(head), "FROM %llu",
-                   (unsigned long long)(whole ? 0 : have));
+    len = snprintf(head, sizeof(head), "FROM %llu %d",
+                   (unsigned long long)(whole ? 0 : have), whole && complete);
     sent = rc = send_frame(socket, head, (size_t)len, true);
     for (size_t i = 0; rc >= 0 && i < n; i++) {
         rc = send_step(socket, step[i], now, i + 1 == n);
@@ -82,16 +83,20 @@
 
 /* Replaces TEXT by what the next difference makes of OLD. */
 static int
-receive_step(void *socket, const blob_t *old, blob_t *text)
+receive_step(void *socket, const blob_t *old, blob_t *text, ms_t *age)
 {
     char head[HEAD_MAX];
+    unsigned long long version;
+    long long ms;
     blob_t next, delta;
     zmq_msg_t msg;
     int rc = receive_head(socket, head);
 
-    if (rc <= 0 || !has_more(socket)) {
+    if (rc <= 0 || !has_more(socket) ||
+        sscanf(head, "%llu %lld", &version, &ms) != 2 || ms < 0) {
         return -EBADMSG;
     }
+    *age = ms;
     zmq_msg_init(&msg);
     if (zmq_msg_recv(&msg, socket, ZMQ_DONTWAIT) < 0) {
         zmq_msg_close(&msg);
@@ -107,35 +112,47 @@
     return rc;
 }
 
+static int
+receive_steps(void *socket, const blob_t *old, bool complete,
+              reply_take_t *take, void *arg)
+{
+    blob_t text = {0};
+    ms_t age = 0;
+    int rc = 0;
+
+    for (int i = 0; rc == 0 && has_more(socket); i++) {
+        rc =
+            i <= STEPS_MAX ? receive_step(socket, old, &text, &age) : -EBADMSG;
+        old = &text;
+        if (rc == 0) {
+            take(arg, &text, age, complete);
+        }
+    }
+    blob_free(&text);
+    return rc;
+}
+
 int
-reply_receive(void *socket, const versions_t *v, blob_t *text)
+reply_receive(void *socket, const versions_t *v, reply_take_t *take, void *arg)
 {
     static const blob_t nothing;
-    const blob_t *old = &nothing;
     unsigned long long from;
+    int complete;
     char head[HEAD_MAX];
     int rc = receive_head(socket, head);
 
-    *text = (blob_t){0};
     if (rc <= 0) {
         return rc == 0 ? -ENODATA : rc;
     }
-    if (sscanf(head, "FROM %llu", &from) != 1 || !has_more(socket)) {
+    if (sscanf(head, "FROM %llu %d", &from, &complete) != 2 ||
+        !has_more(socket)) {
         return -EBADMSG;
     }
-    if (from != 0) {
-        if (from != v->version) {
-            return -ESTALE; /* a version came by another way meanwhile */
-        }
-        old = &v->json;
+    if (from == 0) {
+        return receive_steps(socket, &nothing, complete != 0, take, arg);
     }
-    rc = 0;
-    for (int i = 0; rc == 0 && has_more(socket); i++) {
-        rc = i <= STEPS_MAX ? receive_step(socket, old, text) : -EBADMSG;
-        old = text;
+    if (from != v->version) {
+        return -ESTALE; /* a version came by another way meanwhile */
     }
-    if (rc < 0) {
-        blob_free(text);
-    }
-    return rc;
+    return receive_steps(socket, &v->json, false, take, arg);
 }
--- a/siskind/siskind.h
+++ b/siskind/siskind.h
@@ -101,7 +101,9 @@
             conf_t *conf;
             char *json;
             uint64_t version;
-        } conf; /* MSG_CONF, MSG_BUNDLE (conf NULL) */
+            ms_t age;      /* since it came into force where it is from */
+            bool complete; /* no instance had a version before it */
+        } conf;            /* MSG_CONF, MSG_BUNDLE (conf NULL) */
         struct {
             size_t n;
             plat_instance_t *instance;
@@ -146,6 +148,7 @@
     bool watches;     /* this instance watches the platform */
     bool leaving;
     ms_t leave_listed_at; /* by roster: the platform took "leaving"; 0: no */
+    bool complete;        /* core knows all versions that ever were in force */
 } facts_t;
 
 typedef struct {
@@ -174,9 +177,17 @@
 void bulk_run(duty_t *self, void *daemon);
 void admin_run(duty_t *self, void *daemon);
 
+/* Where a bundle comes from. */
+typedef struct {
+    const char *part; /* the duty that has it, for logs */
+    const char *from; /* the peer, or the platform */
+    ms_t age;         /* since it came into force there */
+    bool complete;    /* no instance had a version before it */
+} origin_t;
+
 /* A bundle's text read, checked and posted to decide when it is newer than
- * what is in force.  FROM names its source in logs.  Takes JSON. */
-int offer_bundle(daemon_t *d, char *json, const char *part, const char *from);
+ * what is in force.  Takes JSON. */
+int offer_bundle(daemon_t *d, char *json, const origin_t *o);
 
 /* ---- Snapshots for operators ---- */
 
