--- a/core/exchanges.c
+++ b/core/exchanges.c
@@ -10,17 +10,6 @@
 #define BUFS_SHARE 8 /* records for each buffer */
 #define BUFS_KEPT 4  /* a quarter of the buffers is for new requests */
 
-static uint32_t
-pow2(uint32_t n)
-{
-    uint32_t p = 1;
-
-    while (p < n) {
-        p *= 2;
-    }
-    return p;
-}
-
 int
 exchanges_new(core_t *c)
 {
--- a/core/flows.c
+++ b/core/flows.c
@@ -11,17 +11,6 @@
 #define FEED_PINGS 3   /* unanswered, until a silent feed is given up */
 #define FEED_PING_MS 1000
 
-static uint32_t
-pow2(uint32_t n)
-{
-    uint32_t p = 1;
-
-    while (p < n) {
-        p *= 2;
-    }
-    return p;
-}
-
 int
 flows_new(core_t *c)
 {
--- /dev/null
+++ b/core/input.c
@@ -0,0 +1,343 @@
+/* What comes in, and where it is decided on: here, at the flow's home, or
+ * nowhere. */
+#include "core/state.h"
+
+/* No call for so long is a pause; calls come each 20 to 50 ms, and others take
+ * an instance for dead after 600 ms. */
+#define PAUSE_MS 400
+
+class_t
+class_of(const coap_msg_t *m)
+{
+    if (m->code == COAP_GET) {
+        return m->observe != COAP_NONE ? CLASS_FEED : CLASS_READ;
+    }
+    return m->block1 != COAP_NONE ? CLASS_BULK : CLASS_URGENT;
+}
+
+/* ---- Datagrams from callers ---- */
+
+/* Sends D on to its home, or returns false when this is the place to decide.
+ * KEY is the flow's or, for requests, the service's.  PINNED: the home before
+ * this may have a pin for it. */
+static bool
+to_home(core_t *c, const dgram_t *d, uint64_t key, bool known, bool pinned)
+{
+    uint64_t home = home_of(c, key);
+    uint64_t earlier;
+
+    if (known) {
+        return false;
+    }
+    if (home == 0) {
+        /* It has just started and knows no home, nor what was done before:
+         * the caller's next copy finds an instance that does. */
+        c->services[d->service].stats.untrusted++;
+        return true;
+    }
+    if (home == c->p.self && d->hops >= STEER_HOPS) {
+        return false; /* views differ; some home has to decide */
+    }
+    if (home != c->p.self) {
+        send_steer(c, d, home);
+        return true;
+    }
+    earlier = pinned ? earlier_home(c, key) : 0;
+    if (earlier != 0 && earlier != c->p.self && earlier != d->from) {
+        send_steer(c, d, earlier);
+        return true;
+    }
+    return false;
+}
+
+static bool
+use_hint(core_t *c, const dgram_t *d)
+{
+    const hint_t *h = hint_find(c, d->key);
+    uint16_t u;
+
+    if (h == NULL) {
+        return false;
+    }
+    u = up_find_id(c, h->upstream);
+    if (u == UP_NONE || c->ups[u].service != d->service || !up_trusted(c, u)) {
+        return false;
+    }
+    c->services[d->service].stats.hinted++;
+    send_upstream(c, u, &d->h->client, false, d->data, d->len);
+    return true;
+}
+
+/* Is F decided on here, even if its home has moved on? */
+static bool
+flow_mine(const core_t *c, const flow_t *f)
+{
+    return f != NULL && !(f->flags & FLOW_HELD) && up_trusted(c, f->up);
+}
+
+static void
+opaque_in(core_t *c, const dgram_t *d)
+{
+    flow_t *f = flow_find(c, d->key);
+    bool mine = flow_mine(c, f);
+
+    if (!mine && home_of(c, d->home) != c->p.self && use_hint(c, d)) {
+        return;
+    }
+    if (!to_home(c, d, d->home, mine, true)) {
+        opaque_at_home(c, d);
+    }
+}
+
+/* An ACK or RST: for a feed the flow's home knows the upstream, for the late
+ * answer to a request the service's home does. */
+static void
+empty_in(core_t *c, const dgram_t *d, bool mine)
+{
+    uint64_t work = home_of(c, work_key(&c->services[d->service], d->key));
+    bool answer = ex_find_answer(c, d->key, d->m->mid) != NULL;
+
+    if (!mine && !answer && use_hint(c, d)) {
+        return;
+    }
+    if (to_home(c, d, d->home, mine || answer, true)) {
+        return;
+    }
+    if (!mine && !answer && work != 0 && work != c->p.self &&
+        work != d->from) {
+        send_steer(c, d, work);
+    }
+    empty_at_home(c, d);
+}
+
+static void
+coap_in(core_t *c, const dgram_t *d)
+{
+    service_t *s = &c->services[d->service];
+    flow_t *f = flow_find(c, d->key);
+    bool mine = flow_mine(c, f);
+    bool known;
+
+    if (d->m->code == COAP_EMPTY) {
+        empty_in(c, d, mine && !(f->flags & FLOW_UPLOAD));
+        return;
+    }
+    if (!coap_is_request(d->m)) {
+        s->stats.malformed++; /* upstreams ask callers nothing */
+        return;
+    }
+    if (class_of(d->m) == CLASS_FEED) {
+        if (!to_home(c, d, d->home, mine && !(f->flags & FLOW_UPLOAD), true)) {
+            feed_at_home(c, d);
+        }
+        return;
+    }
+    known = ex_find(c, d->key, d->m->mid) != NULL ||
+            (mine && (f->flags & FLOW_UPLOAD));
+    if (!to_home(c, d, work_key(s, d->key), known, is_upload_block(d->m))) {
+        request_at_home(c, d);
+    }
+}
+
+/* After a pause nothing learned before it may be trusted: upstreams may have
+ * changed their service, and others have taken this instance for dead. */
+static void
+wake(core_t *c)
+{
+    for (uint32_t i = 0; i < c->n_ups; i++) {
+        c->ups[i].trust_until = c->now;
+        c->ups[i].probe_next = c->now;
+        c->ups[i].misses = 0; /* nobody asked it meanwhile */
+    }
+    c->doubt_at = c->now;
+}
+
+/* Called first by each entry.  A gap in the calls is a pause of this process.
+ * Others may have taken it for dead meanwhile, and acted in its place, before
+ * it hears of that: the doubt must start before the first datagram is decided
+ * on, not at the next tick. */
+void
+enter(core_t *c, ms_t now)
+{
+    ms_t gap = c->last_call < 0 ? 0 : now - c->last_call;
+
+    c->now = now;
+    c->last_call = now;
+    if (c->start < 0) {
+        c->start = now;
+    }
+    if (gap > PAUSE_MS) {
+        c->doubt_at = now;
+    }
+    if (gap > TRUST_MS) {
+        wake(c);
+    }
+}
+
+static void
+datagram_in(core_t *c, const spp_t *h, uint64_t from, uint8_t hops,
+            const uint8_t *data, size_t len)
+{
+    uint16_t service = service_find(c, &h->service);
+    coap_msg_t m;
+    dgram_t d = {.service = service,
+                 .h = h,
+                 .from = from,
+                 .hops = hops,
+                 .data = data,
+                 .len = len};
+
+    if (service == UP_NONE) {
+        return;
+    }
+    c->services[service].stats.datagrams_in++;
+    d.key = flow_key(&h->service, &h->client);
+    d.home = flow_group(&c->services[service], d.key);
+    if (c->services[service].conf.proto == PROTO_UDP) {
+        opaque_in(c, &d);
+        return;
+    }
+    if (coap_decode(&m, data, len) < 0) {
+        c->services[service].stats.malformed++;
+        return;
+    }
+    d.m = &m;
+    coap_in(c, &d);
+}
+
+void
+core_from_client(core_t *c, ms_t now, const addr_t *service,
+                 const addr_t *client, const uint8_t *data, size_t len)
+{
+    spp_t h = {.client = *client, .service = *service};
+
+    enter(c, now);
+    datagram_in(c, &h, 0, 0, data, len);
+}
+
+static void
+want_upstream(core_t *c, uint64_t id, ms_t lease)
+{
+    uint16_t u = up_find_id(c, id);
+
+    if (u != UP_NONE) {
+        c->ups[u].wanted_until = c->now + lease;
+    }
+}
+
+void
+core_from_peer(core_t *c, ms_t now, const peer_msg_t *m)
+{
+    spp_t h;
+
+    enter(c, now);
+    switch (m->kind) {
+    case PEER_STEER:
+        h = (spp_t){.client = m->steer.client, .service = m->steer.service};
+        datagram_in(c, &h, m->from, m->steer.hops, m->steer.data,
+                    m->steer.len);
+        return;
+    case PEER_HINT:
+        want_upstream(c, m->hint.upstream, (ms_t)m->hint.lease_ms);
+        hint_put(c, m->hint.flow, m->hint.upstream, (ms_t)m->hint.lease_ms);
+        return;
+    case PEER_SYNC:
+        sync_receive(c, m);
+        return;
+    case PEER_SYNC_ACK:
+        sync_acked(c, m);
+        return;
+    case PEER_MEMBER:
+        return;
+    }
+}
+
+/* ---- Datagrams from upstreams ---- */
+
+/* The answer belongs to EX if it has its token, and comes from the upstream
+ * and epoch that got the request. */
+static ex_t *
+answered_exchange(core_t *c, uint64_t key, uint16_t u, const coap_msg_t *m)
+{
+    ex_t *ex = ex_find_token(c, key, m);
+
+    if (ex == NULL || ex->up != u || ex->epoch != c->ups[u].epoch) {
+        return NULL;
+    }
+    return ex;
+}
+
+static void
+coap_reply(core_t *c, uint16_t u, const spp_t *h, const uint8_t *data,
+           size_t len)
+{
+    uint16_t service = c->ups[u].service;
+    service_t *s = &c->services[service];
+    uint64_t key = flow_key(&h->service, &h->client);
+    flow_t *f = flow_find(c, key);
+    coap_msg_t m;
+    ex_t *ex;
+
+    if (coap_decode(&m, data, len) < 0) {
+        s->stats.malformed++;
+        return;
+    }
+    if (f != NULL && f->up == u && coap_is_response(&m)) {
+        upload_answered(c, f, &m);
+    }
+    if (f != NULL && f->up == u) {
+        bool pinged = f->feed != 0 && c->feeds[f->feed - 1].pings > 0;
+        flow_touch(c, f);
+        if (m.type == COAP_T_RST && pinged) {
+            return;
+        }
+    }
+    if (!coap_is_response(&m) || m.observe != COAP_NONE) {
+        send_client(c, service, &h->client, data, len);
+        return;
+    }
+    ex = answered_exchange(c, key, u, &m);
+    if (ex != NULL) {
+        request_answer(c, ex, &m, data, len);
+        return;
+    }
+    if (ex_find_token(c, key, &m) != NULL) {
+        s->stats.late_answers++; /* of an earlier life, or after a bar */
+        return;
+    }
+    send_client(c, service, &h->client, data, len);
+}
+
+void
+core_from_upstream(core_t *c, ms_t now, const addr_t *upstream,
+                   const uint8_t *data, size_t len)
+{
+    uint16_t u = up_find(c, upstream);
+    spp_t h;
+    coap_msg_t m;
+
+    enter(c, now);
+    if (u == UP_NONE || spp_read(&h, data, len) < 0) {
+        if (c->n_services > 0) {
+            c->services[0].stats.malformed++;
+        }
+        return;
+    }
+    if (addr_id(&h.service) != c->services[c->ups[u].service].id) {
+        c->services[c->ups[u].service].stats.misdirected++;
+        return;
+    }
+    data += SPP_LEN;
+    len -= SPP_LEN;
+    if (addr_eq(&h.client, &c->p.own_addr)) {
+        if (coap_decode(&m, data, len) == 0) {
+            up_from_probe(c, u, &m);
+        }
+        return;
+    }
+    if (c->services[c->ups[u].service].conf.proto == PROTO_COAP) {
+        coap_reply(c, u, &h, data, len);
+        return;
+    }
+    send_client(c, c->ups[u].service, &h.client, data, len);
+}
--- a/core/map.c
+++ b/core/map.c
@@ -6,6 +6,17 @@
 
 #define MAP_MIN 64
 
+uint32_t
+pow2(uint32_t n)
+{
+    uint32_t p = 1;
+
+    while (p < n) {
+        p *= 2;
+    }
+    return p;
+}
+
 static uint32_t
 place(const map_t *m, uint64_t key)
 {
--- /dev/null
+++ b/core/pins.c
@@ -0,0 +1,214 @@
+/* Flows at their home: which upstream a flow is pinned to. */
+#include "core/state.h"
+
+#include <string.h>
+
+#define HINT_AFTER 3 /* steered datagrams of a flow, until its hint is sent   \
+                      */
+/* So long after a change an unknown flow may be an old one. */
+#define OLD_FLOW_MS 3000
+
+/* The upstream for a new flow: the less loaded of the two choices.  A home in
+ * doubt takes the first, as another home would. */
+static uint16_t
+choose_flow(core_t *c, service_t *s, uint64_t key)
+{
+    const bucket_t *b = bucket_of(s, key);
+    bool first = up_eligible(c, b->choice[0]);
+    bool second = up_eligible(c, b->choice[1]);
+    uint64_t load1, load2;
+
+    if (!first) {
+        return second ? b->choice[1] : up_next(c, s, key, b->choice[0]);
+    }
+    if (!second || !home_sure(c, flow_group(s, key))) {
+        return b->choice[0];
+    }
+    load1 = (uint64_t)c->ups[b->choice[0]].flows *
+            c->ups[b->choice[1]].conf.weight;
+    load2 = (uint64_t)c->ups[b->choice[1]].flows *
+            c->ups[b->choice[0]].conf.weight;
+    if (s->conf.prefer == PREFER_STABILITY) {
+        /* Each flow on the second choice needs a copy at the backup; taken
+         * only when the first is a tenth busier. */
+        load2 += load2 / 10 + 1;
+    }
+    return load2 < load1 ? b->choice[1] : b->choice[0];
+}
+
+/* An unknown flow of a bucket that changed moments ago, at a home that may
+ * have lost its memory, is more likely an old one: it stays where it was. */
+static uint16_t
+choose_unknown(core_t *c, service_t *s, uint64_t key)
+{
+    uint16_t old = earlier_first(c, s, key, c->now - OLD_FLOW_MS);
+
+    if (old != UP_NONE && !home_sure(c, flow_group(s, key)) &&
+        up_trusted(c, old)) {
+        return old;
+    }
+    return choose_flow(c, s, key);
+}
+
+static void
+maybe_hint(core_t *c, const dgram_t *d, flow_t *f)
+{
+    if (d->from == 0 || f->up2 != UP_NONE) {
+        return; /* two upstreams don't fit a hint */
+    }
+    if (f->steers < HINT_AFTER) {
+        f->steers++;
+        return;
+    }
+    send_hint(c, d->from, f);
+}
+
+void
+opaque_at_home(core_t *c, const dgram_t *d)
+{
+    service_t *s = &c->services[d->service];
+    flow_t *f = flow_own(c, d->key);
+
+    if (f != NULL && !up_trusted(c, f->up)) {
+        flow_remove(c, f);
+        f = NULL;
+    }
+    if (f == NULL) {
+        uint16_t up = choose_unknown(c, s, d->key);
+        s->stats.requests[CLASS_OPAQUE]++;
+        if (up == UP_NONE) {
+            s->stats.refused[REFUSE_NONE]++;
+            return;
+        }
+        f = flow_add(c, d->key, d->service, up, 0);
+        if (f == NULL) {
+            up = bucket_of(s, d->key)->choice[0];
+            if (up != UP_NONE && up_trusted(c, up)) {
+                send_upstream(c, up, &d->h->client, false, d->data, d->len);
+            }
+            return;
+        }
+        sync_flow(c, f);
+    }
+    flow_touch(c, f);
+    maybe_hint(c, d, f);
+    send_upstream(c, f->up, &d->h->client, false, d->data, d->len);
+}
+
+/* The feed's pin, if it can be used.  Another feed of the same flow doesn't go
+ * to an upstream that takes no new work; the older ones stay where they are.
+ */
+static flow_t *
+feed_pin(core_t *c, const dgram_t *d)
+{
+    flow_t *f = flow_own(c, d->key);
+    const feed_t *feed;
+    uint16_t up;
+
+    if (f == NULL || (f->flags & FLOW_UPLOAD)) {
+        return NULL; /* an upload's pin says nothing about feeds */
+    }
+    if (!up_trusted(c, f->up)) {
+        flow_remove(c, f);
+        return NULL;
+    }
+    if (f->feed == 0 || up_eligible(c, f->up)) {
+        return f;
+    }
+    feed = &c->feeds[f->feed - 1];
+    if (memcmp(feed->token, d->m->token, d->m->token_len) == 0) {
+        return f;
+    }
+    up = choose_flow(c, &c->services[d->service], d->key);
+    if (up != UP_NONE) {
+        flow_pin(c, f, up);
+    }
+    return f;
+}
+
+/* Opens a feed; NULL when it was refused, or goes without a pin. */
+static flow_t *
+feed_open(core_t *c, const dgram_t *d)
+{
+    service_t *s = &c->services[d->service];
+    uint16_t up = choose_flow(c, s, d->key);
+    flow_t *f = NULL;
+
+    s->stats.requests[CLASS_FEED]++;
+    if (up == UP_NONE || !up_room(c, up, CLASS_FEED)) {
+        answer_now(c, d, COAP_UNAVAILABLE, come_back(c, s),
+                   up == UP_NONE ? REFUSE_NONE : REFUSE_FULL);
+        return NULL;
+    }
+    if (flow_find(c, d->key) == NULL) {
+        f = flow_add(c, d->key, d->service, up, 0);
+    }
+    if (f == NULL) {
+        send_upstream(c, up, &d->h->client, false, d->data, d->len);
+        return NULL;
+    }
+    sync_flow(c, f);
+    return f;
+}
+
+/* GET with Observe: opens, refreshes or ends a feed (RFC 7641). */
+void
+feed_at_home(core_t *c, const dgram_t *d)
+{
+    flow_t *f = feed_pin(c, d);
+
+    if (f == NULL) {
+        f = feed_open(c, d);
+    }
+    if (f == NULL) {
+        return;
+    }
+    if (d->m->observe == 0) {
+        flow_set_feed(c, f, d);
+    }
+    flow_touch(c, f);
+    send_upstream(c, f->up, &d->h->client, false, d->data, d->len);
+}
+
+/* An ACK, RST or ping goes to the upstream whose message it answers.  When
+ * that isn't known it goes to each that it can be: one that has no such
+ * message ignores it (RFC 7252 4.2). */
+static void
+empty_unknown(core_t *c, const dgram_t *d)
+{
+    service_t *s = &c->services[d->service];
+    uint16_t to[CHOICES_MAX];
+    int n = all_choices(c, s, d->key, to);
+
+    for (int i = 0; i < n; i++) {
+        if (up_trusted(c, to[i])) {
+            send_upstream(c, to[i], &d->h->client, false, d->data, d->len);
+        }
+    }
+}
+
+void
+empty_at_home(core_t *c, const dgram_t *d)
+{
+    ex_t *ex = ex_find_answer(c, d->key, d->m->mid);
+    flow_t *f = flow_own(c, d->key);
+
+    if (ex != NULL && ex->up != UP_NONE) {
+        if (up_trusted(c, ex->up)) {
+            send_upstream(c, ex->up, &d->h->client, true, d->data, d->len);
+        }
+        return;
+    }
+    if (f == NULL || (f->flags & FLOW_UPLOAD)) {
+        empty_unknown(c, d);
+        return;
+    }
+    flow_touch(c, f);
+    maybe_hint(c, d, f);
+    if (up_trusted(c, f->up)) {
+        send_upstream(c, f->up, &d->h->client, false, d->data, d->len);
+    }
+    if (f->up2 != UP_NONE && up_trusted(c, f->up2)) {
+        send_upstream(c, f->up2, &d->h->client, false, d->data, d->len);
+    }
+}
--- a/core/state.h
+++ b/core/state.h
@@ -7,8 +7,11 @@
  *   exchanges.c  records of requests
  *   sync.c       copies of pins and records for the backup
  *   request.c    what a home does with a request
+ *   pins.c       flows at their home
+ *   input.c      what comes in, and where it is decided on
+ *   send.c       what goes out
  *   map.c        addresses to indices
- *   core.c       dispatch, ticks, statistics
+ *   core.c       start, configuration, ticks, statistics
  */
 #ifndef SISKIN_CORE_STATE_H
 #define SISKIN_CORE_STATE_H
@@ -30,6 +33,9 @@
 int map_put(map_t *m, uint64_t key, uint32_t value);
 void map_free(map_t *m);
 
+/* The least power of two that isn't below N. */
+uint32_t pow2(uint32_t n);
+
 /* ---- homes.c ---- */
 
 #define HOME_SLOTS 4096 /* a key's slot is its top 12 bits */
@@ -390,6 +396,18 @@
 void request_refuse(core_t *c, ex_t *ex, refuse_t why);
 
 /* core.c */
+uint16_t service_find(const core_t *c, const addr_t *a); /* or UP_NONE */
+
+/* input.c */
+void enter(core_t *c, ms_t now);
+
+/* pins.c */
+void opaque_at_home(core_t *c, const dgram_t *d);
+void feed_at_home(core_t *c, const dgram_t *d);
+void empty_at_home(core_t *c, const dgram_t *d);
+
+/* send.c */
+void send_hint(core_t *c, uint64_t to, const flow_t *f);
 void send_client(core_t *c, uint16_t service, const addr_t *client,
                  const uint8_t *data, size_t len);
 void send_upstream(core_t *c, uint16_t u, const addr_t *client, bool own,
