--- a/core/core.h
+++ b/core/core.h
@@ -3,13 +3,14 @@
  * callback.  No sockets, threads, clocks or globals, so that thousands run in
  * one process and any run can be replayed.
  *
- * docs/DESIGN.md tells the design.  In short: each flow has a home, the
- * instance that ranks first for it by rendezvous hashing over the active
+ * docs/DESIGN.md tells the design.  In short: each flow, and the requests
+ * of each service, have a home, found by rendezvous hashing over the active
  * members.  Requests and unknown flows are steered to the home, which decides
  * alone; datagrams of a flow with a hint go straight to the upstream.  A home
- * without memory of a flow uses the flow's first choice in the table, which
- * is the same everywhere; only a pin that differs from it is copied to the
- * backup home.
+ * without memory of a flow uses the first choice of the table, which is the
+ * same everywhere; only a pin that differs from it is copied to the backup.  A
+ * home that can't be sure to be the only one has a non-idempotent request
+ * barred at the other choices before it forwards it.
  */
 #ifndef SISKIN_CORE_H
 #define SISKIN_CORE_H
@@ -97,9 +98,9 @@
     uint64_t self;
     addr_t own_addr;
     uint64_t seed;
-    uint32_t max_flows;     /* flow table, entries of 48 bytes */
-    uint32_t max_hints;     /* hint table, entries of 24 bytes */
-    uint32_t max_exchanges; /* request records, about 700 bytes */
+    uint32_t max_flows;     /* flow table; 36 bytes each, a feed 48 more */
+    uint32_t max_hints;     /* hint table; 24 bytes each */
+    uint32_t max_exchanges; /* request records; 300 bytes each with buffers */
 } core_params_t;
 
 core_t *core_new(const core_params_t *p, core_emit_t *emit, void *arg);
--- a/core/input.c
+++ b/core/input.c
@@ -215,6 +215,16 @@
     datagram_in(c, &h, 0, 0, data, len);
 }
 
+static void
+count_steer(core_t *c, const spp_t *h)
+{
+    uint16_t i = service_find(c, &h->service);
+
+    if (i != UP_NONE) {
+        c->services[i].stats.steered_in++;
+    }
+}
+
 static void
 want_upstream(core_t *c, uint64_t id, ms_t lease)
 {
@@ -234,6 +244,7 @@
     switch (m->kind) {
     case PEER_STEER:
         h = (spp_t){.client = m->steer.client, .service = m->steer.service};
+        count_steer(c, &h);
         datagram_in(c, &h, m->from, m->steer.hops, m->steer.data,
                     m->steer.len);
         return;
--- a/core/state.h
+++ b/core/state.h
@@ -1,11 +1,11 @@
 /* The core's state, shared by core's own files only.
  *
  *   homes.c      which instance is the home of a key, and who is its backup
- *   table.c      buckets: a flow's first and second choice, and earlier ones
+ *   table.c      buckets: the choices of a flow, and earlier ones
  *   upstreams.c  trust, load, ejection, choice of an upstream for new work
  *   flows.c      pins of flows at their home, hints at other instances
  *   exchanges.c  records of requests
- *   sync.c       copies of pins and records for the backup
+ *   sync.c       copies of pins for the backup
  *   request.c    what a home does with a request
  *   pins.c       flows at their home
  *   input.c      what comes in, and where it is decided on
@@ -41,11 +41,10 @@
 #define HOME_SLOTS 4096 /* a key's slot is its top 12 bits */
 
 typedef struct {
-    uint64_t home;    /* first by rank among ACTIVE; 0: none */
-    uint64_t backup;  /* next ACTIVE, or a JOINING one that will be home */
-    uint64_t earlier; /* the home before this one, 0 if it isn't there */
-    ms_t home_since;  /* when HOME became it, as seen here */
-
+    uint64_t home;     /* first by rank among ACTIVE; 0: none */
+    uint64_t backup;   /* next ACTIVE, or a JOINING one that will be home */
+    uint64_t earlier;  /* the home before this one, 0 if it isn't there */
+    ms_t home_since;   /* when HOME became it, as seen here */
     bool backup_joins; /* BACKUP is JOINING and will take over */
     bool moved;        /* who gets copies of its pins has changed */
     bool mine;         /* self is its home or backup, or would be if ACTIVE */
@@ -62,7 +61,7 @@
 
 #define UP_NONE UINT16_MAX
 #define CHOICES 3     /* upstreams that a bucket names */
-#define EARLIER_MAX 3 /* earlier pairs of choices remembered for a bucket */
+#define EARLIER_MAX 3 /* earlier sets of choices remembered for a bucket */
 #define CHOICES_MAX (CHOICES + CHOICES * EARLIER_MAX)
 #define GROUP_UPSTREAMS 64
 
@@ -160,13 +159,11 @@
 
 typedef enum {
     EX_FREE,
-    EX_FENCING, /* earlier choices are asked to bar it */
-
+    EX_FENCING, /* its other choices are asked to bar it */
     EX_SENT,    /* forwarded */
     EX_DONE,    /* answered; the buffer, if any, holds the answer */
     EX_REFUSED, /* refused for good, with FINAL */
-
-    EX_BARRED /* another home has taken it over */
+    EX_BARRED   /* another home has taken it over */
 } ex_state_t;
 
 typedef struct {
@@ -176,7 +173,6 @@
     ex_state_t state;
     class_t cls;
     bool idempotent;
-
     bool counted;  /* in its upstream's in_flight and caller's share */
     uint8_t tries; /* forwards that an upstream shed */
     uint8_t life;  /* counts the uses of this entry */
@@ -185,7 +181,6 @@
     uint16_t service;
     uint16_t up;    /* target, UP_NONE: none */
     uint32_t epoch; /* of UP when forwarded */
-
     ms_t sent, retry_at;
     addr_t client;
     uint8_t token_len;
@@ -193,7 +188,7 @@
     coap_type_t type;
     uint8_t n_fence;
     uint16_t fence[FENCE_MAX]; /* upstreams still to answer */
-    bool refuse_after;         /* barred everywhere: say "not run" */
+    bool refuse_after;         /* once barred everywhere, say "not run" */
     bool found;                /* an earlier copy was found at its upstream */
     bool waiting;       /* a choice is new and has not answered a probe yet */
     refuse_t why;       /* of that refusal */
