standin: a reply that is cut frees its body

The body of a reply is given away also when the connection is closed without an answer. Found by ctl_test under LeakSanitizer, which failed unseen while test/run passed everything.

--- a/standin/rest.c
+++ b/standin/rest.c
@@ -93,7 +93,11 @@
     else {
         reply = rest->handler(rest->arg, &req);
     }
-    return reply.status == 0 ? MHD_NO : send_reply(c, &reply);
+    if (reply.status == 0) {
+        json_decref(reply.body);
+        return MHD_NO;
+    }
+    return send_reply(c, &reply);
 }
 
 static void
