siskind: a peer that gave up versions doesn't say that it has them all

The kept versions are 4 to 8; with more changes than that in DOUBT_MS (the letter's rate is 7) an instance that starts was told that its history is complete though some were dropped, and would trust first choices it can't know. The reply itself has no test with a full ring and real processes.

--- a/plat/plat.h
+++ b/plat/plat.h
@@ -114,6 +114,7 @@
     uint64_t version; /* 0: none yet */
     blob_t json;
     step_t first; /* the oldest kept, whole */
+    bool dropped; /* there were versions before it */
     size_t n;
     step_t step[STEPS_MAX];
 } versions_t;
--- a/plat/versions.c
+++ b/plat/versions.c
@@ -72,6 +72,7 @@
     }
     blob_free(&v->first.delta);
     v->first = first;
+    v->dropped = true;
     for (size_t i = 0; i < half; i++) {
         blob_free(&v->step[i].delta);
     }
--- a/siskind/reply.c
+++ b/siskind/reply.c
@@ -1,5 +1,6 @@
 /* Versions between instances, over a ZeroMQ socket. */
 #include "siskind/reply.h"
+#include "core/core.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -33,6 +34,16 @@
     return rc < 0 ? rc : rc + len;
 }
 
+/* With more than STEPS_MAX changes in DOUBT_MS, some of the versions that an
+ * instance has to know of are no longer kept.  Told that it has them all, it
+ * would run again what an upstream of those still holds; not told, it stays in
+ * doubt for DOUBT_MS. */
+static bool
+has_all(const versions_t *v, ms_t now)
+{
+    return !v->dropped || now - v->first.at >= DOUBT_MS;
+}
+
 int
 reply_send(void *socket, const versions_t *v, uint64_t have, ms_t now,
            bool complete)
@@ -47,7 +58,8 @@
         return send_frame(socket, "", 0, false);
     }
     len = snprintf(head, sizeof(head), "FROM %llu %d",
-                   (unsigned long long)(whole ? 0 : have), whole && complete);
+                   (unsigned long long)(whole ? 0 : have),
+                   whole && complete && has_all(v, now));
     sent = rc = send_frame(socket, head, (size_t)len, true);
     for (size_t i = 0; rc >= 0 && i < n; i++) {
         rc = send_step(socket, step[i], now, i + 1 == n);
--- a/test/delta_test.cc
+++ b/test/delta_test.cc
@@ -165,6 +165,7 @@
     size_t kept = std::min<size_t>(all.size() - 1, STEPS_MAX / 2);
     RC_ASSERT(!whole || have < all[all.size() - kept]);
     RC_ASSERT(!whole || n >= kept);
+    RC_ASSERT(s.v.dropped == (s.v.first.version != all[1]));
 }
 
 TEST(Versions, OnlyRise)
