--- a/conf/conf.c
+++ b/conf/conf.c
@@ -77,6 +77,9 @@
 const conf_service_t *
 conf_service(const conf_t *c, const char *name)
 {
+    if (c->n_services == 0) {
+        return NULL; /* bsearch() takes no NULL */
+    }
     return bsearch(name, c->services, c->n_services, sizeof(*c->services),
                    by_name);
 }
