core: a held pin is passed on when its home changes; flows wait for trust; probes each 2 s

Probes each 2 s in place of 1.5 s, since membership (1.0 KB) and probes (1.2 KB) were over 2 KB a second at today's size. Change: a held pin is passed on when the home of its key changes, and the home before answers for pins that it holds. A flow whose upstream has yet to answer (after a pause, at a new home) keeps its pin; it was dropped and pinned anew.

--- a/core/core.h
+++ b/core/core.h
@@ -33,7 +33,7 @@
 /* An upstream is trusted so long after it last told its service and epoch.
  * An upstream takes longer than this to restart or change its service. */
 #define TRUST_MS 3500
-#define PROBE_MS 1500 /* between identity probes of one upstream */
+#define PROBE_MS 2000 /* between identity probes of one upstream */
 #define HINT_LEASE_MS 20000
 
 /* Traffic classes, in the order in which overload sheds the last first. */
--- a/core/flows.c
+++ b/core/flows.c
@@ -323,9 +323,7 @@
     if (home_of(c, flow_home_key(c, f)) == c->p.self) {
         own(c, f); /* so that this home's backup gets it in turn */
     }
-    if (!(f->flags & FLOW_HELD) || c->leaving) {
-        sync_flow(c, f);
-    }
+    sync_flow(c, f);
     if (f->flags & FLOW_HELD) {
         return;
     }
--- a/core/input.c
+++ b/core/input.c
@@ -68,18 +68,25 @@
     return true;
 }
 
-/* Is F decided on here, even if its home has moved on? */
+/* Is F decided on here, even if its home has moved on?  A pin held for another
+ * home counts when that home asks, since it doesn't have it. */
 static bool
-flow_mine(const core_t *c, const flow_t *f)
+flow_mine(core_t *c, const dgram_t *d, const flow_t *f)
 {
-    return f != NULL && !(f->flags & FLOW_HELD) && up_trusted(c, f->up);
+    bool asked;
+
+    if (f == NULL || up_lost(c, f->up)) {
+        return false;
+    }
+    asked = d->from != 0 && d->from == home_of(c, flow_home_key(c, f));
+    return asked || !(f->flags & FLOW_HELD);
 }
 
 static void
 opaque_in(core_t *c, const dgram_t *d)
 {
     flow_t *f = flow_find(c, d->key);
-    bool mine = flow_mine(c, f);
+    bool mine = flow_mine(c, d, f);
 
     if (!mine && home_of(c, d->home) != c->p.self && use_hint(c, d)) {
         return;
@@ -115,7 +122,7 @@
 {
     service_t *s = &c->services[d->service];
     flow_t *f = flow_find(c, d->key);
-    bool mine = flow_mine(c, f);
+    bool mine = flow_mine(c, d, f);
     bool known;
 
     if (d->m->code == COAP_EMPTY) {
--- a/core/pins.c
+++ b/core/pins.c
@@ -64,13 +64,23 @@
     send_hint(c, d->from, f);
 }
 
+void
+to_pin(core_t *c, const dgram_t *d, const flow_t *f, bool own)
+{
+    if (!up_trusted(c, f->up)) {
+        c->services[f->service].stats.untrusted++;
+        return;
+    }
+    send_upstream(c, f->up, &d->h->client, own, d->data, d->len);
+}
+
 void
 opaque_at_home(core_t *c, const dgram_t *d)
 {
     service_t *s = &c->services[d->service];
     flow_t *f = flow_own(c, d->key);
 
-    if (f != NULL && !up_trusted(c, f->up)) {
+    if (f != NULL && up_lost(c, f->up)) {
         flow_remove(c, f);
         f = NULL;
     }
@@ -93,7 +103,7 @@
     }
     flow_touch(c, f);
     maybe_hint(c, d, f);
-    send_upstream(c, f->up, &d->h->client, false, d->data, d->len);
+    to_pin(c, d, f, false);
 }
 
 /* The feed's pin, if it can be used.  Another feed of the same flow doesn't go
@@ -109,7 +119,7 @@
     if (f == NULL || (f->flags & FLOW_UPLOAD)) {
         return NULL; /* an upload's pin says nothing about feeds */
     }
-    if (!up_trusted(c, f->up)) {
+    if (up_lost(c, f->up)) {
         flow_remove(c, f);
         return NULL;
     }
@@ -168,7 +178,7 @@
         flow_set_feed(c, f, d);
     }
     flow_touch(c, f);
-    send_upstream(c, f->up, &d->h->client, false, d->data, d->len);
+    to_pin(c, d, f, false);
 }
 
 /* An ACK, RST or ping goes to the upstream whose message it answers.  When
@@ -206,9 +216,7 @@
     }
     flow_touch(c, f);
     maybe_hint(c, d, f);
-    if (up_trusted(c, f->up)) {
-        send_upstream(c, f->up, &d->h->client, false, d->data, d->len);
-    }
+    to_pin(c, d, f, false);
     if (f->up2 != UP_NONE && up_trusted(c, f->up2)) {
         send_upstream(c, f->up2, &d->h->client, false, d->data, d->len);
     }
--- a/core/request.c
+++ b/core/request.c
@@ -442,7 +442,7 @@
     flow_t *f = flow_own(c, d->key);
     bool first_block = d->m->block1 >> 4 == 0;
 
-    if (f != NULL && (!up_trusted(c, f->up) || !(f->flags & FLOW_UPLOAD) ||
+    if (f != NULL && (up_lost(c, f->up) || !(f->flags & FLOW_UPLOAD) ||
                       (first_block && (f->flags & FLOW_ENDED)))) {
         flow_remove(c, f);
         f = NULL;
@@ -458,15 +458,17 @@
         if (!(d->m->block1 & BLOCK_MORE)) {
             f->flags |= FLOW_LAST;
         }
-        send_upstream(c, f->up, &d->h->client, true, d->data, d->len);
+        to_pin(c, d, f, true);
         return;
     }
-    if (home_sure(c, work_key(s, d->key)) || !up_trusted(c, first)) {
+    if (home_sure(c, work_key(s, d->key)) || up_lost(c, first)) {
         answer_now(c, d, COAP_INCOMPLETE, COAP_NONE, REFUSE_UPLOAD);
         return;
     }
     /* A home that died may have had it at the first choice. */
-    send_upstream(c, first, &d->h->client, true, d->data, d->len);
+    if (up_trusted(c, first)) {
+        send_upstream(c, first, &d->h->client, true, d->data, d->len);
+    }
 }
 
 bool
--- a/core/state.h
+++ b/core/state.h
@@ -313,6 +313,11 @@
 uint16_t up_find_id(core_t *c, uint64_t id);
 uint16_t up_add(core_t *c, const conf_upstream_t *conf, uint16_t service);
 bool up_trusted(const core_t *c, uint16_t u);
+/* Given up: it has another service, or has answered nothing for long.  One
+ * that is neither trusted nor lost has yet to answer, after a pause or at an
+ * instance that has just become a home: its flows stay where they are, and
+ * their datagrams are dropped for the moment. */
+bool up_lost(const core_t *c, uint16_t u);
 /* Trusted, listed, not draining, not ejected: may get new work. */
 bool up_eligible(const core_t *c, uint16_t u);
 /* Requests at U, in parts of 1000 of its slots. */
@@ -397,6 +402,8 @@
 void enter(core_t *c, ms_t now);
 
 /* pins.c */
+/* Sends D where F is pinned, if that is trusted just now. */
+void to_pin(core_t *c, const dgram_t *d, const flow_t *f, bool own);
 void opaque_at_home(core_t *c, const dgram_t *d);
 void feed_at_home(core_t *c, const dgram_t *d);
 void empty_at_home(core_t *c, const dgram_t *d);
--- a/core/upstreams.c
+++ b/core/upstreams.c
@@ -64,10 +64,19 @@
 {
     const up_t *up = &c->ups[u];
 
-    return up->used && up->verified && !up->refused &&
+    return u != UP_NONE && up->used && up->verified && !up->refused &&
            c->now < up->trust_until;
 }
 
+bool
+up_lost(const core_t *c, uint16_t u)
+{
+    const up_t *up = &c->ups[u];
+
+    return u == UP_NONE || !up->used || up->refused ||
+           up->misses >= MISSES_LOST;
+}
+
 static bool
 ejected(const core_t *c, uint16_t u)
 {
@@ -245,7 +254,7 @@
         if (up->used && needed && c->now >= up->probe_next) {
             probe(c, (uint16_t)i);
         }
-        if (up->misses >= MISSES_LOST && !up_trusted(c, (uint16_t)i) &&
+        if (up_lost(c, (uint16_t)i) && !up_trusted(c, (uint16_t)i) &&
             up->flows + up->uploads > 0) {
             feeds_lost(c, (uint16_t)i);
         }
