--- a/Makefile
+++ b/Makefile
@@ -91,15 +91,16 @@
 	./.ci/setup
 
 # The checks themselves, without installing anything.
+SCHEDULES ?= 1000
 test: all tests
-	./test/run $(B)
+	SISKIN_SCHEDULES=$(SCHEDULES) ./test/run $(B)
 
 check: setup
 	$(MAKE) -j8 test
 
 # The same tests under AddressSanitizer and UndefinedBehaviorSanitizer.
 sanitize:
-	$(MAKE) -j8 B=build-san OPT="-O1 -g" \
+	$(MAKE) -j8 B=build-san OPT="-O1 -g" SCHEDULES=60 \
 	    SAN="-fsanitize=address,undefined -fno-omit-frame-pointer" test
 
 bench: $(B)/balance
