--- a/core/pins.c
+++ b/core/pins.c
@@ -3,9 +3,8 @@
 
 #include <string.h>
 
-#define HINT_AFTER                                                            \
-    3 /* steered datagrams of a flow, until its hint is sent                  \
-       */
+/* Steered datagrams of a flow, until its hint is sent. */
+#define HINT_AFTER 3
 /* So long after a change an unknown flow may be an old one. */
 #define OLD_FLOW_MS 3000
 
