core: only the first instances of a site may take an upstream for new

An upstream ran a setpoint and restarted; an instance restarted, too, and heard no peer. Since it met no elder it took itself for the first of the site, and the upstream for one without an earlier life, and forwarded the copy. Ruled out: the age of the version (no clock is shared with the platform). Change: the core doesn't infer it any more. It is told so by a peer, or by the daemon when the platform holds the site's first version and no elder was met. Left: the same three faults at a site that still has version 1.

--- a/core/core.c
+++ b/core/core.c
@@ -77,6 +77,12 @@
     c->history_complete = true;
 }
 
+bool
+core_met_elder(const core_t *c)
+{
+    return c->met_elder;
+}
+
 bool
 core_history_is_complete(const core_t *c)
 {
@@ -86,8 +92,8 @@
 /* When an upstream that is new here can first have got work from anyone;
  * INT64_MIN / 2 when that isn't known.  An instance that hears all others has
  * a version at about the same time as they; one that was cut off may have it
- * much later.  With its first version an instance knows if it was there before
- * all others, or was given what was in force over all of DOUBT_MS. */
+ * much later.  With its first version it knows if it was told so, or was given
+ * what was in force over all of DOUBT_MS. */
 static ms_t
 first_listing(core_t *c)
 {
@@ -95,7 +101,6 @@
     bool known = in_touch;
 
     if (c->first_version) {
-        c->history_complete |= !c->met_elder;
         known = c->history_complete || c->last_call - c->now >= DOUBT_MS;
     }
     return known ? c->now : INT64_MIN / 2;
--- a/core/core.h
+++ b/core/core.h
@@ -113,8 +113,11 @@
  * requests made before it started. */
 int core_set_conf(core_t *c, ms_t now, const conf_t *conf);
 /* Said before the first core_set_conf(): no instance had a version before that
- * one.  A peer that was told so, or that started before any other, knows. */
+ * one.  A peer knows that was told so; and an instance that has the site's
+ * first version from the platform and met no elder. */
 void core_history_complete(core_t *c);
+/* Has a member been seen that was there before this instance? */
+bool core_met_elder(const core_t *c);
 bool core_history_is_complete(const core_t *c);
 uint64_t core_version(const core_t *c);
 
--- a/siskind/decide.c
+++ b/siskind/decide.c
@@ -136,7 +136,10 @@
     conf_t *conf = n->conf.conf;
     conf_t *old = c->conf;
 
-    if (n->conf.complete && old == NULL) {
+    bool complete =
+        n->conf.complete || (n->conf.first && !core_met_elder(c->core));
+
+    if (complete && old == NULL) {
         core_history_complete(c->core);
     }
     if (core_set_conf(c->core, c->now - n->conf.age, conf) < 0) {
--- a/siskind/platform.c
+++ b/siskind/platform.c
@@ -83,6 +83,7 @@
         n->conf.json = json;
         n->conf.age = o->age;
         n->conf.complete = o->complete;
+        n->conf.first = o->first;
         n->conf.conf = bundle_conf(&b, &e);
     }
     bundle_free(&b);
@@ -117,9 +118,10 @@
 
 /* Offers a bundle that was read from the platform. */
 static int
-offer_read(daemon_t *d, const conf_bundle_t *b, err_t *e)
+offer_read(daemon_t *d, const conf_bundle_t *b, bool first, err_t *e)
 {
-    origin_t o = {.part = "watch", .from = d->settings.platform_url};
+    origin_t o = {
+        .part = "watch", .from = d->settings.platform_url, .first = first};
     char *json = bundle_write(b);
 
     if (json == NULL) {
@@ -143,7 +145,7 @@
         plat_history(p, version - 1, &b, &e) < 0) {
         return;
     }
-    offer_read(d, &b, &e);
+    offer_read(d, &b, false, &e);
     bundle_free(&b);
 }
 
@@ -165,7 +167,7 @@
         return rc;
     }
     offer_previous(d, p, b.version);
-    rc = offer_read(d, &b, e);
+    rc = offer_read(d, &b, b.version == 1, e);
     bundle_free(&b);
     return rc;
 }
--- a/siskind/siskind.h
+++ b/siskind/siskind.h
@@ -102,7 +102,9 @@
             char *json;
             uint64_t version;
             ms_t age;      /* since it came into force where it is from */
-            bool complete; /* no instance had a version before it */
+            bool complete; /* a peer says: no instance had a version before it
+                            */
+            bool first;    /* the platform has it as the site's first */
         } conf;            /* MSG_CONF, MSG_BUNDLE (conf NULL) */
         struct {
             size_t n;
@@ -182,7 +184,8 @@
     const char *part; /* the duty that has it, for logs */
     const char *from; /* the peer, or the platform */
     ms_t age;         /* since it came into force there */
-    bool complete;    /* no instance had a version before it */
+    bool complete;    /* a peer says: no instance had one before it */
+    bool first;       /* the platform has it as the site's first */
 } origin_t;
 
 /* A bundle's text read, checked and posted to decide when it is newer than
--- a/test/core_test.cc
+++ b/test/core_test.cc
@@ -248,6 +248,87 @@
               f.report());
 }
 
+/* 3, a restart that learns nothing.  The caller's setpoint ran at an upstream
+ * that has restarted since; its copy reaches an instance that has just started
+ * and hears no peer, and takes the upstream for one that is new to the site.
+ * Only the first instances of a site may think so.  (soak, seed 404) */
+TEST(Hazard3, RestartWithoutAPeerKnowsNoFirstListing)
+{
+    fleet_options_t o;
+    o.seed = 25;
+    o.instances = 3;
+    o.warm_ms = 0;
+    o.loss = 0;
+    o.duplicate = 0;
+    o.skew_ms = 3000;
+    o.run_ms = 5000;
+    fleet_t f(o);
+
+    f.play(R"(
+        4000 post monitor 4
+        4010 deaf 1 2
+        4010 leave 0
+        4400 feed monitor 2
+        4400 raw 6
+        4500 upload archive 2 blocks=40
+        4800 post monitor 4
+        5115 leave 0
+        5200 post archive 3
+        5600 read monitor 2
+        6000 feed monitor 2
+        6400 post monitor 4
+        6800 post archive 3
+        7200 read monitor 2
+        7600 feed monitor 2
+        8000 post monitor 4
+        8400 post archive 3
+        8800 read monitor 2
+        9200 post monitor 2
+        9210 drain 3
+        9600 post monitor 4
+        10000 post archive 3
+        10400 read monitor 2
+        10800 post monitor 2
+        11000 upload archive 2 blocks=20
+        11200 post monitor 4
+        11600 post archive 3
+        12000 read monitor 2
+        12400 post monitor 2
+        12800 post monitor 4
+        13046 up-restart 4 1500
+        13200 post archive 3
+        13207 weight 5 17
+        13600 read monitor 2
+        14000 post monitor 2
+        14400 post monitor 4
+        14800 post archive 3
+        15200 read monitor 2
+        15600 post monitor 2
+        15925 restart 1
+        16000 post monitor 4
+        16400 post archive 3
+        16800 read monitor 2
+        17200 post monitor 2
+        17600 post monitor 4
+        18000 post archive 3
+        18400 read monitor 2
+        18800 post monitor 2
+        19200 post monitor 4
+        19600 post archive 3
+        20000 read monitor 2
+        20400 post monitor 2
+        20800 post monitor 4
+        21200 post archive 3
+        21600 read monitor 2
+        22000 post monitor 2
+        22400 post monitor 4
+        22800 post archive 3
+        23200 read monitor 2
+        23600 post monitor 2
+        75000 end)");
+    EXPECT_EQ(zeros, f.promises());
+}
+
 /* 4. Wrong service.
  * Alarm acknowledgements arrive at the archive.  An address passes from one
  * service to the other while one instance holds the old version, or wakes
