core: one choice of the least loaded; dead state removed

Read-through of the whole change. Two loops chose the least loaded upstream, over the service's and over a bucket's choices; a caller's share was found in two places; a service's "used" was never false; an ACK that goes by a hint worked out a home that it didn't need.

--- a/core/core.c
+++ b/core/core.c
@@ -66,7 +66,7 @@
     c->services =
         realloc(c->services, (c->n_services + 1) * sizeof(*c->services));
     s = &c->services[c->n_services];
-    *s = (service_t){.used = true, .id = addr_id(&conf->addr)};
+    *s = (service_t){.id = addr_id(&conf->addr)};
     map_put(&c->service_map, s->id, c->n_services);
     return (uint16_t)c->n_services++;
 }
--- a/core/exchanges.c
+++ b/core/exchanges.c
@@ -222,12 +222,17 @@
     c->ex_used--;
 }
 
+uint16_t *
+share_of(service_t *s, const addr_t *client)
+{
+    return &s->share[hash64(client->ip, sizeof(client->ip), 0) &
+                     (SHARE_SLOTS - 1)];
+}
+
 void
 ex_count(core_t *c, ex_t *ex, bool on)
 {
-    service_t *s = &c->services[ex->service];
-    uint16_t *share =
-        &s->share[hash64(ex->client.ip, 16, 0) & (SHARE_SLOTS - 1)];
+    uint16_t *share = share_of(&c->services[ex->service], &ex->client);
 
     if (ex->counted == on) {
         return;
--- a/core/homes.c
+++ b/core/homes.c
@@ -180,8 +180,8 @@
     return s->moved;
 }
 
-/* Self refuted a suspicion, or a member restarted or vanished without leaving:
- * others took another instance for the home, or records are lost. */
+/* Self refuted a suspicion, or a member restarted without leaving: others took
+ * another instance for the home, or records are lost. */
 static bool
 was_doubted(const core_t *c, const member_t *m)
 {
--- a/core/input.c
+++ b/core/input.c
@@ -101,7 +101,7 @@
 static void
 empty_in(core_t *c, const dgram_t *d, bool mine)
 {
-    uint64_t work = home_of(c, work_key(&c->services[d->service], d->key));
+    uint64_t work;
     bool answer = ex_find_answer(c, d->key, d->m->mid) != NULL;
 
     if (!mine && !answer && use_hint(c, d)) {
@@ -110,6 +110,7 @@
     if (to_home(c, d, d->home, mine || answer, true)) {
         return;
     }
+    work = home_of(c, work_key(&c->services[d->service], d->key));
     if (!mine && !answer && work != 0 && work != c->p.self &&
         work != d->from) {
         send_steer(c, d, work);
--- a/core/pins.c
+++ b/core/pins.c
@@ -41,7 +41,7 @@
 static uint16_t
 choose_unknown(core_t *c, service_t *s, uint64_t key)
 {
-    uint16_t old = earlier_first(c, s, key, c->now - OLD_FLOW_MS);
+    uint16_t old = earlier_first(s, key, c->now - OLD_FLOW_MS);
 
     if (old != UP_NONE && !home_sure(c, flow_group(s, key)) &&
         up_trusted(c, old)) {
--- a/core/request.c
+++ b/core/request.c
@@ -187,16 +187,18 @@
 
 /* ---- Choice of the upstream ---- */
 
-/* The least loaded upstream of the service with room for CLS; FIRST wins a
- * tie. The home sees all requests of the service, so it need not draw lots. */
+/* The least loaded of the N upstreams LIST with room for CLS; FIRST wins a
+ * tie.  The home sees all requests of the service, so it need not draw lots.
+ */
 static uint16_t
-choose_free(core_t *c, service_t *s, uint16_t first, class_t cls)
+least_loaded(core_t *c, const uint16_t *list, uint32_t n, uint16_t first,
+             class_t cls)
 {
     uint16_t best = UP_NONE;
     uint32_t best_load = UINT32_MAX;
 
-    for (uint32_t i = 0; i < s->n_ups; i++) {
-        uint16_t u = s->ups[i];
+    for (uint32_t i = 0; i < n; i++) {
+        uint16_t u = list[i];
         uint32_t load;
 
         if (!up_eligible(c, u) || !up_room(c, u, cls)) {
@@ -211,44 +213,25 @@
     return best;
 }
 
-/* The least loaded of KEY's choices, with room for CLS.  A non-idempotent
- * request goes to no other: a home without the record has only them to ask. */
-static uint16_t
-choose_ranked(core_t *c, service_t *s, uint64_t key, class_t cls)
-{
-    const bucket_t *b = bucket_of(s, key);
-    uint16_t best = UP_NONE;
-
-    for (int i = 0; i < CHOICES; i++) {
-        uint16_t u = b->choice[i];
-
-        if (!up_eligible(c, u) || !up_room(c, u, cls)) {
-            continue;
-        }
-        if (best == UP_NONE || up_load(c, u) < up_load(c, best)) {
-            best = u;
-        }
-    }
-    return best;
-}
-
+/* A non-idempotent request goes to one of its choices and to no other: a home
+ * without the record has only them to ask. */
 static uint16_t
 choose(core_t *c, const ex_t *ex)
 {
     service_t *s = service_of(c, ex);
+    const uint16_t *choice = bucket_of(s, ex->key)->choice;
 
     if (!ex->idempotent) {
-        return choose_ranked(c, s, ex->key, ex->cls);
+        return least_loaded(c, choice, CHOICES, choice[0], ex->cls);
     }
-    return choose_free(c, s, bucket_of(s, ex->key)->choice[0], ex->cls);
+    return least_loaded(c, s->ups, s->n_ups, choice[0], ex->cls);
 }
 
 static bool
-over_share(const service_t *s, const dgram_t *d)
+over_share(service_t *s, const dgram_t *d)
 {
-    uint32_t i = hash64(d->h->client.ip, 16, 0) & (SHARE_SLOTS - 1);
-
-    return s->conf.caller_share > 0 && s->share[i] >= s->conf.caller_share;
+    return s->conf.caller_share > 0 &&
+           *share_of(s, &d->h->client) >= s->conf.caller_share;
 }
 
 static bool
@@ -418,7 +401,7 @@
 
     s->stats.requests[CLASS_BULK]++;
     if (home_sure(c, work_key(s, d->key))) {
-        up = choose_free(c, s, first, CLASS_BULK);
+        up = least_loaded(c, s->ups, s->n_ups, first, CLASS_BULK);
     }
     if (!up_eligible(c, up)) {
         answer_now(c, d, COAP_UNAVAILABLE, come_back(c, s), REFUSE_FULL);
--- a/core/state.h
+++ b/core/state.h
@@ -85,10 +85,10 @@
     bool listed;       /* in the configuration in force */
     ms_t listed_since; /* no instance had it before; INT64_MIN: unknown */
     ms_t unlisted_at;
-    ms_t wanted_until; /* a hint for it is held here until then */
-    bool draining;     /* by configuration or by its own report */
-    bool conf_draining;
-    uint16_t service; /* index */
+    ms_t wanted_until;  /* a hint for it is held here until then */
+    bool draining;      /* by its own report */
+    bool conf_draining; /* by configuration */
+    uint16_t service;   /* index */
     conf_upstream_t conf;
 
     bool verified;    /* has ever answered for its service */
@@ -201,9 +201,9 @@
 /* ---- a service ---- */
 
 #define SHARE_SLOTS 1024
+#define BATCHES 8 /* instances that copies are gathered for */
 
 typedef struct {
-    bool used;
     conf_service_t conf; /* its upstreams pointer is not used */
     uint64_t id;
     uint32_t n_buckets; /* a power of two */
@@ -260,7 +260,7 @@
     struct {
         uint64_t to;
         peer_msg_t msg;
-    } batch[8];           /* sync messages being filled */
+    } batch[BATCHES];     /* sync messages being filled */
     uint32_t sync_budget; /* bytes left for paced copies in this tick */
     uint16_t mid;         /* for messages of our own */
 };
@@ -305,8 +305,7 @@
 bool choices_differ(const core_t *c, service_t *s, uint64_t key);
 /* The first choice of KEY until SINCE or later; UP_NONE when it is the same.
  */
-uint16_t earlier_first(const core_t *c, service_t *s, uint64_t key,
-                       ms_t since);
+uint16_t earlier_first(service_t *s, uint64_t key, ms_t since);
 
 /* upstreams.c */
 uint16_t up_find(core_t *c, const addr_t *a);
@@ -366,12 +365,14 @@
 /* Keeps DATA in the record's buffer.  False: no buffer is free. */
 bool ex_keep(core_t *c, ex_t *ex, const uint8_t *data, size_t len);
 void ex_drop_bytes(core_t *c, ex_t *ex);
+/* The requests in progress of CLIENT's IP at S (IPs may share a count). */
+uint16_t *share_of(service_t *s, const addr_t *client);
 /* Counts EX at its upstream and caller, or ends that. */
 void ex_count(core_t *c, ex_t *ex, bool on);
 void ex_tick(core_t *c);
 
 /* sync.c */
-void sync_add(core_t *c, uint64_t to, const pin_t *pin);
+
 void sync_flush(core_t *c);
 void sync_refill(core_t *c); /* the budget for paced copies, each tick */
 void sync_flow(core_t *c, flow_t *f);
--- a/core/sync.c
+++ b/core/sync.c
@@ -3,7 +3,6 @@
 
 #include <string.h>
 
-#define BATCHES 8
 #define PIN_BYTES 20         /* about, in a message with others */
 #define MSG_BYTES 70         /* headers and tag of a message */
 #define PACED_BYTES 100      /* each tick, when nothing is handed over */
@@ -27,7 +26,7 @@
     c->emit(c->arg, &out);
 }
 
-void
+static void
 sync_add(core_t *c, uint64_t to, const pin_t *pin)
 {
     int i = 0;
--- a/core/table.c
+++ b/core/table.c
@@ -231,11 +231,10 @@
 }
 
 uint16_t
-earlier_first(const core_t *c, service_t *s, uint64_t key, ms_t since)
+earlier_first(service_t *s, uint64_t key, ms_t since)
 {
     const bucket_t *b = bucket_of(s, key);
 
-    (void)c;
     for (int i = 0; i < b->n_earlier; i++) {
         if (b->earlier[i].until >= since &&
             b->earlier[i].choice[0] != b->choice[0]) {
