--- a/base/base.h
+++ b/base/base.h
@@ -121,13 +121,21 @@
 
 typedef enum { LVL_ERROR, LVL_WARN, LVL_INFO, LVL_DEBUG } log_level_t;
 
-/* Lines go to standard error: time, level, "part: sentence key=value ...".
- * NAME is put before the part, as "siskind-3". */
+/* Lines go to standard error, unless log_start_writer() is called: time,
+ * level, "part: sentence key=value ...". NAME is put before the part, as
+ * "siskind-3". */
 int log_open(const char *name, log_level_t level);
 /* "error", "warn", "info" or "debug"; -EINVAL for others. */
 int log_level_parse(const char *s);
 void log_line(log_level_t level, const char *part, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
+void log_set_level(log_level_t level);
+/* For a daemon: from now on lines go to FD through a bounded buffer and a
+ * thread of its own, so that writing them never blocks. */
+int log_start_writer(int fd);
+/* Lines that found no room in the buffer. */
+uint64_t log_left_out(void);
+/* Writes what is left, for a bounded time. */
 void log_close(void);
 
 /* ---- Histograms ---- */
--- a/base/log.c
+++ b/base/log.c
@@ -1,17 +1,46 @@
-/* Logs through log4c: one category, one stream on standard error. */
+/* Logs through log4c: one category, one stream.
+ *
+ * A tool writes each line to standard error.  A daemon has a writer: a line
+ * goes into a bounded buffer, and a thread of its own writes the buffer to
+ * standard output.  So a reader that has stopped, a full pipe or a slow disk
+ * delays no decision: what doesn't fit is left out, counted, and the count is
+ * written when there is room again. */
 #include "base/base.h"
 
 #include <errno.h>
 #include <log4c.h>
+#include <pthread.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #define LINE_MAX_BYTES 1024
+/* Some 500 lines: half a second at the most that a daemon writes. */
+#define BUFFER_BYTES (64 * 1024)
+/* The writer rests so long between two writes: one system call and one
+ * wake-up for all lines of that time. */
+#define REST_MS 100
+/* At the end, for a reader that does not read. */
+#define CLOSE_WAIT_MS 300
 
 static log4c_category_t *category;
 static char prog[64] = "siskin";
 
+/* The writer's part; all under LOCK but THREAD and FD. */
+static struct {
+    pthread_t thread;
+    pthread_mutex_t lock;
+    pthread_cond_t filled, written;
+    int fd;
+    bool running, stopping;
+    size_t len;
+    uint64_t left_out; /* lines, since the last write */
+    uint64_t left_out_total;
+    char buffer[BUFFER_BYTES];
+} writer = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
 static const struct {
     const char *name;
     int priority;
@@ -41,17 +70,154 @@
     return line;
 }
 
+static void
+buffer_add(const char *line)
+{
+    size_t len = strlen(line);
+
+    pthread_mutex_lock(&writer.lock);
+    if (len > sizeof(writer.buffer) - writer.len) {
+        writer.left_out++;
+        writer.left_out_total++;
+    }
+    else {
+        memcpy(writer.buffer + writer.len, line, len);
+        if (writer.len == 0) {
+            pthread_cond_signal(&writer.filled);
+        }
+        writer.len += len;
+    }
+    pthread_mutex_unlock(&writer.lock);
+}
+
 static int
-stderr_append(log4c_appender_t *appender, const log4c_logging_event_t *event)
+line_append(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
     (void)appender;
+    if (writer.running) {
+        buffer_add(event->evt_rendered_msg);
+        return 0;
+    }
     return fputs(event->evt_rendered_msg, stderr) < 0 ? -EIO : 0;
 }
 
+/* A reader that has gone loses the lines; the counters remain. */
+static void
+write_all(const char *data, size_t len)
+{
+    while (len > 0) {
+        ssize_t n = write(writer.fd, data, len);
+        if (n < 0 && errno != EINTR) {
+            return;
+        }
+        if (n > 0) {
+            data += n;
+            len -= (size_t)n;
+        }
+    }
+}
+
+static void
+rest(ms_t ms)
+{
+    struct timespec ts = {.tv_sec = ms / 1000, .tv_nsec = ms % 1000 * 1000000};
+
+    nanosleep(&ts, NULL);
+}
+
+static void *
+write_lines(void *arg)
+{
+    static char out[BUFFER_BYTES];
+    size_t len;
+    uint64_t left_out;
+
+    (void)arg;
+    pthread_mutex_lock(&writer.lock);
+    while (writer.len > 0 || !writer.stopping) {
+        if (writer.len == 0) {
+            pthread_cond_wait(&writer.filled, &writer.lock);
+            continue;
+        }
+        len = writer.len;
+        left_out = writer.left_out;
+        memcpy(out, writer.buffer, len);
+        writer.len = 0;
+        writer.left_out = 0;
+        pthread_mutex_unlock(&writer.lock);
+        write_all(out, len);
+        if (left_out > 0) {
+            log_line(LVL_WARN, "log", "Lines were left out. count=%llu",
+                     (unsigned long long)left_out);
+        }
+        if (!__atomic_load_n(&writer.stopping, __ATOMIC_RELAXED)) {
+            rest(REST_MS);
+        }
+        pthread_mutex_lock(&writer.lock);
+    }
+    pthread_cond_signal(&writer.written);
+    writer.running = false;
+    pthread_mutex_unlock(&writer.lock);
+    return NULL;
+}
+
+int
+log_start_writer(int fd)
+{
+    pthread_condattr_t attr;
+    int rc;
+
+    pthread_condattr_init(&attr);
+    pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+    pthread_cond_init(&writer.filled, &attr);
+    pthread_cond_init(&writer.written, &attr);
+    pthread_condattr_destroy(&attr);
+    writer.fd = fd;
+    writer.stopping = false;
+    writer.running = true;
+    rc = pthread_create(&writer.thread, NULL, write_lines, NULL);
+    if (rc != 0) {
+        writer.running = false;
+        return -rc;
+    }
+    pthread_detach(writer.thread);
+    return 0;
+}
+
+/* Waits for the last lines, but not for a reader that has stopped. */
+static void
+stop_writer(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    ts.tv_nsec += CLOSE_WAIT_MS * 1000000L;
+    ts.tv_sec += ts.tv_nsec / 1000000000L;
+    ts.tv_nsec %= 1000000000L;
+    pthread_mutex_lock(&writer.lock);
+    __atomic_store_n(&writer.stopping, true, __ATOMIC_RELAXED);
+    pthread_cond_signal(&writer.filled);
+    while (writer.running &&
+           pthread_cond_timedwait(&writer.written, &writer.lock, &ts) == 0) {
+    }
+    pthread_mutex_unlock(&writer.lock);
+}
+
+uint64_t
+log_left_out(void)
+{
+    uint64_t n;
+
+    pthread_mutex_lock(&writer.lock);
+    n = writer.left_out_total;
+    pthread_mutex_unlock(&writer.lock);
+    return n;
+}
+
 static const log4c_layout_type_t layout_type = {.name = "siskin",
                                                 .format = layout_format};
 static const log4c_appender_type_t appender_type = {.name = "siskin",
-                                                    .append = stderr_append};
+                                                    .append = line_append};
 
 int
 log_level_parse(const char *s)
@@ -106,9 +272,20 @@
     log4c_category_log(category, levels[level].priority, "%s", msg);
 }
 
+void
+log_set_level(log_level_t level)
+{
+    if (category != NULL) {
+        log4c_category_set_priority(category, levels[level].priority);
+    }
+}
+
 void
 log_close(void)
 {
+    if (writer.running) {
+        stop_writer();
+    }
     category = NULL;
     log4c_fini();
 }
--- /dev/null
+++ b/conf/tagged.c
@@ -0,0 +1,117 @@
+/* Settings of an instance that serves tagged flows. */
+#include "conf/tagged.h"
+#include "conf/fields.h"
+
+#include <errno.h>
+#include <string.h>
+
+/* A process that is killed at once after SIGTERM can't leave gracefully. */
+#define STOP_MIN_MS 100
+#define STOP_MAX_MS 600000
+#define STOP_DEFAULT_MS 5000
+/* 31,000 flows an instance at the size designed for, and room for bursts. */
+#define RECORDS_DEFAULT 65536
+#define RECORDS_MIN 256
+#define RECORDS_MAX 4000000
+
+static const char *const kinds[] = {"tagged", NULL};
+/* In the order of log_level_t. */
+static const char *const levels[] = {"error", "warn", "info", "debug", NULL};
+
+/* The settings, and the key that tells their kind. */
+typedef struct {
+    tagged_settings_t s;
+    unsigned kind;
+} draft_settings_t;
+
+static const field_t tagged_fields[] = {
+    CHOICE_FIELD("kind", REQUIRED, draft_settings_t, kind, kinds),
+    TEXT_FIELD("name", REQUIRED, draft_settings_t, s.name),
+    TEXT_FIELD("data_centre", REQUIRED, draft_settings_t, s.data_centre),
+    ADDR_FIELD("flow_addr", REQUIRED, draft_settings_t, s.flow_addr),
+    ADDR_FIELD("ready_addr", REQUIRED, draft_settings_t, s.ready_addr),
+    ADDR_FIELD("admin_addr", REQUIRED, draft_settings_t, s.admin_addr),
+    TEXT_FIELD("store_url", REQUIRED, draft_settings_t, s.store_url),
+    U32_FIELD("stop_ms", OPTIONAL, draft_settings_t, s.stop_ms, STOP_MIN_MS,
+              STOP_MAX_MS, "milliseconds"),
+    U32_FIELD("records", OPTIONAL, draft_settings_t, s.records, RECORDS_MIN,
+              RECORDS_MAX, "flows"),
+    CHOICE_FIELD("log_level", OPTIONAL, draft_settings_t, s.log_level, levels),
+};
+
+static const char *const lists[] = {"seeds", NULL};
+
+bool
+tagged_is(const char *text)
+{
+    err_t e = {0};
+    toml_doc_t *doc = toml_doc_parse("settings", text, &e);
+    const toml_node_t *kind;
+    bool is;
+
+    if (doc == NULL) {
+        return false;
+    }
+    kind = toml_get(toml_doc_root(doc), "kind");
+    is = kind != NULL && toml_kind(kind) == TOML_STRING;
+    toml_doc_free(doc);
+    return is;
+}
+
+static int
+read_seeds(tagged_settings_t *s, const origin_t *o, const toml_node_t *root)
+{
+    const toml_node_t *list = toml_get(root, "seeds"), *seed;
+
+    if (list == NULL) {
+        return 0;
+    }
+    if (toml_kind(list) != TOML_ARRAY || toml_size(list) > TAGGED_SEEDS) {
+        return toml_fail(o->e, o->file, toml_line(list),
+                         "seeds doesn't fit; expected at most %d addresses",
+                         TAGGED_SEEDS);
+    }
+    for (size_t i = 0; i < toml_size(list); i++) {
+        seed = toml_at(list, i);
+        if (toml_kind(seed) != TOML_STRING ||
+            addr_parse(&s->seed[i], toml_string(seed)) < 0) {
+            return toml_fail(o->e, o->file, toml_line(seed),
+                             "seeds holds something else; expected "
+                             "addresses as \"10.1.0.10:8166\"");
+        }
+    }
+    s->n_seeds = (uint32_t)toml_size(list);
+    return 0;
+}
+
+int
+tagged_settings_parse(tagged_settings_t *s, const char *file, const char *text,
+                      err_t *e)
+{
+    const origin_t o = {file, e};
+    draft_settings_t d = {.s = {.log_level = LVL_INFO,
+                                .stop_ms = STOP_DEFAULT_MS,
+                                .records = RECORDS_DEFAULT}};
+    const field_set_t set = {tagged_fields, FIELD_COUNT(tagged_fields), &d};
+    toml_doc_t *doc = toml_doc_parse(file, text, e);
+    int rc;
+
+    if (doc == NULL) {
+        return -EINVAL;
+    }
+    rc = fields_read(&o, toml_doc_root(doc), &set, 1, lists);
+    if (rc == 0) {
+        rc = read_seeds(&d.s, &o, toml_doc_root(doc));
+    }
+    if (rc == 0 && strncmp(d.s.store_url, "http://", 7) != 0) {
+        rc = toml_fail(e, file,
+                       toml_line(toml_get(toml_doc_root(doc), "store_url")),
+                       "store_url doesn't fit; expected it as "
+                       "\"http://127.0.0.1:8500\"");
+    }
+    toml_doc_free(doc);
+    if (rc == 0) {
+        *s = d.s;
+    }
+    return rc;
+}
--- /dev/null
+++ b/flow/choice.c
@@ -0,0 +1,174 @@
+/* Which upstream takes a new flow.
+ *
+ * An instance sees only the flows that reach itself, so its counts are a part
+ * of an upstream's load.  They still show what matters: an upstream that is
+ * slow or overloaded keeps its requests for longer, so more of them are in
+ * progress, also here.
+ */
+#include "flow/state.h"
+
+/* Requests in progress that one open flow stands for.  Long flows ask now and
+ * then: as many of them as come to one request in progress make it likely.
+ * Large enough that flows are spread evenly when nothing is in progress. */
+#define FLOW_SHARE (1.0 / 16)
+/* An upstream that still warms up is taken for so many times as slow. */
+#define WARM_UP_FACTOR 2.0
+/* The most that a slow upstream is held back, as a factor of its load.  Above
+ * it the average says little, and a few flows must go on measuring. */
+#define SLOW_FACTOR_MAX 8.0
+/* An average that no answer has renewed for so long tells nothing. */
+#define ANSWER_FRESH_MS 3000
+/* Requests in progress per slot, seen here, at which an upstream of another
+ * data centre may be taken.  With two instances a data centre, each sees about
+ * half of the requests: at 0.75 here, local upstreams are queueing. */
+#define SPILL_BUSY 0.75
+/* How much less busy the other one must be: below it the longer way and the
+ * risk of a cut between data centres outweigh the shorter queue. */
+#define SPILL_GAIN 0.5
+/* A service with more upstreams is sampled: the best of so many at random is
+ * near the best of all, at a cost that does not grow with the service. */
+#define SCAN_MAX 24
+#define SAMPLES 12
+/* An upstream whose announcement is gone may still be alive: announcements
+ * also lapse while the store is away, and are back within two seconds. */
+#define LAPSE_MS 2000
+
+/* How well an upstream would do.  Lower is better. */
+typedef enum {
+    TIER_GOOD,
+    TIER_LAPSED, /* not announced for a moment */
+    TIER_DOUBTED,
+    TIER_NONE /* must not be taken */
+} tier_t;
+
+typedef struct {
+    upstream_t *up; /* NULL: none */
+    tier_t tier;
+    double cost;
+} pick_t;
+
+static tier_t
+tier_of(const upstream_t *u, ms_t now, const upstream_t *not)
+{
+    if (u->reach == REACH_DEAD || u->reach == REACH_OUT) {
+        return TIER_NONE;
+    }
+    if (!u->listed && now - u->unlisted_at >= LAPSE_MS) {
+        return TIER_NONE;
+    }
+    if (u->reach == REACH_DOUBTED || u == not) {
+        return TIER_DOUBTED;
+    }
+    return u->listed ? TIER_GOOD : TIER_LAPSED;
+}
+
+/* How much slower U answers than its service does on average, at least 1: an
+ * upstream that answers fast may just be refusing. */
+static double
+slowness(const upstream_t *u, ms_t now)
+{
+    double x;
+
+    if (u->answer_ms == 0 || u->service->answer_ms == 0 ||
+        now - u->answered_at > ANSWER_FRESH_MS) {
+        return 1;
+    }
+    x = u->answer_ms / u->service->answer_ms;
+    return x < 1 ? 1 : x > SLOW_FACTOR_MAX ? SLOW_FACTOR_MAX : x;
+}
+
+static double
+busy_share(const upstream_t *u)
+{
+    return (double)u->busy / u->a.slots;
+}
+
+static double
+cost_of(const upstream_t *u, ms_t now)
+{
+    double load = 1 + u->busy + u->open * FLOW_SHARE + u->unanswered;
+    double factor = now < u->warm_at ? WARM_UP_FACTOR : 1;
+
+    return load / u->a.slots * factor * slowness(u, now);
+}
+
+static bool
+better(const pick_t *a, const pick_t *b)
+{
+    return a->tier != b->tier ? a->tier < b->tier : a->cost < b->cost;
+}
+
+/* The best of LIST; ties go to the first from a random start, so that
+ * instances that know the same don't all take the same. */
+static pick_t
+best_of(flowset_t *f, ms_t now, upstream_t *const *list, uint32_t n,
+        const upstream_t *not)
+{
+    pick_t best = {.tier = TIER_NONE};
+    uint32_t tries = n > SCAN_MAX ? SAMPLES : n;
+    uint32_t at = n > 0 ? rng_below(&f->rng, n) : 0;
+
+    for (uint32_t i = 0; i < tries; i++) {
+        upstream_t *u = list[at];
+        pick_t p = {.up = u, .tier = tier_of(u, now, not)};
+        p.cost = cost_of(u, now);
+        if (p.tier != TIER_NONE && (best.up == NULL || better(&p, &best))) {
+            best = p;
+        }
+        at = n > SCAN_MAX ? rng_below(&f->rng, n) : (at + 1) % n;
+    }
+    return best;
+}
+
+/* The own data centre first: a flow that crosses is lost when data centres
+ * lose each other.  Another only when it is clearly better for the caller. */
+static upstream_t *
+choose_of(flowset_t *f, ms_t now, const service_t *s, const upstream_t *not)
+{
+    pick_t near = best_of(f, now, s->near, s->n_near, not);
+    pick_t far;
+
+    if (near.up != NULL && near.tier == TIER_GOOD &&
+        busy_share(near.up) < SPILL_BUSY) {
+        return near.up;
+    }
+    far = best_of(f, now, s->far, s->n_far, not);
+    if (near.up == NULL || far.up == NULL) {
+        return near.up != NULL ? near.up : far.up;
+    }
+    if (near.tier != far.tier) {
+        return near.tier < far.tier ? near.up : far.up;
+    }
+    return busy_share(far.up) + SPILL_GAIN <= busy_share(near.up) ? far.up
+                                                                  : near.up;
+}
+
+/* One of the route's targets, by weight. */
+static const flow_target_t *
+draw_target(flowset_t *f, const flow_route_t *r)
+{
+    const flow_target_t *t = &f->conf->targets[r->first];
+    uint32_t sum = 0, x;
+
+    for (uint32_t i = 0; i < r->n_targets; i++) {
+        sum += t[i].weight;
+    }
+    if (sum == 0) {
+        return NULL;
+    }
+    x = rng_below(&f->rng, sum);
+    while (x >= t->weight) {
+        x -= t->weight;
+        t++;
+    }
+    return t;
+}
+
+upstream_t *
+choose(flowset_t *f, ms_t now, const flow_route_t *r, const upstream_t *not)
+{
+    const flow_target_t *t = draw_target(f, r);
+    const service_t *s = t != NULL ? service_named(f, t->service) : NULL;
+
+    return s != NULL ? choose_of(f, now, s, not) : NULL;
+}
--- /dev/null
+++ b/flow/directory.c
@@ -0,0 +1,187 @@
+/* Routes and upstreams: what there is, found by address, id and tag. */
+#include "flow/state.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LIST_MIN 8
+
+void
+flow_conf_free(flow_conf_t *c)
+{
+    if (c != NULL) {
+        free(c->routes);
+        free(c->targets);
+        free(c);
+    }
+}
+
+static int
+addr_cmp(const addr_t *a, const addr_t *b)
+{
+    int rc = memcmp(a->ip, b->ip, sizeof(a->ip));
+
+    return rc != 0 ? rc : (int)a->port - (int)b->port;
+}
+
+static int
+route_cmp(const void *key, const void *route)
+{
+    return addr_cmp(key, &((const flow_route_t *)route)->addr);
+}
+
+const flow_route_t *
+route_find(const flowset_t *f, const addr_t *a)
+{
+    if (f->conf == NULL || f->conf->n_routes == 0) {
+        return NULL;
+    }
+    return bsearch(a, f->conf->routes, f->conf->n_routes,
+                   sizeof(flow_route_t), route_cmp);
+}
+
+service_t *
+service_named(flowset_t *f, const char *name)
+{
+    service_t *s;
+
+    LIST_EACH (it, &f->services) {
+        s = LIST_OWNER(it, service_t, link);
+        if (strcmp(s->name, name) == 0) {
+            return s;
+        }
+    }
+    s = calloc(1, sizeof(*s));
+    if (s != NULL) {
+        strncpy(s->name, name, sizeof(s->name) - 1);
+        list_append(&f->services, &s->link);
+    }
+    return s;
+}
+
+upstream_t *
+upstream_by_id(const flowset_t *f, uint64_t id)
+{
+    INDEX_EACH (it, &f->by_id, hash_mix(id, 0)) {
+        upstream_t *u = LIST_OWNER(it, upstream_t, by_id.link);
+        if (u->a.id == id) {
+            return u;
+        }
+    }
+    return NULL;
+}
+
+upstream_t *
+upstream_by_tag(const flowset_t *f, uint32_t tag)
+{
+    INDEX_EACH (it, &f->by_tag, hash_mix(tag, 1)) {
+        upstream_t *u = LIST_OWNER(it, upstream_t, by_tag.link);
+        if ((uint32_t)u->a.id == tag) {
+            return u;
+        }
+    }
+    return NULL;
+}
+
+upstream_t *
+upstream_new(flowset_t *f, const flow_upstream_t *a)
+{
+    upstream_t *u = calloc(1, sizeof(*u));
+
+    if (u == NULL) {
+        return NULL;
+    }
+    u->a = *a;
+    u->service = service_named(f, a->service);
+    if (u->service == NULL) {
+        free(u);
+        return NULL;
+    }
+    u->local = strcmp(a->data_centre, f->data_centre) == 0;
+    /* Tags are 32 bits of an id: two upstreams may share one.  Packets could
+     * then reach the wrong one and be reset, so the later one gets no flow. */
+    u->tag_taken =
+        (uint32_t)a->id == 0 || upstream_by_tag(f, (uint32_t)a->id) != NULL;
+    u->probe_at = MS_NEVER;
+    u->alive_at = u->trusted_to = -MS_NEVER;
+    list_init(&u->records);
+    list_init(&u->due);
+    list_append(&f->upstreams, &u->all);
+    index_add(&f->by_id, &u->by_id, hash_mix(a->id, 0));
+    list_init(&u->by_tag.link);
+    if (!u->tag_taken) {
+        index_add(&f->by_tag, &u->by_tag, hash_mix((uint32_t)a->id, 1));
+    }
+    f->n_upstreams++;
+    return u;
+}
+
+void
+upstream_free(flowset_t *f, upstream_t *u)
+{
+    LIST_EACH (it, &u->records) {
+        record_free(f, LIST_OWNER(it, record_t, of));
+    }
+    upstream_withdraw(u);
+    list_remove(&u->all);
+    list_remove(&u->due);
+    index_remove(&f->by_id, &u->by_id);
+    if (!u->tag_taken) {
+        index_remove(&f->by_tag, &u->by_tag);
+    }
+    f->n_upstreams--;
+    free(u);
+}
+
+static int
+list_add(upstream_t ***list, uint32_t *n, uint32_t *cap, upstream_t *u)
+{
+    uint32_t more = *cap == 0 ? LIST_MIN : 2 * *cap;
+    upstream_t **grown;
+
+    if (*n == *cap) {
+        grown = realloc(*list, more * sizeof(*grown));
+        if (grown == NULL) {
+            return -ENOMEM;
+        }
+        *list = grown;
+        *cap = more;
+    }
+    (*list)[(*n)++] = u;
+    return 0;
+}
+
+static void
+list_take(upstream_t **list, uint32_t *n, const upstream_t *u)
+{
+    for (uint32_t i = 0; i < *n; i++) {
+        if (list[i] == u) {
+            list[i] = list[--(*n)];
+            return;
+        }
+    }
+}
+
+int
+upstream_offer(flowset_t *f, upstream_t *u)
+{
+    service_t *s = u->service;
+
+    (void)f;
+    upstream_withdraw(u);
+    if (u->tag_taken || u->a.draining) {
+        return 0;
+    }
+    return u->local ? list_add(&s->near, &s->n_near, &s->cap_near, u)
+                    : list_add(&s->far, &s->n_far, &s->cap_far, u);
+}
+
+void
+upstream_withdraw(upstream_t *u)
+{
+    service_t *s = u->service;
+
+    list_take(s->near, &s->n_near, u);
+    list_take(s->far, &s->n_far, u);
+}
--- /dev/null
+++ b/flow/flow.h
@@ -0,0 +1,224 @@
+/* flow: the decisions for services whose flows carry a tag.
+ *
+ * A tag is a number that both ends of a flow echo in each packet.  The opening
+ * packet is given the tag of the upstream that was chosen; each later packet
+ * names its upstream by it.  So any instance can forward any packet, and no
+ * instance has to tell another about a flow.  (QUIC-LB connection IDs and
+ * SYN cookies work alike.)
+ *
+ * Pure: no sockets, threads, clocks or globals.  Time comes in with each call;
+ * what is to be done goes out through a callback.  What an instance remembers
+ * of a flow serves only to judge upstreams: losing it breaks nothing.
+ *
+ * The files call downwards only: flows.c (entry points), reach.c (which
+ * upstream answers), choice.c (which takes a new flow), records.c (what is
+ * remembered of a flow), directory.c (routes and upstreams).
+ */
+#ifndef SISKIN_FLOW_H
+#define SISKIN_FLOW_H
+
+#include "base/base.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define FLOW_NAME_LEN 64 /* a service, route or data centre name + NUL */
+
+/* ---- What is configured ---- */
+
+/* A service that a route's new flows may go to. */
+typedef struct {
+    char service[FLOW_NAME_LEN];
+    uint32_t weight; /* share of the route's new flows; 0: none */
+} flow_target_t;
+
+/* An address that callers send to. */
+typedef struct {
+    addr_t addr;
+    char name[FLOW_NAME_LEN];
+    bool repeatable;   /* its requests are idempotent: callers may retry them */
+    uint32_t first;    /* index of its first target */
+    uint32_t n_targets;
+} flow_route_t;
+
+/* One version of the routes.  Both arrays are on the heap. */
+typedef struct {
+    uint64_t version;
+    ms_t idle_ms; /* a flow silent for so long may be forgotten */
+    uint32_t n_routes, n_targets;
+    flow_route_t *routes;
+    flow_target_t *targets;
+} flow_conf_t;
+
+void flow_conf_free(flow_conf_t *c);
+
+/* One incarnation of an upstream, as it was last announced. */
+typedef struct {
+    uint64_t id;  /* the low 32 bits are its tag */
+    addr_t addr;
+    char service[FLOW_NAME_LEN];
+    char data_centre[FLOW_NAME_LEN];
+    uint32_t slots;  /* requests it runs at once, at least 1 */
+    bool draining;   /* takes no new flow; what it has goes on */
+    ms_t warm_up_ms; /* it is slow for so long yet */
+    int64_t born_ms; /* when its process started, by its own time of day; a
+                      * change means that it holds no flow of before.  0: not
+                      * told */
+} flow_upstream_t;
+
+/* ---- Packets ---- */
+
+/* What is read of a caller's packet. */
+typedef struct {
+    addr_t caller, service;
+    bool opens, ends, resets; /* SYN, FIN, RST */
+    uint32_t seq;  /* of its first byte of data */
+    uint32_t ack;  /* the next byte expected; of an opening packet: how many
+                    * copies of it were sent before */
+    uint32_t tag;  /* the last that the caller received; 0: none yet */
+    uint16_t len;  /* bytes of data */
+} flow_packet_t;
+
+typedef enum { FLOW_FORWARD, FLOW_RESET, FLOW_DROP } flow_verb_t;
+
+typedef enum {
+    FLOW_BY_TAG,       /* forwarded: the tag names the upstream */
+    FLOW_CHOSEN,       /* forwarded: a new flow */
+    FLOW_COPY,         /* forwarded: a copy of an opening packet, as before */
+    FLOW_COPY_MOVED,   /* forwarded: a copy, to another upstream */
+    FLOW_NO_ROUTE,     /* reset: nothing is configured at that address */
+    FLOW_NO_UPSTREAM,  /* reset: no upstream of the service can take it */
+    FLOW_UPSTREAM_DEAD, /* reset: its upstream has ended */
+    FLOW_UPSTREAM_OUT, /* reset: its upstream can't be reached, and its
+                        * requests may be repeated */
+    FLOW_TAG_UNKNOWN,  /* dropped: no upstream here has that tag */
+    FLOW_TAG_NONE,     /* dropped: it neither opens a flow nor has a tag */
+    FLOW_REASONS
+} flow_reason_t;
+
+/* A short word for logs and metrics, such as "no-route". */
+const char *flow_reason_name(flow_reason_t r);
+
+typedef struct {
+    flow_verb_t verb;
+    flow_reason_t reason;
+    uint64_t upstream;  /* its id; forwarded packets only */
+    addr_t to;
+    uint32_t tag;       /* to be put into an opening packet */
+    const char *service;  /* chosen; NULL where none was */
+    uint32_t busy, open;  /* the upstream's requests and flows seen here */
+    uint64_t version;     /* of the routes that decided */
+} flow_decision_t;
+
+/* ---- What goes out on its own account ---- */
+
+typedef enum {
+    FLOW_OUT_RESET, /* tell a caller that its flow has ended */
+    FLOW_OUT_PROBE, /* try to connect to an upstream */
+    FLOW_OUT_REACH  /* for the log: an upstream's reach has changed */
+} flow_out_kind_t;
+
+/* Whether an upstream answers. */
+typedef enum {
+    REACH_GOOD,
+    REACH_DOUBTED, /* callers' packets go unanswered: a probe is under way */
+    REACH_OUT,     /* it did not answer probes */
+    REACH_DEAD     /* its host refused a probe: the process has ended */
+} flow_reach_t;
+
+const char *flow_reach_name(flow_reach_t r);
+
+typedef struct {
+    flow_out_kind_t kind;
+    uint64_t upstream;
+    union {
+        struct {
+            addr_t caller, service;
+            uint32_t seq; /* within what the caller accepts */
+            flow_reason_t reason;
+        } reset;
+        struct {
+            addr_t to;
+            ms_t timeout_ms;
+        } probe;
+        struct {
+            flow_reach_t from, to;
+            const char *why;
+            addr_t addr;
+            const char *service, *data_centre;
+            uint32_t open; /* flows seen here */
+        } reach;
+    };
+} flow_out_t;
+
+typedef void flow_emit_t(void *arg, const flow_out_t *out);
+
+/* How a probe ended. */
+typedef enum {
+    PROBE_ANSWERED,
+    PROBE_REFUSED,
+    PROBE_SILENT,
+    PROBE_NONE, /* it could not be made: nothing is known */
+    PROBE_RESULTS
+} flow_probe_t;
+
+/* ---- The flows of one instance ---- */
+
+typedef struct flowset flowset_t;
+
+typedef struct {
+    const char *data_centre; /* the instance's own */
+    uint64_t seed;           /* of its choices */
+    uint32_t records_max;    /* flows remembered; older ones are forgotten */
+    flow_emit_t *emit;
+    void *arg;
+} flow_spec_t;
+
+/* NULL without memory. */
+flowset_t *flowset_new(const flow_spec_t *spec);
+void flowset_free(flowset_t *f);
+
+/* Takes C.  -ESTALE: its version isn't newer, and C is freed. */
+int flowset_set_conf(flowset_t *f, ms_t now, flow_conf_t *c);
+/* An upstream is announced, or announced anew.  -ENOMEM: it isn't used. */
+int flowset_set_upstream(flowset_t *f, ms_t now, const flow_upstream_t *u);
+/* An upstream's announcement is gone.  Its flows are left alone until a probe
+ * shows that it has ended. */
+void flowset_remove_upstream(flowset_t *f, ms_t now, uint64_t id);
+/* Removes all whose ids are not among KEEP: after the whole list was read. */
+void flowset_keep_upstreams(flowset_t *f, ms_t now, const uint64_t *keep,
+                          size_t n);
+
+void flowset_packet(flowset_t *f, ms_t now, const flow_packet_t *p,
+                  flow_decision_t *d);
+void flowset_probed(flowset_t *f, ms_t now, uint64_t id, flow_probe_t result);
+/* The process stood still until NOW: what went unanswered meanwhile proves
+ * nothing. */
+void flowset_paused(flowset_t *f, ms_t now);
+/* Does what is due; returns when to be called next, MS_NEVER for never. */
+ms_t flowset_tick(flowset_t *f, ms_t now);
+
+/* ---- What there is ---- */
+
+typedef struct {
+    uint64_t version; /* 0: none yet */
+    uint32_t routes, upstreams, usable, records;
+    uint64_t packets[FLOW_REASONS];
+    uint64_t probes[PROBE_RESULTS];
+    uint64_t resets;    /* of flows, not asked for by a packet */
+    uint64_t forgotten; /* records given up for room */
+    hist_t answer_ms;   /* from a request to the first packet that
+                         * acknowledges an answer */
+    hist_t open_ms;     /* from an opening packet to the next of its flow */
+} flow_stats_t;
+
+const flow_stats_t *flowset_stats(flowset_t *f);
+/* True once there are routes and an upstream: packets can be served. */
+bool flowset_ready(const flowset_t *f);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/flow/flows.c
@@ -0,0 +1,537 @@
+/* The flows of one instance: packets, announcements and time come in here. */
+#include "flow/state.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* An upstream answers an opening packet at once, and the caller's next packet
+ * is here a round trip later: some 10 ms.  So long without it, something is
+ * wrong with the upstream or the way to it. */
+#define OPENING_MS 80
+/* A request unanswered for so long is no longer counted as in progress: it was
+ * given up, or its flow goes on through another instance. */
+#define ASKED_MAX_MS 3000
+/* An upstream that has left is remembered so long for flows that it may still
+ * hold; flows are no older on the sites served so far. */
+#define FORGET_MS 90000
+/* Between two looks through all records. */
+#define SWEEP_MS 500
+/* Weight of a new sample in the moving averages of the time to an answer: the
+ * last five or so count. */
+#define SAMPLE_WEIGHT 0.2
+/* The same, for the average over a service's upstreams. */
+#define SERVICE_WEIGHT 0.02
+
+static const char *const reasons[FLOW_REASONS] = {
+    [FLOW_BY_TAG] = "tag",
+    [FLOW_CHOSEN] = "chosen",
+    [FLOW_COPY] = "copy",
+    [FLOW_COPY_MOVED] = "copy-moved",
+    [FLOW_NO_ROUTE] = "no-route",
+    [FLOW_NO_UPSTREAM] = "no-upstream",
+    [FLOW_UPSTREAM_DEAD] = "upstream-dead",
+    [FLOW_UPSTREAM_OUT] = "upstream-unreachable",
+    [FLOW_TAG_UNKNOWN] = "tag-unknown",
+    [FLOW_TAG_NONE] = "tag-none",
+};
+
+const char *
+flow_reason_name(flow_reason_t r)
+{
+    return r < FLOW_REASONS ? reasons[r] : "?";
+}
+
+flowset_t *
+flowset_new(const flow_spec_t *spec)
+{
+    flowset_t *f = calloc(1, sizeof(*f));
+
+    if (f == NULL) {
+        return NULL;
+    }
+    f->spec = *spec;
+    strncpy(f->data_centre, spec->data_centre, sizeof(f->data_centre) - 1);
+    f->rng.seed = spec->seed;
+    list_init(&f->upstreams);
+    list_init(&f->services);
+    list_init(&f->recent);
+    list_init(&f->opening);
+    list_init(&f->doubted);
+    if (index_init(&f->by_id) < 0 || index_init(&f->by_tag) < 0 ||
+        index_init(&f->by_key) < 0) {
+        flowset_free(f);
+        return NULL;
+    }
+    return f;
+}
+
+void
+flowset_free(flowset_t *f)
+{
+    if (f == NULL) {
+        return;
+    }
+    LIST_EACH (it, &f->upstreams) {
+        upstream_free(f, LIST_OWNER(it, upstream_t, all));
+    }
+    LIST_EACH (it, &f->services) {
+        service_t *s = LIST_OWNER(it, service_t, link);
+        free(s->near);
+        free(s->far);
+        free(s);
+    }
+    index_free(&f->by_id);
+    index_free(&f->by_tag);
+    index_free(&f->by_key);
+    flow_conf_free(f->conf);
+    free(f);
+}
+
+/* ---- Announcements ---- */
+
+static int
+route_order(const void *a, const void *b)
+{
+    const flow_route_t *x = a, *y = b;
+    int rc = memcmp(x->addr.ip, y->addr.ip, sizeof(x->addr.ip));
+
+    return rc != 0 ? rc : (int)x->addr.port - (int)y->addr.port;
+}
+
+int
+flowset_set_conf(flowset_t *f, ms_t now, flow_conf_t *c)
+{
+    (void)now;
+    if (f->conf != NULL && c->version <= f->conf->version) {
+        flow_conf_free(c);
+        return -ESTALE;
+    }
+    qsort(c->routes, c->n_routes, sizeof(*c->routes), route_order);
+    flow_conf_free(f->conf);
+    f->conf = c;
+    return 0;
+}
+
+/* Another upstream is announced at an address: the one that was there has
+ * ended, since an address is given on only then. */
+static void
+end_former(flowset_t *f, ms_t now, const flow_upstream_t *a)
+{
+    LIST_EACH (it, &f->upstreams) {
+        upstream_t *u = LIST_OWNER(it, upstream_t, all);
+        if (u->a.id != a->id && addr_eq(&u->a.addr, &a->addr)) {
+            u->listed = false;
+            u->unlisted_at = now;
+            upstream_withdraw(u);
+            reach_dead(f, now, u, "its address is another upstream's now");
+        }
+    }
+}
+
+/* U has started anew under its id: it holds none of these flows, and resets
+ * them itself when their callers send again. */
+static void
+forget_flows(flowset_t *f, upstream_t *u)
+{
+    LIST_EACH (it, &u->records) {
+        record_free(f, LIST_OWNER(it, record_t, of));
+    }
+    u->answer_ms = 0;
+    u->unanswered = 0;
+}
+
+int
+flowset_set_upstream(flowset_t *f, ms_t now, const flow_upstream_t *a)
+{
+    upstream_t *u = upstream_by_id(f, a->id);
+
+    if (u == NULL) {
+        end_former(f, now, a);
+        u = upstream_new(f, a);
+    }
+    else if (strcmp(u->a.service, a->service) != 0 ||
+             !addr_eq(&u->a.addr, &a->addr)) {
+        /* The id now stands for something else: its flows are gone. */
+        upstream_free(f, u);
+        u = upstream_new(f, a);
+    }
+    if (u == NULL) {
+        return -ENOMEM;
+    }
+    if (u->a.born_ms != a->born_ms) {
+        forget_flows(f, u);
+    }
+    u->a = *a;
+    u->warm_at = now + a->warm_up_ms;
+    u->listed = true;
+    if (u->reach == REACH_DEAD) {
+        /* It is announced by a process that has started since. */
+        reach_probed(f, now, u, PROBE_ANSWERED);
+    }
+    return upstream_offer(f, u);
+}
+
+static void
+unlist(flowset_t *f, ms_t now, upstream_t *u)
+{
+    u->listed = false;
+    u->unlisted_at = now;
+    if (u->a.draining) {
+        upstream_withdraw(u);
+    }
+    /* It has left or died, or its announcement lapsed: ask its host, so that
+     * callers with idle flows needn't find out by waiting. */
+    reach_ask(f, now, u, "its announcement is gone");
+}
+
+void
+flowset_remove_upstream(flowset_t *f, ms_t now, uint64_t id)
+{
+    upstream_t *u = upstream_by_id(f, id);
+
+    if (u != NULL && u->listed) {
+        unlist(f, now, u);
+    }
+}
+
+static int
+id_cmp(const void *a, const void *b)
+{
+    uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+    return (x > y) - (x < y);
+}
+
+void
+flowset_keep_upstreams(flowset_t *f, ms_t now, const uint64_t *keep, size_t n)
+{
+    uint64_t *sorted = malloc((n + 1) * sizeof(*sorted));
+
+    if (sorted == NULL) {
+        return; /* what has left stays listed until the next list */
+    }
+    memcpy(sorted, keep, n * sizeof(*sorted));
+    qsort(sorted, n, sizeof(*sorted), id_cmp);
+    LIST_EACH (it, &f->upstreams) {
+        upstream_t *u = LIST_OWNER(it, upstream_t, all);
+        if (u->listed && bsearch(&u->a.id, sorted, n, sizeof(*sorted),
+                                 id_cmp) == NULL) {
+            unlist(f, now, u);
+        }
+    }
+    free(sorted);
+}
+
+/* ---- Packets ---- */
+
+static void
+decide(flow_decision_t *d, flow_verb_t verb, flow_reason_t reason)
+{
+    d->verb = verb;
+    d->reason = reason;
+}
+
+static void
+forward(flow_decision_t *d, flow_reason_t reason, const upstream_t *u)
+{
+    decide(d, FLOW_FORWARD, reason);
+    d->upstream = u->a.id;
+    d->to = u->a.addr;
+    d->tag = (uint32_t)u->a.id;
+    d->service = u->a.service;
+    d->busy = u->busy;
+    d->open = u->open;
+}
+
+static void
+sample(double *average, double weight, double value)
+{
+    *average = *average == 0 ? value
+                             : *average + weight * (value - *average);
+}
+
+static void
+answer_seen(flowset_t *f, ms_t now, record_t *r)
+{
+    double ms = (double)(now - r->asked_at);
+
+    hist_add(&f->stats.answer_ms, (uint64_t)ms);
+    if (r->repeatable) { /* uploads take as long as the caller sends */
+        sample(&r->up->answer_ms, SAMPLE_WEIGHT, ms + 1);
+        sample(&r->up->service->answer_ms, SERVICE_WEIGHT, ms + 1);
+        r->up->answered_at = now;
+    }
+    record_answered(r);
+}
+
+/* A packet of a flow whose upstream is known. */
+static void
+follow(flowset_t *f, ms_t now, const flow_packet_t *p, record_t *r)
+{
+    uint32_t end = p->seq + p->len;
+    bool fresh = (int32_t)(end - r->seq_end) > 0;
+    upstream_t *u = r->up;
+
+    if (!r->open) {
+        record_opened(r);
+        hist_add(&f->stats.open_ms, (uint64_t)(now - r->sent_at));
+        r->seq_end = end - p->len;
+        r->ack = p->ack;
+        fresh = p->len > 0;
+        reach_alive(f, now, u);
+    }
+    else if ((int32_t)(p->ack - r->ack) > 0) {
+        r->ack = p->ack;
+        reach_alive(f, now, u);
+        if (r->asked_at != 0) {
+            answer_seen(f, now, r);
+        }
+    }
+    else if (p->len > 0 && !fresh) {
+        reach_doubt(f, now, u, r->sent_at, "a caller repeats itself");
+    }
+    if (fresh) {
+        r->seq_end = end;
+        r->sent_at = now;
+        if (r->asked_at == 0) {
+            record_asked(r, now);
+        }
+    }
+}
+
+static void
+touch(flowset_t *f, ms_t now, record_t *r)
+{
+    r->last_at = now;
+    list_remove(&r->recent);
+    list_append(&f->recent, &r->recent);
+}
+
+/* May a flow be ended that its upstream can't be told of?  Only if the caller
+ * may repeat what it asked for, and asks for something now. */
+static bool
+may_give_up(const flowset_t *f, const flow_packet_t *p, const upstream_t *u)
+{
+    const flow_route_t *route = route_find(f, &p->service);
+
+    return u->reach == REACH_OUT && p->len > 0 && route != NULL &&
+           route->repeatable;
+}
+
+static void
+take_later(flowset_t *f, ms_t now, const flow_packet_t *p, flow_decision_t *d)
+{
+    upstream_t *u = upstream_by_tag(f, p->tag);
+    record_t *r;
+    const flow_route_t *route;
+
+    if (u == NULL) {
+        decide(d, FLOW_DROP, p->tag == 0 ? FLOW_TAG_NONE : FLOW_TAG_UNKNOWN);
+        return;
+    }
+    r = record_find(f, &p->caller, &p->service);
+    if (u->reach == REACH_DEAD || may_give_up(f, p, u)) {
+        decide(d, FLOW_RESET, u->reach == REACH_DEAD ? FLOW_UPSTREAM_DEAD
+                                                     : FLOW_UPSTREAM_OUT);
+        d->upstream = u->a.id;
+        d->service = u->a.service;
+        if (r != NULL) {
+            record_free(f, r);
+        }
+        return;
+    }
+    forward(d, FLOW_BY_TAG, u);
+    if (r != NULL && r->up != u) {
+        record_move(r, u);
+    }
+    if (p->resets) {
+        if (r != NULL) {
+            record_free(f, r);
+        }
+        return;
+    }
+    if (r == NULL) {
+        route = route_find(f, &p->service);
+        r = record_new(f, now, p, u, route != NULL && route->repeatable);
+    }
+    else {
+        follow(f, now, p, r);
+        touch(f, now, r);
+    }
+    if (r != NULL && p->ends) {
+        record_ended(r); /* kept: the last packets must not look like a flow */
+    }
+}
+
+/* A copy of an opening packet that was answered by nobody. */
+static void
+take_copy(flowset_t *f, ms_t now, const flow_packet_t *p, record_t *r,
+          const flow_route_t *route, flow_decision_t *d)
+{
+    upstream_t *u;
+
+    reach_doubt(f, now, r->up, r->sent_at, "an opening packet is repeated");
+    u = choose(f, now, route, r->up);
+    if (u == NULL || u == r->up) {
+        forward(d, FLOW_COPY, r->up);
+    }
+    else {
+        forward(d, FLOW_COPY_MOVED, u);
+        record_move(r, u);
+    }
+    r->sent_at = now;
+    touch(f, now, r);
+    (void)p;
+}
+
+static void
+take_opening(flowset_t *f, ms_t now, const flow_packet_t *p, flow_decision_t *d)
+{
+    const flow_route_t *route = route_find(f, &p->service);
+    record_t *r = record_find(f, &p->caller, &p->service);
+    upstream_t *u;
+
+    if (route == NULL) {
+        decide(d, FLOW_RESET, FLOW_NO_ROUTE);
+        return;
+    }
+    if (r != NULL && !r->open) {
+        take_copy(f, now, p, r, route, d);
+        return;
+    }
+    if (r != NULL) { /* the caller's port is used again */
+        record_free(f, r);
+    }
+    u = choose(f, now, route, NULL);
+    if (u == NULL) {
+        decide(d, FLOW_RESET, FLOW_NO_UPSTREAM);
+        return;
+    }
+    forward(d, FLOW_CHOSEN, u);
+    record_new(f, now, p, u, route->repeatable);
+}
+
+void
+flowset_packet(flowset_t *f, ms_t now, const flow_packet_t *p, flow_decision_t *d)
+{
+    *d = (flow_decision_t){.version = f->conf ? f->conf->version : 0};
+    if (p->opens) {
+        take_opening(f, now, p, d);
+    }
+    else {
+        take_later(f, now, p, d);
+    }
+    f->stats.packets[d->reason]++;
+}
+
+/* ---- Time ---- */
+
+void
+flowset_probed(flowset_t *f, ms_t now, uint64_t id, flow_probe_t result)
+{
+    upstream_t *u = upstream_by_id(f, id);
+
+    f->stats.probes[result]++;
+    if (u != NULL) {
+        reach_probed(f, now, u, result);
+    }
+}
+
+void
+flowset_paused(flowset_t *f, ms_t now)
+{
+    LIST_EACH (it, &f->opening) {
+        LIST_OWNER(it, record_t, opening)->sent_at = now;
+    }
+    LIST_EACH (it, &f->recent) {
+        LIST_OWNER(it, record_t, recent)->sent_at = now;
+    }
+}
+
+/* Opening packets that went unanswered; returns when the next would be. */
+static ms_t
+check_opening(flowset_t *f, ms_t now)
+{
+    LIST_EACH (it, &f->opening) {
+        record_t *r = LIST_OWNER(it, record_t, opening);
+        if (now - r->sent_at < OPENING_MS) {
+            return r->sent_at + OPENING_MS;
+        }
+        list_remove(it);
+        r->up->unanswered++;
+        reach_doubt(f, now, r->up, r->sent_at,
+                    "an opening packet was not answered");
+    }
+    return MS_NEVER;
+}
+
+/* Requests whose answer won't be seen here no longer count as in progress. */
+static void
+check_asked(flowset_t *f, ms_t now)
+{
+    LIST_EACH (it, &f->recent) {
+        record_t *r = LIST_OWNER(it, record_t, recent);
+        if (now - r->last_at < ASKED_MAX_MS) {
+            return;
+        }
+        if (!r->open || r->ended) {
+            record_free(f, r);
+        }
+        else if (r->asked_at != 0) {
+            record_answered(r);
+        }
+    }
+}
+
+static void
+forget_upstreams(flowset_t *f, ms_t now)
+{
+    LIST_EACH (it, &f->upstreams) {
+        upstream_t *u = LIST_OWNER(it, upstream_t, all);
+        if (!u->listed && !u->probing && now - u->unlisted_at > FORGET_MS) {
+            upstream_free(f, u);
+        }
+    }
+}
+
+ms_t
+flowset_tick(flowset_t *f, ms_t now)
+{
+    ms_t opening = check_opening(f, now);
+    ms_t probe = reach_tick(f, now);
+    ms_t next = opening < probe ? opening : probe;
+
+    if (now >= f->sweep_at) {
+        check_asked(f, now);
+        records_expire(f, now);
+        forget_upstreams(f, now);
+        f->sweep_at = now + SWEEP_MS;
+    }
+    return f->n_records > 0 && f->sweep_at < next ? f->sweep_at : next;
+}
+
+/* ---- What there is ---- */
+
+const flow_stats_t *
+flowset_stats(flowset_t *f)
+{
+    flow_stats_t *s = &f->stats;
+
+    s->version = f->conf != NULL ? f->conf->version : 0;
+    s->routes = f->conf != NULL ? f->conf->n_routes : 0;
+    s->upstreams = f->n_upstreams;
+    s->records = f->n_records;
+    s->usable = 0;
+    LIST_EACH (it, &f->upstreams) {
+        const upstream_t *u = LIST_OWNER(it, upstream_t, all);
+        s->usable += u->listed && !u->a.draining && u->reach == REACH_GOOD;
+    }
+    return s;
+}
+
+bool
+flowset_ready(const flowset_t *f)
+{
+    return f->conf != NULL && f->n_upstreams > 0;
+}
--- /dev/null
+++ b/flow/reach.c
@@ -0,0 +1,218 @@
+/* Which upstream answers.
+ *
+ * An instance never sees upstreams' answers: they go straight to callers.  It
+ * sees what callers do.  A caller that goes on proves that its upstream was
+ * alive some milliseconds ago; one that repeats itself raises a doubt.  A doubt
+ * alone resets nothing: callers repeat themselves after a lost packet too, and
+ * when an upstream is merely slow.  So it is settled by a probe, a bare TCP
+ * connection to the upstream's address, which its host's kernel answers:
+ *
+ *   accepted   it lives, however slow it is
+ *   refused    the process has ended, and its flows with it
+ *   silent     twice in a row: it can't be reached from here
+ */
+#include "flow/state.h"
+
+#include <string.h>
+
+/* One try.  The longest way between data centres is some 10 ms; a process on
+ * a quarter of a core may be late by 100 ms. */
+#define PROBE_MS 200
+/* A probe whose end was not told by then was never made. */
+#define PROBE_LOST_MS (4 * PROBE_MS)
+/* Probes without an answer before an upstream is out: one may be lost. */
+#define PROBES_SILENT 2
+/* A probe that was answered settles doubts for so long: the packets that are
+ * repeated meanwhile were sent before it. */
+#define TRUST_MS 400
+/* Between probes of an upstream that is out, doubling. */
+#define RETRY_MIN_MS 400
+#define RETRY_MAX_MS 1600
+
+const char *
+flow_reach_name(flow_reach_t r)
+{
+    switch (r) {
+    case REACH_GOOD:
+        return "good";
+    case REACH_DOUBTED:
+        return "doubted";
+    case REACH_OUT:
+        return "unreachable";
+    case REACH_DEAD:
+        return "dead";
+    }
+    return "?";
+}
+
+static void
+set_reach(flowset_t *f, upstream_t *u, flow_reach_t to, const char *why)
+{
+    flow_out_t out = {.kind = FLOW_OUT_REACH, .upstream = u->a.id};
+
+    if (u->reach == to) {
+        return;
+    }
+    out.reach.from = u->reach;
+    out.reach.to = to;
+    out.reach.why = why;
+    out.reach.addr = u->a.addr;
+    out.reach.service = u->a.service;
+    out.reach.data_centre = u->a.data_centre;
+    out.reach.open = u->open;
+    u->reach = to;
+    f->spec.emit(f->spec.arg, &out);
+}
+
+static void
+schedule(flowset_t *f, upstream_t *u, ms_t at)
+{
+    u->probe_at = at;
+    list_remove(&u->due);
+    if (at != MS_NEVER) {
+        list_append(&f->doubted, &u->due);
+    }
+}
+
+static void
+start_probe(flowset_t *f, ms_t now, upstream_t *u)
+{
+    flow_out_t out = {.kind = FLOW_OUT_PROBE, .upstream = u->a.id};
+
+    if (u->probing) {
+        return;
+    }
+    u->probing = true;
+    schedule(f, u, now + PROBE_LOST_MS);
+    out.probe.to = u->a.addr;
+    out.probe.timeout_ms = PROBE_MS;
+    f->spec.emit(f->spec.arg, &out);
+}
+
+void
+reach_alive(flowset_t *f, ms_t now, upstream_t *u)
+{
+    u->alive_at = now;
+    u->unanswered = 0;
+    if (u->reach == REACH_DOUBTED) {
+        set_reach(f, u, REACH_GOOD, "a caller's flow goes on");
+    }
+}
+
+void
+reach_ask(flowset_t *f, ms_t now, upstream_t *u, const char *why)
+{
+    if (u->reach == REACH_GOOD) {
+        set_reach(f, u, REACH_DOUBTED, why);
+    }
+    if (u->reach == REACH_DOUBTED) {
+        start_probe(f, now, u);
+    }
+}
+
+void
+reach_doubt(flowset_t *f, ms_t now, upstream_t *u, ms_t since, const char *why)
+{
+    if (u->alive_at > since || now < u->trusted_to ||
+        u->reach != REACH_GOOD) {
+        return;
+    }
+    reach_ask(f, now, u, why);
+}
+
+/* Tells callers of repeatable requests at once: those that wait try elsewhere
+ * within their goal, and those that are idle lose nothing.  The others too:
+ * what the upstream held is lost, and waiting for it can't bring it back. */
+static void
+reset_all(flowset_t *f, upstream_t *u)
+{
+    LIST_EACH (it, &u->records) {
+        record_t *r = LIST_OWNER(it, record_t, of);
+        flow_out_t out = {.kind = FLOW_OUT_RESET, .upstream = u->a.id};
+        if (r->ended) {
+            continue;
+        }
+        out.reset.caller = r->caller;
+        out.reset.service = r->service;
+        out.reset.seq = r->ack;
+        out.reset.reason = FLOW_UPSTREAM_DEAD;
+        f->stats.resets++;
+        f->spec.emit(f->spec.arg, &out);
+        record_free(f, r);
+    }
+}
+
+void
+reach_dead(flowset_t *f, ms_t now, upstream_t *u, const char *why)
+{
+    (void)now;
+    set_reach(f, u, REACH_DEAD, why);
+    reset_all(f, u);
+}
+
+static void
+probe_silent(flowset_t *f, ms_t now, upstream_t *u)
+{
+    ms_t wait = RETRY_MIN_MS;
+
+    u->silent++;
+    if (u->reach == REACH_DOUBTED && u->silent < PROBES_SILENT) {
+        start_probe(f, now, u);
+        return;
+    }
+    for (int i = PROBES_SILENT; i < u->silent && wait < RETRY_MAX_MS; i++) {
+        wait *= 2;
+    }
+    if (u->reach == REACH_DOUBTED) {
+        set_reach(f, u, REACH_OUT, "it did not answer two probes");
+    }
+    schedule(f, u, now + wait);
+}
+
+void
+reach_probed(flowset_t *f, ms_t now, upstream_t *u, flow_probe_t result)
+{
+    u->probing = false;
+    schedule(f, u, MS_NEVER);
+    switch (result) {
+    case PROBE_ANSWERED:
+        u->silent = 0;
+        u->unanswered = 0;
+        u->alive_at = now;
+        u->trusted_to = now + TRUST_MS;
+        set_reach(f, u, REACH_GOOD, "it answered a probe");
+        break;
+    case PROBE_REFUSED:
+        reach_dead(f, now, u, "its host refused a probe");
+        schedule(f, u, now + RETRY_MIN_MS);
+        break;
+    case PROBE_SILENT:
+        probe_silent(f, now, u);
+        break;
+    case PROBE_NONE:
+    case PROBE_RESULTS:
+        schedule(f, u, now + RETRY_MIN_MS);
+        break;
+    }
+}
+
+ms_t
+reach_tick(flowset_t *f, ms_t now)
+{
+    ms_t next = MS_NEVER;
+
+    LIST_EACH (it, &f->doubted) {
+        upstream_t *u = LIST_OWNER(it, upstream_t, due);
+        if (!u->listed && u->open == 0) {
+            schedule(f, u, MS_NEVER);
+        }
+        else if (u->probe_at <= now) {
+            u->probing = false;
+            start_probe(f, now, u);
+        }
+        else if (u->probe_at < next) {
+            next = u->probe_at;
+        }
+    }
+    return next;
+}
--- /dev/null
+++ b/flow/records.c
@@ -0,0 +1,146 @@
+/* What is remembered of flows.  Bounded: the least recently used goes first.
+ */
+#include "flow/state.h"
+
+#include <stdlib.h>
+
+static uint64_t
+key_hash(const addr_t *caller, const addr_t *service)
+{
+    return hash_mix(hash64(caller->ip, sizeof(caller->ip), caller->port),
+                    hash64(service->ip, sizeof(service->ip), service->port));
+}
+
+record_t *
+record_find(const flowset_t *f, const addr_t *caller, const addr_t *service)
+{
+    INDEX_EACH (it, &f->by_key, key_hash(caller, service)) {
+        record_t *r = LIST_OWNER(it, record_t, by_key.link);
+        if (addr_eq(&r->caller, caller) && addr_eq(&r->service, service)) {
+            return r;
+        }
+    }
+    return NULL;
+}
+
+/* Adds what R weighs to its upstream, or takes it away: a flow weighs while it
+ * is open, a request while it is unanswered. */
+static void
+weigh(const record_t *r, uint32_t sign)
+{
+    if (r->ended) {
+        return;
+    }
+    r->up->open += r->open ? sign : 0;
+    r->up->busy += !r->open || r->asked_at != 0 ? sign : 0;
+}
+
+static void
+attach(record_t *r, upstream_t *u)
+{
+    r->up = u;
+    list_append(&u->records, &r->of);
+    weigh(r, 1);
+}
+
+static void
+detach(record_t *r)
+{
+    weigh(r, (uint32_t)-1);
+    list_remove(&r->of);
+}
+
+record_t *
+record_new(flowset_t *f, ms_t now, const flow_packet_t *p, upstream_t *u,
+           bool repeatable)
+{
+    record_t *r;
+
+    if (f->n_records >= f->spec.records_max) {
+        f->stats.forgotten++;
+        record_free(f, LIST_OWNER(f->recent.next, record_t, recent));
+    }
+    r = calloc(1, sizeof(*r));
+    if (r == NULL) {
+        return NULL;
+    }
+    r->caller = p->caller;
+    r->service = p->service;
+    r->repeatable = repeatable;
+    r->open = !p->opens;
+    r->seq_end = p->seq + p->len;
+    r->ack = p->ack;
+    r->sent_at = r->last_at = now;
+    list_append(&f->recent, &r->recent);
+    list_init(&r->opening);
+    if (p->opens) {
+        list_append(&f->opening, &r->opening);
+    }
+    index_add(&f->by_key, &r->by_key, key_hash(&p->caller, &p->service));
+    attach(r, u);
+    f->n_records++;
+    return r;
+}
+
+void
+record_free(flowset_t *f, record_t *r)
+{
+    detach(r);
+    list_remove(&r->recent);
+    list_remove(&r->opening);
+    index_remove(&f->by_key, &r->by_key);
+    f->n_records--;
+    free(r);
+}
+
+void
+record_move(record_t *r, upstream_t *u)
+{
+    detach(r);
+    attach(r, u);
+}
+
+void
+record_asked(record_t *r, ms_t now)
+{
+    weigh(r, (uint32_t)-1);
+    r->asked_at = now;
+    weigh(r, 1);
+}
+
+void
+record_answered(record_t *r)
+{
+    weigh(r, (uint32_t)-1);
+    r->asked_at = 0;
+    weigh(r, 1);
+}
+
+void
+record_opened(record_t *r)
+{
+    weigh(r, (uint32_t)-1);
+    r->open = true;
+    weigh(r, 1);
+    list_remove(&r->opening);
+}
+
+void
+record_ended(record_t *r)
+{
+    weigh(r, (uint32_t)-1);
+    r->ended = true;
+    list_remove(&r->opening);
+}
+
+void
+records_expire(flowset_t *f, ms_t now)
+{
+    LIST_EACH (it, &f->recent) {
+        record_t *r = LIST_OWNER(it, record_t, recent);
+        if (f->conf == NULL || now - r->last_at < f->conf->idle_ms) {
+            return;
+        }
+        record_free(f, r);
+    }
+}
--- /dev/null
+++ b/flow/state.h
@@ -0,0 +1,153 @@
+/* What the files of flow/ share; not for other directories. */
+#ifndef SISKIN_FLOW_STATE_H
+#define SISKIN_FLOW_STATE_H
+
+#include "flow/flow.h"
+
+/* ---- index.c: a hash table of intrusive entries ---- */
+
+typedef struct {
+    link_t link;
+    uint64_t hash;
+} entry_t;
+
+typedef struct {
+    link_t *bucket;
+    uint32_t mask; /* buckets - 1 */
+    uint32_t used;
+} index_t;
+
+int index_init(index_t *ix);
+void index_free(index_t *ix);
+/* Adds E.  Without memory to grow it stays at its size and is only slower. */
+void index_add(index_t *ix, entry_t *e, uint64_t hash);
+void index_remove(index_t *ix, entry_t *e);
+link_t *index_bucket(const index_t *ix, uint64_t hash);
+
+#define INDEX_EACH(it, ix, hash) LIST_EACH (it, index_bucket(ix, hash))
+
+/* ---- Upstreams ---- */
+
+typedef struct service service_t;
+
+typedef struct {
+    flow_upstream_t a; /* as announced */
+    entry_t by_id, by_tag;
+    link_t all;     /* flowset_t.upstreams */
+    link_t records; /* of the flows it holds, as seen here */
+    link_t due;     /* flowset_t.doubted: those with a probe or a wait */
+    service_t *service;
+    bool local;         /* in this instance's data centre */
+    bool listed;        /* announced now */
+    bool tag_taken;     /* an older upstream has its tag: no new flow */
+    ms_t unlisted_at;
+    ms_t warm_at;       /* warmed up from then on */
+    uint32_t open;      /* flows */
+    uint32_t busy;      /* requests unanswered and flows being opened */
+    uint32_t unanswered; /* opening packets, since the last sign of life */
+    double answer_ms;   /* moving average of the time to an answer; 0: none */
+    ms_t answered_at;   /* when it was last updated */
+    /* Reach */
+    flow_reach_t reach;
+    bool probing;
+    int silent;       /* probes in a row without an answer */
+    ms_t alive_at;    /* the last sign of life */
+    ms_t probe_at;    /* when the next probe is due; MS_NEVER: none */
+    ms_t trusted_to;  /* a probe has just shown that it lives */
+} upstream_t;
+
+/* A service and those of its upstreams that may be chosen. */
+struct service {
+    char name[FLOW_NAME_LEN];
+    link_t link; /* flowset_t.services */
+    upstream_t **near, **far; /* in this data centre; in others */
+    uint32_t n_near, n_far, cap_near, cap_far;
+    double answer_ms; /* moving average over its upstreams */
+};
+
+/* ---- Records of flows ---- */
+
+typedef struct {
+    entry_t by_key;
+    link_t recent;  /* flowset_t.recent, least recently used first */
+    link_t opening; /* flowset_t.opening, oldest first; until it is open */
+    link_t of;      /* upstream_t.records */
+    addr_t caller, service;
+    upstream_t *up;
+    bool repeatable;
+    bool open;         /* a packet came after the opening one */
+    bool ended;        /* the caller has closed it: no load any more */
+    uint32_t seq_end;  /* behind the last byte that the caller sent */
+    uint32_t ack;      /* the caller's last */
+    ms_t sent_at;      /* the caller's last new bytes, or opening packet */
+    ms_t asked_at;     /* first bytes of an unanswered request; 0: none */
+    ms_t last_at;
+} record_t;
+
+struct flowset {
+    flow_spec_t spec;
+    char data_centre[FLOW_NAME_LEN];
+    rng_t rng;
+    flow_conf_t *conf; /* NULL: none yet; routes sorted by address */
+    index_t by_id, by_tag, by_key;
+    link_t upstreams, services, recent, opening, doubted;
+    uint32_t n_upstreams, n_records;
+    ms_t sweep_at; /* when all records are looked through next */
+    flow_stats_t stats;
+};
+
+/* ---- directory.c: routes and upstreams ---- */
+
+const flow_route_t *route_find(const flowset_t *f, const addr_t *a);
+service_t *service_named(flowset_t *f, const char *name);
+upstream_t *upstream_by_id(const flowset_t *f, uint64_t id);
+upstream_t *upstream_by_tag(const flowset_t *f, uint32_t tag);
+/* A new upstream, not yet in its service's lists.  NULL without memory. */
+upstream_t *upstream_new(flowset_t *f, const flow_upstream_t *a);
+void upstream_free(flowset_t *f, upstream_t *u);
+/* Puts U into its service's list, if it may be chosen at all. */
+int upstream_offer(flowset_t *f, upstream_t *u);
+void upstream_withdraw(upstream_t *u);
+
+/* ---- records.c ---- */
+
+record_t *record_find(const flowset_t *f, const addr_t *caller,
+                      const addr_t *service);
+/* NULL without memory: the flow is served, and not remembered. */
+record_t *record_new(flowset_t *f, ms_t now, const flow_packet_t *p,
+                     upstream_t *u, bool repeatable);
+void record_free(flowset_t *f, record_t *r);
+/* Moves it to another upstream. */
+void record_move(record_t *r, upstream_t *u);
+/* Forgets what is older than the configuration's idle time. */
+void records_expire(flowset_t *f, ms_t now);
+/* A request of R begins, or is no longer waited for. */
+void record_asked(record_t *r, ms_t now);
+void record_answered(record_t *r);
+/* The first packet after the opening one; the caller's last. */
+void record_opened(record_t *r);
+void record_ended(record_t *r);
+
+/* ---- choice.c ---- */
+
+/* The upstream for a new flow of route R, or NULL.  NOT (may be NULL) is
+ * taken only if there is no other. */
+upstream_t *choose(flowset_t *f, ms_t now, const flow_route_t *r,
+                   const upstream_t *not);
+
+/* ---- reach.c ---- */
+
+/* A packet of a caller proves that U answered after SINCE. */
+void reach_alive(flowset_t *f, ms_t now, upstream_t *u);
+/* Packets to U since SINCE went unanswered. */
+void reach_doubt(flowset_t *f, ms_t now, upstream_t *u, ms_t since,
+                 const char *why);
+/* U has ended for sure. */
+void reach_dead(flowset_t *f, ms_t now, upstream_t *u, const char *why);
+/* A probe of U, whatever callers' packets say. */
+void reach_ask(flowset_t *f, ms_t now, upstream_t *u, const char *why);
+void reach_probed(flowset_t *f, ms_t now, upstream_t *u, flow_probe_t result);
+/* Starts the probes that are due; returns when the next one is. */
+ms_t reach_tick(flowset_t *f, ms_t now);
+
+#endif
--- a/kern/kern.h
+++ b/kern/kern.h
@@ -91,6 +91,12 @@
 void *pool_get(pool_t *p); /* NULL: none left */
 void pool_put(pool_t *p, void *slot);
 
+/* ---- Sockets ---- */
+
+/* A bound, non-blocking UDP socket that stamps what it receives.  A negative
+ * error number with E. */
+int udp_open(const addr_t *a, err_t *e);
+
 /* ---- Counters: one thread adds, any thread reads ---- */
 
 static inline void
--- a/siskind/main.c
+++ b/siskind/main.c
@@ -1,5 +1,6 @@
 /* siskind: the load balancer's daemon.  Options, start, signals, stop. */
 #include "siskind/siskind.h"
+#include "tagged/tagged.h"
 
 #include <argtable2.h>
 #include <errno.h>
@@ -189,14 +190,37 @@
 }
 
 static int
-with_settings(const char *file, bool check)
+refuse_settings(const err_t *e)
+{
+    fprintf(stderr, "siskind: %s: %s\n", e->peer, e->text);
+    return EXIT_FAILED;
+}
+
+static int
+with_tagged(const char *file, const char *text, bool check)
+{
+    tagged_settings_t s;
+    err_t e = {0};
+
+    if (tagged_settings_parse(&s, file, text, &e) < 0) {
+        return refuse_settings(&e);
+    }
+    if (check) {
+        printf("%s: instance %s of data centre %s, tagged flows\n", file,
+               s.name, s.data_centre);
+        return EXIT_OK;
+    }
+    return tagged_run(file, &s);
+}
+
+static int
+with_homes(const char *file, const char *text, bool check)
 {
     static daemon_t d;
     err_t e = {0};
 
-    if (settings_read(&d.settings, file, &e) < 0) {
-        fprintf(stderr, "siskind: %s: %s\n", e.peer, e.text);
-        return EXIT_FAILED;
+    if (settings_parse(&d.settings, file, text, &e) < 0) {
+        return refuse_settings(&e);
     }
     if (check) {
         printf("%s: instance %s of data centre %s\n", file, d.settings.name,
@@ -211,6 +235,23 @@
     return run(&d);
 }
 
+/* The settings' kind says which daemon this is. */
+static int
+with_settings(const char *file, bool check)
+{
+    err_t e = {0};
+    char *text = conf_read_file(file, &e);
+    int rc;
+
+    if (text == NULL) {
+        return refuse_settings(&e);
+    }
+    rc = tagged_is(text) ? with_tagged(file, text, check)
+                         : with_homes(file, text, check);
+    free(text);
+    return rc;
+}
+
 static void
 print_help(void **table)
 {
--- a/siskind/siskind.h
+++ b/siskind/siskind.h
@@ -50,8 +50,6 @@
     port_t *port[];
 } port_set_t;
 
-/* A bound, non-blocking UDP socket that stamps what it receives. */
-int udp_open(const addr_t *a, err_t *e);
 /* Sockets for C, those of OLD (may be NULL) kept where they still serve. */
 port_set_t *ports_make(const conf_t *c, const settings_t *s,
                        const port_set_t *old);
--- /dev/null
+++ b/tagged/daemon.c
@@ -0,0 +1,153 @@
+/* Start, signals and stop of a tagged instance. */
+#include "tagged/tagged.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#define CHANGES_INBOX 64
+/* Duties are given so long to end. */
+#define JOIN_MS 500
+/* Without a packet for so long, nobody sends here any more: routers have
+ * noticed that it isn't ready (two looks, half a second apart). */
+#define QUIET_MS 1500
+/* It ends by itself so long before the platform would kill it. */
+#define STOP_MARGIN_MS 800
+#define LEAVE_CHECK_MS 100
+
+static const duty_spec_t duties[] = {
+    {.name = "main", .inbox = 4},
+    {.name = "packets",
+     .run = packets_run,
+     .inbox = CHANGES_INBOX,
+     .drop = changes_free,
+     .one_sender = true},
+    {.name = "serve", .run = serve_run, .inbox = 4},
+    {.name = "follow", .run = follow_run, .inbox = 4},
+};
+
+static int
+open_signals(void)
+{
+    sigset_t set;
+
+    signal(SIGPIPE, SIG_IGN);
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &set, NULL);
+    return signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+static int
+start(tagged_t *t, err_t *e)
+{
+    t->replica = replica_new();
+    t->store = store_new(t->settings.store_url);
+    t->kern = kern_new();
+    if (t->replica == NULL || t->store == NULL || t->kern == NULL) {
+        return err_set(e, -ENOMEM, "start", t->settings.name,
+                       "out of memory");
+    }
+    t->flow_fd = udp_open(&t->settings.flow_addr, e);
+    if (t->flow_fd < 0) {
+        return t->flow_fd;
+    }
+    for (size_t i = 0; i < sizeof(duties) / sizeof(duties[0]); i++) {
+        duty_spec_t spec = duties[i];
+        int rc;
+        spec.arg = t;
+        rc = kern_add(t->kern, &spec);
+        if (rc < 0) {
+            return err_set(e, rc, "start", spec.name, "%s", strerror(-rc));
+        }
+    }
+    return 0;
+}
+
+/* Forwards on until no packet comes, or just before it would be killed. */
+static void
+leave(tagged_t *t, duty_t *self)
+{
+    ms_t begin = clock_now();
+    ms_t longest = (ms_t)t->settings.stop_ms - STOP_MARGIN_MS;
+    ms_t now = begin;
+
+    SHARE(t, leaving, true);
+    while (now - begin < longest) {
+        ms_t quiet = now - SHARED(t, packet_at);
+        if (quiet > QUIET_MS && now - begin > QUIET_MS) {
+            break;
+        }
+        duty_wait(self, NULL, 0, LEAVE_CHECK_MS);
+        now = clock_now();
+    }
+    log_line(LVL_INFO, "main", "It has left. ms=%lld last_packet_ms=%lld",
+             (long long)(now - begin),
+             (long long)(now - SHARED(t, packet_at)));
+}
+
+static void
+wait_for_end(tagged_t *t, int signals)
+{
+    duty_t *self = kern_find(t->kern, "main");
+    struct pollfd fds[2] = {[1] = {.fd = signals, .events = POLLIN}};
+    struct signalfd_siginfo info;
+
+    for (;;) {
+        duty_wait(self, fds, 2, -1);
+        if (read(signals, &info, sizeof(info)) != sizeof(info)) {
+            continue;
+        }
+        if (info.ssi_signo != SIGHUP) {
+            break;
+        }
+        log_line(LVL_INFO, "main", "It reads its settings again. signal=%u",
+                 info.ssi_signo);
+        SHARE(t, reload, true);
+        duty_wake(kern_find(t->kern, "follow"));
+    }
+    log_line(LVL_INFO, "main", "It leaves. signal=%u", info.ssi_signo);
+    leave(t, self);
+}
+
+int
+tagged_run(const char *file, const tagged_settings_t *s)
+{
+    static tagged_t t;
+    err_t e = {0};
+    int signals = open_signals();
+
+    t.settings = *s;
+    snprintf(t.settings_file, sizeof(t.settings_file), "%s", file);
+    t.started = clock_now();
+    t.replica_at = t.packet_at = t.started;
+    t.store_up = true;
+    pthread_mutex_init(&t.stats_lock, NULL);
+    if (sodium_init() < 0 || log_open(s->name, s->log_level) < 0 ||
+        log_start_writer(STDOUT_FILENO) < 0) {
+        fprintf(stderr, "siskind: can't start libsodium or log4c\n");
+        return EXIT_FAILURE;
+    }
+    if (start(&t, &e) < 0 || kern_start(t.kern) < 0) {
+        log_line(LVL_ERROR, "main",
+                 "It can't start. step=\"%s\" peer=%s error=\"%s\"", e.step,
+                 e.peer, e.text);
+        log_close();
+        return EXIT_FAILURE;
+    }
+    log_line(LVL_INFO, "main", "It runs. data_centre=%s store=%s records=%u",
+             s->data_centre, s->store_url, s->records);
+    wait_for_end(&t, signals);
+    /* A call to the store may still block: the process ends without it. */
+    kern_stop(t.kern, JOIN_MS);
+    log_line(LVL_INFO, "main", "It has stopped.");
+    log_close();
+    _exit(EXIT_SUCCESS);
+}
--- /dev/null
+++ b/tagged/packets.c
@@ -0,0 +1,424 @@
+/* The packets duty: callers' packets in, decisions, packets out. */
+#include "tagged/tagged.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define BATCH 32      /* packets in one call to the kernel */
+#define TURNS 8       /* batches before the rest has its turn */
+#define IDLE_MS 1000  /* the longest sleep */
+#define PUBLISH_MS 500 /* between two copies of the statistics */
+/* A sleep that lasted so much longer than asked for: the process stood still,
+ * and callers' repetitions of that time say nothing about upstreams. */
+#define PAUSE_MS 150
+/* Lines about single flows, a second; with bursts of as many.  A busy instance
+ * opens some hundred flows a second; beyond, the metrics tell. */
+#define FLOW_LINES_PER_S 200
+
+typedef struct {
+    tagged_t *t;
+    flowset_t *flows;
+    probes_t probes;
+    ms_t now;
+    ms_t publish_at;
+    double lines; /* log lines that may be written now */
+    ms_t lines_at;
+    struct mmsghdr in[BATCH], out[BATCH];
+    struct iovec in_iov[BATCH], out_iov[BATCH][2];
+    struct sockaddr_storage to[BATCH];
+    uint8_t data[BATCH][PACKET_BYTES + 1]; /* one more: too long shows */
+    uint8_t prefix[BATCH][PACKET_PREFIX];
+    uint8_t reset[BATCH][PACKET_HEAD];
+    unsigned n_out;
+} packets_t;
+
+/* ---- Log lines about flows, at a bounded rate ---- */
+
+static bool
+may_log(packets_t *p)
+{
+    p->lines += (double)(p->now - p->lines_at) * FLOW_LINES_PER_S / 1000;
+    p->lines_at = p->now;
+    if (p->lines > FLOW_LINES_PER_S) {
+        p->lines = FLOW_LINES_PER_S;
+    }
+    if (p->lines < 1) {
+        counter_add(&p->t->count.lines_limited, 1);
+        return false;
+    }
+    p->lines--;
+    return true;
+}
+
+static void
+log_decision(packets_t *p, const flow_packet_t *in, const flow_decision_t *d)
+{
+    char caller[ADDR_STRLEN], service[ADDR_STRLEN], to[ADDR_STRLEN];
+
+    /* A flow's later packets follow its opening: not a decision each. */
+    if (d->reason == FLOW_BY_TAG || !may_log(p)) {
+        return;
+    }
+    addr_text(&in->caller, caller);
+    addr_text(&in->service, service);
+    switch (d->verb) {
+    case FLOW_FORWARD:
+        log_line(LVL_INFO, "flow",
+                 "Opening. flow=%s>%s copy=%u reason=%s upstream=%llx to=%s "
+                 "service=%s busy=%u open=%u version=%llu replica_age_ms=%lld",
+                 caller, service, in->ack, flow_reason_name(d->reason),
+                 (unsigned long long)d->upstream, addr_text(&d->to, to),
+                 d->service, d->busy, d->open, (unsigned long long)d->version,
+                 (long long)(p->now - SHARED(p->t, replica_at)));
+        return;
+    case FLOW_RESET:
+    case FLOW_DROP:
+        log_line(LVL_INFO, "flow",
+                 "%s. flow=%s>%s reason=%s tag=%x upstream=%llx seq=%u "
+                 "len=%u version=%llu replica_age_ms=%lld",
+                 d->verb == FLOW_RESET ? "Reset" : "Dropped", caller, service,
+                 flow_reason_name(d->reason), in->tag,
+                 (unsigned long long)d->upstream, in->seq, in->len,
+                 (unsigned long long)d->version,
+                 (long long)(p->now - SHARED(p->t, replica_at)));
+        return;
+    }
+}
+
+static void
+log_reach(const flow_out_t *out)
+{
+    char addr[ADDR_STRLEN];
+
+    log_line(out->reach.to == REACH_GOOD ? LVL_INFO : LVL_WARN, "reach",
+             "Upstream. upstream=%llx addr=%s service=%s data_centre=%s "
+             "was=%s is=%s why=\"%s\" open=%u",
+             (unsigned long long)out->upstream,
+             addr_text(&out->reach.addr, addr), out->reach.service,
+             out->reach.data_centre, flow_reach_name(out->reach.from),
+             flow_reach_name(out->reach.to), out->reach.why, out->reach.open);
+}
+
+/* ---- Sending ---- */
+
+static void
+flush(packets_t *p)
+{
+    unsigned done = 0;
+
+    while (done < p->n_out) {
+        int n = sendmmsg(p->t->flow_fd, p->out + done, p->n_out - done,
+                         MSG_DONTWAIT);
+        if (n <= 0) {
+            if (errno == EINTR) {
+                continue;
+            }
+            /* Full or refused: lost, as in any network; its sender repeats
+             * it. */
+            counter_add(&p->t->count.send_failed, 1);
+            n = 1;
+        }
+        else {
+            counter_add(&p->t->count.sent, (uint64_t)n);
+        }
+        done += (unsigned)n;
+    }
+    p->n_out = 0;
+}
+
+static struct msghdr *
+next_out(packets_t *p, const addr_t *to)
+{
+    struct msghdr *h;
+    unsigned i;
+
+    if (p->n_out == BATCH) {
+        flush(p);
+    }
+    i = p->n_out++;
+    h = &p->out[i].msg_hdr;
+    *h = (struct msghdr){.msg_name = &p->to[i], .msg_iov = p->out_iov[i]};
+    h->msg_namelen = addr_to_sock(to, &p->to[i]);
+    return h;
+}
+
+static void
+send_upstream(packets_t *p, uint8_t *data, size_t len,
+              const flow_decision_t *d)
+{
+    struct msghdr *h = next_out(p, &d->to);
+    uint8_t *prefix = p->prefix[p->n_out - 1];
+
+    packet_prefix(prefix, d->upstream);
+    h->msg_iov[0] = (struct iovec){prefix, PACKET_PREFIX};
+    h->msg_iov[1] = (struct iovec){data, len};
+    h->msg_iovlen = 2;
+}
+
+/* Callers take packets at the port that instances have. */
+static void
+send_reset(packets_t *p, const addr_t *caller, const addr_t *service,
+           uint32_t seq)
+{
+    addr_t to = *caller;
+    struct msghdr *h;
+    uint8_t *reset;
+
+    to.port = p->t->settings.flow_addr.port;
+    h = next_out(p, &to);
+    reset = p->reset[p->n_out - 1];
+    packet_reset(reset, caller, service, seq);
+    h->msg_iov[0] = (struct iovec){reset, PACKET_HEAD};
+    h->msg_iovlen = 1;
+}
+
+/* ---- What the flows ask for ---- */
+
+static void
+emit(void *arg, const flow_out_t *out)
+{
+    packets_t *p = arg;
+    char caller[ADDR_STRLEN], service[ADDR_STRLEN];
+
+    switch (out->kind) {
+    case FLOW_OUT_RESET:
+        send_reset(p, &out->reset.caller, &out->reset.service,
+                   out->reset.seq);
+        if (may_log(p)) {
+            log_line(LVL_INFO, "flow",
+                     "Reset. flow=%s>%s reason=%s upstream=%llx seq=%u",
+                     addr_text(&out->reset.caller, caller),
+                     addr_text(&out->reset.service, service),
+                     flow_reason_name(out->reset.reason),
+                     (unsigned long long)out->upstream, out->reset.seq);
+        }
+        return;
+    case FLOW_OUT_PROBE:
+        if (probes_start(&p->probes, p->now, out) < 0) {
+            counter_add(&p->t->count.probes_skipped, 1);
+        }
+        return;
+    case FLOW_OUT_REACH:
+        log_reach(out);
+        return;
+    }
+}
+
+static void
+probe_done(void *arg, uint64_t upstream, flow_probe_t result)
+{
+    packets_t *p = arg;
+
+    flowset_probed(p->flows, p->now, upstream, result);
+}
+
+/* ---- Changes of the replica ---- */
+
+static void
+take_routes(packets_t *p, store_event_t *ev)
+{
+    flow_conf_t *c = ev->routes;
+    uint64_t version = c->version;
+    uint32_t n = c->n_routes;
+
+    ev->routes = NULL;
+    if (flowset_set_conf(p->flows, p->now, c) == 0) {
+        log_line(LVL_INFO, "routes",
+                 "In force. version=%llu routes=%u revision=%llu",
+                 (unsigned long long)version, n,
+                 (unsigned long long)ev->revision);
+    }
+}
+
+static void
+take_upstream(packets_t *p, const store_event_t *ev)
+{
+    const flow_upstream_t *u = &ev->upstream;
+    char addr[ADDR_STRLEN];
+    int rc = flowset_set_upstream(p->flows, p->now, u);
+
+    log_line(rc < 0 ? LVL_ERROR : LVL_INFO, "upstreams",
+             "Announced. upstream=%llx addr=%s service=%s data_centre=%s "
+             "state=%s warm_up_ms=%lld revision=%llu%s",
+             (unsigned long long)u->id, addr_text(&u->addr, addr), u->service,
+             u->data_centre, u->draining ? "draining" : "ready",
+             (long long)u->warm_up_ms, (unsigned long long)ev->revision,
+             rc < 0 ? " error=\"out of memory: it isn't used\"" : "");
+}
+
+static void
+take_event(packets_t *p, store_event_t *ev)
+{
+    switch (ev->kind) {
+    case STORE_ROUTES:
+        take_routes(p, ev);
+        return;
+    case STORE_UPSTREAM:
+        take_upstream(p, ev);
+        return;
+    case STORE_UPSTREAM_GONE:
+        log_line(LVL_INFO, "upstreams",
+                 "Its announcement is gone. upstream=%llx revision=%llu",
+                 (unsigned long long)ev->id,
+                 (unsigned long long)ev->revision);
+        flowset_remove_upstream(p->flows, p->now, ev->id);
+        return;
+    case STORE_PEER:
+    case STORE_PEER_GONE:
+    case STORE_OTHER:
+        return;
+    }
+}
+
+static void
+take_changes(packets_t *p, changes_t *c)
+{
+    uint64_t *keep = c->whole ? calloc(c->n + 1, sizeof(*keep)) : NULL;
+    size_t n = 0;
+
+    for (size_t i = 0; i < c->n; i++) {
+        if (keep != NULL && c->event[i].kind == STORE_UPSTREAM) {
+            keep[n++] = c->event[i].upstream.id;
+        }
+        take_event(p, &c->event[i]);
+    }
+    if (keep != NULL) {
+        flowset_keep_upstreams(p->flows, p->now, keep, n);
+        free(keep);
+    }
+    SHARE(p->t, ready, flowset_ready(p->flows));
+}
+
+/* ---- The loop ---- */
+
+static void
+take_packet(packets_t *p, uint8_t *data, size_t len)
+{
+    flow_packet_t in;
+    flow_decision_t d;
+
+    if (len > PACKET_BYTES || packet_read(&in, data, len) < 0) {
+        counter_add(&p->t->count.unreadable, 1);
+        return;
+    }
+    flowset_packet(p->flows, p->now, &in, &d);
+    log_decision(p, &in, &d);
+    switch (d.verb) {
+    case FLOW_FORWARD:
+        if (in.opens) {
+            packet_set_tag(data, d.tag);
+        }
+        send_upstream(p, data, len, &d);
+        return;
+    case FLOW_RESET:
+        send_reset(p, &in.caller, &in.service, in.ack);
+        return;
+    case FLOW_DROP:
+        return;
+    }
+}
+
+static void
+receive(packets_t *p)
+{
+    int n = BATCH;
+
+    for (int turn = 0; turn < TURNS && n == BATCH; turn++) {
+        n = recvmmsg(p->t->flow_fd, p->in, BATCH, MSG_DONTWAIT, NULL);
+        if (n <= 0) {
+            return;
+        }
+        counter_add(&p->t->count.received, (uint64_t)n);
+        SHARE(p->t, packet_at, p->now);
+        for (int i = 0; i < n; i++) {
+            take_packet(p, p->data[i], p->in[i].msg_len);
+        }
+        flush(p); /* before the buffers are filled again */
+    }
+}
+
+static void
+publish(packets_t *p)
+{
+    if (p->now < p->publish_at) {
+        return;
+    }
+    pthread_mutex_lock(&p->t->stats_lock);
+    p->t->stats = *flowset_stats(p->flows);
+    pthread_mutex_unlock(&p->t->stats_lock);
+    p->publish_at = p->now + PUBLISH_MS;
+}
+
+static bool
+open_flows(packets_t *p, tagged_t *t)
+{
+    const flow_spec_t spec = {
+        .data_centre = t->settings.data_centre,
+        .seed = hash64(t->settings.name, strlen(t->settings.name),
+                       (uint64_t)t->started),
+        .records_max = t->settings.records,
+        .emit = emit,
+        .arg = p,
+    };
+
+    p->t = t;
+    p->flows = flowset_new(&spec);
+    for (int i = 0; i < BATCH; i++) {
+        p->in_iov[i] = (struct iovec){p->data[i], sizeof(p->data[i])};
+        p->in[i].msg_hdr =
+            (struct msghdr){.msg_iov = &p->in_iov[i], .msg_iovlen = 1};
+    }
+    return p->flows != NULL;
+}
+
+static void
+sleep_until(packets_t *p, duty_t *self, ms_t next)
+{
+    struct pollfd fds[2 + PROBES_MAX];
+    size_t n;
+    ms_t wait, before = p->now, slept;
+
+    fds[1] = (struct pollfd){.fd = p->t->flow_fd, .events = POLLIN};
+    n = 2 + probes_poll(&p->probes, fds + 2, &next);
+    wait = next - before;
+    wait = wait < 0 ? 0 : wait > IDLE_MS ? IDLE_MS : wait;
+    duty_wait(self, fds, n, wait);
+    p->now = clock_now();
+    slept = p->now - before;
+    if (slept > wait + PAUSE_MS) {
+        counter_add(&p->t->count.pauses, 1);
+        log_line(LVL_WARN, "packets", "The process stood still. ms=%lld",
+                 (long long)(slept - wait));
+        flowset_paused(p->flows, p->now);
+    }
+}
+
+void
+packets_run(duty_t *self, void *tagged)
+{
+    static packets_t p;
+    ms_t next = 0;
+    void *msg;
+
+    if (!open_flows(&p, tagged)) {
+        log_line(LVL_ERROR, "packets", "Out of memory: no flow is served.");
+        return;
+    }
+    p.now = clock_now();
+    while (!duty_stopping(self)) {
+        sleep_until(&p, self, next);
+        while (duty_take(self, &msg, 1) == 1) {
+            take_changes(&p, msg);
+            changes_free(msg);
+        }
+        receive(&p);
+        probes_check(&p.probes, p.now, probe_done, &p);
+        next = flowset_tick(p.flows, p.now);
+        flush(&p);
+        publish(&p);
+    }
+    probes_close(&p.probes);
+    flowset_free(p.flows);
+}
--- /dev/null
+++ b/tagged/tagged.h
@@ -0,0 +1,133 @@
+/* tagged: the daemon that serves flows with a tag.  Each file is one duty;
+ * they meet only through messages, the published facts, and the replica.
+ *
+ *   packets   callers' packets: received, decided (flow/), sent; probes
+ *   follow    follows the store, or a peer while the store is away
+ *   serve     HTTP: readiness, metrics, status, the replica for peers
+ *   main      signals, start and stop
+ *
+ * One thread receives, decides and sends: a decision takes less than handing
+ * the packet to another thread would.
+ */
+#ifndef SISKIN_TAGGED_H
+#define SISKIN_TAGGED_H
+
+#include "base/base.h"
+#include "conf/tagged.h"
+#include "flow/flow.h"
+#include "kern/kern.h"
+#include "platform/platform.h"
+
+#include <pthread.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* ---- The replica: what the store holds, as it was last seen ---- */
+
+typedef struct replica replica_t;
+
+replica_t *replica_new(void);
+void replica_free(replica_t *v);
+/* Takes changes that came by a watch. */
+int replica_change(replica_t *v, const store_items_t *changes);
+/* Takes all of ITEMS in place of what there was. */
+int replica_replace(replica_t *v, const store_items_t *items);
+/* 0: nothing has been seen yet. */
+uint64_t replica_revision(replica_t *v);
+bool replica_has(replica_t *v, const char *key);
+/* The whole replica as text for a peer; NULL without memory. */
+char *replica_text(replica_t *v);
+
+/* ---- Messages to packets ---- */
+
+/* What has changed in the store. */
+typedef struct {
+    bool whole; /* all there is: upstreams that are missing have gone */
+    size_t n;
+    store_event_t event[];
+} changes_t;
+
+void changes_free(void *msg);
+
+/* ---- What every duty may read; each has one writer ---- */
+
+typedef struct {
+    uint64_t received, sent, unreadable, send_failed;
+    uint64_t lines_limited; /* log lines left out by their rate */
+    uint64_t probes_skipped;
+    uint64_t pauses;
+    uint64_t store_failures, peer_calls, replicas_from_peers, refused_items;
+} tagged_counters_t;
+
+typedef struct {
+    tagged_settings_t settings; /* as at the start */
+    char settings_file[256];
+    kern_t *kern;
+    replica_t *replica;
+    store_t *store;
+    int flow_fd;
+    ms_t started;
+    /* Atomic facts */
+    bool ready;     /* there are routes and upstreams */
+    bool leaving;   /* SIGTERM came */
+    bool reload;    /* SIGHUP came: follow reads the settings again */
+    bool store_up;  /* the last call to the store succeeded */
+    ms_t packet_at; /* when the last packet came */
+    ms_t replica_at;   /* when the replica was last known to be current */
+    tagged_counters_t count;
+    /* A copy of packets' statistics. */
+    pthread_mutex_t stats_lock;
+    flow_stats_t stats;
+} tagged_t;
+
+#define SHARED(t, name) __atomic_load_n(&(t)->name, __ATOMIC_RELAXED)
+#define SHARE(t, name, value)                                                 \
+    __atomic_store_n(&(t)->name, value, __ATOMIC_RELAXED)
+
+/* ---- Duties ---- */
+
+void packets_run(duty_t *self, void *tagged);
+void follow_run(duty_t *self, void *tagged);
+void serve_run(duty_t *self, void *tagged);
+
+/* ---- probes.c: bare TCP connections to upstreams ---- */
+
+#define PROBES_MAX 64 /* under way at a time */
+
+typedef struct {
+    uint64_t upstream; /* 0: a free place */
+    ms_t until;
+    int fd;      /* -1: it failed at once */
+    int failure; /* errno of that */
+} probe_t;
+
+typedef struct {
+    probe_t probe[PROBES_MAX];
+    size_t n; /* places in use are below it */
+} probes_t;
+
+typedef void probe_done_t(void *arg, uint64_t upstream, flow_probe_t result);
+
+/* -EAGAIN: no place is free. */
+int probes_start(probes_t *p, ms_t now, const flow_out_t *out);
+/* Fills FDS from the first place on; returns how many.  *NEXT is lowered to
+ * when the first probe ends. */
+size_t probes_poll(const probes_t *p, struct pollfd *fds, ms_t *next);
+/* Ends the probes that were answered or refused, or whose time is over. */
+void probes_check(probes_t *p, ms_t now, probe_done_t *done, void *arg);
+void probes_close(probes_t *p);
+
+/* Metrics as Prometheus text, status as JSON; malloc, or NULL. */
+char *tagged_metrics(tagged_t *t);
+char *tagged_status(tagged_t *t);
+
+/* Runs the daemon until it is told to stop; its exit status. */
+int tagged_run(const char *file, const tagged_settings_t *s);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
