tagged: packets wait in the socket until the first routes are known

Cause: for 40 to 130 ms after a start, opening packets were reset for want of a route. Ruled out: the platform's own delay (0.1 to 0.5 s until a process starts). Also: bytes that were overtaken on the way raised a doubt and a probe; now only those sent again after the shortest retransmission time do.

--- a/flow/flows.c
+++ b/flow/flows.c
@@ -9,6 +9,9 @@
  * is here a round trip later: some 10 ms.  So long without it, something is
  * wrong with the upstream or the way to it. */
 #define OPENING_MS 80
+/* Ends send again after 200 ms at the earliest.  Bytes seen before that come
+ * sooner have only been overtaken on the way. */
+#define REPEAT_MIN_MS 150
 /* A request unanswered for so long is no longer counted as in progress: it was
  * given up, or its flow goes on through another instance. */
 #define ASKED_MAX_MS 3000
@@ -288,7 +291,7 @@
             answer_seen(f, now, r);
         }
     }
-    else if (p->len > 0 && !fresh) {
+    else if (p->len > 0 && !fresh && now - r->sent_at >= REPEAT_MIN_MS) {
         reach_doubt(f, now, u, r->sent_at, "a caller repeats itself");
     }
     if (fresh) {
--- a/tagged/packets.c
+++ b/tagged/packets.c
@@ -17,9 +17,14 @@
  * opens some hundred flows a second; beyond, the metrics tell. */
 #define FLOW_LINES_PER_S 200
 
+/* Packets that wait in the socket for the first routes are served when those
+ * came so soon after the start; later, their callers have given up. */
+#define WAIT_FRESH_MS 1000
+
 typedef struct {
     tagged_t *t;
     flowset_t *flows;
+    bool serving; /* there are routes and upstreams: packets are read */
     probes_t probes;
     ms_t now;
     ms_t publish_at;
@@ -272,6 +277,26 @@
     }
 }
 
+/* The first routes and upstreams are known.  Until now packets were left in
+ * the socket: a reset for want of a route would have been false, and would
+ * have used up the callers' retries just when all instances return. */
+static void
+begin_serving(packets_t *p)
+{
+    ms_t since = p->now - p->t->started;
+    uint64_t dropped = 0;
+
+    while (since > WAIT_FRESH_MS &&
+           recv(p->t->flow_fd, p->data[0], 1, MSG_DONTWAIT | MSG_TRUNC) >= 0) {
+        dropped++;
+    }
+    p->serving = true;
+    SHARE(p->t, ready, true);
+    log_line(LVL_INFO, "packets",
+             "It serves. since_start_ms=%lld dropped=%llu", (long long)since,
+             (unsigned long long)dropped);
+}
+
 static void
 take_changes(packets_t *p, changes_t *c)
 {
@@ -288,7 +313,9 @@
         flowset_keep_upstreams(p->flows, p->now, keep, n);
         free(keep);
     }
-    SHARE(p->t, ready, flowset_ready(p->flows));
+    if (!p->serving && flowset_ready(p->flows)) {
+        begin_serving(p);
+    }
 }
 
 /* ---- The loop ---- */
@@ -323,7 +350,7 @@
 static void
 receive(packets_t *p)
 {
-    int n = BATCH;
+    int n = p->serving ? BATCH : 0;
 
     for (int turn = 0; turn < TURNS && n == BATCH; turn++) {
         n = recvmmsg(p->t->flow_fd, p->in, BATCH, MSG_DONTWAIT, NULL);
@@ -380,7 +407,9 @@
     size_t n;
     ms_t wait, before = p->now, slept;
 
-    fds[1] = (struct pollfd){.fd = p->t->flow_fd, .events = POLLIN};
+    /* A negative descriptor is passed over. */
+    fds[1] = (struct pollfd){.fd = p->serving ? p->t->flow_fd : -1,
+                             .events = POLLIN};
     n = 2 + probes_poll(&p->probes, fds + 2, &next);
     wait = next - before;
     wait = wait < 0 ? 0 : wait > IDLE_MS ? IDLE_MS : wait;
