--- a/flow/flows.c
+++ b/flow/flows.c
@@ -436,7 +436,7 @@
     upstream_t *u = upstream_by_id(f, id);
 
     f->stats.probes[result]++;
-    if (u != NULL) {
+    if (u != NULL && u->probing) {
         reach_probed(f, now, u, result);
     }
 }
--- /dev/null
+++ b/test/flow_test.cc
@@ -0,0 +1,477 @@
+/* Decisions about tagged flows: one small story a test. */
+#include "test/flow_bed.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <set>
+
+static const char FEED[] = "198.18.0.1:443";    /* repeatable */
+static const char COMMAND[] = "198.18.0.1:444"; /* once at most */
+
+/* Two local upstreams and one in another data centre. */
+class Flow : public ::testing::Test
+{
+  protected:
+    FlowBed bed;
+
+    void
+    SetUp() override
+    {
+        ASSERT_EQ(bed.routes(1, {{FEED, "svc", true}, {COMMAND, "svc", false}}),
+                  0);
+        bed.announce(FlowBed::upstream(0x11, "svc", "dc-a"));
+        bed.announce(FlowBed::upstream(0x12, "svc", "dc-a"));
+        bed.announce(FlowBed::upstream(0x21, "svc", "dc-b"));
+    }
+
+    /* A caller of U sends again what went unanswered: a probe starts. */
+    void
+    doubt(int caller, uint32_t tag)
+    {
+        bed.now += 500;
+        bed.packet(FlowBed::data(caller, FEED, tag, 1001, 100));
+        bed.now += 200;
+        bed.packet(FlowBed::data(caller, FEED, tag, 1001, 100));
+    }
+
+    uint32_t
+    open_at(uint64_t id, int first_caller, const char *route = FEED)
+    {
+        for (int caller = first_caller; caller < first_caller + 50; caller++) {
+            if (bed.open(caller, route) == id) {
+                return (uint32_t)caller;
+            }
+        }
+        return 0;
+    }
+};
+
+/* ---- Routes and tags ---- */
+
+TEST_F(Flow, AnOpeningPacketGetsTheTagOfItsUpstream)
+{
+    flow_decision_t d = bed.packet(FlowBed::syn(1, FEED));
+
+    EXPECT_EQ(d.verb, FLOW_FORWARD);
+    EXPECT_EQ(d.reason, FLOW_CHOSEN);
+    EXPECT_EQ(d.tag, (uint32_t)d.upstream);
+    EXPECT_STREQ(d.service, "svc");
+}
+
+/* A router hands a flow's packets to another instance when one joins.  That
+ * instance has never seen the flow: the tag alone leads to the upstream. */
+TEST_F(Flow, AnotherInstanceForwardsByTheTagAlone)
+{
+    flow_decision_t d =
+        bed.packet(FlowBed::data(77, FEED, 0x21, 4000, 100));
+
+    EXPECT_EQ(d.verb, FLOW_FORWARD);
+    EXPECT_EQ(d.reason, FLOW_BY_TAG);
+    EXPECT_EQ(d.upstream, 0x21u);
+}
+
+TEST_F(Flow, WithoutARouteTheCallerIsResetAtOnce)
+{
+    flow_decision_t d = bed.packet(FlowBed::syn(1, "198.18.0.9:443"));
+
+    EXPECT_EQ(d.verb, FLOW_RESET);
+    EXPECT_EQ(d.reason, FLOW_NO_ROUTE);
+}
+
+TEST_F(Flow, WithoutAnyUpstreamTheCallerIsResetAtOnce)
+{
+    bed.routes(2, {{FEED, "other", true}});
+    EXPECT_EQ(bed.packet(FlowBed::syn(1, FEED)).reason, FLOW_NO_UPSTREAM);
+}
+
+TEST_F(Flow, AnUnknownTagIsDroppedNotReset)
+{
+    flow_decision_t d =
+        bed.packet(FlowBed::data(5, FEED, 0x99, 4000, 100));
+
+    EXPECT_EQ(d.verb, FLOW_DROP); /* its upstream may live */
+    EXPECT_EQ(d.reason, FLOW_TAG_UNKNOWN);
+}
+
+/* Peers and the store may tell versions in any order.  An instance that took
+ * an older one would route by it, which its callers have seen replaced. */
+TEST_F(Flow, VersionsNeverGoBack)
+{
+    EXPECT_EQ(bed.routes(5, {{FEED, "svc", true}}), 0);
+    EXPECT_EQ(bed.routes(4, {{FEED, "svc", true}, {COMMAND, "svc", false}}),
+              -ESTALE);
+    EXPECT_EQ(bed.routes(5, {{COMMAND, "svc", false}}), -ESTALE);
+    EXPECT_EQ(bed.packet(FlowBed::syn(1, COMMAND)).reason, FLOW_NO_ROUTE);
+    EXPECT_EQ(bed.stats()->version, 5u);
+}
+
+/* Ids are longer than tags.  Of two upstreams with one tag only the first gets
+ * flows: packets of the second's would reach the first and be reset. */
+TEST_F(Flow, AnUpstreamWithATakenTagGetsNoFlow)
+{
+    flow_upstream_t twin = FlowBed::upstream(0x1200000011, "svc", "dc-a");
+
+    twin.addr = address("10.0.9.9:80");
+    bed.announce(twin);
+    for (int caller = 1; caller < 200; caller++) {
+        EXPECT_NE(bed.packet(FlowBed::syn(caller, FEED)).upstream, twin.id);
+    }
+    EXPECT_EQ(bed.packet(FlowBed::data(900, FEED, 0x11, 1, 1)).upstream,
+              0x11u);
+}
+
+/* ---- Leaving and returning ---- */
+
+TEST_F(Flow, ADrainingUpstreamKeepsItsFlowsAndGetsNoNewOne)
+{
+    flow_upstream_t u = FlowBed::upstream(0x11, "svc", "dc-a");
+
+    u.draining = true;
+    bed.announce(u);
+    for (int caller = 1; caller < 100; caller++) {
+        EXPECT_NE(bed.packet(FlowBed::syn(caller, FEED)).upstream, 0x11u);
+    }
+    EXPECT_EQ(bed.packet(FlowBed::data(900, FEED, 0x11, 1, 1)).verb,
+              FLOW_FORWARD);
+    EXPECT_TRUE(bed.resets.empty());
+}
+
+/* Announcements lapse while the store is away, all at once when it returns,
+ * and are back within two seconds.  New flows need somewhere to go meanwhile;
+ * later, one that is still missing has gone. */
+TEST_F(Flow, LapsedAnnouncementsAreUsedForAMoment)
+{
+    for (uint64_t id : {0x11, 0x12, 0x21}) {
+        flowset_remove_upstream(bed.flows, bed.now, id);
+        bed.probed(id, PROBE_ANSWERED);
+    }
+    bed.advance(1900);
+    EXPECT_EQ(bed.packet(FlowBed::syn(1, FEED)).verb, FLOW_FORWARD);
+    bed.advance(200);
+    EXPECT_EQ(bed.packet(FlowBed::syn(2, FEED)).reason, FLOW_NO_UPSTREAM);
+    EXPECT_TRUE(bed.resets.empty());
+    EXPECT_EQ(bed.packet(FlowBed::data(900, FEED, 0x11, 1, 1)).verb,
+              FLOW_FORWARD);
+    bed.announce(FlowBed::upstream(0x11, "svc", "dc-a"));
+    EXPECT_EQ(bed.packet(FlowBed::syn(3, FEED)).upstream, 0x11u);
+}
+
+/* One of several whose announcement is gone has probably died: the others are
+ * taken first. */
+TEST_F(Flow, AnUpstreamWithoutAnnouncementComesLast)
+{
+    flowset_remove_upstream(bed.flows, bed.now, 0x11);
+    bed.probed(0x11, PROBE_ANSWERED);
+    for (int caller = 1; caller < 50; caller++) {
+        EXPECT_NE(bed.packet(FlowBed::syn(caller, FEED)).upstream, 0x11u);
+    }
+}
+
+/* A draining upstream has exited; idle callers still hold flows to it.  Its
+ * host refuses the probe that the end of the announcement starts, so they are
+ * reset before they ask again, and lose nothing. */
+TEST_F(Flow, IdleFlowsOfAnUpstreamThatHasLeftAreReset)
+{
+    uint32_t caller = open_at(0x11, 1);
+
+    ASSERT_NE(caller, 0u);
+    bed.resets.clear();
+    flowset_remove_upstream(bed.flows, bed.now, 0x11);
+    ASSERT_EQ(bed.probes.size(), 1u);
+    EXPECT_EQ(bed.probes[0].upstream, 0x11u);
+    bed.probed(0x11, PROBE_REFUSED);
+    ASSERT_FALSE(bed.resets.empty());
+    for (const flow_out_t &r : bed.resets) {
+        EXPECT_EQ(r.upstream, 0x11u);
+        EXPECT_EQ(r.reset.seq, 5000u); /* what the caller expects next */
+    }
+}
+
+/* The list of a store that was away for long is read whole: what is missing
+ * in it has gone as if its removal had been told. */
+TEST_F(Flow, AWholeListRemovesWhatIsMissing)
+{
+    const uint64_t keep[] = {0x12, 0x21};
+
+    flowset_keep_upstreams(bed.flows, bed.now, keep, 2);
+    bed.probed(0x11, PROBE_ANSWERED);
+    bed.advance(2100);
+    for (int caller = 1; caller < 50; caller++) {
+        EXPECT_NE(bed.packet(FlowBed::syn(caller, FEED)).upstream, 0x11u);
+    }
+}
+
+/* An address is given to a server of another service only after its former
+ * holder has ended.  Packets of the former's flows must not be carried to the
+ * new one, and their callers needn't wait. */
+TEST_F(Flow, AnAddressThatIsUsedAgainEndsItsFormerFlows)
+{
+    uint32_t caller = open_at(0x11, 1);
+    flow_upstream_t next = FlowBed::upstream(0x31, "archive", "dc-a");
+    flow_decision_t d;
+
+    ASSERT_NE(caller, 0u);
+    next.addr = FlowBed::upstream(0x11, "svc", "dc-a").addr;
+    bed.announce(next);
+    EXPECT_FALSE(bed.resets.empty());
+    d = bed.packet(FlowBed::data((int)caller, FEED, 0x11, 1001, 10));
+    EXPECT_EQ(d.verb, FLOW_RESET);
+    EXPECT_EQ(d.reason, FLOW_UPSTREAM_DEAD);
+}
+
+/* A server starts again under its id and holds nothing of before.  It resets
+ * old flows itself; what is counted here starts anew. */
+TEST_F(Flow, AnUpstreamBornAgainHasNoFlows)
+{
+    flow_upstream_t u = FlowBed::upstream(0x11, "svc", "dc-a");
+
+    ASSERT_NE(open_at(0x11, 1), 0u);
+    u.born_ms = 1772060000000;
+    bed.resets.clear();
+    bed.announce(u);
+    EXPECT_TRUE(bed.resets.empty());
+    EXPECT_EQ(bed.packet(FlowBed::data(900, FEED, 0x11, 1, 1)).open, 0u);
+}
+
+/* ---- Reach ---- */
+
+/* A caller repeats itself after a lost packet as well.  The probe is answered:
+ * the upstream lives, nothing is reset, and it goes on getting flows. */
+TEST_F(Flow, ADoubtThatAProbeRefutesChangesNothing)
+{
+    uint32_t caller = open_at(0x11, 1);
+
+    doubt((int)caller, 0x11);
+    ASSERT_EQ(bed.probes.size(), 1u);
+    bed.probed(0x11, PROBE_ANSWERED);
+    EXPECT_TRUE(bed.resets.empty());
+    EXPECT_EQ(bed.packet(FlowBed::data((int)caller, FEED, 0x11, 1001, 100))
+                  .verb,
+              FLOW_FORWARD);
+    EXPECT_EQ(bed.probes.size(), 1u); /* settled for a while */
+    EXPECT_NE(open_at(0x11, 100), 0u);
+}
+
+/* Routers may let a packet overtake another.  The late one holds bytes seen
+ * before, but too early for a repetition. */
+TEST_F(Flow, OvertakenPacketsRaiseNoDoubt)
+{
+    uint32_t caller = open_at(0x11, 1);
+
+    bed.now += 500;
+    bed.packet(FlowBed::data((int)caller, FEED, 0x11, 2201, 1200));
+    bed.now += 1;
+    bed.packet(FlowBed::data((int)caller, FEED, 0x11, 1001, 1200));
+    EXPECT_TRUE(bed.probes.empty());
+}
+
+/* Other callers of the upstream got answers since: one repetition is a lost
+ * packet, and no probe is spent on it. */
+TEST_F(Flow, OthersThatGoOnRefuteADoubt)
+{
+    int a = (int)open_at(0x11, 1), b = (int)open_at(0x11, 100);
+
+    bed.now += 500;
+    bed.packet(FlowBed::data(a, FEED, 0x11, 1001, 100));
+    bed.now += 100;
+    bed.packet(FlowBed::data(b, FEED, 0x11, 1001, 0, 9000));
+    bed.now += 100;
+    bed.packet(FlowBed::data(a, FEED, 0x11, 1001, 100));
+    EXPECT_TRUE(bed.probes.empty());
+}
+
+/* A server dies without a word.  One caller repeats itself, the host refuses
+ * the probe: every caller of that server is told at once, and tries elsewhere
+ * well before its goal has passed. */
+TEST_F(Flow, ADeadUpstreamsFlowsAreResetAndNewOnesGoElsewhere)
+{
+    int a = (int)open_at(0x11, 1);
+    size_t n = bed.packet(FlowBed::data(900, FEED, 0x11, 1, 1)).open;
+
+    doubt(a, 0x11);
+    bed.probed(0x11, PROBE_REFUSED);
+    EXPECT_EQ(bed.resets.size(), n + 1);
+    for (int caller = 200; caller < 250; caller++) {
+        EXPECT_NE(bed.packet(FlowBed::syn(caller, FEED)).upstream, 0x11u);
+    }
+    EXPECT_EQ(bed.packet(FlowBed::data(901, COMMAND, 0x11, 1, 1)).reason,
+              FLOW_UPSTREAM_DEAD);
+}
+
+/* What an upstream has closed must not be reset afterwards. */
+TEST_F(Flow, EndedFlowsAreNotReset)
+{
+    int a = (int)open_at(0x11, 1);
+    flow_packet_t fin = FlowBed::data(a, FEED, 0x11, 1001, 0);
+
+    fin.ends = true;
+    bed.packet(fin);
+    bed.resets.clear();
+    doubt(900, 0x11);
+    bed.probed(0x11, PROBE_REFUSED);
+    for (const flow_out_t &r : bed.resets) {
+        EXPECT_NE(r.reset.caller.port, a);
+    }
+}
+
+/* A data centre is cut off: probes get no answer.  The servers there live, and
+ * may be working on what they were sent, so only callers that may repeat their
+ * request, and ask for something now, are told to try elsewhere. */
+TEST_F(Flow, AnUnreachableUpstreamIsLeftByRepeatableRequestsOnly)
+{
+    int a = (int)open_at(0x11, 1);
+
+    bed.packet(FlowBed::data(901, COMMAND, 0x11, 1, 10));
+    doubt(a, 0x11);
+    bed.now += 200;
+    bed.probed(0x11, PROBE_SILENT);
+    EXPECT_EQ(bed.probes.size(), 2u); /* one may have been lost */
+    EXPECT_EQ(bed.packet(FlowBed::data(a, FEED, 0x11, 1001, 100)).verb,
+              FLOW_FORWARD);
+    bed.now += 200;
+    bed.probed(0x11, PROBE_SILENT);
+    EXPECT_TRUE(bed.resets.empty());
+    EXPECT_EQ(bed.packet(FlowBed::data(a, FEED, 0x11, 1001, 100)).reason,
+              FLOW_UPSTREAM_OUT);
+    EXPECT_EQ(bed.packet(FlowBed::data(a + 1, FEED, 0x11, 1001, 0)).verb,
+              FLOW_FORWARD);
+    EXPECT_EQ(bed.packet(FlowBed::data(901, COMMAND, 0x11, 1, 10)).verb,
+              FLOW_FORWARD);
+    for (int caller = 200; caller < 250; caller++) {
+        EXPECT_NE(bed.packet(FlowBed::syn(caller, FEED)).upstream, 0x11u);
+    }
+}
+
+/* It comes back by proof: it is probed now and then, and the first answer
+ * makes it good. */
+TEST_F(Flow, AnUnreachableUpstreamReturnsWithItsFirstAnswer)
+{
+    int a = (int)open_at(0x11, 1);
+    size_t before;
+
+    doubt(a, 0x11);
+    bed.probed(0x11, PROBE_SILENT);
+    bed.probed(0x11, PROBE_SILENT);
+    before = bed.probes.size();
+    bed.advance(500);
+    EXPECT_EQ(bed.probes.size(), before + 1);
+    bed.probed(0x11, PROBE_ANSWERED);
+    EXPECT_NE(open_at(0x11, 300), 0u);
+}
+
+/* Probes of what stays away come less and less often, up to a bound. */
+TEST_F(Flow, ProbesOfAnUnreachableUpstreamBackOff)
+{
+    int a = (int)open_at(0x11, 1);
+    size_t n;
+
+    doubt(a, 0x11);
+    for (int i = 0; i < 20000; i += 50) {
+        if (i % 200 == 0 && !bed.probes.empty()) {
+            bed.probed(0x11, PROBE_SILENT);
+        }
+        bed.advance(50);
+    }
+    n = bed.probes.size();
+    EXPECT_GE(n, 10u);
+    EXPECT_LE(n, 20u);
+}
+
+/* An opening packet that nobody answers shows within 80 ms that something is
+ * wrong, long before its copy comes; the copy goes to another upstream. */
+TEST_F(Flow, AnUnansweredOpeningPacketMovesOn)
+{
+    flow_decision_t first = bed.packet(FlowBed::syn(1, FEED)), second;
+
+    bed.advance(79);
+    EXPECT_TRUE(bed.probes.empty());
+    bed.advance(1);
+    ASSERT_EQ(bed.probes.size(), 1u);
+    EXPECT_EQ(bed.probes[0].upstream, first.upstream);
+    bed.now += 120;
+    second = bed.packet(FlowBed::syn(1, FEED, 1));
+    EXPECT_EQ(second.reason, FLOW_COPY_MOVED);
+    EXPECT_NE(second.upstream, first.upstream);
+}
+
+TEST_F(Flow, ACopyStaysWhenThereIsNoOtherUpstream)
+{
+    flow_decision_t first;
+
+    bed.routes(2, {{FEED, "single", true}});
+    bed.announce(FlowBed::upstream(0x41, "single", "dc-a"));
+    first = bed.packet(FlowBed::syn(1, FEED));
+    bed.now += 200;
+    EXPECT_EQ(bed.packet(FlowBed::syn(1, FEED, 1)).reason, FLOW_COPY);
+    EXPECT_EQ(first.upstream, 0x41u);
+}
+
+/* The process stood still for seconds.  Callers sent again meanwhile, which
+ * says nothing about upstreams: no probe, no doubt. */
+TEST_F(Flow, APauseOfTheProcessProvesNothing)
+{
+    int a = (int)open_at(0x11, 1);
+
+    bed.packet(FlowBed::data(a, FEED, 0x11, 1001, 100));
+    bed.packet(FlowBed::syn(400, FEED));
+    bed.now += 4000;
+    flowset_paused(bed.flows, bed.now);
+    bed.packet(FlowBed::data(a, FEED, 0x11, 1001, 100));
+    bed.tick();
+    EXPECT_TRUE(bed.probes.empty());
+}
+
+/* A probe that could not be made (no descriptor is free) settles nothing and
+ * is made later. */
+TEST_F(Flow, AProbeThatWasNotMadeIsTriedAgain)
+{
+    int a = (int)open_at(0x11, 1);
+
+    doubt(a, 0x11);
+    bed.probed(0x11, PROBE_NONE);
+    bed.advance(500);
+    EXPECT_EQ(bed.probes.size(), 2u);
+}
+
+/* ---- Bounds ---- */
+
+TEST(FlowBounds, RecordsAreBoundedAndTheOldestGoesFirst)
+{
+    FlowBed bed("dc-a", 256);
+
+    bed.routes(1, {{FEED, "svc", true}});
+    bed.announce(FlowBed::upstream(0x11, "svc", "dc-a"));
+    for (int caller = 1; caller <= 1000; caller++) {
+        bed.open(caller, FEED);
+    }
+    EXPECT_EQ(bed.stats()->records, 256u);
+    EXPECT_GE(bed.stats()->forgotten, 700u);
+    EXPECT_EQ(bed.packet(FlowBed::data(1, FEED, 0x11, 1001, 10)).verb,
+              FLOW_FORWARD);
+}
+
+TEST(FlowBounds, IdleFlowsAreForgotten)
+{
+    FlowBed bed;
+
+    bed.routes(1, {{FEED, "svc", true}});
+    bed.announce(FlowBed::upstream(0x11, "svc", "dc-a"));
+    bed.open(1, FEED);
+    bed.advance(16000);
+    EXPECT_EQ(bed.stats()->records, 0u);
+    EXPECT_EQ(bed.packet(FlowBed::syn(2, FEED)).open, 0u);
+}
+
+TEST(FlowBounds, AnUpstreamThatLeftIsForgottenAtLast)
+{
+    FlowBed bed;
+
+    bed.routes(1, {{FEED, "svc", true}});
+    bed.announce(FlowBed::upstream(0x11, "svc", "dc-a"));
+    flowset_remove_upstream(bed.flows, bed.now, 0x11);
+    bed.probed(0x11, PROBE_REFUSED);
+    bed.advance(80000);
+    EXPECT_EQ(bed.stats()->upstreams, 1u);
+    bed.advance(20000);
+    EXPECT_EQ(bed.stats()->upstreams, 0u);
+}
