--- a/flow/choice.c
+++ b/flow/choice.c
@@ -48,7 +48,7 @@
 } pick_t;
 
 static tier_t
-tier_of(const upstream_t *u, ms_t now, const upstream_t *not)
+tier_of(const upstream_t *u, ms_t now, const upstream_t * not )
 {
     if (u->reach == REACH_DEAD || u->reach == REACH_OUT) {
         return TIER_NONE;
@@ -56,7 +56,7 @@
     if (!u->listed && now - u->unlisted_at >= LAPSE_MS) {
         return TIER_NONE;
     }
-    if (u->reach == REACH_DOUBTED || u == not) {
+    if (u->reach == REACH_DOUBTED || u == not ) {
         return TIER_DOUBTED;
     }
     return u->listed ? TIER_GOOD : TIER_LAPSED;
@@ -102,7 +102,7 @@
  * instances that know the same don't all take the same. */
 static pick_t
 best_of(flowset_t *f, ms_t now, upstream_t *const *list, uint32_t n,
-        const upstream_t *not)
+        const upstream_t * not )
 {
     pick_t best = {.tier = TIER_NONE};
     uint32_t tries = n > SCAN_MAX ? SAMPLES : n;
@@ -110,7 +110,7 @@
 
     for (uint32_t i = 0; i < tries; i++) {
         upstream_t *u = list[at];
-        pick_t p = {.up = u, .tier = tier_of(u, now, not)};
+        pick_t p = {.up = u, .tier = tier_of(u, now, not )};
         p.cost = cost_of(u, now);
         if (p.tier != TIER_NONE && (best.up == NULL || better(&p, &best))) {
             best = p;
@@ -123,16 +123,16 @@
 /* The own data centre first: a flow that crosses is lost when data centres
  * lose each other.  Another only when it is clearly better for the caller. */
 static upstream_t *
-choose_of(flowset_t *f, ms_t now, const service_t *s, const upstream_t *not)
+choose_of(flowset_t *f, ms_t now, const service_t *s, const upstream_t * not )
 {
-    pick_t near = best_of(f, now, s->near, s->n_near, not);
+    pick_t near = best_of(f, now, s->near, s->n_near, not );
     pick_t far;
 
     if (near.up != NULL && near.tier == TIER_GOOD &&
         busy_share(near.up) < SPILL_BUSY) {
         return near.up;
     }
-    far = best_of(f, now, s->far, s->n_far, not);
+    far = best_of(f, now, s->far, s->n_far, not );
     if (near.up == NULL || far.up == NULL) {
         return near.up != NULL ? near.up : far.up;
     }
@@ -165,10 +165,10 @@
 }
 
 upstream_t *
-choose(flowset_t *f, ms_t now, const flow_route_t *r, const upstream_t *not)
+choose(flowset_t *f, ms_t now, const flow_route_t *r, const upstream_t * not )
 {
     const flow_target_t *t = draw_target(f, r);
     const service_t *s = t != NULL ? service_named(f, t->service) : NULL;
 
-    return s != NULL ? choose_of(f, now, s, not) : NULL;
+    return s != NULL ? choose_of(f, now, s, not ) : NULL;
 }
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -37,8 +37,8 @@
 typedef struct {
     addr_t addr;
     char name[FLOW_NAME_LEN];
-    bool repeatable;   /* its requests are idempotent: callers may retry them */
-    uint32_t first;    /* index of its first target */
+    bool repeatable; /* its requests are idempotent: callers may retry them */
+    uint32_t first;  /* index of its first target */
     uint32_t n_targets;
 } flow_route_t;
 
@@ -55,7 +55,7 @@
 
 /* One incarnation of an upstream, as it was last announced. */
 typedef struct {
-    uint64_t id;  /* the low 32 bits are its tag */
+    uint64_t id; /* the low 32 bits are its tag */
     addr_t addr;
     char service[FLOW_NAME_LEN];
     char data_centre[FLOW_NAME_LEN];
@@ -73,27 +73,27 @@
 typedef struct {
     addr_t caller, service;
     bool opens, ends, resets; /* SYN, FIN, RST */
-    uint32_t seq;  /* of its first byte of data */
-    uint32_t ack;  /* the next byte expected; of an opening packet: how many
-                    * copies of it were sent before */
-    uint32_t tag;  /* the last that the caller received; 0: none yet */
-    uint16_t len;  /* bytes of data */
+    uint32_t seq;             /* of its first byte of data */
+    uint32_t ack; /* the next byte expected; of an opening packet: how many
+                   * copies of it were sent before */
+    uint32_t tag; /* the last that the caller received; 0: none yet */
+    uint16_t len; /* bytes of data */
 } flow_packet_t;
 
 typedef enum { FLOW_FORWARD, FLOW_RESET, FLOW_DROP } flow_verb_t;
 
 typedef enum {
-    FLOW_BY_TAG,       /* forwarded: the tag names the upstream */
-    FLOW_CHOSEN,       /* forwarded: a new flow */
-    FLOW_COPY,         /* forwarded: a copy of an opening packet, as before */
-    FLOW_COPY_MOVED,   /* forwarded: a copy, to another upstream */
-    FLOW_NO_ROUTE,     /* reset: nothing is configured at that address */
-    FLOW_NO_UPSTREAM,  /* reset: no upstream of the service can take it */
+    FLOW_BY_TAG,        /* forwarded: the tag names the upstream */
+    FLOW_CHOSEN,        /* forwarded: a new flow */
+    FLOW_COPY,          /* forwarded: a copy of an opening packet, as before */
+    FLOW_COPY_MOVED,    /* forwarded: a copy, to another upstream */
+    FLOW_NO_ROUTE,      /* reset: nothing is configured at that address */
+    FLOW_NO_UPSTREAM,   /* reset: no upstream of the service can take it */
     FLOW_UPSTREAM_DEAD, /* reset: its upstream has ended */
-    FLOW_UPSTREAM_OUT, /* reset: its upstream can't be reached, and its
-                        * requests may be repeated */
-    FLOW_TAG_UNKNOWN,  /* dropped: no upstream here has that tag */
-    FLOW_TAG_NONE,     /* dropped: it neither opens a flow nor has a tag */
+    FLOW_UPSTREAM_OUT,  /* reset: its upstream can't be reached, and its
+                         * requests may be repeated */
+    FLOW_TAG_UNKNOWN,   /* dropped: no upstream here has that tag */
+    FLOW_TAG_NONE,      /* dropped: it neither opens a flow nor has a tag */
     FLOW_REASONS
 } flow_reason_t;
 
@@ -103,12 +103,12 @@
 typedef struct {
     flow_verb_t verb;
     flow_reason_t reason;
-    uint64_t upstream;  /* its id; forwarded packets only */
+    uint64_t upstream; /* its id; forwarded packets only */
     addr_t to;
-    uint32_t tag;       /* to be put into an opening packet */
-    const char *service;  /* chosen; NULL where none was */
-    uint32_t busy, open;  /* the upstream's requests and flows seen here */
-    uint64_t version;     /* of the routes that decided */
+    uint32_t tag;        /* to be put into an opening packet */
+    const char *service; /* chosen; NULL where none was */
+    uint32_t busy, open; /* the upstream's requests and flows seen here */
+    uint64_t version;    /* of the routes that decided */
 } flow_decision_t;
 
 /* ---- What goes out on its own account ---- */
@@ -188,10 +188,10 @@
 void flowset_remove_upstream(flowset_t *f, ms_t now, uint64_t id);
 /* Removes all whose ids are not among KEEP: after the whole list was read. */
 void flowset_keep_upstreams(flowset_t *f, ms_t now, const uint64_t *keep,
-                          size_t n);
+                            size_t n);
 
 void flowset_packet(flowset_t *f, ms_t now, const flow_packet_t *p,
-                  flow_decision_t *d);
+                    flow_decision_t *d);
 void flowset_probed(flowset_t *f, ms_t now, uint64_t id, flow_probe_t result);
 /* The process stood still until NOW: what went unanswered meanwhile proves
  * nothing. */
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -75,10 +75,12 @@
     if (f == NULL) {
         return;
     }
-    LIST_EACH (it, &f->upstreams) {
+    LIST_EACH(it, &f->upstreams)
+    {
         upstream_free(f, LIST_OWNER(it, upstream_t, all));
     }
-    LIST_EACH (it, &f->services) {
+    LIST_EACH(it, &f->services)
+    {
         service_t *s = LIST_OWNER(it, service_t, link);
         free(s->near);
         free(s->far);
@@ -121,7 +123,8 @@
 static void
 end_former(flowset_t *f, ms_t now, const flow_upstream_t *a)
 {
-    LIST_EACH (it, &f->upstreams) {
+    LIST_EACH(it, &f->upstreams)
+    {
         upstream_t *u = LIST_OWNER(it, upstream_t, all);
         if (u->a.id != a->id && addr_eq(&u->a.addr, &a->addr)) {
             u->listed = false;
@@ -137,7 +140,8 @@
 static void
 forget_flows(flowset_t *f, upstream_t *u)
 {
-    LIST_EACH (it, &u->records) {
+    LIST_EACH(it, &u->records)
+    {
         record_free(f, LIST_OWNER(it, record_t, of));
     }
     u->answer_ms = 0;
@@ -216,10 +220,11 @@
     }
     memcpy(sorted, keep, n * sizeof(*sorted));
     qsort(sorted, n, sizeof(*sorted), id_cmp);
-    LIST_EACH (it, &f->upstreams) {
+    LIST_EACH(it, &f->upstreams)
+    {
         upstream_t *u = LIST_OWNER(it, upstream_t, all);
-        if (u->listed && bsearch(&u->a.id, sorted, n, sizeof(*sorted),
-                                 id_cmp) == NULL) {
+        if (u->listed &&
+            bsearch(&u->a.id, sorted, n, sizeof(*sorted), id_cmp) == NULL) {
             unlist(f, now, u);
         }
     }
@@ -250,8 +255,7 @@
 static void
 sample(double *average, double weight, double value)
 {
-    *average = *average == 0 ? value
-                             : *average + weight * (value - *average);
+    *average = *average == 0 ? value : *average + weight * (value - *average);
 }
 
 static void
@@ -335,8 +339,9 @@
     }
     r = record_find(f, &p->caller, &p->service);
     if (u->reach == REACH_DEAD || may_give_up(f, p, u)) {
-        decide(d, FLOW_RESET, u->reach == REACH_DEAD ? FLOW_UPSTREAM_DEAD
-                                                     : FLOW_UPSTREAM_OUT);
+        decide(d, FLOW_RESET,
+               u->reach == REACH_DEAD ? FLOW_UPSTREAM_DEAD
+                                      : FLOW_UPSTREAM_OUT);
         d->upstream = u->a.id;
         d->service = u->a.service;
         if (r != NULL) {
@@ -389,7 +394,8 @@
 }
 
 static void
-take_opening(flowset_t *f, ms_t now, const flow_packet_t *p, flow_decision_t *d)
+take_opening(flowset_t *f, ms_t now, const flow_packet_t *p,
+             flow_decision_t *d)
 {
     const flow_route_t *route = route_find(f, &p->service);
     record_t *r = record_find(f, &p->caller, &p->service);
@@ -416,7 +422,8 @@
 }
 
 void
-flowset_packet(flowset_t *f, ms_t now, const flow_packet_t *p, flow_decision_t *d)
+flowset_packet(flowset_t *f, ms_t now, const flow_packet_t *p,
+               flow_decision_t *d)
 {
     *d = (flow_decision_t){.version = f->conf ? f->conf->version : 0};
     if (p->opens) {
@@ -444,10 +451,12 @@
 void
 flowset_paused(flowset_t *f, ms_t now)
 {
-    LIST_EACH (it, &f->opening) {
+    LIST_EACH(it, &f->opening)
+    {
         LIST_OWNER(it, record_t, opening)->sent_at = now;
     }
-    LIST_EACH (it, &f->recent) {
+    LIST_EACH(it, &f->recent)
+    {
         LIST_OWNER(it, record_t, recent)->sent_at = now;
     }
 }
@@ -456,7 +465,8 @@
 static ms_t
 check_opening(flowset_t *f, ms_t now)
 {
-    LIST_EACH (it, &f->opening) {
+    LIST_EACH(it, &f->opening)
+    {
         record_t *r = LIST_OWNER(it, record_t, opening);
         if (now - r->sent_at < OPENING_MS) {
             return r->sent_at + OPENING_MS;
@@ -473,7 +483,8 @@
 static void
 check_asked(flowset_t *f, ms_t now)
 {
-    LIST_EACH (it, &f->recent) {
+    LIST_EACH(it, &f->recent)
+    {
         record_t *r = LIST_OWNER(it, record_t, recent);
         if (now - r->last_at < ASKED_MAX_MS) {
             return;
@@ -490,7 +501,8 @@
 static void
 forget_upstreams(flowset_t *f, ms_t now)
 {
-    LIST_EACH (it, &f->upstreams) {
+    LIST_EACH(it, &f->upstreams)
+    {
         upstream_t *u = LIST_OWNER(it, upstream_t, all);
         if (!u->listed && !u->probing && now - u->unlisted_at > FORGET_MS) {
             upstream_free(f, u);
@@ -526,7 +538,8 @@
     s->upstreams = f->n_upstreams;
     s->records = f->n_records;
     s->usable = 0;
-    LIST_EACH (it, &f->upstreams) {
+    LIST_EACH(it, &f->upstreams)
+    {
         const upstream_t *u = LIST_OWNER(it, upstream_t, all);
         s->usable += u->listed && !u->a.draining && u->reach == REACH_GOOD;
     }
--- a/flow/index.c
+++ b/flow/index.c
@@ -20,8 +20,8 @@
 int
 index_init(index_t *ix)
 {
-    *ix = (index_t){.bucket = buckets_new(BUCKETS_MIN),
-                    .mask = BUCKETS_MIN - 1};
+    *ix =
+        (index_t){.bucket = buckets_new(BUCKETS_MIN), .mask = BUCKETS_MIN - 1};
     return ix->bucket != NULL ? 0 : -ENOMEM;
 }
 
@@ -48,7 +48,8 @@
         return;
     }
     for (uint32_t i = 0; i <= ix->mask; i++) {
-        LIST_EACH (it, &ix->bucket[i]) {
+        LIST_EACH(it, &ix->bucket[i])
+        {
             entry_t *e = LIST_OWNER(it, entry_t, link);
             list_remove(it);
             list_append(&bigger[e->hash & (n - 1)], it);
--- a/flow/reach.c
+++ b/flow/reach.c
@@ -2,10 +2,11 @@
  *
  * An instance never sees upstreams' answers: they go straight to callers.  It
  * sees what callers do.  A caller that goes on proves that its upstream was
- * alive some milliseconds ago; one that repeats itself raises a doubt.  A doubt
- * alone resets nothing: callers repeat themselves after a lost packet too, and
- * when an upstream is merely slow.  So it is settled by a probe, a bare TCP
- * connection to the upstream's address, which its host's kernel answers:
+ * alive some milliseconds ago; one that repeats itself raises a doubt.  A
+ * doubt alone resets nothing: callers repeat themselves after a lost packet
+ * too, and when an upstream is merely slow.  So it is settled by a probe, a
+ * bare TCP connection to the upstream's address, which its host's kernel
+ * answers:
  *
  *   accepted   it lives, however slow it is
  *   refused    the process has ended, and its flows with it
@@ -113,8 +114,7 @@
 void
 reach_doubt(flowset_t *f, ms_t now, upstream_t *u, ms_t since, const char *why)
 {
-    if (u->alive_at > since || now < u->trusted_to ||
-        u->reach != REACH_GOOD) {
+    if (u->alive_at > since || now < u->trusted_to || u->reach != REACH_GOOD) {
         return;
     }
     reach_ask(f, now, u, why);
@@ -126,7 +126,8 @@
 static void
 reset_all(flowset_t *f, upstream_t *u)
 {
-    LIST_EACH (it, &u->records) {
+    LIST_EACH(it, &u->records)
+    {
         record_t *r = LIST_OWNER(it, record_t, of);
         flow_out_t out = {.kind = FLOW_OUT_RESET, .upstream = u->a.id};
         if (r->ended) {
@@ -201,7 +202,8 @@
 {
     ms_t next = MS_NEVER;
 
-    LIST_EACH (it, &f->doubted) {
+    LIST_EACH(it, &f->doubted)
+    {
         upstream_t *u = LIST_OWNER(it, upstream_t, due);
         if (!u->listed && u->open == 0) {
             schedule(f, u, MS_NEVER);
--- a/flow/records.c
+++ b/flow/records.c
@@ -14,7 +14,8 @@
 record_t *
 record_find(const flowset_t *f, const addr_t *caller, const addr_t *service)
 {
-    INDEX_EACH (it, &f->by_key, key_hash(caller, service)) {
+    INDEX_EACH(it, &f->by_key, key_hash(caller, service))
+    {
         record_t *r = LIST_OWNER(it, record_t, by_key.link);
         if (addr_eq(&r->caller, caller) && addr_eq(&r->service, service)) {
             return r;
@@ -136,7 +137,8 @@
 void
 records_expire(flowset_t *f, ms_t now)
 {
-    LIST_EACH (it, &f->recent) {
+    LIST_EACH(it, &f->recent)
+    {
         record_t *r = LIST_OWNER(it, record_t, recent);
         if (f->conf == NULL || now - r->last_at < f->conf->idle_ms) {
             return;
--- a/flow/state.h
+++ b/flow/state.h
@@ -24,7 +24,7 @@
 void index_remove(index_t *ix, entry_t *e);
 link_t *index_bucket(const index_t *ix, uint64_t hash);
 
-#define INDEX_EACH(it, ix, hash) LIST_EACH (it, index_bucket(ix, hash))
+#define INDEX_EACH(it, ix, hash) LIST_EACH(it, index_bucket(ix, hash))
 
 /* ---- Upstreams ---- */
 
@@ -37,29 +37,29 @@
     link_t records; /* of the flows it holds, as seen here */
     link_t due;     /* flowset_t.doubted: those with a probe or a wait */
     service_t *service;
-    bool local;         /* in this instance's data centre */
-    bool listed;        /* announced now */
-    bool tag_taken;     /* an older upstream has its tag: no new flow */
+    bool local;     /* in this instance's data centre */
+    bool listed;    /* announced now */
+    bool tag_taken; /* an older upstream has its tag: no new flow */
     ms_t unlisted_at;
-    ms_t warm_at;       /* warmed up from then on */
-    uint32_t open;      /* flows */
-    uint32_t busy;      /* requests unanswered and flows being opened */
+    ms_t warm_at;        /* warmed up from then on */
+    uint32_t open;       /* flows */
+    uint32_t busy;       /* requests unanswered and flows being opened */
     uint32_t unanswered; /* opening packets, since the last sign of life */
-    double answer_ms;   /* moving average of the time to an answer; 0: none */
-    ms_t answered_at;   /* when it was last updated */
+    double answer_ms;    /* moving average of the time to an answer; 0: none */
+    ms_t answered_at;    /* when it was last updated */
     /* Reach */
     flow_reach_t reach;
     bool probing;
-    int silent;       /* probes in a row without an answer */
-    ms_t alive_at;    /* the last sign of life */
-    ms_t probe_at;    /* when the next probe is due; MS_NEVER: none */
-    ms_t trusted_to;  /* a probe has just shown that it lives */
+    int silent;      /* probes in a row without an answer */
+    ms_t alive_at;   /* the last sign of life */
+    ms_t probe_at;   /* when the next probe is due; MS_NEVER: none */
+    ms_t trusted_to; /* a probe has just shown that it lives */
 } upstream_t;
 
 /* A service and those of its upstreams that may be chosen. */
 struct service {
     char name[FLOW_NAME_LEN];
-    link_t link; /* flowset_t.services */
+    link_t link;              /* flowset_t.services */
     upstream_t **near, **far; /* in this data centre; in others */
     uint32_t n_near, n_far, cap_near, cap_far;
     double answer_ms; /* moving average over its upstreams */
@@ -75,12 +75,12 @@
     addr_t caller, service;
     upstream_t *up;
     bool repeatable;
-    bool open;         /* a packet came after the opening one */
-    bool ended;        /* the caller has closed it: no load any more */
-    uint32_t seq_end;  /* behind the last byte that the caller sent */
-    uint32_t ack;      /* the caller's last */
-    ms_t sent_at;      /* the caller's last new bytes, or opening packet */
-    ms_t asked_at;     /* first bytes of an unanswered request; 0: none */
+    bool open;        /* a packet came after the opening one */
+    bool ended;       /* the caller has closed it: no load any more */
+    uint32_t seq_end; /* behind the last byte that the caller sent */
+    uint32_t ack;     /* the caller's last */
+    ms_t sent_at;     /* the caller's last new bytes, or opening packet */
+    ms_t asked_at;    /* first bytes of an unanswered request; 0: none */
     ms_t last_at;
 } record_t;
 
@@ -133,7 +133,7 @@
 /* The upstream for a new flow of route R, or NULL.  NOT (may be NULL) is
  * taken only if there is no other. */
 upstream_t *choose(flowset_t *f, ms_t now, const flow_route_t *r,
-                   const upstream_t *not);
+                   const upstream_t * not );
 
 /* ---- reach.c ---- */
 
--- /dev/null
+++ b/source/source.c
@@ -0,0 +1,190 @@
+/* Whom an instance follows: see source.h. */
+#include "source/source.h"
+
+#include <string.h>
+
+/* A peer that failed is left alone, doubling.  The first wait is short: most
+ * failures are restarts, which take a second or two. */
+#define FAILED_MIN_MS 1500
+#define FAILED_MAX_MS 12000
+/* Nobody has confirmed what is known for so long: the leader's watch may be
+ * dead, so the store is asked directly.  Above a leader's wait in calm, 8 s. */
+#define STALE_MS 10000
+/* Between such tries, with jitter: a data centre that has lost its leader's
+ * source must not ask all at once. */
+#define OWN_TRY_MIN_MS 1500
+#define OWN_TRY_SPREAD_MS 3000
+
+void
+sources_init(sources_t *s, const addr_t *self, const char *data_centre,
+             uint64_t seed)
+{
+    *s = (sources_t){.self = *self, .rng = {.seed = seed}};
+    strncpy(s->data_centre, data_centre, sizeof(s->data_centre) - 1);
+}
+
+static source_peer_t *
+find(sources_t *s, const addr_t *a)
+{
+    for (uint32_t i = 0; i < s->n; i++) {
+        if (addr_eq(&s->peer[i].addr, a)) {
+            return &s->peer[i];
+        }
+    }
+    return NULL;
+}
+
+void
+sources_add(sources_t *s, const addr_t *a, const char *data_centre)
+{
+    source_peer_t *p = find(s, a);
+
+    if (addr_eq(a, &s->self)) {
+        s->announced = s->announced || data_centre[0] != '\0';
+        return;
+    }
+    if (p == NULL) { /* where there is no room, chance says who goes */
+        p = s->n < SOURCE_PEERS_MAX
+                ? &s->peer[s->n++]
+                : &s->peer[rng_below(&s->rng, SOURCE_PEERS_MAX)];
+        *p = (source_peer_t){.addr = *a};
+    }
+    if (data_centre[0] != '\0') {
+        strncpy(p->data_centre, data_centre, sizeof(p->data_centre) - 1);
+    }
+}
+
+void
+sources_remove(sources_t *s, const addr_t *a)
+{
+    source_peer_t *p = find(s, a);
+
+    if (addr_eq(a, &s->self)) {
+        s->announced = false;
+    }
+    if (p != NULL) {
+        *p = s->peer[--s->n];
+    }
+}
+
+void
+sources_failed(sources_t *s, ms_t now, const addr_t *a)
+{
+    source_peer_t *p = find(s, a);
+
+    if (p != NULL) {
+        p->wait = p->wait == 0 ? FAILED_MIN_MS : 2 * p->wait;
+        if (p->wait > FAILED_MAX_MS) {
+            p->wait = FAILED_MAX_MS;
+        }
+        p->failed_until = now + p->wait;
+    }
+}
+
+void
+sources_answered(sources_t *s, const addr_t *a)
+{
+    source_peer_t *p = find(s, a);
+
+    if (p != NULL) {
+        p->wait = 0;
+        p->failed_until = 0;
+    }
+}
+
+static uint64_t
+rank(const addr_t *a)
+{
+    return hash64(a->ip, sizeof(a->ip), a->port);
+}
+
+static bool
+is_local(const sources_t *s, const source_peer_t *p)
+{
+    return strcmp(p->data_centre, s->data_centre) == 0;
+}
+
+/* The answering instance of this data centre that ranks first; NULL: it is
+ * this one, or there is none. */
+static const source_peer_t *
+local_leader(const sources_t *s, ms_t now)
+{
+    const source_peer_t *first = NULL;
+    uint64_t lowest = s->announced ? rank(&s->self) : UINT64_MAX;
+
+    for (uint32_t i = 0; i < s->n; i++) {
+        const source_peer_t *p = &s->peer[i];
+        if (is_local(s, p) && now >= p->failed_until &&
+            rank(&p->addr) < lowest) {
+            lowest = rank(&p->addr);
+            first = p;
+        }
+    }
+    return first;
+}
+
+const source_peer_t *
+sources_lead(sources_t *s, ms_t now, ms_t current_at)
+{
+    const source_peer_t *leader = local_leader(s, now);
+
+    if (leader == NULL) {
+        return NULL;
+    }
+    if (now - current_at > STALE_MS && now >= s->own_try_at) {
+        s->own_try_at = now + OWN_TRY_MIN_MS +
+                        rng_below(&s->rng, OWN_TRY_SPREAD_MS);
+        return NULL;
+    }
+    return leader;
+}
+
+/* The first rank of P's data centre, among those that answer: the others
+ * there have what they know from it. */
+static bool
+leads(const sources_t *s, ms_t now, const source_peer_t *p)
+{
+    for (uint32_t i = 0; i < s->n; i++) {
+        const source_peer_t *q = &s->peer[i];
+        if (strcmp(q->data_centre, p->data_centre) == 0 &&
+            now >= q->failed_until && rank(&q->addr) < rank(&p->addr)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+const source_peer_t *
+sources_check(sources_t *s, ms_t now)
+{
+    const source_peer_t *leader = local_leader(s, now), *any = NULL;
+    const source_peer_t *other = NULL;
+    uint32_t n_any = 0, n_other = 0;
+
+    /* One at random of each kind: the n-th is taken with chance 1/n. */
+    for (uint32_t i = 0; i < s->n; i++) {
+        const source_peer_t *p = &s->peer[i];
+        if (now < p->failed_until || p == leader) {
+            continue;
+        }
+        if (rng_below(&s->rng, ++n_any) == 0) {
+            any = p;
+        }
+        if (p->data_centre[0] != '\0' && !is_local(s, p) &&
+            leads(s, now, p) && rng_below(&s->rng, ++n_other) == 0) {
+            other = p;
+        }
+    }
+    return other != NULL ? other : any != NULL ? any : leader;
+}
+
+bool
+sources_should_announce(const sources_t *s)
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < s->n; i++) {
+        n += is_local(s, &s->peer[i]);
+    }
+    return !s->announced && n < SOURCE_ANNOUNCED;
+}
--- /dev/null
+++ b/source/source.h
@@ -0,0 +1,71 @@
+/* source: whom an instance follows to know what the store holds.
+ *
+ * Each waiting call to the store is paid for, so of each data centre one
+ * instance, its leader, follows the store, and the others follow the leader.
+ * There is no election: all rank the announced instances alike, and one that
+ * does not answer is passed over by those that it failed.  Two leaders for a
+ * while cost a few calls and do no harm, since revisions tell what is newer.
+ *
+ * A leader may be cut off, frozen or turned away by the store and not know it.
+ * So each instance also asks another data centre's leader, now and then,
+ * whether there is anything newer.
+ *
+ * Pure: no sockets, clocks or threads.
+ */
+#ifndef SISKIN_SOURCE_H
+#define SISKIN_SOURCE_H
+
+#include "base/base.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define SOURCE_PEERS_MAX 128
+#define SOURCE_NAME_LEN 64
+
+/* Instances of a data centre that are announced: the leader, and enough to
+ * follow it when a few fail at once. */
+#define SOURCE_ANNOUNCED 4
+
+typedef struct {
+    addr_t addr;
+    char data_centre[SOURCE_NAME_LEN]; /* "": a seed, its place isn't known */
+    ms_t failed_until; /* not asked before */
+    ms_t wait;         /* the last time it was left alone for so long */
+} source_peer_t;
+
+typedef struct {
+    addr_t self;
+    char data_centre[SOURCE_NAME_LEN];
+    bool announced; /* this instance itself is */
+    rng_t rng;
+    ms_t own_try_at; /* it asks the store itself while nobody is current */
+    uint32_t n;
+    source_peer_t peer[SOURCE_PEERS_MAX];
+} sources_t;
+
+void sources_init(sources_t *s, const addr_t *self, const char *data_centre,
+                  uint64_t seed);
+/* A peer is announced, or named in the settings (DATA_CENTRE ""). */
+void sources_add(sources_t *s, const addr_t *a, const char *data_centre);
+void sources_remove(sources_t *s, const addr_t *a);
+/* It did not answer, or it did. */
+void sources_failed(sources_t *s, ms_t now, const addr_t *a);
+void sources_answered(sources_t *s, const addr_t *a);
+
+/* The peer to follow, or NULL: follow the store itself.  CURRENT_AT is when
+ * what is known was last known to be current. */
+const source_peer_t *sources_lead(sources_t *s, ms_t now, ms_t current_at);
+/* A peer to ask for anything newer, other than the one that is followed; NULL:
+ * there is none. */
+const source_peer_t *sources_check(sources_t *s, ms_t now);
+/* True while too few instances of the data centre are announced and this one
+ * isn't. */
+bool sources_should_announce(const sources_t *s);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/tagged/check.c
@@ -0,0 +1,80 @@
+/* The check duty: asks another peer than the followed one for anything newer.
+ *
+ * The followed source may be cut off, frozen or turned away, and its silence
+ * looks like calm.  Another's answer shows it within a second, at the cost of
+ * one small exchange between instances, which the store never sees. */
+#include "tagged/tagged.h"
+
+#include <errno.h>
+
+/* Between two questions.  A change must be in force within 3 s: this leaves
+ * room for one peer that doesn't answer and a second question. */
+#define CHECK_MS 700
+/* Until something is known: an instance that starts while the store is away
+ * gets it from a peer. */
+#define START_MS 100
+
+static const source_peer_t *
+pick(tagged_t *t, addr_t *a)
+{
+    const source_peer_t *p;
+
+    pthread_mutex_lock(&t->follow_lock);
+    p = sources_check(&t->sources, clock_now());
+    if (p != NULL) {
+        *a = p->addr;
+    }
+    pthread_mutex_unlock(&t->follow_lock);
+    return p;
+}
+
+static void
+note(tagged_t *t, const addr_t *a, int rc)
+{
+    pthread_mutex_lock(&t->follow_lock);
+    if (rc < 0) {
+        sources_failed(&t->sources, clock_now(), a);
+    }
+    else {
+        sources_answered(&t->sources, a);
+    }
+    pthread_mutex_unlock(&t->follow_lock);
+}
+
+static void
+check_once(tagged_t *t, peer_client_t *c)
+{
+    uint64_t before = replica_revision(t->replica);
+    char text[ADDR_STRLEN];
+    err_t e = {0};
+    addr_t a;
+    int rc;
+
+    if (pick(t, &a) == NULL) {
+        return;
+    }
+    rc = news_ask(t, c, &a, 0, &e);
+    note(t, &a, rc);
+    if (rc > 0) {
+        counter_add(&t->count.news_from_check, 1);
+        log_line(LVL_INFO, "check",
+                 "A peer knew more. peer=%s items=%d revision=%llu was=%llu",
+                 addr_text(&a, text), rc,
+                 (unsigned long long)replica_revision(t->replica),
+                 (unsigned long long)before);
+    }
+}
+
+void
+check_run(duty_t *self, void *tagged)
+{
+    tagged_t *t = tagged;
+    peer_client_t c = {.http = NULL};
+
+    while (!duty_stopping(self)) {
+        check_once(t, &c);
+        duty_wait(self, NULL, 0,
+                  replica_revision(t->replica) == 0 ? START_MS : CHECK_MS);
+    }
+    peer_client_close(&c);
+}
--- a/tagged/daemon.c
+++ b/tagged/daemon.c
@@ -25,10 +25,10 @@
     {.name = "packets",
      .run = packets_run,
      .inbox = CHANGES_INBOX,
-     .drop = changes_free,
-     .one_sender = true},
+     .drop = changes_free},
     {.name = "serve", .run = serve_run, .inbox = 4},
     {.name = "follow", .run = follow_run, .inbox = 4},
+    {.name = "check", .run = check_run, .inbox = 4},
 };
 
 static int
@@ -48,12 +48,11 @@
 static int
 start(tagged_t *t, err_t *e)
 {
-    t->replica = replica_new();
+    t->replica = replica_new(t->started);
     t->store = store_new(t->settings.store_url);
     t->kern = kern_new();
     if (t->replica == NULL || t->store == NULL || t->kern == NULL) {
-        return err_set(e, -ENOMEM, "start", t->settings.name,
-                       "out of memory");
+        return err_set(e, -ENOMEM, "start", t->settings.name, "out of memory");
     }
     t->flow_fd = udp_open(&t->settings.flow_addr, e);
     if (t->flow_fd < 0) {
@@ -127,9 +126,15 @@
     t.settings = *s;
     snprintf(t.settings_file, sizeof(t.settings_file), "%s", file);
     t.started = clock_now();
-    t.replica_at = t.packet_at = t.started;
+    t.packet_at = t.started;
     t.store_up = true;
     pthread_mutex_init(&t.stats_lock, NULL);
+    pthread_mutex_init(&t.follow_lock, NULL);
+    sources_init(&t.sources, &s->admin_addr, s->data_centre,
+                 hash64(s->name, strlen(s->name), (uint64_t)t.started + 2));
+    for (uint32_t i = 0; i < s->n_seeds; i++) {
+        sources_add(&t.sources, &s->seed[i], "");
+    }
     if (sodium_init() < 0 || log_open(s->name, s->log_level) < 0 ||
         log_start_writer(STDOUT_FILENO) < 0) {
         fprintf(stderr, "siskind: can't start libsodium or log4c\n");
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -1,178 +1,62 @@
-/* The follow duty: keeps the replica current, by the store, or by a peer that the
- * store still serves while it turns this instance away.
- *
- * A peer's replica is taken when its revision is higher.  Revisions are the
- * store's and only grow, so the replica never goes back, whoever told it. */
+/* The follow duty: waits for changes, at the store or at the peer that follows
+ * it (source/).  Revisions are the store's and only grow, so the replica never
+ * goes back, whoever tells what is new. */
 #include "tagged/tagged.h"
 #include "conf/conf.h"
-#include "plat/http.h"
 
 #include <errno.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* A watch waits so long.  A connection that has gone silent is found by the
- * end of the wait; a change must be in force within 3 s at an instance that
- * lost its connection 4 s before. */
-#define WATCH_MS 3000
+/* A watch waits so long.  A connection that has gone silent is found by its
+ * end; an instance with peers learns of changes from them meanwhile. */
+#define WATCH_MS 8000
+/* Without any peer the watch alone must find a silent connection: a change is
+ * due 3 s after 4 s of grace. */
+#define WATCH_ALONE_MS 3000
+/* A peer answers at once when there is something new, and at the latest after
+ * so long, which shows that it lives. */
+#define PEER_WAIT_MS 1000
 /* After a change, before the next watch: changes come in series, each answer
  * is a call that is paid for, and a change may take 3 s. */
-#define GATHER_MS 150
+#define GATHER_MS 200
 /* The whole list, with the store slow by a factor of 60. */
 #define LIST_MS 1200
 /* Between calls that fail: doubling, with jitter, so that instances do not
  * return all at once.  The upper bound is short of what a change may take. */
 #define BACKOFF_MIN_MS 150
 #define BACKOFF_MAX_MS 1200
-/* A peer is a few milliseconds away; one that doesn't answer is down. */
-#define PEER_MS 400
-#define PEERS_MAX 64
-/* An instance is announced under a lease that outlives restarts: a process
- * that finds its announcement writes nothing.  The longest that the store
- * grants, and a third of it. */
-#define ANNOUNCE_MS 600000
-#define RENEW_MS 200000
+/* An announcement lapses so long after its instance died.  Until then peers
+ * pass it over as one that doesn't answer. */
+#define ANNOUNCE_MS 60000
+#define RENEW_MS 20000
+/* Instances that start together wait a random time before they announce
+ * themselves: by then they see that enough others have. */
+#define ANNOUNCE_SPREAD_MS 3000
 
 typedef struct {
     tagged_t *t;
-    duty_t *packets;
     rng_t rng;
-    bool listed; /* the replica is a whole list: it can be watched on */
+    /* The store's history doesn't reach back to the replica's revision, or
+     * news was lost on the way: only a list tells what there is. */
+    bool must_list;
     ms_t backoff;
     uint64_t lease; /* of its announcement; 0: none of its own */
-    ms_t renew_at;
-    addr_t peer[PEERS_MAX]; /* the last heard of */
-    uint32_t n_peers;
+    ms_t announce_at;
+    peer_client_t peer;
 } follow_t;
 
-void
-changes_free(void *msg)
-{
-    changes_t *c = msg;
-
-    for (size_t i = 0; i < c->n; i++) {
-        if (c->event[i].kind == STORE_ROUTES) {
-            flow_conf_free(c->event[i].routes);
-        }
-    }
-    free(c);
-}
-
-/* ---- Peers ---- */
-
-static void
-add_peer(follow_t *f, const addr_t *a)
-{
-    if (addr_eq(a, &f->t->settings.admin_addr)) {
-        return;
-    }
-    for (uint32_t i = 0; i < f->n_peers; i++) {
-        if (addr_eq(a, &f->peer[i])) {
-            return;
-        }
-    }
-    if (f->n_peers < PEERS_MAX) {
-        f->peer[f->n_peers++] = *a;
-    }
-    else { /* enough to ask; which ones is left to chance */
-        f->peer[rng_below(&f->rng, PEERS_MAX)] = *a;
-    }
-}
-
-static void
-remove_peer(follow_t *f, const addr_t *a)
-{
-    for (uint32_t i = 0; i < f->n_peers; i++) {
-        if (addr_eq(a, &f->peer[i])) {
-            f->peer[i] = f->peer[--f->n_peers];
-            return;
-        }
-    }
-}
-
-/* ---- Changes, decoded and passed on ---- */
-
-static void
-decode(follow_t *f, const store_item_t *item, changes_t *c)
-{
-    store_event_t *ev = &c->event[c->n];
-    err_t e = {0};
-
-    if (store_event(ev, item, &e) < 0) {
-        counter_add(&f->t->count.refused_items, 1);
-        log_line(LVL_WARN, "follow",
-                 "An item is not used. key=%s revision=%llu error=\"%s\"",
-                 e.peer, (unsigned long long)item->revision, e.text);
-    }
-    switch (ev->kind) {
-    case STORE_PEER:
-        add_peer(f, &ev->peer);
-        return;
-    case STORE_PEER_GONE:
-        remove_peer(f, &ev->peer);
-        return;
-    case STORE_OTHER:
-        return;
-    case STORE_ROUTES:
-    case STORE_UPSTREAM:
-    case STORE_UPSTREAM_GONE:
-        c->n++;
-    }
-}
-
-static int
-pass_on(follow_t *f, const store_items_t *items, bool whole)
-{
-    changes_t *c =
-        calloc(1, sizeof(*c) + (items->n + 1) * sizeof(*c->event));
-    int rc;
-
-    if (c == NULL) {
-        return -ENOMEM;
-    }
-    c->whole = whole;
-    for (size_t i = 0; i < items->n; i++) {
-        decode(f, &items->item[i], c);
-    }
-    if (c->n == 0 && !whole) {
-        changes_free(c);
-        return 0;
-    }
-    rc = duty_post(f->packets, c);
-    if (rc < 0) {
-        changes_free(c);
-    }
-    return rc;
-}
-
-static int
-take_whole(follow_t *f, const store_items_t *items)
-{
-    int rc = pass_on(f, items, true);
-
-    if (rc == 0) {
-        rc = replica_replace(f->t->replica, items);
-    }
-    f->listed = rc == 0;
-    return rc;
-}
-
 /* ---- The store ---- */
 
 static void
 note_store(follow_t *f, int rc, const err_t *e)
 {
-    bool up = rc == 0;
-    bool was = SHARED(f->t, store_up);
+    bool up = rc >= 0;
 
-    if (up) {
-        SHARE(f->t, replica_at, clock_now());
-    }
-    else {
+    if (!up) {
         counter_add(&f->t->count.store_failures, 1);
     }
-    if (up == was) {
+    if (up == SHARED(f->t, store_up)) {
         return;
     }
     SHARE(f->t, store_up, up);
@@ -198,126 +82,90 @@
     if (rc < 0) {
         return rc;
     }
-    if (items.revision >= replica_revision(f->t->replica)) {
-        rc = take_whole(f, &items);
-    }
+    rc = news_take(f->t, &items);
+    f->must_list = rc < 0;
     store_items_free(&items);
     return rc;
 }
 
 static int
-watch(follow_t *f, bool *changed, err_t *e)
+watch(follow_t *f, err_t *e)
 {
-    store_items_t items;
     uint64_t after = replica_revision(f->t->replica);
-    int rc = store_watch(f->t->store, after, WATCH_MS, &items, e);
+    ms_t wait = f->t->sources.n > 0 ? WATCH_MS : WATCH_ALONE_MS;
+    store_items_t items;
+    int rc = store_watch(f->t->store, after, wait, &items, e);
 
-    *changed = false;
     if (rc == -ESTALE) {
         log_line(LVL_WARN, "follow",
                  "The store has forgotten its history: it is listed anew. "
                  "revision=%llu",
                  (unsigned long long)after);
-        f->listed = false;
-        return 0;
+        f->must_list = true;
+        return 1; /* a change: the list can wait as long as any other */
     }
     if (rc < 0) {
         return rc;
     }
-    if (items.revision > after) {
-        *changed = items.n > 0;
-        rc = pass_on(f, &items, false);
-        if (rc == 0) {
-            rc = replica_change(f->t->replica, &items);
-        }
-        f->listed = rc == 0; /* else what was missed is listed */
-    }
+    rc = news_take(f->t, &items);
+    f->must_list = rc < 0;
     store_items_free(&items);
     return rc;
 }
 
-/* Lets peers find this instance. */
-static void
-announce(follow_t *f)
+/* ---- Its own announcement, by which peers find it ---- */
+
+static int
+renew(follow_t *f, err_t *e)
 {
-    char key[128];
-    err_t e = {0};
-    ms_t now = clock_now();
-    int rc = 0;
+    int rc = store_renew(f->t->store, f->lease, e);
 
-    store_peer_key(key, sizeof(key), &f->t->settings.admin_addr);
-    if (!replica_has(f->t->replica, key)) {
-        if (now < f->renew_at) {
-            return;
-        }
-        rc = store_announce(f->t->store, key, f->t->settings.data_centre,
-                            ANNOUNCE_MS, &f->lease, &e);
-        f->renew_at = now + (rc < 0 ? BACKOFF_MAX_MS : RENEW_MS);
-    }
-    else if (f->lease != 0 && now >= f->renew_at) {
-        rc = store_renew(f->t->store, f->lease, &e);
-        f->renew_at = now + (rc < 0 ? BACKOFF_MAX_MS : RENEW_MS);
-    }
-    if (rc < 0) {
-        f->lease = rc == -ENOENT ? 0 : f->lease;
-        log_line(LVL_WARN, "follow",
-                 "The instance is not announced. step=\"%s\" error=\"%s\"",
-                 e.step, e.text);
+    if (rc == -ENOENT) { /* it ended meanwhile: announced anew */
+        f->lease = 0;
     }
+    return rc;
 }
 
-/* ---- A peer instead ---- */
-
 static int
-ask_peer(follow_t *f, const addr_t *peer, store_items_t *items, err_t *e)
+announce_anew(follow_t *f, err_t *e)
 {
-    char url[ADDR_STRLEN + 8], addr[ADDR_STRLEN], path[64];
-    http_call_t c = {
-        .path = path, .timeout_ms = PEER_MS, .step = "peer replica"};
-    http_reply_t r;
-    http_t *h;
-    int rc;
+    char key[128];
 
-    snprintf(url, sizeof(url), "http://%s", addr_text(peer, addr));
-    snprintf(path, sizeof(path), "/replica?after=%llu",
-             (unsigned long long)replica_revision(f->t->replica));
-    h = http_new(url);
-    if (h == NULL) {
-        return -ENOMEM;
-    }
-    counter_add(&f->t->count.peer_calls, 1);
-    rc = http_call(h, &c, &r, e);
-    if (rc == 0) {
-        rc = r.status == 200 ? store_items_parse(items, r.body) : -ENODATA;
-    }
-    http_free(h);
-    return rc;
+    store_peer_key(key, sizeof(key), &f->t->settings.admin_addr);
+    return store_announce(f->t->store, key, f->t->settings.data_centre,
+                          ANNOUNCE_MS, &f->lease, e);
 }
 
+/* An instance without a lease of its own that is announced has restarted: the
+ * announcement of before holds until it lapses, and is then made anew. */
 static void
-follow_peer(follow_t *f)
+announce(follow_t *f)
 {
-    store_items_t items = {0};
-    char addr[ADDR_STRLEN];
+    ms_t now = clock_now();
     err_t e = {0};
-    addr_t peer;
+    bool needed;
+    int rc = 0;
 
-    if (f->n_peers == 0) {
+    if (now < f->announce_at) {
         return;
     }
-    peer = f->peer[rng_below(&f->rng, f->n_peers)];
-    if (ask_peer(f, &peer, &items, &e) < 0) {
-        return; /* the next try asks another */
+    pthread_mutex_lock(&f->t->follow_lock);
+    needed = sources_should_announce(&f->t->sources);
+    pthread_mutex_unlock(&f->t->follow_lock);
+    if (f->lease != 0) {
+        rc = renew(f, &e);
     }
-    if (items.revision > replica_revision(f->t->replica) &&
-        take_whole(f, &items) == 0) {
-        counter_add(&f->t->count.replicas_from_peers, 1);
-        log_line(LVL_INFO, "follow",
-                 "A peer's replica is taken. peer=%s revision=%llu items=%zu",
-                 addr_text(&peer, addr), (unsigned long long)items.revision,
-                 items.n);
+    else if (needed) {
+        rc = announce_anew(f, &e);
+    }
+    f->announce_at = now + (f->lease != 0 && rc == 0
+                                ? RENEW_MS
+                                : rng_below(&f->rng, ANNOUNCE_SPREAD_MS));
+    if (rc < 0) {
+        log_line(LVL_WARN, "follow",
+                 "The instance is not announced. step=\"%s\" error=\"%s\"",
+                 e.step, e.text);
     }
-    store_items_free(&items);
 }
 
 /* ---- The loop ---- */
@@ -329,28 +177,68 @@
     if (f->backoff > BACKOFF_MAX_MS) {
         f->backoff = BACKOFF_MAX_MS;
     }
-    return f->backoff / 2 +
-           rng_below(&f->rng, (uint32_t)(f->backoff / 2) + 1);
+    return f->backoff / 2 + rng_below(&f->rng, (uint32_t)(f->backoff / 2) + 1);
 }
 
-/* One call; returns how long to pause before the next. */
+/* One call to the store; returns how long to pause before the next. */
 static ms_t
-follow_once(follow_t *f)
+follow_store(follow_t *f)
 {
-    bool changed = false;
     err_t e = {0};
-    int rc = f->listed ? watch(f, &changed, &e) : list(f, &e);
+    bool known = replica_revision(f->t->replica) > 0;
+    int rc = known && !f->must_list ? watch(f, &e) : list(f, &e);
 
     note_store(f, rc, &e);
     if (rc < 0) {
-        follow_peer(f);
         return next_backoff(f);
     }
     f->backoff = 0;
-    if (f->listed) {
-        announce(f);
+    return rc > 0 ? GATHER_MS : 0;
+}
+
+static ms_t
+follow_peer(follow_t *f, const addr_t *a)
+{
+    char text[ADDR_STRLEN];
+    err_t e = {0};
+    int rc = news_ask(f->t, &f->peer, a, PEER_WAIT_MS, &e);
+
+    pthread_mutex_lock(&f->t->follow_lock);
+    if (rc < 0) {
+        sources_failed(&f->t->sources, clock_now(), a);
+    }
+    else {
+        sources_answered(&f->t->sources, a);
+    }
+    pthread_mutex_unlock(&f->t->follow_lock);
+    if (rc < 0) {
+        log_line(LVL_WARN, "follow",
+                 "The followed peer does not answer. peer=%s error=\"%s\"",
+                 addr_text(a, text), e.text);
     }
-    return changed ? GATHER_MS : 0;
+    return 0;
+}
+
+static ms_t
+follow_once(follow_t *f, bool *leading)
+{
+    const source_peer_t *p;
+    addr_t a = {0};
+
+    pthread_mutex_lock(&f->t->follow_lock);
+    p = sources_lead(&f->t->sources, clock_now(),
+                     replica_current_at(f->t->replica));
+    if (p != NULL) {
+        a = p->addr;
+    }
+    pthread_mutex_unlock(&f->t->follow_lock);
+    if ((p == NULL) != *leading) {
+        char text[ADDR_STRLEN];
+        *leading = p == NULL;
+        log_line(LVL_INFO, "follow", "It follows another source. source=%s",
+                 p != NULL ? addr_text(&a, text) : "store");
+    }
+    return p != NULL ? follow_peer(f, &a) : follow_store(f);
 }
 
 /* The settings file has changed.  What a running process can't change is
@@ -374,9 +262,11 @@
     }
     free(text);
     log_set_level(s.log_level);
+    pthread_mutex_lock(&t->follow_lock);
     for (uint32_t i = 0; i < s.n_seeds; i++) {
-        add_peer(f, &s.seed[i]);
+        sources_add(&t->sources, &s.seed[i], "");
     }
+    pthread_mutex_unlock(&t->follow_lock);
     log_line(LVL_INFO, "follow",
              "The settings are read again. seeds=%u restart_needed=%s",
              s.n_seeds,
@@ -390,15 +280,16 @@
 follow_run(duty_t *self, void *tagged)
 {
     follow_t f = {.t = tagged};
+    bool leading = true;
 
-    f.packets = kern_find(duty_kern(self), "packets");
     f.rng.seed = hash64(f.t->settings.name, strlen(f.t->settings.name),
                         (uint64_t)f.t->started + 1);
-    for (uint32_t i = 0; i < f.t->settings.n_seeds; i++) {
-        add_peer(&f, &f.t->settings.seed[i]);
-    }
+    f.announce_at = f.t->started + rng_below(&f.rng, ANNOUNCE_SPREAD_MS);
     while (!duty_stopping(self)) {
-        ms_t pause = follow_once(&f);
+        ms_t pause = follow_once(&f, &leading);
+        if (SHARED(f.t, store_up) && replica_revision(f.t->replica) > 0) {
+            announce(&f);
+        }
         if (__atomic_exchange_n(&f.t->reload, false, __ATOMIC_RELAXED)) {
             reload(&f);
         }
@@ -406,4 +297,5 @@
             duty_wait(self, NULL, 0, pause);
         }
     }
+    peer_client_close(&f.peer);
 }
--- /dev/null
+++ b/tagged/news.c
@@ -0,0 +1,148 @@
+/* News: items on their way from the store or a peer to the packets duty. */
+#include "tagged/tagged.h"
+#include "plat/http.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/* What a peer's answer may take beyond the wait: it is a few milliseconds
+ * away; one that takes longer is down, or no better than the store. */
+#define PEER_SLACK_MS 400
+
+void
+changes_free(void *msg)
+{
+    changes_t *c = msg;
+
+    for (size_t i = 0; i < c->n; i++) {
+        if (c->event[i].kind == STORE_ROUTES) {
+            flow_conf_free(c->event[i].routes);
+        }
+    }
+    free(c);
+}
+
+static void
+decode(tagged_t *t, const store_item_t *item, changes_t *c)
+{
+    store_event_t *ev = &c->event[c->n];
+    err_t e = {0};
+
+    if (store_event(ev, item, &e) < 0) {
+        counter_add(&t->count.refused_items, 1);
+        log_line(LVL_WARN, "news",
+                 "An item is not used. key=%s revision=%llu error=\"%s\"",
+                 e.peer, (unsigned long long)item->revision, e.text);
+    }
+    switch (ev->kind) {
+    case STORE_PEER:
+        sources_add(&t->sources, &ev->peer.addr, ev->peer.data_centre);
+        return;
+    case STORE_PEER_GONE:
+        sources_remove(&t->sources, &ev->peer.addr);
+        return;
+    case STORE_OTHER:
+        return;
+    case STORE_ROUTES:
+    case STORE_UPSTREAM:
+    case STORE_UPSTREAM_GONE:
+        c->n++;
+    }
+}
+
+static int
+pass_on(tagged_t *t, const store_items_t *items)
+{
+    changes_t *c = calloc(1, sizeof(*c) + (items->n + 1) * sizeof(*c->event));
+    int rc;
+
+    if (c == NULL) {
+        return -ENOMEM;
+    }
+    for (size_t i = 0; i < items->n; i++) {
+        decode(t, &items->item[i], c);
+    }
+    if (c->n == 0) {
+        changes_free(c);
+        return 0;
+    }
+    rc = duty_post(kern_find(t->kern, "packets"), c);
+    if (rc < 0) {
+        changes_free(c);
+    }
+    return rc;
+}
+
+int
+news_take(tagged_t *t, const store_items_t *items)
+{
+    store_items_t changed;
+    int n, rc;
+
+    pthread_mutex_lock(&t->follow_lock);
+    rc = replica_merge(t->replica, clock_now(), items, &changed);
+    n = (int)changed.n;
+    if (rc == 0 && n > 0) {
+        rc = pass_on(t, &changed);
+    }
+    pthread_mutex_unlock(&t->follow_lock);
+    store_items_free(&changed);
+    if (n > 0) { /* peers wait for it */
+        duty_wake(kern_find(t->kern, "serve"));
+    }
+    return rc < 0 ? rc : n;
+}
+
+void
+peer_client_close(peer_client_t *c)
+{
+    http_free(c->http);
+    c->http = NULL;
+}
+
+static int
+open_client(peer_client_t *c, const addr_t *a)
+{
+    char url[ADDR_STRLEN + 8], addr[ADDR_STRLEN];
+
+    if (c->http != NULL && addr_eq(&c->addr, a)) {
+        return 0;
+    }
+    peer_client_close(c);
+    snprintf(url, sizeof(url), "http://%s", addr_text(a, addr));
+    c->http = http_new(url);
+    c->addr = *a;
+    return c->http != NULL ? 0 : -ENOMEM;
+}
+
+int
+news_ask(tagged_t *t, peer_client_t *c, const addr_t *a, ms_t wait_ms,
+         err_t *e)
+{
+    char path[96];
+    http_call_t call = {
+        .path = path, .timeout_ms = wait_ms + PEER_SLACK_MS, .step = "peer"};
+    store_items_t items;
+    http_reply_t r;
+    int rc = open_client(c, a);
+
+    if (rc < 0) {
+        return err_set(e, rc, call.step, "memory", "out of memory");
+    }
+    snprintf(path, sizeof(path), "/replica?after=%llu&wait_ms=%lld",
+             (unsigned long long)replica_revision(t->replica),
+             (long long)wait_ms);
+    __atomic_add_fetch(&t->count.peer_calls, 1, __ATOMIC_RELAXED);
+    rc = http_call(c->http, &call, &r, e);
+    if (rc == 0) {
+        rc = r.status == 200 ? store_items_parse(&items, r.body) : -EPROTO;
+    }
+    if (rc < 0) {
+        __atomic_add_fetch(&t->count.peer_failures, 1, __ATOMIC_RELAXED);
+        return rc;
+    }
+    rc = items.revision > 0 ? news_take(t, &items) : -ENODATA;
+    store_items_free(&items);
+    return rc;
+}
--- a/tagged/packets.c
+++ b/tagged/packets.c
@@ -6,9 +6,9 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#define BATCH 32      /* packets in one call to the kernel */
-#define TURNS 8       /* batches before the rest has its turn */
-#define IDLE_MS 1000  /* the longest sleep */
+#define BATCH 32       /* packets in one call to the kernel */
+#define TURNS 8        /* batches before the rest has its turn */
+#define IDLE_MS 1000   /* the longest sleep */
 #define PUBLISH_MS 500 /* between two copies of the statistics */
 /* A sleep that lasted so much longer than asked for: the process stood still,
  * and callers' repetitions of that time say nothing about upstreams. */
@@ -27,6 +27,7 @@
     bool serving; /* there are routes and upstreams: packets are read */
     probes_t probes;
     ms_t now;
+    ms_t current_at; /* of the replica, as of the last look */
     ms_t publish_at;
     double lines; /* log lines that may be written now */
     ms_t lines_at;
@@ -76,7 +77,7 @@
                  caller, service, in->ack, flow_reason_name(d->reason),
                  (unsigned long long)d->upstream, addr_text(&d->to, to),
                  d->service, d->busy, d->open, (unsigned long long)d->version,
-                 (long long)(p->now - SHARED(p->t, replica_at)));
+                 (long long)(p->now - p->current_at));
         return;
     case FLOW_RESET:
     case FLOW_DROP:
@@ -87,7 +88,7 @@
                  flow_reason_name(d->reason), in->tag,
                  (unsigned long long)d->upstream, in->seq, in->len,
                  (unsigned long long)d->version,
-                 (long long)(p->now - SHARED(p->t, replica_at)));
+                 (long long)(p->now - p->current_at));
         return;
     }
 }
@@ -189,8 +190,7 @@
 
     switch (out->kind) {
     case FLOW_OUT_RESET:
-        send_reset(p, &out->reset.caller, &out->reset.service,
-                   out->reset.seq);
+        send_reset(p, &out->reset.caller, &out->reset.service, out->reset.seq);
         if (may_log(p)) {
             log_line(LVL_INFO, "flow",
                      "Reset. flow=%s>%s reason=%s upstream=%llx seq=%u",
@@ -266,8 +266,7 @@
     case STORE_UPSTREAM_GONE:
         log_line(LVL_INFO, "upstreams",
                  "Its announcement is gone. upstream=%llx revision=%llu",
-                 (unsigned long long)ev->id,
-                 (unsigned long long)ev->revision);
+                 (unsigned long long)ev->id, (unsigned long long)ev->revision);
         flowset_remove_upstream(p->flows, p->now, ev->id);
         return;
     case STORE_PEER:
@@ -300,19 +299,9 @@
 static void
 take_changes(packets_t *p, changes_t *c)
 {
-    uint64_t *keep = c->whole ? calloc(c->n + 1, sizeof(*keep)) : NULL;
-    size_t n = 0;
-
     for (size_t i = 0; i < c->n; i++) {
-        if (keep != NULL && c->event[i].kind == STORE_UPSTREAM) {
-            keep[n++] = c->event[i].upstream.id;
-        }
         take_event(p, &c->event[i]);
     }
-    if (keep != NULL) {
-        flowset_keep_upstreams(p->flows, p->now, keep, n);
-        free(keep);
-    }
     if (!p->serving && flowset_ready(p->flows)) {
         begin_serving(p);
     }
@@ -375,6 +364,7 @@
     pthread_mutex_lock(&p->t->stats_lock);
     p->t->stats = *flowset_stats(p->flows);
     pthread_mutex_unlock(&p->t->stats_lock);
+    p->current_at = replica_current_at(p->t->replica);
     p->publish_at = p->now + PUBLISH_MS;
 }
 
--- a/tagged/replica.c
+++ b/tagged/replica.c
@@ -1,34 +1,43 @@
-/* The replica: the store's items as last seen, sorted by key.  It lets peers
- * catch up while the store turns them away. */
+/* The replica: the store's items as last seen, sorted by key.  It serves
+ * peers, which follow this instance, or catch up while the store turns them
+ * away.  What has been removed is kept for a while, so that a peer that is a
+ * little behind gets only what has changed. */
 #include "tagged/tagged.h"
 
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
+/* Removed items kept; a peer that misses more gets the whole. */
+#define REMOVED_MAX 256
+
 struct replica {
     pthread_mutex_t lock;
-    store_items_t items; /* sorted by key; none is removed */
+    store_items_t items; /* sorted by key; a removed one has no value */
+    size_t n_removed;
+    uint64_t floor; /* changes after it are complete */
+    ms_t current_at;
 };
 
 replica_t *
-replica_new(void)
+replica_new(ms_t now)
 {
-    replica_t *v = calloc(1, sizeof(*v));
+    replica_t *r = calloc(1, sizeof(*r));
 
-    if (v != NULL) {
-        pthread_mutex_init(&v->lock, NULL);
+    if (r != NULL) {
+        pthread_mutex_init(&r->lock, NULL);
+        r->current_at = now;
     }
-    return v;
+    return r;
 }
 
 void
-replica_free(replica_t *v)
+replica_free(replica_t *r)
 {
-    if (v != NULL) {
-        store_items_free(&v->items);
-        pthread_mutex_destroy(&v->lock);
-        free(v);
+    if (r != NULL) {
+        store_items_free(&r->items);
+        pthread_mutex_destroy(&r->lock);
+        free(r);
     }
 }
 
@@ -57,8 +66,11 @@
 }
 
 static void
-take_out(store_items_t *s, size_t at)
+take_out(replica_t *r, size_t at)
 {
+    store_items_t *s = &r->items;
+
+    r->n_removed -= s->item[at].value == NULL;
     free(s->item[at].key);
     free(s->item[at].value);
     memmove(&s->item[at], &s->item[at + 1],
@@ -67,23 +79,12 @@
 }
 
 static int
-put(store_items_t *s, const store_item_t *new_)
+put_in(replica_t *r, size_t at, const store_item_t *new_)
 {
-    bool found;
-    size_t at = place(s, new_->key, &found);
+    store_items_t *s = &r->items;
     store_item_t item;
-    int rc;
+    int rc = store_items_add(s, new_->key, new_->value, new_->revision);
 
-    if (found && s->item[at].revision > new_->revision) {
-        return 0;
-    }
-    if (found) {
-        take_out(s, at);
-    }
-    if (new_->value == NULL) {
-        return 0;
-    }
-    rc = store_items_add(s, new_->key, new_->value, new_->revision);
     if (rc < 0) {
         return rc;
     }
@@ -91,80 +92,174 @@
     memmove(&s->item[at + 1], &s->item[at],
             (s->n - 1 - at) * sizeof(*s->item));
     s->item[at] = item;
+    r->n_removed += item.value == NULL;
     return 0;
 }
 
+/* Takes NEW_ if it is newer than what there is; then it goes into CHANGED
+ * too. */
 static int
-put_all(store_items_t *s, const store_items_t *items)
+put(replica_t *r, const store_item_t *new_, store_items_t *changed)
 {
-    int rc = 0;
+    bool found;
+    size_t at = place(&r->items, new_->key, &found);
+    int rc;
 
-    for (size_t i = 0; i < items->n && rc == 0; i++) {
-        rc = put(s, &items->item[i]);
+    if (found && r->items.item[at].revision >= new_->revision) {
+        return 0;
     }
-    return rc;
+    if (found) {
+        take_out(r, at);
+    }
+    rc = put_in(r, at, new_);
+    if (rc < 0) {
+        return rc;
+    }
+    return store_items_add(changed, new_->key, new_->value, new_->revision);
 }
 
-int
-replica_change(replica_t *v, const store_items_t *changes)
+static int
+cmp_revision(const void *a, const void *b)
 {
-    int rc;
+    uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+    return (x > y) - (x < y);
+}
+
+/* Forgets the older half of what has been removed. */
+static void
+forget_removed(replica_t *r)
+{
+    uint64_t revision[REMOVED_MAX + 1], limit;
+    size_t n = 0;
 
-    pthread_mutex_lock(&v->lock);
-    rc = put_all(&v->items, changes);
-    if (rc == 0) {
-        v->items.revision = changes->revision;
+    if (r->n_removed <= REMOVED_MAX) {
+        return;
+    }
+    for (size_t i = 0; i < r->items.n && n <= REMOVED_MAX; i++) {
+        if (r->items.item[i].value == NULL) {
+            revision[n++] = r->items.item[i].revision;
+        }
     }
-    pthread_mutex_unlock(&v->lock);
+    qsort(revision, n, sizeof(*revision), cmp_revision);
+    limit = revision[n / 2];
+    for (size_t i = r->items.n; i-- > 0;) {
+        if (r->items.item[i].value == NULL &&
+            r->items.item[i].revision <= limit) {
+            take_out(r, i);
+        }
+    }
+    r->floor = limit > r->floor ? limit : r->floor;
+}
+
+/* What is there and not in ITEMS, which is all there is, has been removed. */
+static int
+remove_missing(replica_t *r, const store_items_t *items,
+               store_items_t *changed)
+{
+    replica_t seen = {.items = {0}};
+    store_items_t ignored = {0};
+    int rc = 0;
+
+    for (size_t i = 0; i < items->n && rc == 0; i++) {
+        rc = put(&seen, &items->item[i], &ignored);
+    }
+    for (size_t i = r->items.n; i-- > 0 && rc == 0;) {
+        const store_item_t *it = &r->items.item[i];
+        bool found;
+        place(&seen.items, it->key, &found);
+        if (it->value != NULL && !found && it->revision <= items->revision) {
+            store_item_t gone = {.key = it->key, .revision = items->revision};
+            rc = store_items_add(changed, gone.key, NULL, gone.revision);
+            free(r->items.item[i].value);
+            r->items.item[i].value = NULL;
+            r->items.item[i].revision = items->revision;
+            r->n_removed++;
+        }
+    }
+    store_items_free(&seen.items);
+    store_items_free(&ignored);
     return rc;
 }
 
 int
-replica_replace(replica_t *v, const store_items_t *items)
+replica_merge(replica_t *r, ms_t now, const store_items_t *items,
+              store_items_t *changed)
 {
-    store_items_t fresh = {.revision = items->revision};
-    int rc = put_all(&fresh, items);
+    int rc = 0;
 
-    if (rc < 0) {
-        store_items_free(&fresh);
-        return rc;
+    *changed = (store_items_t){.revision = items->revision};
+    pthread_mutex_lock(&r->lock);
+    if (items->whole && items->revision >= r->items.revision) {
+        rc = remove_missing(r, items, changed);
     }
-    pthread_mutex_lock(&v->lock);
-    store_items_free(&v->items);
-    v->items = fresh;
-    pthread_mutex_unlock(&v->lock);
-    return 0;
+    for (size_t i = 0; i < items->n && rc == 0; i++) {
+        rc = put(r, &items->item[i], changed);
+    }
+    if (rc == 0 && items->revision > r->items.revision) {
+        if (r->items.revision == 0) {
+            r->floor = items->revision; /* removals before aren't known */
+        }
+        r->items.revision = items->revision;
+    }
+    if (rc == 0 && now - items->age > r->current_at) {
+        r->current_at = now - items->age;
+    }
+    forget_removed(r);
+    pthread_mutex_unlock(&r->lock);
+    return rc;
 }
 
 uint64_t
-replica_revision(replica_t *v)
+replica_revision(replica_t *r)
 {
-    uint64_t r;
+    uint64_t revision;
 
-    pthread_mutex_lock(&v->lock);
-    r = v->items.revision;
-    pthread_mutex_unlock(&v->lock);
-    return r;
+    pthread_mutex_lock(&r->lock);
+    revision = r->items.revision;
+    pthread_mutex_unlock(&r->lock);
+    return revision;
 }
 
-bool
-replica_has(replica_t *v, const char *key)
+ms_t
+replica_current_at(replica_t *r)
 {
-    bool found;
+    ms_t at;
 
-    pthread_mutex_lock(&v->lock);
-    place(&v->items, key, &found);
-    pthread_mutex_unlock(&v->lock);
-    return found;
+    pthread_mutex_lock(&r->lock);
+    at = r->current_at;
+    pthread_mutex_unlock(&r->lock);
+    return at;
+}
+
+/* The items of R that are newer than AFTER, or all; copies of pointers. */
+static void
+select_items(const replica_t *r, uint64_t after, store_items_t *out)
+{
+    for (size_t i = 0; i < r->items.n; i++) {
+        const store_item_t *it = &r->items.item[i];
+        if (out->whole ? it->value != NULL : it->revision > after) {
+            out->item[out->n++] = *it;
+        }
+    }
 }
 
 char *
-replica_text(replica_t *v)
+replica_text(replica_t *r, ms_t now, uint64_t after)
 {
-    char *text;
+    store_items_t out = {0};
+    char *text = NULL;
 
-    pthread_mutex_lock(&v->lock);
-    text = store_items_write(&v->items);
-    pthread_mutex_unlock(&v->lock);
+    pthread_mutex_lock(&r->lock);
+    out.whole = after < r->floor;
+    out.revision = r->items.revision;
+    out.age = now - r->current_at;
+    out.item = calloc(r->items.n + 1, sizeof(*out.item));
+    if (out.item != NULL) {
+        select_items(r, after, &out);
+        text = store_items_write(&out);
+    }
+    pthread_mutex_unlock(&r->lock);
+    free(out.item);
     return text;
 }
--- a/tagged/report.c
+++ b/tagged/report.c
@@ -100,15 +100,16 @@
     line(f, "gauge", "store_up", SHARED(t, store_up));
     line(f, "gauge", "store_revision", replica_revision(t->replica));
     line(f, "gauge", "replica_age_milliseconds",
-         (uint64_t)(clock_now() - SHARED(t, replica_at)));
+         (uint64_t)(clock_now() - replica_current_at(t->replica)));
     line(f, "counter", "store_calls_total", store_calls(t->store));
     line(f, "counter", "store_failures_total",
          counter_read(&c->store_failures));
     line(f, "counter", "store_items_refused_total",
          counter_read(&c->refused_items));
     line(f, "counter", "peer_calls_total", counter_read(&c->peer_calls));
-    line(f, "counter", "replicas_from_peers_total",
-         counter_read(&c->replicas_from_peers));
+    line(f, "counter", "peer_failures_total", counter_read(&c->peer_failures));
+    line(f, "counter", "news_from_check_total",
+         counter_read(&c->news_from_check));
     line(f, "counter", "log_lines_limited_total",
          counter_read(&c->lines_limited));
     line(f, "counter", "log_lines_left_out_total", log_left_out());
@@ -126,9 +127,9 @@
         "leaving", SHARED(t, leaving), "store_up", SHARED(t, store_up),
         "version", (json_int_t)s.version, "revision",
         (json_int_t)replica_revision(t->replica), "replica_age_ms",
-        (json_int_t)(clock_now() - SHARED(t, replica_at)), "upstreams",
-        (json_int_t)s.upstreams, "usable", (json_int_t)s.usable, "flows",
-        (json_int_t)s.records);
+        (json_int_t)(clock_now() - replica_current_at(t->replica)),
+        "upstreams", (json_int_t)s.upstreams, "usable", (json_int_t)s.usable,
+        "flows", (json_int_t)s.records);
     char *text = json_dumps(o, JSON_INDENT(2));
 
     json_decref(o);
--- a/tagged/serve.c
+++ b/tagged/serve.c
@@ -7,8 +7,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define CONNECTIONS_MAX 64
+#define CONNECTIONS_MAX 256
 #define IDLE_S 10
+/* Peers that wait for changes at a time; more are answered at once. */
+#define WAITING_MAX 128
+#define WAIT_MAX_MS 10000
 #define STACK_BYTES (128 * 1024)
 
 #define TEXT "text/plain"
@@ -45,28 +48,95 @@
                  strdup(ready ? "ready\n" : "not ready\n"));
 }
 
-/* The replica, unless the peer knows as much. */
+/* ---- Peers that wait for changes ---- */
+
+typedef struct {
+    struct MHD_Connection *c; /* NULL: a free place */
+    uint64_t after;
+    ms_t until;
+} waiting_t;
+
+/* Under LOCK: requests come on the HTTP thread, changes and time on the
+ * duty's. */
+static struct {
+    pthread_mutex_t lock;
+    waiting_t place[WAITING_MAX];
+} waiting = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+static bool
+park(struct MHD_Connection *c, uint64_t after, ms_t until)
+{
+    bool parked = false;
+
+    pthread_mutex_lock(&waiting.lock);
+    for (size_t i = 0; i < WAITING_MAX && !parked; i++) {
+        if (waiting.place[i].c == NULL) {
+            waiting.place[i] = (waiting_t){c, after, until};
+            MHD_suspend_connection(c);
+            parked = true;
+        }
+    }
+    pthread_mutex_unlock(&waiting.lock);
+    return parked;
+}
+
+/* Lets go on whose wait is over; returns how long until the next is. */
+static ms_t
+release(tagged_t *t, bool all)
+{
+    uint64_t revision = replica_revision(t->replica);
+    ms_t now = clock_now(), next = -1;
+
+    pthread_mutex_lock(&waiting.lock);
+    for (size_t i = 0; i < WAITING_MAX; i++) {
+        waiting_t *w = &waiting.place[i];
+        if (w->c == NULL) {
+            continue;
+        }
+        if (all || revision > w->after || now >= w->until) {
+            MHD_resume_connection(w->c);
+            w->c = NULL;
+        }
+        else if (next < 0 || w->until - now < next) {
+            next = w->until - now;
+        }
+    }
+    pthread_mutex_unlock(&waiting.lock);
+    return next;
+}
+
+static uint64_t
+argument(struct MHD_Connection *c, const char *name)
+{
+    const char *s =
+        MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, name);
+
+    return s != NULL ? strtoull(s, NULL, 10) : 0;
+}
+
 static enum MHD_Result
-reply_replica(struct MHD_Connection *c, tagged_t *t)
+reply_replica(struct MHD_Connection *c, tagged_t *t, bool waited)
 {
-    const char *after =
-        MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "after");
-    uint64_t known = after != NULL ? strtoull(after, NULL, 10) : 0;
+    uint64_t after = argument(c, "after"), wait = argument(c, "wait_ms");
+    ms_t now = clock_now();
 
-    if (replica_revision(t->replica) <= known) {
-        return reply(c, MHD_HTTP_NO_CONTENT, JSON, strdup(""));
+    if (!waited && wait > 0 && replica_revision(t->replica) <= after &&
+        park(c, after,
+             now + (ms_t)(wait < WAIT_MAX_MS ? wait : WAIT_MAX_MS))) {
+        duty_wake(kern_find(t->kern, "serve"));
+        return MHD_YES;
     }
-    return reply(c, MHD_HTTP_OK, JSON, replica_text(t->replica));
+    return reply(c, MHD_HTTP_OK, JSON, replica_text(t->replica, now, after));
 }
 
 static enum MHD_Result
-route(struct MHD_Connection *c, tagged_t *t, const char *path)
+route(struct MHD_Connection *c, tagged_t *t, const char *path, bool waited)
 {
     if (strcmp(path, "/ready") == 0) {
         return reply_ready(c, t);
     }
     if (strcmp(path, "/replica") == 0) {
-        return reply_replica(c, t);
+        return reply_replica(c, t, waited);
     }
     if (strcmp(path, "/metrics") == 0) {
         return reply(c, MHD_HTTP_OK, PROMETHEUS, tagged_metrics(t));
@@ -84,7 +154,8 @@
            const char *method, const char *version, const char *body,
            size_t *body_len, void **state)
 {
-    static int seen;
+    static int seen, routed; /* how far a request has come */
+    bool waited = *state == &routed;
 
     (void)version;
     (void)body;
@@ -97,11 +168,12 @@
         *body_len = 0;
         return MHD_YES;
     }
+    *state = &routed;
     if (strcmp(method, "GET") != 0) {
         return reply(c, MHD_HTTP_METHOD_NOT_ALLOWED, JSON,
                      strdup("{\"error\":\"expected GET\"}\n"));
     }
-    return route(c, arg, path);
+    return route(c, arg, path, waited);
 }
 
 static struct MHD_Daemon *
@@ -110,7 +182,8 @@
     struct sockaddr_storage ss;
     struct MHD_Daemon *http;
     char text[ADDR_STRLEN];
-    unsigned flags = MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL;
+    unsigned flags = MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL |
+                     MHD_ALLOW_SUSPEND_RESUME;
 
     addr_to_sock(a, &ss);
     if (ss.ss_family == AF_INET6) {
@@ -137,8 +210,9 @@
     struct MHD_Daemon *admin = listen_at(t, &t->settings.admin_addr);
 
     while (!duty_stopping(self)) {
-        duty_wait(self, NULL, 0, -1);
+        duty_wait(self, NULL, 0, release(t, false));
     }
+    release(t, true); /* none may be suspended at the end */
     if (ready != NULL) {
         MHD_stop_daemon(ready);
     }
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -2,7 +2,8 @@
  * they meet only through messages, the published facts, and the replica.
  *
  *   packets   callers' packets: received, decided (flow/), sent; probes
- *   follow    follows the store, or a peer while the store is away
+ *   follow    follows the store, or the peer that does (source/)
+ *   check     asks another peer for anything newer
  *   serve     HTTP: readiness, metrics, status, the replica for peers
  *   main      signals, start and stop
  *
@@ -17,6 +18,7 @@
 #include "flow/flow.h"
 #include "kern/kern.h"
 #include "platform/platform.h"
+#include "source/source.h"
 
 #include <pthread.h>
 
@@ -28,23 +30,24 @@
 
 typedef struct replica replica_t;
 
-replica_t *replica_new(void);
-void replica_free(replica_t *v);
-/* Takes changes that came by a watch. */
-int replica_change(replica_t *v, const store_items_t *changes);
-/* Takes all of ITEMS in place of what there was. */
-int replica_replace(replica_t *v, const store_items_t *items);
+replica_t *replica_new(ms_t now);
+void replica_free(replica_t *r);
+/* Takes what is newer in ITEMS; CHANGED (freed by the caller) receives it.
+ * What a whole list lacks counts as removed. */
+int replica_merge(replica_t *r, ms_t now, const store_items_t *items,
+                  store_items_t *changed);
 /* 0: nothing has been seen yet. */
-uint64_t replica_revision(replica_t *v);
-bool replica_has(replica_t *v, const char *key);
-/* The whole replica as text for a peer; NULL without memory. */
-char *replica_text(replica_t *v);
+uint64_t replica_revision(replica_t *r);
+/* When it was last known to be all that the store holds. */
+ms_t replica_current_at(replica_t *r);
+/* What is newer than revision AFTER, as text for a peer; NULL without
+ * memory. */
+char *replica_text(replica_t *r, ms_t now, uint64_t after);
 
 /* ---- Messages to packets ---- */
 
 /* What has changed in the store. */
 typedef struct {
-    bool whole; /* all there is: upstreams that are missing have gone */
     size_t n;
     store_event_t event[];
 } changes_t;
@@ -58,7 +61,9 @@
     uint64_t lines_limited; /* log lines left out by their rate */
     uint64_t probes_skipped;
     uint64_t pauses;
-    uint64_t store_failures, peer_calls, replicas_from_peers, refused_items;
+    uint64_t store_failures, refused_items;
+    uint64_t peer_calls, peer_failures; /* follow's and check's: atomic */
+    uint64_t news_from_check; /* what the followed source had not told */
 } tagged_counters_t;
 
 typedef struct {
@@ -66,7 +71,9 @@
     char settings_file[256];
     kern_t *kern;
     replica_t *replica;
-    store_t *store;
+    store_t *store;              /* follow's */
+    pthread_mutex_t follow_lock; /* sources, and the order of changes */
+    sources_t sources;
     int flow_fd;
     ms_t started;
     /* Atomic facts */
@@ -75,7 +82,6 @@
     bool reload;    /* SIGHUP came: follow reads the settings again */
     bool store_up;  /* the last call to the store succeeded */
     ms_t packet_at; /* when the last packet came */
-    ms_t replica_at;   /* when the replica was last known to be current */
     tagged_counters_t count;
     /* A copy of packets' statistics. */
     pthread_mutex_t stats_lock;
@@ -90,8 +96,25 @@
 
 void packets_run(duty_t *self, void *tagged);
 void follow_run(duty_t *self, void *tagged);
+void check_run(duty_t *self, void *tagged);
 void serve_run(duty_t *self, void *tagged);
 
+/* ---- news.c: how what is new gets from a source to packets ---- */
+
+/* Takes ITEMS into the replica and passes on what is new, in one order
+ * whoever brings it.  The number of new items, or -ENOMEM, -EAGAIN. */
+int news_take(tagged_t *t, const store_items_t *items);
+/* Asks the peer at A for what is newer, by the client *H, which is made anew
+ * when it is for another peer.  The answer may take WAIT_MS.  As news_take().
+ */
+typedef struct {
+    addr_t addr;
+    void *http;
+} peer_client_t;
+int news_ask(tagged_t *t, peer_client_t *c, const addr_t *a, ms_t wait_ms,
+             err_t *e);
+void peer_client_close(peer_client_t *c);
+
 /* ---- probes.c: bare TCP connections to upstreams ---- */
 
 #define PROBES_MAX 64 /* under way at a time */
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -9,16 +9,15 @@
 static const char COMMAND[] = "198.18.0.1:444"; /* once at most */
 
 /* Two local upstreams and one in another data centre. */
-class Flow : public ::testing::Test
-{
+class Flow : public ::testing::Test {
   protected:
     FlowBed bed;
 
     void
     SetUp() override
     {
-        ASSERT_EQ(bed.routes(1, {{FEED, "svc", true}, {COMMAND, "svc", false}}),
-                  0);
+        ASSERT_EQ(
+            bed.routes(1, {{FEED, "svc", true}, {COMMAND, "svc", false}}), 0);
         bed.announce(FlowBed::upstream(0x11, "svc", "dc-a"));
         bed.announce(FlowBed::upstream(0x12, "svc", "dc-a"));
         bed.announce(FlowBed::upstream(0x21, "svc", "dc-b"));
@@ -62,8 +61,7 @@
  * instance has never seen the flow: the tag alone leads to the upstream. */
 TEST_F(Flow, AnotherInstanceForwardsByTheTagAlone)
 {
-    flow_decision_t d =
-        bed.packet(FlowBed::data(77, FEED, 0x21, 4000, 100));
+    flow_decision_t d = bed.packet(FlowBed::data(77, FEED, 0x21, 4000, 100));
 
     EXPECT_EQ(d.verb, FLOW_FORWARD);
     EXPECT_EQ(d.reason, FLOW_BY_TAG);
@@ -86,8 +84,7 @@
 
 TEST_F(Flow, AnUnknownTagIsDroppedNotReset)
 {
-    flow_decision_t d =
-        bed.packet(FlowBed::data(5, FEED, 0x99, 4000, 100));
+    flow_decision_t d = bed.packet(FlowBed::data(5, FEED, 0x99, 4000, 100));
 
     EXPECT_EQ(d.verb, FLOW_DROP); /* its upstream may live */
     EXPECT_EQ(d.reason, FLOW_TAG_UNKNOWN);
@@ -245,9 +242,9 @@
     ASSERT_EQ(bed.probes.size(), 1u);
     bed.probed(0x11, PROBE_ANSWERED);
     EXPECT_TRUE(bed.resets.empty());
-    EXPECT_EQ(bed.packet(FlowBed::data((int)caller, FEED, 0x11, 1001, 100))
-                  .verb,
-              FLOW_FORWARD);
+    EXPECT_EQ(
+        bed.packet(FlowBed::data((int)caller, FEED, 0x11, 1001, 100)).verb,
+        FLOW_FORWARD);
     EXPECT_EQ(bed.probes.size(), 1u); /* settled for a while */
     EXPECT_NE(open_at(0x11, 100), 0u);
 }
