Stand-ins of the users' platform; a forgotten watch is found in time

Cause: the store forgot all waiting watches at once without a word; with waits of 8 s the three leaders found out 6 s after the version, and no peer knew more. Ruled out: a slow list (3 ms), a lost message between duties. Change: a watch waits 2.6 s, held by a static assertion.

siskind's log goes to standard output in both kinds. test/siskind_life found that the log's thread, started before the signal mask, let SIGTERM end the process: it takes no signal now.

--- a/Makefile
+++ b/Makefile
@@ -28,8 +28,14 @@
 SIOBJ    = $(patsubst %,$(O)/%.o,$(SISRC))
 SIPROG   = $(patsubst standin/%_main.c,$(B)/si_%,$(SIMAIN))
 
+# Stand-ins of the users' platform.
+PSMAIN   = $(wildcard platform/standin/*_main.c)
+PSSRC    = $(filter-out $(PSMAIN),$(wildcard platform/standin/*.c))
+PSOBJ    = $(patsubst %,$(O)/%.o,$(PSSRC))
+PSPROG   = $(patsubst platform/standin/%_main.c,$(B)/si_p%,$(PSMAIN))
+
 PROGS    = $(if $(wildcard siskind/*.c),$(B)/siskind) \
-           $(if $(wildcard siskinctl/*.c),$(B)/siskinctl) $(SIPROG)
+           $(if $(wildcard siskinctl/*.c),$(B)/siskinctl) $(SIPROG) $(PSPROG)
 BENCH    = $(patsubst bench/%.c,$(B)/%,$(wildcard bench/*.c))
 
 # Each test/*_test.cc is a program; the other files in test/ are shared.
@@ -60,6 +66,9 @@
 $(B)/siskinctl: $(patsubst %,$(O)/%.o,$(wildcard siskinctl/*.c)) $(LIB)
 	$(CXX) $(SAN) $^ -o $@ $(LDLIBS)
 
+$(B)/si_p%: $(O)/platform/standin/%_main.c.o $(PSOBJ) $(SIOBJ) $(LIB)
+	$(CXX) $(SAN) $^ -o $@ $(LDLIBS)
+
 $(B)/si_%: $(O)/standin/%_main.c.o $(SIOBJ) $(LIB)
 	$(CXX) $(SAN) $^ -o $@ $(LDLIBS)
 
--- a/base/log.c
+++ b/base/log.c
@@ -10,6 +10,7 @@
 #include <errno.h>
 #include <log4c.h>
 #include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -165,6 +166,7 @@
 log_start_writer(int fd)
 {
     pthread_condattr_t attr;
+    sigset_t all, before;
     int rc;
 
     pthread_condattr_init(&attr);
@@ -175,7 +177,12 @@
     writer.fd = fd;
     writer.stopping = false;
     writer.running = true;
+    /* The thread takes no signal: one meant for the program's own handling
+     * would end the process if it came here. */
+    sigfillset(&all);
+    pthread_sigmask(SIG_SETMASK, &all, &before);
     rc = pthread_create(&writer.thread, NULL, write_lines, NULL);
+    pthread_sigmask(SIG_SETMASK, &before, NULL);
     if (rc != 0) {
         writer.running = false;
         return -rc;
--- a/siskind/main.c
+++ b/siskind/main.c
@@ -166,6 +166,7 @@
                  "It can't start. step=\"%s\" peer=%s "
                  "error=\"%s\"",
                  e.step, e.peer, e.text);
+        log_close();
         return EXIT_FAILED;
     }
     rc = kern_start(d->kern);
@@ -182,10 +183,10 @@
         kern_free(d->kern);
         pool_free(d->in);
         pool_free(d->out);
-        log_close();
     }
     /* Else a call to the platform still blocks: the process ends without it,
      * and frees nothing that the thread may yet use. */
+    log_close();
     return EXIT_OK;
 }
 
@@ -228,7 +229,8 @@
         return EXIT_OK;
     }
     if (sodium_init() < 0 ||
-        log_open(d.settings.name, d.settings.log_level) < 0) {
+        log_open(d.settings.name, d.settings.log_level) < 0 ||
+        log_start_writer(STDOUT_FILENO) < 0) {
         fprintf(stderr, "siskind: can't start libsodium or log4c\n");
         return EXIT_FAILED;
     }
--- a/source/source.c
+++ b/source/source.c
@@ -8,7 +8,8 @@
 #define FAILED_MIN_MS 1500
 #define FAILED_MAX_MS 12000
 /* Nobody has confirmed what is known for so long: the leader's watch may be
- * dead, so the store is asked directly.  Above a leader's wait in calm, 8 s. */
+ * dead, so the store is asked directly.  Above a leader's wait in calm, 8 s.
+ */
 #define STALE_MS 10000
 /* Between such tries, with jitter: a data centre that has lost its leader's
  * source must not ask all at once. */
@@ -132,8 +133,8 @@
         return NULL;
     }
     if (now - current_at > STALE_MS && now >= s->own_try_at) {
-        s->own_try_at = now + OWN_TRY_MIN_MS +
-                        rng_below(&s->rng, OWN_TRY_SPREAD_MS);
+        s->own_try_at =
+            now + OWN_TRY_MIN_MS + rng_below(&s->rng, OWN_TRY_SPREAD_MS);
         return NULL;
     }
     return leader;
@@ -170,8 +171,8 @@
         if (rng_below(&s->rng, ++n_any) == 0) {
             any = p;
         }
-        if (p->data_centre[0] != '\0' && !is_local(s, p) &&
-            leads(s, now, p) && rng_below(&s->rng, ++n_other) == 0) {
+        if (p->data_centre[0] != '\0' && !is_local(s, p) && leads(s, now, p) &&
+            rng_below(&s->rng, ++n_other) == 0) {
             other = p;
         }
     }
--- a/source/source.h
+++ b/source/source.h
@@ -31,8 +31,8 @@
 typedef struct {
     addr_t addr;
     char data_centre[SOURCE_NAME_LEN]; /* "": a seed, its place isn't known */
-    ms_t failed_until; /* not asked before */
-    ms_t wait;         /* the last time it was left alone for so long */
+    ms_t failed_until;                 /* not asked before */
+    ms_t wait; /* the last time it was left alone for so long */
 } source_peer_t;
 
 typedef struct {
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -8,12 +8,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A watch waits so long.  A connection that has gone silent is found by its
- * end; an instance with peers learns of changes from them meanwhile. */
-#define WATCH_MS 8000
-/* Without any peer the watch alone must find a silent connection: a change is
- * due 3 s after 4 s of grace. */
-#define WATCH_ALONE_MS 3000
+/* A watch waits so long.  One that the store has forgotten never answers, and
+ * that may befall all leaders at the same time: then only the end of the wait
+ * shows it.  A change is due 3 s after the 4 s of grace that follow a fault.
+ */
+#define WATCH_MS 2600
+_Static_assert(WATCH_MS + STORE_SLACK_MS <= 3500,
+               "a forgotten watch must be found in time");
 /* A peer answers at once when there is something new, and at the latest after
  * so long, which shows that it lives. */
 #define PEER_WAIT_MS 1000
@@ -92,9 +93,8 @@
 watch(follow_t *f, err_t *e)
 {
     uint64_t after = replica_revision(f->t->replica);
-    ms_t wait = f->t->sources.n > 0 ? WATCH_MS : WATCH_ALONE_MS;
     store_items_t items;
-    int rc = store_watch(f->t->store, after, wait, &items, e);
+    int rc = store_watch(f->t->store, after, WATCH_MS, &items, e);
 
     if (rc == -ESTALE) {
         log_line(LVL_WARN, "follow",
--- a/test/siskind_lib.bash
+++ b/test/siskind_lib.bash
@@ -69,7 +69,7 @@
 start() {               # NAME COMMAND...
     local p=$1
     shift
-    "$@" 2>>"$p.log" &
+    "$@" >>"$p.log" 2>&1 &
     process[$p]=$!
 }
 
--- /dev/null
+++ b/test/tagged_bed.bash
@@ -0,0 +1,168 @@
+# Shared by the scripted runs of tagged flows: the users' platform by its
+# stand-ins, and instances, servers and callers as separate processes.
+# Sourced with the build directory as $1.
+set -u
+b=$(cd "$1" && pwd)
+expected=$(cd "$(dirname "$0")" && pwd)/expect/$(basename "$0" .sh).out
+dir=$(mktemp -d)
+# The callers' ports are the instances': an address of its own for each run.
+net=127.$((40 + $$ % 150)).$(($$ / 150 % 250))
+store_port=$((20000 + $$ % 10000))
+store=http://127.0.0.1:$store_port
+declare -A process
+
+tagged_cleanup() {
+    local p
+    for p in "${process[@]}"; do
+        kill -CONT "$p" 2>/dev/null
+        kill -KILL "$p" 2>/dev/null
+    done
+    wait "${process[@]}" 2>/dev/null
+    if [ -n "${KEEP:-}" ]; then
+        echo "kept: $dir" >&2
+    else
+        rm -rf "$dir"
+    fi
+}
+trap tagged_cleanup EXIT
+cd "$dir" || exit 1
+
+start() {               # NAME COMMAND...
+    local p=$1
+    shift
+    "$@" >>"$p.log" 2>>"$p.err" &
+    process[$p]=$!
+}
+
+signal() {              # NAME SIGNAL
+    kill "-$2" "${process[$1]}" 2>/dev/null
+}
+
+ended() {               # NAME: waits, and keeps the status
+    wait "${process[$1]}"
+    rc=$?
+    unset "process[$1]"
+}
+
+start_store() {
+    start store "$b/si_pstore" --port="$store_port"
+    until_quietly curl -sf -m 1 -o /dev/null "$store/calls"
+}
+
+switch() {              # QUERY
+    curl -s -m 3 -o /dev/null -X POST "$store/switch?$1"
+}
+
+calls() {
+    curl -s -m 3 "$store/calls" | tr -dc 0-9
+}
+
+# Routes are pairs: three of them lead to service "feed" and "archive".
+configure() {           # VERSION [EXTRA-ROUTE-PORT]
+    local extra=
+    [ $# -lt 2 ] || extra=",{\"name\":\"r4\",\"host\":\"198.18.0.1\",\
+\"prefix\":\"/$2/\",\"kind\":\"safe\",\"service\":\"feed\"}"
+    curl -s -m 3 -o /dev/null -X POST --data-binary @- "$store/config" <<END
+{"version":$1,"routes":[
+{"name":"r1","host":"198.18.0.1","prefix":"/8443/","kind":"safe","service":"feed"},
+{"name":"r2","host":"198.18.0.1","prefix":"/8080/","kind":"unsafe","service":"feed"},
+{"name":"r3","host":"198.18.0.2","prefix":"/8443/","kind":"upload",
+ "backends":[{"service":"archive","weight":1}]}$extra],
+"services":[{"name":"feed"},{"name":"archive"}],
+"limits":{"idle_timeout_ms":15000}}
+END
+}
+
+settings() {            # NUMBER DATA-CENTRE [STORE-URL]: writes N.toml
+    cat >"$1.toml" <<END
+kind = "tagged"
+name = "try-$1"
+data_centre = "$2"
+flow_addr = "$net.$1:7000"
+ready_addr = "$net.$1:7001"
+admin_addr = "$net.$1:7002"
+store_url = "${3:-$store}"
+stop_ms = 6000
+seeds = ["$net.1:7002", "$net.2:7002"]
+END
+}
+
+instance() {            # NUMBER
+    start "i$1" "$b/siskind" "$1.toml"
+}
+
+server() {              # NUMBER SERVICE DATA-CENTRE [OPTION]...
+    local n=$1 service=$2 dc=$3
+    shift 3
+    start "s$n" "$b/si_pserver" --id="$(printf '%010x' $((0x5a0000 + n)))" \
+        --address="$net.$((100 + n)):7100" --service="$service" \
+        --zone="$dc" --store="$store" --caller-port=7000 "$@"
+}
+
+callers() {             # SECONDS INSTANCES [OPTION]...: in the background
+    local seconds=$1 n=$2 i list=()
+    shift 2
+    for i in $(seq "$n"); do
+        list+=("--instance=$net.$i:7000,$net.$i:7001")
+    done
+    start callers "$b/si_pcaller" --bind="$net.200:7000" "${list[@]}" \
+        --route=198.18.0.1:8443,safe,12 --route=198.18.0.1:8080,unsafe,6 \
+        --route=198.18.0.2:8443,upload,2 --seconds="$seconds" "$@"
+}
+
+until_quietly() {       # COMMAND...: each 50 ms, 30 s at most
+    for _ in $(seq 600); do
+        "$@" >/dev/null 2>&1 && return 0
+        sleep 0.05
+    done
+    return 1
+}
+
+until_true() {          # WHAT COMMAND...
+    local what=$1
+    shift
+    if until_quietly "$@"; then
+        echo "$what"
+    else
+        echo "not so after 30 s: $what"
+        tail -n 5 ./*.log ./*.err >&2
+    fi
+}
+
+ready() {               # NUMBER
+    curl -sf -m 1 -o /dev/null "http://$net.$1:7001/ready"
+}
+
+metric() {              # NUMBER NAME
+    curl -s -m 3 "http://$net.$1:7002/metrics" |
+        awk -v m="siskin_$2" '$1 == m {print $2}'
+}
+
+metric_is() {           # NUMBER NAME TEST-OPERATOR VALUE
+    [ "$(metric "$1" "$2")" "$3" "$4" ]
+}
+
+# Requests that servers began more than once.
+twice() {
+    cat s*.log | awk '$1 == "run" {n[$2]++}
+        END {for (q in n) m += n[q] > 1; print m + 0}'
+}
+
+# Requests that ran at a service where their route does not lead.
+misrouted() {
+    awk '$1 == "done" && ($3 == "upload") {up[$2] = 1; next}
+        $1 == "run" && (up[$2] ? $3 != "archive" : $3 != "feed") {m++}
+        END {print m + 0}' callers.log s*.log
+}
+
+forged() {
+    cat s*.log | grep -c -e '^forged' -e '^unasked'
+}
+
+total() {               # KIND FIELD
+    sed -n "s/^total $1 .*$2=\([0-9]*\).*/\1/p" callers.log
+}
+
+expect() {
+    diff -u "$expected" - && echo "as expected"
+}
--- /dev/null
+++ b/test/tagged_store.sh
@@ -0,0 +1,124 @@
+#!/usr/bin/env bash
+# The store misbehaves: it forgets its history, loses answers, falls silent,
+# goes away, turns single instances away, and ends all leases.  Versions still
+# come into force everywhere and never go back; upstreams that live are used.
+# usage: test/tagged_store.sh BUILD
+. "$(dirname "$0")/tagged_bed.bash"
+
+in_force() {            # VERSION INSTANCE...
+    local v=$1 i
+    shift
+    for i in "$@"; do
+        until_true "$i has version $v" metric_is "$i" version -eq "$v"
+    done
+}
+
+proxy_port=$((store_port + 10001))
+
+run() {
+    start_store
+    # Instance 3 reaches the store through a proxy.
+    start proxy "$b/si_pproxy" --listen="127.0.0.1:$proxy_port" \
+        --target="127.0.0.1:$store_port"
+    configure 1
+    settings 1 dc-0
+    settings 2 dc-1
+    settings 3 dc-2 "http://127.0.0.1:$proxy_port"
+    settings 4 dc-0
+    for n in 1 2 3; do
+        server $n feed dc-$n
+    done
+    for i in 1 2 3; do
+        instance $i
+        until_true "$i is ready" ready $i
+        until_quietly metric_is $i upstreams_usable -eq 3
+    done
+    until_quietly metric_is 3 store_up -eq 1
+
+    # The store drops its history.  A watch gets 410, and so would every
+    # further one from the same revision: asked again and again they cost
+    # hundreds of calls a second, and the instance hears of no change.
+    echo "## The history is forgotten: one list, then watches"
+    before=$(calls)
+    switch forget=1
+    configure 2
+    in_force 2 1 2 3
+    sleep 1
+    [ $(($(calls) - before)) -lt 100 ] && echo "a bounded number of calls"
+
+    # All watches that wait are forgotten at the same time, without a word.
+    # No peer knows more either; the end of the wait shows it.
+    echo "## Waiting watches never hear of a change"
+    switch deaf=1
+    configure 3
+    in_force 3 1 2 3
+
+    echo "## The store is down, then refuses, then comes back"
+    switch down=503
+    until_true "1 sees it" metric_is 1 store_up -eq 0
+    switch down=reset
+    sleep 0.3
+    switch down=
+    configure 4
+    in_force 4 1 2 3
+    until_true "1 sees it" metric_is 1 store_up -eq 1
+
+    # Only instance 3 is turned away.  Its peers' versions reach it; so do
+    # servers that come.
+    echo "## The store is silent for one instance"
+    printf silent >"/dev/udp/127.0.0.1/$proxy_port"
+    configure 5
+    server 4 feed dc-2
+    in_force 5 1 2 3
+    until_true "3 knows the new server" metric_is 3 upstreams_usable -eq 4
+    printf pass >"/dev/udp/127.0.0.1/$proxy_port"
+
+    echo "## A connection goes stale, new ones work"
+    printf stale >"/dev/udp/127.0.0.1/$proxy_port"
+    configure 6
+    in_force 6 1 2 3
+
+    # An instance starts while the store is away: it has no disk, its seeds
+    # name two peers.
+    echo "## One that starts without the store learns from a peer"
+    switch down=reset
+    instance 4
+    until_true "4 is ready" ready 4
+    in_force 6 4
+    switch down=
+
+    # Announcements lapse although the servers live.  They are back with the
+    # next heartbeat; no flow is reset meanwhile.
+    echo "## All leases end"
+    switch lapse=1
+    until_true "1 has all servers again" metric_is 1 upstreams_usable -eq 4
+    until_true "4 has all servers again" metric_is 4 upstreams_usable -eq 4
+    for i in 1 2 3 4; do
+        metric $i flows_reset_total
+    done
+
+    echo "## An item that can't be read is not used, the others hold"
+    curl -s -o /dev/null -X POST "$store/api/kv-txn?as=platform" -d \
+        '{"precondition":[],"puts":[{"key":"servers/i-00000000ff","value":"!","lease":0},{"key":"servers/nothing","value":"e30=","lease":0},{"key":"servers/i-00000000fe","value":"eyJzZXJ2aWNlIjo3fQ==","lease":0}],"remove":[]}'
+    until_true "1 refuses three" metric_is 1 store_items_refused_total -ge 3
+    metric 1 upstreams_usable
+
+    echo "## A version that can't be read leaves the last in force"
+    curl -s -o /dev/null -X POST --data-binary '{"version":9}' "$store/config"
+    until_true "1 refuses it" metric_is 1 store_items_refused_total -ge 4
+    metric 1 version
+    configure 10
+    in_force 10 1 2 3 4
+
+    echo "## Told to stop, all end by themselves"
+    for i in 1 2 3 4; do
+        signal i$i TERM
+    done
+    for i in 1 2 3 4; do
+        ended i$i
+        echo "$i: exit $rc"
+    done
+}
+
+run >out
+expect <out
