test: properties of the flow set, sources, the replica, the adapter, fuzzing

The properties found two faults. A dead upstream's announcement that was still under way made it good again: now a probe decides. A copy of an opening packet went on to an upstream that was draining or gone when there was no other: now the caller is reset at once.

flowset_keep_upstreams() is gone: the replica tells what a whole list lacks. Its test is replaced by Replica.AWholeListRemovesWhatItLacks and Replica.AnOldListRemovesNothing, which check the same and more.

--- a/flow/flow.h
+++ b/flow/flow.h
@@ -186,10 +186,6 @@
 /* An upstream's announcement is gone.  Its flows are left alone until a probe
  * shows that it has ended. */
 void flowset_remove_upstream(flowset_t *f, ms_t now, uint64_t id);
-/* Removes all whose ids are not among KEEP: after the whole list was read. */
-void flowset_keep_upstreams(flowset_t *f, ms_t now, const uint64_t *keep,
-                            size_t n);
-
 void flowset_packet(flowset_t *f, ms_t now, const flow_packet_t *p,
                     flow_decision_t *d);
 void flowset_probed(flowset_t *f, ms_t now, uint64_t id, flow_probe_t result);
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -172,10 +172,7 @@
     u->a = *a;
     u->warm_at = now + a->warm_up_ms;
     u->listed = true;
-    if (u->reach == REACH_DEAD) {
-        /* It is announced by a process that has started since. */
-        reach_probed(f, now, u, PROBE_ANSWERED);
-    }
+    reach_announced(f, now, u);
     return upstream_offer(f, u);
 }
 
@@ -202,35 +199,6 @@
     }
 }
 
-static int
-id_cmp(const void *a, const void *b)
-{
-    uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
-
-    return (x > y) - (x < y);
-}
-
-void
-flowset_keep_upstreams(flowset_t *f, ms_t now, const uint64_t *keep, size_t n)
-{
-    uint64_t *sorted = malloc((n + 1) * sizeof(*sorted));
-
-    if (sorted == NULL) {
-        return; /* what has left stays listed until the next list */
-    }
-    memcpy(sorted, keep, n * sizeof(*sorted));
-    qsort(sorted, n, sizeof(*sorted), id_cmp);
-    LIST_EACH(it, &f->upstreams)
-    {
-        upstream_t *u = LIST_OWNER(it, upstream_t, all);
-        if (u->listed &&
-            bsearch(&u->a.id, sorted, n, sizeof(*sorted), id_cmp) == NULL) {
-            unlist(f, now, u);
-        }
-    }
-    free(sorted);
-}
-
 /* ---- Packets ---- */
 
 static void
@@ -372,25 +340,27 @@
     }
 }
 
-/* A copy of an opening packet that was answered by nobody. */
+/* A copy of an opening packet that nobody answered: another upstream takes it,
+ * or the same if it is the only one. */
 static void
-take_copy(flowset_t *f, ms_t now, const flow_packet_t *p, record_t *r,
-          const flow_route_t *route, flow_decision_t *d)
+take_copy(flowset_t *f, ms_t now, record_t *r, const flow_route_t *route,
+          flow_decision_t *d)
 {
     upstream_t *u;
 
     reach_doubt(f, now, r->up, r->sent_at, "an opening packet is repeated");
     u = choose(f, now, route, r->up);
-    if (u == NULL || u == r->up) {
-        forward(d, FLOW_COPY, r->up);
+    if (u == NULL) {
+        decide(d, FLOW_RESET, FLOW_NO_UPSTREAM);
+        record_free(f, r);
+        return;
     }
-    else {
-        forward(d, FLOW_COPY_MOVED, u);
+    forward(d, u == r->up ? FLOW_COPY : FLOW_COPY_MOVED, u);
+    if (u != r->up) {
         record_move(r, u);
     }
     r->sent_at = now;
     touch(f, now, r);
-    (void)p;
 }
 
 static void
@@ -405,8 +375,8 @@
         decide(d, FLOW_RESET, FLOW_NO_ROUTE);
         return;
     }
-    if (r != NULL && !r->open) {
-        take_copy(f, now, p, r, route, d);
+    if (r != NULL && !r->open && p->ack > 0) {
+        take_copy(f, now, r, route, d);
         return;
     }
     if (r != NULL) { /* the caller's port is used again */
--- a/flow/reach.c
+++ b/flow/reach.c
@@ -111,6 +111,17 @@
     }
 }
 
+/* An upstream that was dead or out may have started since, or the announcement
+ * may have been under way when it ended: a probe tells at once, and until then
+ * it gets no new flow. */
+void
+reach_announced(flowset_t *f, ms_t now, upstream_t *u)
+{
+    if (u->reach == REACH_DEAD || u->reach == REACH_OUT) {
+        start_probe(f, now, u);
+    }
+}
+
 void
 reach_doubt(flowset_t *f, ms_t now, upstream_t *u, ms_t since, const char *why)
 {
--- a/flow/state.h
+++ b/flow/state.h
@@ -146,6 +146,8 @@
 void reach_dead(flowset_t *f, ms_t now, upstream_t *u, const char *why);
 /* A probe of U, whatever callers' packets say. */
 void reach_ask(flowset_t *f, ms_t now, upstream_t *u, const char *why);
+/* U is announced (again). */
+void reach_announced(flowset_t *f, ms_t now, upstream_t *u);
 void reach_probed(flowset_t *f, ms_t now, upstream_t *u, flow_probe_t result);
 /* Starts the probes that are due; returns when the next one is. */
 ms_t reach_tick(flowset_t *f, ms_t now);
--- /dev/null
+++ b/test/flow_prop_test.cc
@@ -0,0 +1,216 @@
+/* Properties of the flow set under any sequence of packets, announcements,
+ * probes and time:
+ *
+ *   - a new flow goes to an upstream that is announced for the route's
+ *     service, is not draining, and was not refused or silent at its last
+ *     probe (or lapsed less than two seconds ago);
+ *   - a flow is reset only when its upstream's host refused a probe, its
+ *     address went to another, or it was silent twice and the caller may
+ *     repeat its request;
+ *   - a later packet goes to the upstream that its tag names, or nowhere;
+ *   - what upstreams are taken to hold adds up to the flows that were opened.
+ */
+#include "test/flow_bed.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+
+namespace
+{
+
+const char *const FEED = "198.18.0.1:443";
+const char *const COMMAND = "198.18.0.1:444";
+const uint64_t UPSTREAMS = 6;
+
+struct Model {
+    FlowBed bed;
+    rng_t rng;
+    std::map<uint64_t, flow_upstream_t> listed;
+    std::map<uint64_t, ms_t> lapsed_at;
+    std::map<uint64_t, int> silent; /* probes in a row */
+    std::set<uint64_t> refused;
+    std::map<int, uint32_t> tag; /* of callers' open flows */
+    std::set<uint64_t> known;
+
+    explicit Model(uint64_t seed) : rng{seed, 0}
+    {
+        bed.routes(1, {{FEED, "svc", true}, {COMMAND, "svc", false}});
+    }
+
+    void
+    announce()
+    {
+        uint64_t id = 1 + rng_below(&rng, UPSTREAMS);
+        flow_upstream_t u =
+            FlowBed::upstream(id, "svc", id % 2 ? "dc-a" : "dc-b");
+        u.draining = rng_below(&rng, 5) == 0;
+        if (listed.count(id) && listed[id].draining) {
+            u.draining = true; /* it does not come back under its id */
+        }
+        bed.announce(u);
+        listed[id] = u;
+        known.insert(id);
+    }
+
+    void
+    remove()
+    {
+        uint64_t id = 1 + rng_below(&rng, UPSTREAMS);
+        if (listed.count(id)) {
+            flowset_remove_upstream(bed.flows, bed.now, id);
+            lapsed_at[id] = bed.now;
+            if (listed[id].draining) {
+                lapsed_at[id] = -100000;
+            }
+            listed.erase(id);
+        }
+    }
+
+    void
+    probe_result()
+    {
+        if (bed.probes.empty()) {
+            return;
+        }
+        uint64_t id = bed.probes.back().upstream;
+        flow_probe_t result = (flow_probe_t)rng_below(&rng, PROBE_RESULTS);
+        bed.probes.clear();
+        if (result == PROBE_REFUSED) {
+            refused.insert(id);
+        }
+        silent[id] = result == PROBE_SILENT     ? silent[id] + 1
+                     : result == PROBE_ANSWERED ? 0
+                                                : silent[id];
+        if (result == PROBE_ANSWERED) {
+            refused.erase(id);
+        }
+        bed.probed(id, result);
+    }
+
+    void
+    check_resets()
+    {
+        for (const flow_out_t &r : bed.resets) {
+            RC_ASSERT(refused.count(r.upstream));
+        }
+        bed.resets.clear();
+    }
+
+    void
+    open()
+    {
+        int caller = 1 + (int)rng_below(&rng, 40);
+        const char *route = caller % 3 ? FEED : COMMAND;
+        flow_decision_t d = bed.packet(FlowBed::syn(caller, route));
+
+        if (d.verb != FLOW_FORWARD) {
+            RC_ASSERT(d.reason == FLOW_NO_UPSTREAM);
+            return;
+        }
+        bool is_listed = listed.count(d.upstream) > 0;
+        bool lapsed = !is_listed && lapsed_at.count(d.upstream) &&
+                      bed.now - lapsed_at[d.upstream] < 2000;
+        RC_ASSERT(is_listed || lapsed);
+        if (d.reason == FLOW_CHOSEN) {
+            RC_ASSERT(!is_listed || !listed[d.upstream].draining);
+            RC_ASSERT(refused.count(d.upstream) == 0);
+        }
+        RC_ASSERT(d.tag == (uint32_t)d.upstream);
+        tag[caller] = d.tag;
+    }
+
+    void
+    follow()
+    {
+        int caller = 1 + (int)rng_below(&rng, 40);
+        const char *route = caller % 3 ? FEED : COMMAND;
+        if (!tag.count(caller)) {
+            return;
+        }
+        flow_packet_t p =
+            FlowBed::data(caller, route, tag[caller],
+                          1001 + rng_below(&rng, 4) * 100,
+                          (uint16_t)(rng_below(&rng, 3) * 100),
+                          5000 + rng_below(&rng, 3) * 10);
+        p.ends = rng_below(&rng, 10) == 0;
+        flow_decision_t d = bed.packet(p);
+        switch (d.verb) {
+        case FLOW_FORWARD:
+            RC_ASSERT(d.upstream == tag[caller]);
+            break;
+        case FLOW_RESET:
+            RC_ASSERT(refused.count(tag[caller]) ||
+                      (silent[tag[caller]] >= 2 && route == FEED &&
+                       p.len > 0));
+            tag.erase(caller);
+            break;
+        case FLOW_DROP:
+            RC_ASSERT(false);
+        }
+    }
+
+    void
+    step()
+    {
+        switch (rng_below(&rng, 12)) {
+        case 0:
+            announce();
+            break;
+        case 1:
+            remove();
+            break;
+        case 2:
+        case 3:
+            probe_result();
+            break;
+        case 4:
+        case 5:
+        case 6:
+            open();
+            break;
+        case 7:
+            bed.advance(rng_below(&rng, 800));
+            break;
+        default:
+            follow();
+        }
+        check_resets();
+    }
+};
+
+} // namespace
+
+TEST(FlowProperties, HoldUnderAnySequence)
+{
+    EXPECT_TRUE(rc::check("any sequence", [](uint32_t seed, uint8_t length) {
+        Model m(seed);
+        for (int i = 0; i < 40 + 4 * length; i++) {
+            m.step();
+        }
+    }));
+}
+
+/* All callers are gone and all time has passed: nothing is counted any more.
+ * A count that leaked would keep an upstream from ever being chosen. */
+TEST(FlowProperties, NothingIsCountedAtTheEnd)
+{
+    EXPECT_TRUE(rc::check("counts", [](uint32_t seed) {
+        Model m(seed);
+        for (int i = 0; i < 400; i++) {
+            m.step();
+        }
+        m.bed.advance(20000);
+        m.bed.advance(20000);
+        RC_ASSERT(m.bed.stats()->records == 0);
+        m.bed.routes(2, {{FEED, "svc", true}});
+        for (uint64_t id = 1; id <= UPSTREAMS; id++) {
+            m.bed.announce(FlowBed::upstream(id, "svc", "dc-a"));
+        }
+        flow_decision_t d = m.bed.packet(FlowBed::syn(500, FEED));
+        if (d.verb == FLOW_FORWARD) {
+            RC_ASSERT(d.open == 0 && d.busy == 0);
+        }
+    }));
+}
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -184,20 +184,6 @@
     }
 }
 
-/* The list of a store that was away for long is read whole: what is missing
- * in it has gone as if its removal had been told. */
-TEST_F(Flow, AWholeListRemovesWhatIsMissing)
-{
-    const uint64_t keep[] = {0x12, 0x21};
-
-    flowset_keep_upstreams(bed.flows, bed.now, keep, 2);
-    bed.probed(0x11, PROBE_ANSWERED);
-    bed.advance(2100);
-    for (int caller = 1; caller < 50; caller++) {
-        EXPECT_NE(bed.packet(FlowBed::syn(caller, FEED)).upstream, 0x11u);
-    }
-}
-
 /* An address is given to a server of another service only after its former
  * holder has ended.  Packets of the former's flows must not be carried to the
  * new one, and their callers needn't wait. */
@@ -356,6 +342,22 @@
     EXPECT_NE(open_at(0x11, 300), 0u);
 }
 
+/* A server that died wrote to the store just before: its announcement arrives
+ * after the refused probe.  It gets no flow until a probe is answered. */
+TEST_F(Flow, AnAnnouncementAloneDoesNotRaiseTheDead)
+{
+    int a = (int)open_at(0x11, 1);
+
+    doubt(a, 0x11);
+    bed.probed(0x11, PROBE_REFUSED);
+    bed.probes.clear();
+    bed.announce(FlowBed::upstream(0x11, "svc", "dc-a"));
+    EXPECT_EQ(open_at(0x11, 300), 0u);
+    ASSERT_EQ(bed.probes.size(), 1u);
+    bed.probed(0x11, PROBE_ANSWERED);
+    EXPECT_NE(open_at(0x11, 400), 0u);
+}
+
 /* Probes of what stays away come less and less often, up to a bound. */
 TEST_F(Flow, ProbesOfAnUnreachableUpstreamBackOff)
 {
--- /dev/null
+++ b/test/platform_test.cc
@@ -0,0 +1,341 @@
+/* The adapter: packets, the store's documents, and bytes of any kind. */
+#include "platform/platform.h"
+#include "test/flow_bed.h"
+
+#include <errno.h>
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+static std::vector<uint8_t>
+hex(const std::string &text)
+{
+    std::vector<uint8_t> out;
+
+    for (size_t i = 0; i + 1 < text.size(); i += 3) {
+        out.push_back((uint8_t)strtoul(text.substr(i, 2).c_str(), nullptr, 16));
+    }
+    return out;
+}
+
+static const char SYN[] =
+    "02 00 00 00 a1 b2 c3 d5 01 bb 9c 41 c6 12 00 01 64 40 00 07 11 22 33 44 "
+    "00 00 00 00 00 00 00 00";
+
+TEST(Packet, AnOpeningPacketIsRead)
+{
+    std::vector<uint8_t> d = hex(SYN);
+    flow_packet_t p;
+    addr_t caller = address("100.64.0.7:40001");
+    addr_t service = address("198.18.0.1:443");
+
+    ASSERT_EQ(packet_read(&p, d.data(), d.size()), 0);
+    EXPECT_TRUE(addr_eq(&p.caller, &caller));
+    EXPECT_TRUE(addr_eq(&p.service, &service));
+    EXPECT_TRUE(p.opens);
+    EXPECT_FALSE(p.ends);
+    EXPECT_EQ(p.seq, 0x11223344u);
+    EXPECT_EQ(p.len, 0);
+    EXPECT_EQ(p.tag, 0u);
+}
+
+TEST(Packet, OnlyTheTagIsWritten)
+{
+    std::vector<uint8_t> d = hex(SYN), before = d;
+
+    packet_set_tag(d.data(), 0xdeadbeef);
+    EXPECT_EQ(std::vector<uint8_t>(d.begin(), d.begin() + 28),
+              std::vector<uint8_t>(before.begin(), before.begin() + 28));
+    EXPECT_EQ(std::vector<uint8_t>(d.begin() + 28, d.end()),
+              hex("de ad be ef "));
+}
+
+TEST(Packet, AResetIsWrittenAsTheCallerExpectsIt)
+{
+    addr_t caller = address("100.64.0.7:40001");
+    addr_t service = address("198.18.0.1:443");
+    uint8_t out[PACKET_HEAD];
+
+    packet_reset(out, &caller, &service, 0);
+    EXPECT_EQ(std::vector<uint8_t>(out, out + PACKET_HEAD),
+              hex("04 00 00 00 00 00 00 00 9c 41 01 bb 64 40 00 07 c6 12 00 "
+                  "01 00 00 00 00 00 00 00 00 00 00 00 00"));
+}
+
+TEST(Packet, ThePrefixIsTheWholeId)
+{
+    uint8_t out[PACKET_PREFIX];
+
+    packet_prefix(out, 0x17f3a91c2);
+    EXPECT_EQ(std::vector<uint8_t>(out, out + PACKET_PREFIX),
+              hex("00 00 00 01 7f 3a 91 c2 "));
+}
+
+TEST(Packet, WrongLengthsAreRefused)
+{
+    std::vector<uint8_t> d = hex(SYN);
+    flow_packet_t p;
+
+    for (size_t len = 0; len < PACKET_HEAD; len++) {
+        EXPECT_EQ(packet_read(&p, d.data(), len), -EPROTO);
+    }
+    d.push_back(0);
+    EXPECT_EQ(packet_read(&p, d.data(), d.size()), -EPROTO);
+}
+
+/* ---- Documents ---- */
+
+static int
+event(store_event_t *ev, const char *key, const char *value, err_t *e)
+{
+    store_item_t item = {(char *)key, (char *)value, 7};
+
+    return store_event(ev, &item, e);
+}
+
+TEST(Items, AnUpstreamIsRead)
+{
+    store_event_t ev;
+    err_t e = {};
+
+    ASSERT_EQ(event(&ev, "servers/i-7f3a91c2",
+                    R"({"service":"a","address":"10.128.0.9:8080",)"
+                    R"("zone":"z","version":"v1","slots":3,)"
+                    R"("state":"draining","warmup_left_ms":1500,)"
+                    R"("sequence":4,"born":1772060000000,"new":[]})",
+                    &e),
+              0);
+    ASSERT_EQ(ev.kind, STORE_UPSTREAM);
+    EXPECT_EQ(ev.upstream.id, 0x7f3a91c2u);
+    EXPECT_EQ(ev.upstream.slots, 3u);
+    EXPECT_TRUE(ev.upstream.draining);
+    EXPECT_EQ(ev.upstream.warm_up_ms, 1500);
+    EXPECT_EQ(ev.upstream.born_ms, 1772060000000);
+    EXPECT_STREQ(ev.upstream.data_centre, "z");
+}
+
+/* Anybody may write an entry.  One that can't be read names no server, and an
+ * earlier reading of it doesn't hold on. */
+TEST(Items, UnreadableEntriesNameNoUpstream)
+{
+    static const char *const bad[] = {
+        "", "nonsense", "[]", "{}", "7", "\"x\"", "{\"service\":7}",
+        R"({"service":"a","address":"10.0.0.1","zone":"z","state":"ready"})",
+        R"({"service":"a","address":"10.0.0.1:0","zone":"z","state":"ready"})",
+        R"({"service":"a","address":"10.0.0.1:80","zone":"z","state":"up"})",
+        R"({"service":"a","address":"10.0.0.1:80","zone":3,"state":"ready"})",
+        R"({"service":"","address":"10.0.0.1:80","zone":"z","state":"ready"})",
+        R"({"service":"a","address":"10.0.0.1:80","zone":"z",)"
+        R"("state":"ready","slots":"two"})",
+        R"({"service":"a","address":"10.0.0.1:80","zone":"z",)"
+        R"("state":"ready","slots":-1})",
+        R"({"service":"a","address":"10.0.0.1:80","zone":"z",)"
+        R"("state":"ready","born":"today"})",
+    };
+
+    for (const char *value : bad) {
+        store_event_t ev;
+        err_t e = {};
+        EXPECT_EQ(event(&ev, "servers/i-ff", value, &e), -EINVAL) << value;
+        EXPECT_EQ(ev.kind, STORE_UPSTREAM_GONE) << value;
+        EXPECT_EQ(ev.id, 0xffu);
+        EXPECT_STREQ(e.peer, "servers/i-ff");
+    }
+}
+
+TEST(Items, KeysWithoutAnIdAreSomebodyElses)
+{
+    for (const char *key : {"servers/", "servers/i-", "servers/i-xyz",
+                            "servers/i-0", "servers/i-11112222333344445"}) {
+        store_event_t ev;
+        err_t e = {};
+        EXPECT_EQ(event(&ev, key, "{}", &e), -EINVAL) << key;
+        EXPECT_EQ(ev.kind, STORE_OTHER) << key;
+    }
+    store_event_t ev;
+    err_t e = {};
+    EXPECT_EQ(event(&ev, "other/key", "x", &e), 0);
+    EXPECT_EQ(ev.kind, STORE_OTHER);
+}
+
+TEST(Items, RoutesAreRead)
+{
+    store_event_t ev;
+    err_t e = {};
+
+    ASSERT_EQ(
+        event(&ev, "op/config",
+              R"({"version":7,"routes":[)"
+              R"({"name":"r1","host":"198.18.0.1","prefix":"/8080/",)"
+              R"("kind":"unsafe","service":"a"},)"
+              R"({"name":"r2","host":"198.18.0.2","prefix":"/8443/",)"
+              R"("kind":"safe","backends":[{"service":"a","weight":90},)"
+              R"({"service":"b","weight":10}]}],)"
+              R"("limits":{"idle_timeout_ms":9000}})",
+              &e),
+        0);
+    ASSERT_EQ(ev.kind, STORE_ROUTES);
+    flow_conf_t *c = ev.routes;
+    EXPECT_EQ(c->version, 7u);
+    EXPECT_EQ(c->idle_ms, 9000);
+    ASSERT_EQ(c->n_routes, 2u);
+    EXPECT_FALSE(c->routes[0].repeatable);
+    EXPECT_TRUE(c->routes[1].repeatable);
+    EXPECT_EQ(c->routes[1].n_targets, 2u);
+    EXPECT_STREQ(c->targets[c->routes[1].first + 1].service, "b");
+    flow_conf_free(c);
+}
+
+TEST(Items, RoutesThatCannotBeReadAreRefusedWhole)
+{
+    static const char *const bad[] = {
+        "", "{}", R"({"version":1})", R"({"version":"1","routes":[]})",
+        R"({"version":1,"routes":[{}]})",
+        R"({"version":1,"routes":[{"host":"x","prefix":"/1/","service":"a"}]})",
+        R"({"version":1,"routes":[{"host":"1.2.3.4","prefix":"/1/"}]})",
+        R"({"version":1,"routes":[{"host":"1.2.3.4","prefix":"/0/",)"
+        R"("service":"a"}]})",
+        R"({"version":1,"routes":[{"host":"1.2.3.4","prefix":"//",)"
+        R"("service":"a"}]})",
+        R"({"version":1,"routes":[{"host":"1.2.3.4","prefix":"/1/",)"
+        R"("backends":[{"service":"a","weight":-1}]}]})",
+    };
+
+    for (const char *value : bad) {
+        store_event_t ev;
+        err_t e = {};
+        EXPECT_EQ(event(&ev, "op/config", value, &e), -EINVAL) << value;
+        EXPECT_EQ(ev.kind, STORE_OTHER) << value;
+    }
+}
+
+TEST(Items, APeerIsRead)
+{
+    addr_t a = address("10.1.0.10:8166");
+    store_event_t ev;
+    char key[128];
+    err_t e = {};
+
+    store_peer_key(key, sizeof(key), &a);
+    ASSERT_EQ(event(&ev, key, "dc-a", &e), 0);
+    EXPECT_EQ(ev.kind, STORE_PEER);
+    EXPECT_TRUE(addr_eq(&ev.peer.addr, &a));
+    EXPECT_STREQ(ev.peer.data_centre, "dc-a");
+    ASSERT_EQ(event(&ev, key, nullptr, &e), 0);
+    EXPECT_EQ(ev.kind, STORE_PEER_GONE);
+}
+
+TEST(Items, TextAndBack)
+{
+    store_items_t s = {}, back;
+    char *text;
+
+    store_items_add(&s, "a", "1 \"quoted\"", 4);
+    store_items_add(&s, "b", nullptr, 5);
+    s.revision = 9;
+    s.whole = true;
+    s.age = 77;
+    text = store_items_write(&s);
+    ASSERT_EQ(store_items_parse(&back, text), 0);
+    EXPECT_EQ(back.n, 2u);
+    EXPECT_STREQ(back.item[0].value, "1 \"quoted\"");
+    EXPECT_EQ(back.item[1].value, nullptr);
+    EXPECT_EQ(back.revision, 9u);
+    EXPECT_TRUE(back.whole);
+    EXPECT_EQ(back.age, 77);
+    free(text);
+    store_items_free(&s);
+    store_items_free(&back);
+}
+
+/* ---- Bytes of any kind (run under sanitizers too) ---- */
+
+static std::string
+damaged(rng_t *rng, std::string s)
+{
+    for (uint32_t n = 1 + rng_below(rng, 6); n > 0 && !s.empty(); n--) {
+        size_t at = rng_below(rng, (uint32_t)s.size());
+        switch (rng_below(rng, 4)) {
+        case 0:
+            s[at] = (char)(1 + rng_below(rng, 255));
+            break;
+        case 1:
+            s.erase(at, 1 + rng_below(rng, 8));
+            break;
+        case 2:
+            s.insert(at, s.substr(rng_below(rng, (uint32_t)s.size()), 9));
+            break;
+        default:
+            s.resize(at);
+        }
+    }
+    return s;
+}
+
+TEST(Fuzz, DocumentsOfAnyShapeAreReadOrRefused)
+{
+    static const std::string routes =
+        R"({"version":7,"routes":[{"name":"r","host":"198.18.0.2",)"
+        R"("prefix":"/8443/","kind":"safe","backends":[{"service":"a",)"
+        R"("weight":90},{"service":"b","weight":10}]}],)"
+        R"("limits":{"idle_timeout_ms":9000}})";
+    static const std::string server =
+        R"({"service":"a","address":"10.128.0.9:8080","zone":"z",)"
+        R"("slots":3,"state":"ready","warmup_left_ms":1,"born":5})";
+    static const std::string items =
+        R"({"revision":4,"whole":true,"age_ms":5,"items":[{"key":"a",)"
+        R"("value":"1","revision":3}]})";
+    rng_t rng = {5, 0};
+
+    for (int i = 0; i < 20000; i++) {
+        store_event_t ev;
+        store_items_t s;
+        err_t e = {};
+        if (event(&ev, "op/config", damaged(&rng, routes).c_str(), &e) == 0 &&
+            ev.kind == STORE_ROUTES) {
+            flow_conf_free(ev.routes);
+        }
+        event(&ev, damaged(&rng, "servers/i-7f3a91c2").c_str(),
+              damaged(&rng, server).c_str(), &e);
+        if (store_items_parse(&s, damaged(&rng, items).c_str()) == 0) {
+            store_items_free(&s);
+        }
+    }
+}
+
+/* Any datagram at the packet socket ends in a decision or is refused; the
+ * flow set stays whole. */
+TEST(Fuzz, PacketsOfAnyBytesEndInADecision)
+{
+    rng_t rng = {6, 0};
+    FlowBed bed;
+
+    bed.routes(1, {{"198.18.0.1:443", "svc", true}});
+    for (uint64_t id = 1; id < 9; id++) {
+        bed.announce(FlowBed::upstream(id, "svc", id % 2 ? "dc-a" : "dc-b"));
+    }
+    for (int i = 0; i < 200000; i++) {
+        std::vector<uint8_t> d = hex(SYN);
+        d.resize(PACKET_HEAD + rng_below(&rng, 4) * 100);
+        d[0] = (uint8_t)rng_next(&rng);
+        d[2] = (uint8_t)((d.size() - PACKET_HEAD) >> 8);
+        d[3] = (uint8_t)(d.size() - PACKET_HEAD);
+        d[19] = (uint8_t)rng_below(&rng, 16);
+        for (int k = 20; k < 32; k++) {
+            d[k] = rng_below(&rng, 3) ? (uint8_t)rng_below(&rng, 9) : d[k];
+        }
+        for (uint32_t k = rng_below(&rng, 3); k > 0; k--) {
+            d[rng_below(&rng, PACKET_HEAD)] = (uint8_t)rng_next(&rng);
+        }
+        flow_packet_t p;
+        if (packet_read(&p, d.data(), d.size()) == 0) {
+            bed.packet(p);
+        }
+        if (rng_below(&rng, 20) == 0) {
+            bed.advance(rng_below(&rng, 300));
+            bed.probed(1 + rng_below(&rng, 8),
+                       (flow_probe_t)rng_below(&rng, PROBE_RESULTS));
+        }
+    }
+    EXPECT_LE(bed.stats()->records, 4096u);
+}
--- /dev/null
+++ b/test/replica_test.cc
@@ -0,0 +1,207 @@
+/* The replica: what the store holds, merged from the store and from peers. */
+#include "tagged/tagged.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <string>
+
+namespace
+{
+
+struct Items {
+    store_items_t s = {};
+
+    Items(uint64_t revision, bool whole = false)
+    {
+        s.revision = revision;
+        s.whole = whole;
+    }
+    ~Items()
+    {
+        store_items_free(&s);
+    }
+    Items &
+    add(const char *key, const char *value, uint64_t revision)
+    {
+        store_items_add(&s, key, value, revision);
+        return *this;
+    }
+};
+
+class Replica : public ::testing::Test
+{
+  protected:
+    replica_t *r = replica_new(1000);
+    ms_t now = 1000;
+
+    ~Replica() override
+    {
+        replica_free(r);
+    }
+
+    /* The keys that were new, "-" before those removed. */
+    std::string
+    merge(const Items &items)
+    {
+        store_items_t changed;
+        std::string out;
+        EXPECT_EQ(replica_merge(r, now, &items.s, &changed), 0);
+        for (size_t i = 0; i < changed.n; i++) {
+            out += std::string(changed.item[i].value ? "" : "-") +
+                   changed.item[i].key + " ";
+        }
+        store_items_free(&changed);
+        return out;
+    }
+
+    /* What a peer that has everything up to AFTER gets. */
+    store_items_t
+    text(uint64_t after)
+    {
+        char *t = replica_text(r, now, after);
+        store_items_t out;
+        EXPECT_EQ(store_items_parse(&out, t), 0);
+        free(t);
+        return out;
+    }
+};
+
+} // namespace
+
+TEST_F(Replica, ChangesArePassedOnOnce)
+{
+    EXPECT_EQ(merge(Items(10, true).add("b", "1", 5).add("a", "1", 10)),
+              "b a ");
+    EXPECT_EQ(merge(Items(12).add("a", "2", 12)), "a ");
+    EXPECT_EQ(merge(Items(12).add("a", "2", 12)), "");
+    EXPECT_EQ(replica_revision(r), 12u);
+}
+
+/* A peer is behind the store.  What it tells late must not undo what has been
+ * seen since. */
+TEST_F(Replica, OlderNewsChangeNothing)
+{
+    merge(Items(20, true).add("a", "new", 20));
+    EXPECT_EQ(merge(Items(15).add("a", "old", 15)), "");
+    EXPECT_EQ(merge(Items(15, true).add("b", "gone since", 3)), "b ");
+    EXPECT_EQ(replica_revision(r), 20u);
+}
+
+/* The store lost its history, so the removal was never told: the list, which
+ * lacks the key, tells it. */
+TEST_F(Replica, AWholeListRemovesWhatItLacks)
+{
+    merge(Items(10, true).add("a", "1", 5).add("b", "1", 6));
+    EXPECT_EQ(merge(Items(30, true).add("a", "1", 5)), "-b ");
+    EXPECT_EQ(merge(Items(30, true).add("a", "1", 5)), "");
+}
+
+/* A list is older than a change that came meanwhile from a peer: what it lacks
+ * may have been made since. */
+TEST_F(Replica, AnOldListRemovesNothing)
+{
+    merge(Items(10, true).add("a", "1", 5));
+    merge(Items(40).add("b", "1", 40));
+    EXPECT_EQ(merge(Items(30, true).add("a", "1", 5)), "");
+}
+
+TEST_F(Replica, APeerThatIsBehindGetsOnlyWhatChanged)
+{
+    merge(Items(10, true).add("a", "1", 5).add("b", "1", 6));
+    merge(Items(11).add("c", "1", 11));
+    merge(Items(12).add("a", nullptr, 12));
+    store_items_t out = text(10);
+    EXPECT_FALSE(out.whole);
+    ASSERT_EQ(out.n, 2u);
+    EXPECT_STREQ(out.item[0].key, "a");
+    EXPECT_EQ(out.item[0].value, nullptr);
+    EXPECT_STREQ(out.item[1].key, "c");
+    EXPECT_EQ(out.revision, 12u);
+    store_items_free(&out);
+}
+
+TEST_F(Replica, APeerThatKnowsNothingGetsAllThereIs)
+{
+    merge(Items(10, true).add("a", "1", 5).add("b", "1", 6));
+    merge(Items(12).add("a", nullptr, 12));
+    store_items_t out = text(0);
+    EXPECT_TRUE(out.whole);
+    ASSERT_EQ(out.n, 1u);
+    EXPECT_STREQ(out.item[0].key, "b");
+    store_items_free(&out);
+}
+
+/* Removals are kept in a bounded number.  A peer that misses older ones gets
+ * the whole, or it would keep what has gone. */
+TEST_F(Replica, ForgottenRemovalsMakeTheAnswerWhole)
+{
+    merge(Items(10, true));
+    for (uint64_t i = 1; i <= 1000; i++) {
+        std::string key = "k" + std::to_string(i);
+        merge(Items(10 + 2 * i).add(key.c_str(), "1", 10 + 2 * i));
+        merge(Items(11 + 2 * i).add(key.c_str(), nullptr, 11 + 2 * i));
+    }
+    store_items_t out = text(100);
+    EXPECT_TRUE(out.whole);
+    EXPECT_EQ(out.n, 0u);
+    store_items_free(&out);
+    out = text(1900);
+    EXPECT_FALSE(out.whole);
+    EXPECT_LE(out.n, 256u);
+    store_items_free(&out);
+}
+
+TEST_F(Replica, ItsAgeIsThatOfTheSource)
+{
+    Items items(10, true);
+
+    now = 5000;
+    items.s.age = 3000; /* a peer's, which had it so long ago */
+    merge(items);
+    EXPECT_EQ(replica_current_at(r), 2000);
+    items.s.age = 9000;
+    merge(items);
+    EXPECT_EQ(replica_current_at(r), 2000);
+}
+
+/* Whatever order news come in, by whatever way, the last word of each key by
+ * revision holds, and what was passed on adds up to it. */
+TEST_F(Replica, AnyOrderEndsInTheSameState)
+{
+    rng_t rng = {11, 0};
+
+    for (int round = 0; round < 200; round++) {
+        replica_t *mine = replica_new(0);
+        std::map<std::string, std::string> seen, last;
+        std::map<std::string, uint64_t> at;
+        std::vector<std::pair<std::string, uint64_t>> all;
+        for (uint64_t rev = 1; rev <= 30; rev++) {
+            all.push_back({"k" + std::to_string(rng_below(&rng, 5)), rev});
+            last[all.back().first] = rev % 4 == 0 ? "" : std::to_string(rev);
+            at[all.back().first] = rev;
+        }
+        for (int i = 0; i < 200 || replica_revision(mine) < 30; i++) {
+            uint32_t from = rng_below(&rng, 30);
+            uint32_t to = from + 1 + rng_below(&rng, 30 - from);
+            if (from > replica_revision(mine)) {
+                continue; /* a source answers from the asker's revision on */
+            }
+            Items items(to);
+            for (uint32_t k = from; k < to; k++) {
+                bool gone = all[k].second % 4 == 0;
+                std::string v = std::to_string(all[k].second);
+                items.add(all[k].first.c_str(), gone ? nullptr : v.c_str(),
+                          all[k].second);
+            }
+            store_items_t changed;
+            ASSERT_EQ(replica_merge(mine, 0, &items.s, &changed), 0);
+            for (size_t k = 0; k < changed.n; k++) {
+                seen[changed.item[k].key] =
+                    changed.item[k].value ? changed.item[k].value : "";
+            }
+            store_items_free(&changed);
+        }
+        EXPECT_EQ(seen, last);
+        replica_free(mine);
+    }
+}
--- /dev/null
+++ b/test/source_test.cc
@@ -0,0 +1,192 @@
+/* Whom an instance follows. */
+#include "source/source.h"
+#include "test/flow_bed.h"
+
+#include <gtest/gtest.h>
+
+/* Instances dc-a: 10.0.1.1 to 3, dc-b: 10.0.2.1 to 3; this one is 10.0.1.9. */
+class Sources : public ::testing::Test
+{
+  protected:
+    sources_t s;
+    ms_t now = 100000;
+
+    static addr_t
+    at(int dc, int n)
+    {
+        return address("10.0." + std::to_string(dc) + "." + std::to_string(n) +
+                       ":8000");
+    }
+
+    void
+    SetUp() override
+    {
+        addr_t self = at(1, 9);
+        sources_init(&s, &self, "dc-a", 3);
+        for (int dc = 1; dc <= 2; dc++) {
+            for (int n = 1; n <= 3; n++) {
+                addr_t a = at(dc, n);
+                sources_add(&s, &a, dc == 1 ? "dc-a" : "dc-b");
+            }
+        }
+    }
+
+    const source_peer_t *
+    lead()
+    {
+        return sources_lead(&s, now, now);
+    }
+};
+
+TEST_F(Sources, WithoutPeersItFollowsTheStore)
+{
+    addr_t self = at(1, 9);
+
+    sources_init(&s, &self, "dc-a", 3);
+    EXPECT_EQ(lead(), nullptr);
+    EXPECT_EQ(sources_check(&s, now), nullptr);
+}
+
+TEST_F(Sources, AllOfADataCentreFollowTheSameLeader)
+{
+    const source_peer_t *p = lead();
+    addr_t leader;
+
+    ASSERT_NE(p, nullptr);
+    leader = p->addr;
+    EXPECT_STREQ(p->data_centre, "dc-a");
+    for (int n = 1; n <= 3; n++) {
+        sources_t other;
+        addr_t self = at(1, n);
+        sources_init(&other, &self, "dc-a", (uint64_t)n);
+        for (int m = 1; m <= 3; m++) {
+            addr_t a = at(1, m);
+            sources_add(&other, &a, "dc-a");
+        }
+        const source_peer_t *q = sources_lead(&other, now, now);
+        if (addr_eq(&self, &leader)) {
+            EXPECT_EQ(q, nullptr); /* the leader follows the store */
+        }
+        else {
+            ASSERT_NE(q, nullptr);
+            EXPECT_TRUE(addr_eq(&q->addr, &leader));
+        }
+    }
+}
+
+/* The leader dies.  The next in rank is followed at once; the dead one is
+ * tried again after a while, and leads again when it answers. */
+TEST_F(Sources, AFailedLeaderIsPassedOver)
+{
+    addr_t first = lead()->addr, second;
+
+    sources_failed(&s, now, &first);
+    ASSERT_NE(lead(), nullptr);
+    second = lead()->addr;
+    EXPECT_FALSE(addr_eq(&first, &second));
+    now += 1600;
+    EXPECT_TRUE(addr_eq(&lead()->addr, &first));
+    sources_failed(&s, now, &first);
+    now += 1600;
+    EXPECT_TRUE(addr_eq(&lead()->addr, &second)); /* left alone for longer */
+    sources_answered(&s, &first);
+    EXPECT_TRUE(addr_eq(&lead()->addr, &first));
+}
+
+TEST_F(Sources, WhenNoneAnswersItFollowsTheStore)
+{
+    for (int n = 1; n <= 3; n++) {
+        addr_t a = at(1, n);
+        sources_failed(&s, now, &a);
+    }
+    EXPECT_EQ(lead(), nullptr);
+}
+
+/* The leader has lost the store and does not know it: what it tells grows
+ * old.  Now and then the store is asked directly, not each time, so that a
+ * whole data centre does not fall upon a store that is down. */
+TEST_F(Sources, OldNewsMakeItAskTheStoreNowAndThen)
+{
+    int own = 0;
+
+    for (ms_t t = 0; t < 60000; t += 100) {
+        own += sources_lead(&s, now + t, now - 11000) == nullptr;
+    }
+    EXPECT_GE(own, 10);
+    EXPECT_LE(own, 40);
+}
+
+/* What it follows may be blind.  It asks the other data centre's leader, whose
+ * news come another way. */
+TEST_F(Sources, ChecksGoToTheOtherDataCentresLeader)
+{
+    const source_peer_t *p = sources_check(&s, now);
+    addr_t leader;
+
+    ASSERT_NE(p, nullptr);
+    EXPECT_STREQ(p->data_centre, "dc-b");
+    leader = p->addr;
+    for (int i = 0; i < 50; i++) {
+        EXPECT_TRUE(addr_eq(&sources_check(&s, now)->addr, &leader));
+    }
+    sources_failed(&s, now, &leader);
+    ASSERT_NE(sources_check(&s, now), nullptr);
+    EXPECT_FALSE(addr_eq(&sources_check(&s, now)->addr, &leader));
+}
+
+/* Its data centre is cut off from the other: it checks with neighbours. */
+TEST_F(Sources, ACutDataCentreChecksWithinItself)
+{
+    for (int n = 1; n <= 3; n++) {
+        addr_t a = at(2, n);
+        sources_failed(&s, now, &a);
+    }
+    for (int i = 0; i < 50; i++) {
+        const source_peer_t *p = sources_check(&s, now);
+        ASSERT_NE(p, nullptr);
+        EXPECT_STREQ(p->data_centre, "dc-a");
+        EXPECT_FALSE(addr_eq(&p->addr, &lead()->addr));
+    }
+}
+
+/* Announcements are writes that are paid for: a few of a data centre do. */
+TEST_F(Sources, OnlyAFewAreAnnounced)
+{
+    addr_t fourth = at(1, 4);
+
+    EXPECT_TRUE(sources_should_announce(&s));
+    sources_add(&s, &fourth, "dc-a");
+    EXPECT_FALSE(sources_should_announce(&s));
+    sources_remove(&s, &fourth);
+    EXPECT_TRUE(sources_should_announce(&s));
+}
+
+TEST_F(Sources, AnAnnouncedInstanceIsNotAnnouncedTwice)
+{
+    addr_t self = at(1, 9);
+
+    sources_add(&s, &self, "dc-a");
+    EXPECT_FALSE(sources_should_announce(&s));
+    sources_remove(&s, &self);
+    EXPECT_TRUE(sources_should_announce(&s));
+}
+
+TEST_F(Sources, ASeedIsAskedButDoesNotLead)
+{
+    addr_t self = at(1, 9), seed = at(3, 1);
+
+    sources_init(&s, &self, "dc-a", 3);
+    sources_add(&s, &seed, "");
+    EXPECT_EQ(lead(), nullptr);
+    ASSERT_NE(sources_check(&s, now), nullptr);
+    EXPECT_TRUE(addr_eq(&sources_check(&s, now)->addr, &seed));
+}
+
+TEST_F(Sources, PeersAreBounded)
+{
+    for (int i = 0; i < 1000; i++) {
+        addr_t a = at(100 + i / 200, 1 + i % 200);
+        sources_add(&s, &a, "dc-c");
+    }
+    EXPECT_EQ(s.n, (uint32_t)SOURCE_PEERS_MAX);
+}
