Blind leaders, overloaded instances and shared addresses: three faults of the grown sites

A small instance whose own link is full finds every upstream silent and reset flows that were merely late. Now another upstream is asked beside the last probe; unless it answers, nothing is proved. A list tells upstreams in the order of their ids. Where the former holder of an address still had an announcement, and came later in the list, the new one was taken for dead. Now the later announcement holds the address. 3. All four leaders lost the store at once (cuts, kills and refusals overlap): everybody followed them for 10 s. Now what nobody has confirmed for 2.5 s counts as old, a source that leaves it old is passed over, and in the end each instance asks the store itself. Renewing announcements, which blocked following for 0.8 s when the store was silent, has a duty of its own.

Also: a request that waits four times the service's average raises a doubt before its caller sends again; callers that wait for an unreachable upstream and may repeat their request are reset at once; a line a request in the log, by which a request's id leads to its flow.

--- a/core/core.c
+++ b/core/core.c
@@ -222,8 +222,7 @@
     core_t *mutable_c = (core_t *)c;
 
     *exchanges = *pins = 0;
-    LIST_EACH(l, &mutable_c->ex_active)
-    {
+    LIST_EACH (l, &mutable_c->ex_active) {
         *exchanges += 1;
     }
     for (uint32_t i = 0; i < c->flow_top; i++) {
--- a/core/exchanges.c
+++ b/core/exchanges.c
@@ -313,8 +313,7 @@
 void
 ex_tick(core_t *c)
 {
-    LIST_EACH(l, &c->ex_active)
-    {
+    LIST_EACH (l, &c->ex_active) {
         check_active(c, LIST_OWNER(l, ex_t, in));
     }
     while (!list_empty(&c->ex_kept)) {
--- a/flow/directory.c
+++ b/flow/directory.c
@@ -46,8 +46,7 @@
 {
     service_t *s;
 
-    LIST_EACH(it, &f->services)
-    {
+    LIST_EACH (it, &f->services) {
         s = LIST_OWNER(it, service_t, link);
         if (strcmp(s->name, name) == 0) {
             return s;
@@ -64,8 +63,7 @@
 upstream_t *
 upstream_by_id(const flowset_t *f, uint64_t id)
 {
-    INDEX_EACH(it, &f->by_id, hash_mix(id, 0))
-    {
+    INDEX_EACH (it, &f->by_id, hash_mix(id, 0)) {
         upstream_t *u = LIST_OWNER(it, upstream_t, by_id.link);
         if (u->a.id == id) {
             return u;
@@ -77,8 +75,7 @@
 upstream_t *
 upstream_by_tag(const flowset_t *f, uint32_t tag)
 {
-    INDEX_EACH(it, &f->by_tag, hash_mix(tag, 1))
-    {
+    INDEX_EACH (it, &f->by_tag, hash_mix(tag, 1)) {
         upstream_t *u = LIST_OWNER(it, upstream_t, by_tag.link);
         if ((uint32_t)u->a.id == tag) {
             return u;
@@ -123,8 +120,7 @@
 void
 upstream_free(flowset_t *f, upstream_t *u)
 {
-    LIST_EACH(it, &u->records)
-    {
+    LIST_EACH (it, &u->records) {
         record_free(f, LIST_OWNER(it, record_t, of));
     }
     upstream_withdraw(u);
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -55,7 +55,9 @@
 
 /* One incarnation of an upstream, as it was last announced. */
 typedef struct {
-    uint64_t id; /* the low 32 bits are its tag */
+    uint64_t revision; /* of the announcement: of two upstreams at one address
+                        * the later announced one is there now */
+    uint64_t id;       /* the low 32 bits are its tag */
     addr_t addr;
     char service[FLOW_NAME_LEN];
     char data_centre[FLOW_NAME_LEN];
@@ -109,6 +111,7 @@
     const char *service; /* chosen; NULL where none was */
     uint32_t busy, open; /* the upstream's requests and flows seen here */
     uint64_t version;    /* of the routes that decided */
+    bool asks;           /* a request begins with this packet */
 } flow_decision_t;
 
 /* ---- What goes out on its own account ---- */
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -18,6 +18,12 @@
 /* An upstream that has left is remembered so long for flows that it may still
  * hold; flows are no older on the sites served so far. */
 #define FORGET_MS 90000
+/* A request of a repeatable route that stays unanswered for so many times the
+ * service's average raises a doubt, within these bounds: well before its
+ * caller sends again.  Others' answers since then refute it. */
+#define ASKING_FACTOR 4
+#define ASKING_MIN_MS 60
+#define ASKING_MAX_MS 200
 /* Between two looks through all records. */
 #define SWEEP_MS 500
 /* Weight of a new sample in the moving averages of the time to an answer: the
@@ -60,6 +66,7 @@
     list_init(&f->services);
     list_init(&f->recent);
     list_init(&f->opening);
+    list_init(&f->asking);
     list_init(&f->doubted);
     if (index_init(&f->by_id) < 0 || index_init(&f->by_tag) < 0 ||
         index_init(&f->by_key) < 0) {
@@ -75,12 +82,10 @@
     if (f == NULL) {
         return;
     }
-    LIST_EACH(it, &f->upstreams)
-    {
+    LIST_EACH (it, &f->upstreams) {
         upstream_free(f, LIST_OWNER(it, upstream_t, all));
     }
-    LIST_EACH(it, &f->services)
-    {
+    LIST_EACH (it, &f->services) {
         service_t *s = LIST_OWNER(it, service_t, link);
         free(s->near);
         free(s->far);
@@ -118,21 +123,36 @@
     return 0;
 }
 
-/* Another upstream is announced at an address: the one that was there has
- * ended, since an address is given on only then. */
 static void
+end_at(flowset_t *f, ms_t now, upstream_t *u)
+{
+    u->listed = false;
+    u->unlisted_at = now;
+    upstream_withdraw(u);
+    reach_dead(f, now, u, "its address is another upstream's now");
+}
+
+/* An address is given to another upstream only after the one that was there
+ * has ended, though its announcement may outlast it.  Ends those announced
+ * before A; true when A itself is the former one. */
+static bool
 end_former(flowset_t *f, ms_t now, const flow_upstream_t *a)
 {
-    LIST_EACH(it, &f->upstreams)
-    {
+    bool former = false;
+
+    LIST_EACH (it, &f->upstreams) {
         upstream_t *u = LIST_OWNER(it, upstream_t, all);
-        if (u->a.id != a->id && addr_eq(&u->a.addr, &a->addr)) {
-            u->listed = false;
-            u->unlisted_at = now;
-            upstream_withdraw(u);
-            reach_dead(f, now, u, "its address is another upstream's now");
+        if (u->a.id == a->id || !addr_eq(&u->a.addr, &a->addr)) {
+            continue;
+        }
+        if (u->a.revision > a->revision) {
+            former = true;
+        }
+        else if (u->reach != REACH_DEAD) {
+            end_at(f, now, u);
         }
     }
+    return former;
 }
 
 /* U has started anew under its id: it holds none of these flows, and resets
@@ -140,8 +160,7 @@
 static void
 forget_flows(flowset_t *f, upstream_t *u)
 {
-    LIST_EACH(it, &u->records)
-    {
+    LIST_EACH (it, &u->records) {
         record_free(f, LIST_OWNER(it, record_t, of));
     }
     u->answer_ms = 0;
@@ -152,15 +171,14 @@
 flowset_set_upstream(flowset_t *f, ms_t now, const flow_upstream_t *a)
 {
     upstream_t *u = upstream_by_id(f, a->id);
+    bool former = end_former(f, now, a);
 
-    if (u == NULL) {
-        end_former(f, now, a);
-        u = upstream_new(f, a);
+    if (u != NULL && (strcmp(u->a.service, a->service) != 0 ||
+                      !addr_eq(&u->a.addr, &a->addr))) {
+        upstream_free(f, u); /* the id now stands for something else */
+        u = NULL;
     }
-    else if (strcmp(u->a.service, a->service) != 0 ||
-             !addr_eq(&u->a.addr, &a->addr)) {
-        /* The id now stands for something else: its flows are gone. */
-        upstream_free(f, u);
+    if (u == NULL) {
         u = upstream_new(f, a);
     }
     if (u == NULL) {
@@ -171,6 +189,10 @@
     }
     u->a = *a;
     u->warm_at = now + a->warm_up_ms;
+    if (former) {
+        end_at(f, now, u);
+        return 0;
+    }
     u->listed = true;
     reach_announced(f, now, u);
     return upstream_offer(f, u);
@@ -269,8 +291,8 @@
     if (fresh) {
         r->seq_end = end;
         r->sent_at = now;
-        if (r->asked_at == 0) {
-            record_asked(r, now);
+        if (r->asked_at == 0 && p->len > 0) {
+            record_asked(f, r, now);
         }
     }
 }
@@ -330,10 +352,13 @@
     if (r == NULL) {
         route = route_find(f, &p->service);
         r = record_new(f, now, p, u, route != NULL && route->repeatable);
+        d->asks = p->len > 0;
     }
     else {
+        bool asked = r->asked_at != 0;
         follow(f, now, p, r);
         touch(f, now, r);
+        d->asks = !asked && r->asked_at != 0;
     }
     if (r != NULL && p->ends) {
         record_ended(r); /* kept: the last packets must not look like a flow */
@@ -421,13 +446,10 @@
 void
 flowset_paused(flowset_t *f, ms_t now)
 {
-    LIST_EACH(it, &f->opening)
-    {
-        LIST_OWNER(it, record_t, opening)->sent_at = now;
-    }
-    LIST_EACH(it, &f->recent)
-    {
-        LIST_OWNER(it, record_t, recent)->sent_at = now;
+    LIST_EACH (it, &f->recent) {
+        record_t *r = LIST_OWNER(it, record_t, recent);
+        r->sent_at = now;
+        r->asked_at = r->asked_at != 0 ? now : 0;
     }
 }
 
@@ -435,9 +457,8 @@
 static ms_t
 check_opening(flowset_t *f, ms_t now)
 {
-    LIST_EACH(it, &f->opening)
-    {
-        record_t *r = LIST_OWNER(it, record_t, opening);
+    LIST_EACH (it, &f->opening) {
+        record_t *r = LIST_OWNER(it, record_t, waiting);
         if (now - r->sent_at < OPENING_MS) {
             return r->sent_at + OPENING_MS;
         }
@@ -449,12 +470,42 @@
     return MS_NEVER;
 }
 
+static ms_t
+asking_ms(const service_t *s)
+{
+    ms_t ms = (ms_t)(ASKING_FACTOR * s->answer_ms);
+
+    return ms == 0 || ms > ASKING_MAX_MS ? ASKING_MAX_MS
+           : ms < ASKING_MIN_MS          ? ASKING_MIN_MS
+                                         : ms;
+}
+
+/* Requests that wait unusually long; returns when the next one would.  They
+ * are in the order of their beginning, and services differ by little: one that
+ * stands behind another of a slower service is found a little late. */
+static ms_t
+check_asking(flowset_t *f, ms_t now)
+{
+    LIST_EACH (it, &f->asking) {
+        record_t *r = LIST_OWNER(it, record_t, waiting);
+        ms_t due = r->asked_at + asking_ms(r->up->service);
+        if (now < due) {
+            return due;
+        }
+        list_remove(it);
+        if (r->repeatable) { /* an upload is answered when it has ended */
+            reach_doubt(f, now, r->up, r->asked_at,
+                        "a request is not answered");
+        }
+    }
+    return MS_NEVER;
+}
+
 /* Requests whose answer won't be seen here no longer count as in progress. */
 static void
 check_asked(flowset_t *f, ms_t now)
 {
-    LIST_EACH(it, &f->recent)
-    {
+    LIST_EACH (it, &f->recent) {
         record_t *r = LIST_OWNER(it, record_t, recent);
         if (now - r->last_at < ASKED_MAX_MS) {
             return;
@@ -471,8 +522,7 @@
 static void
 forget_upstreams(flowset_t *f, ms_t now)
 {
-    LIST_EACH(it, &f->upstreams)
-    {
+    LIST_EACH (it, &f->upstreams) {
         upstream_t *u = LIST_OWNER(it, upstream_t, all);
         if (!u->listed && !u->probing && now - u->unlisted_at > FORGET_MS) {
             upstream_free(f, u);
@@ -484,9 +534,12 @@
 flowset_tick(flowset_t *f, ms_t now)
 {
     ms_t opening = check_opening(f, now);
+    ms_t asking = check_asking(f, now);
     ms_t probe = reach_tick(f, now);
     ms_t next = opening < probe ? opening : probe;
 
+    next = asking < next ? asking : next;
+
     if (now >= f->sweep_at) {
         check_asked(f, now);
         records_expire(f, now);
@@ -508,8 +561,7 @@
     s->upstreams = f->n_upstreams;
     s->records = f->n_records;
     s->usable = 0;
-    LIST_EACH(it, &f->upstreams)
-    {
+    LIST_EACH (it, &f->upstreams) {
         const upstream_t *u = LIST_OWNER(it, upstream_t, all);
         s->usable += u->listed && !u->a.draining && u->reach == REACH_GOOD;
     }
--- a/flow/reach.c
+++ b/flow/reach.c
@@ -10,17 +10,18 @@
  *
  *   accepted   it lives, however slow it is
  *   refused    the process has ended, and its flows with it
- *   silent     twice in a row: it can't be reached from here
+ *   silent     twice in a row, while another upstream answers: it can't be
+ *              reached from here
  */
 #include "flow/state.h"
 
 #include <string.h>
 
-/* One try.  The longest way between data centres is some 10 ms; a process on
- * a quarter of a core may be late by 100 ms. */
-#define PROBE_MS 200
+/* One try.  The way there and back between data centres takes some 20 ms at
+ * most, and the upstream's kernel answers at once. */
+#define PROBE_MS 100
 /* A probe whose end was not told by then was never made. */
-#define PROBE_LOST_MS (4 * PROBE_MS)
+#define PROBE_LOST_MS (8 * PROBE_MS)
 /* Probes without an answer before an upstream is out: one may be lost. */
 #define PROBES_SILENT 2
 /* A probe that was answered settles doubts for so long: the packets that are
@@ -84,6 +85,7 @@
         return;
     }
     u->probing = true;
+    u->probed_at = now;
     schedule(f, u, now + PROBE_LOST_MS);
     out.probe.to = u->a.addr;
     out.probe.timeout_ms = PROBE_MS;
@@ -131,26 +133,45 @@
     reach_ask(f, now, u, why);
 }
 
-/* Tells callers of repeatable requests at once: those that wait try elsewhere
- * within their goal, and those that are idle lose nothing.  The others too:
- * what the upstream held is lost, and waiting for it can't bring it back. */
+static void
+reset(flowset_t *f, record_t *r, flow_reason_t reason)
+{
+    flow_out_t out = {.kind = FLOW_OUT_RESET, .upstream = r->up->a.id};
+
+    out.reset.caller = r->caller;
+    out.reset.service = r->service;
+    out.reset.seq = r->ack;
+    out.reset.reason = reason;
+    f->stats.resets++;
+    f->spec.emit(f->spec.arg, &out);
+    record_free(f, r);
+}
+
+/* Tells callers of a dead upstream at once: those that wait try elsewhere
+ * within their goal, and those that are idle lose nothing.  What the upstream
+ * held is lost, and waiting for it can't bring it back. */
 static void
 reset_all(flowset_t *f, upstream_t *u)
 {
-    LIST_EACH(it, &u->records)
-    {
+    LIST_EACH (it, &u->records) {
         record_t *r = LIST_OWNER(it, record_t, of);
-        flow_out_t out = {.kind = FLOW_OUT_RESET, .upstream = u->a.id};
-        if (r->ended) {
-            continue;
+        if (!r->ended) {
+            reset(f, r, FLOW_UPSTREAM_DEAD);
+        }
+    }
+}
+
+/* Callers that wait for an upstream that can't be reached send again only
+ * after 400, 800 ms and more, past their deadline: those that may repeat their
+ * request are told now.  Idle ones may find it back when they ask. */
+static void
+reset_waiting(flowset_t *f, upstream_t *u)
+{
+    LIST_EACH (it, &u->records) {
+        record_t *r = LIST_OWNER(it, record_t, of);
+        if (r->open && !r->ended && r->repeatable && r->asked_at != 0) {
+            reset(f, r, FLOW_UPSTREAM_OUT);
         }
-        out.reset.caller = r->caller;
-        out.reset.service = r->service;
-        out.reset.seq = r->ack;
-        out.reset.reason = FLOW_UPSTREAM_DEAD;
-        f->stats.resets++;
-        f->spec.emit(f->spec.arg, &out);
-        record_free(f, r);
     }
 }
 
@@ -162,23 +183,68 @@
     reset_all(f, u);
 }
 
+/* An upstream that should answer: of this data centre if possible, the last
+ * to have shown that it lives. */
+static upstream_t *
+control_for(const flowset_t *f, const upstream_t *u)
+{
+    upstream_t *best = NULL;
+
+    LIST_EACH (it, &f->upstreams) {
+        upstream_t *c = LIST_OWNER(it, upstream_t, all);
+        if (c == u || !c->listed || c->reach != REACH_GOOD || c->probing) {
+            continue;
+        }
+        if (best == NULL || c->local > best->local ||
+            (c->local == best->local && c->alive_at > best->alive_at)) {
+            best = c;
+        }
+    }
+    return best;
+}
+
+/* The last try, with another upstream asked beside it.  An instance whose own
+ * link or processor is overloaded finds every upstream silent; had it taken
+ * that for their fault, it would reset flows that are merely late.  Only when
+ * the other answers in time is the silence U's own. */
 static void
-probe_silent(flowset_t *f, ms_t now, upstream_t *u)
+start_last_probe(flowset_t *f, ms_t now, upstream_t *u)
+{
+    upstream_t *control = control_for(f, u);
+
+    start_probe(f, now, u);
+    if (control != NULL) {
+        start_probe(f, now, control);
+    }
+}
+
+/* When to probe U again: less and less often. */
+static ms_t
+next_retry(upstream_t *u, ms_t now)
 {
-    ms_t wait = RETRY_MIN_MS;
+    u->retry_ms = u->retry_ms == 0 ? RETRY_MIN_MS : 2 * u->retry_ms;
+    if (u->retry_ms > RETRY_MAX_MS) {
+        u->retry_ms = RETRY_MAX_MS;
+    }
+    return now + u->retry_ms;
+}
 
+static void
+probe_silent(flowset_t *f, ms_t now, upstream_t *u)
+{
     u->silent++;
     if (u->reach == REACH_DOUBTED && u->silent < PROBES_SILENT) {
-        start_probe(f, now, u);
+        start_last_probe(f, now, u);
         return;
     }
-    for (int i = PROBES_SILENT; i < u->silent && wait < RETRY_MAX_MS; i++) {
-        wait *= 2;
+    if (u->reach == REACH_DOUBTED && f->answered_from < u->probed_at) {
+        u->silent = 0; /* nothing is proved: all over again, a little later */
     }
-    if (u->reach == REACH_DOUBTED) {
+    else if (u->reach == REACH_DOUBTED) {
         set_reach(f, u, REACH_OUT, "it did not answer two probes");
+        reset_waiting(f, u);
     }
-    schedule(f, u, now + wait);
+    schedule(f, u, next_retry(u, now));
 }
 
 void
@@ -188,7 +254,11 @@
     schedule(f, u, MS_NEVER);
     switch (result) {
     case PROBE_ANSWERED:
+        if (u->probed_at > f->answered_from) {
+            f->answered_from = u->probed_at;
+        }
         u->silent = 0;
+        u->retry_ms = 0;
         u->unanswered = 0;
         u->alive_at = now;
         u->trusted_to = now + TRUST_MS;
@@ -196,14 +266,14 @@
         break;
     case PROBE_REFUSED:
         reach_dead(f, now, u, "its host refused a probe");
-        schedule(f, u, now + RETRY_MIN_MS);
+        schedule(f, u, next_retry(u, now));
         break;
     case PROBE_SILENT:
         probe_silent(f, now, u);
         break;
     case PROBE_NONE:
     case PROBE_RESULTS:
-        schedule(f, u, now + RETRY_MIN_MS);
+        schedule(f, u, next_retry(u, now));
         break;
     }
 }
@@ -213,8 +283,7 @@
 {
     ms_t next = MS_NEVER;
 
-    LIST_EACH(it, &f->doubted)
-    {
+    LIST_EACH (it, &f->doubted) {
         upstream_t *u = LIST_OWNER(it, upstream_t, due);
         if (!u->listed && u->open == 0) {
             schedule(f, u, MS_NEVER);
--- a/flow/records.c
+++ b/flow/records.c
@@ -14,8 +14,7 @@
 record_t *
 record_find(const flowset_t *f, const addr_t *caller, const addr_t *service)
 {
-    INDEX_EACH(it, &f->by_key, key_hash(caller, service))
-    {
+    INDEX_EACH (it, &f->by_key, key_hash(caller, service)) {
         record_t *r = LIST_OWNER(it, record_t, by_key.link);
         if (addr_eq(&r->caller, caller) && addr_eq(&r->service, service)) {
             return r;
@@ -73,9 +72,9 @@
     r->ack = p->ack;
     r->sent_at = r->last_at = now;
     list_append(&f->recent, &r->recent);
-    list_init(&r->opening);
+    list_init(&r->waiting);
     if (p->opens) {
-        list_append(&f->opening, &r->opening);
+        list_append(&f->opening, &r->waiting);
     }
     index_add(&f->by_key, &r->by_key, key_hash(&p->caller, &p->service));
     attach(r, u);
@@ -88,7 +87,7 @@
 {
     detach(r);
     list_remove(&r->recent);
-    list_remove(&r->opening);
+    list_remove(&r->waiting);
     index_remove(&f->by_key, &r->by_key);
     f->n_records--;
     free(r);
@@ -102,11 +101,13 @@
 }
 
 void
-record_asked(record_t *r, ms_t now)
+record_asked(flowset_t *f, record_t *r, ms_t now)
 {
     weigh(r, (uint32_t)-1);
     r->asked_at = now;
     weigh(r, 1);
+    list_remove(&r->waiting);
+    list_append(&f->asking, &r->waiting);
 }
 
 void
@@ -115,6 +116,7 @@
     weigh(r, (uint32_t)-1);
     r->asked_at = 0;
     weigh(r, 1);
+    list_remove(&r->waiting);
 }
 
 void
@@ -123,7 +125,7 @@
     weigh(r, (uint32_t)-1);
     r->open = true;
     weigh(r, 1);
-    list_remove(&r->opening);
+    list_remove(&r->waiting);
 }
 
 void
@@ -131,14 +133,13 @@
 {
     weigh(r, (uint32_t)-1);
     r->ended = true;
-    list_remove(&r->opening);
+    list_remove(&r->waiting);
 }
 
 void
 records_expire(flowset_t *f, ms_t now)
 {
-    LIST_EACH(it, &f->recent)
-    {
+    LIST_EACH (it, &f->recent) {
         record_t *r = LIST_OWNER(it, record_t, recent);
         if (f->conf == NULL || now - r->last_at < f->conf->idle_ms) {
             return;
--- a/flow/state.h
+++ b/flow/state.h
@@ -24,7 +24,7 @@
 void index_remove(index_t *ix, entry_t *e);
 link_t *index_bucket(const index_t *ix, uint64_t hash);
 
-#define INDEX_EACH(it, ix, hash) LIST_EACH(it, index_bucket(ix, hash))
+#define INDEX_EACH(it, ix, hash) LIST_EACH (it, index_bucket(ix, hash))
 
 /* ---- Upstreams ---- */
 
@@ -52,6 +52,8 @@
     bool probing;
     int silent;      /* probes in a row without an answer */
     ms_t alive_at;   /* the last sign of life */
+    ms_t retry_ms;   /* the last wait between probes; 0: none yet */
+    ms_t probed_at;  /* the last one started */
     ms_t probe_at;   /* when the next probe is due; MS_NEVER: none */
     ms_t trusted_to; /* a probe has just shown that it lives */
 } upstream_t;
@@ -70,7 +72,8 @@
 typedef struct {
     entry_t by_key;
     link_t recent;  /* flowset_t.recent, least recently used first */
-    link_t opening; /* flowset_t.opening, oldest first; until it is open */
+    link_t waiting; /* flowset_t.opening or .asking, oldest first: a sign
+                     * that the upstream lives is waited for */
     link_t of;      /* upstream_t.records */
     addr_t caller, service;
     upstream_t *up;
@@ -90,9 +93,11 @@
     rng_t rng;
     flow_conf_t *conf; /* NULL: none yet; routes sorted by address */
     index_t by_id, by_tag, by_key;
-    link_t upstreams, services, recent, opening, doubted;
+    link_t upstreams, services, recent, doubted;
+    link_t opening, asking; /* records: see record_t.waiting */
     uint32_t n_upstreams, n_records;
-    ms_t sweep_at; /* when all records are looked through next */
+    ms_t answered_from; /* the latest start of a probe that was answered */
+    ms_t sweep_at;      /* when all records are looked through next */
     flow_stats_t stats;
 };
 
@@ -122,7 +127,7 @@
 /* Forgets what is older than the configuration's idle time. */
 void records_expire(flowset_t *f, ms_t now);
 /* A request of R begins, or is no longer waited for. */
-void record_asked(record_t *r, ms_t now);
+void record_asked(flowset_t *f, record_t *r, ms_t now);
 void record_answered(record_t *r);
 /* The first packet after the opening one; the caller's last. */
 void record_opened(record_t *r);
--- a/source/source.c
+++ b/source/source.c
@@ -7,15 +7,6 @@
  * failures are restarts, which take a second or two. */
 #define FAILED_MIN_MS 1500
 #define FAILED_MAX_MS 12000
-/* Nobody has confirmed what is known for so long: the leader's watch may be
- * dead, so the store is asked directly.  Above a leader's wait in calm, 8 s.
- */
-#define STALE_MS 10000
-/* Between such tries, with jitter: a data centre that has lost its leader's
- * source must not ask all at once. */
-#define OWN_TRY_MIN_MS 1500
-#define OWN_TRY_SPREAD_MS 3000
-
 void
 sources_init(sources_t *s, const addr_t *self, const char *data_centre,
              uint64_t seed)
@@ -125,19 +116,9 @@
 }
 
 const source_peer_t *
-sources_lead(sources_t *s, ms_t now, ms_t current_at)
+sources_lead(const sources_t *s, ms_t now)
 {
-    const source_peer_t *leader = local_leader(s, now);
-
-    if (leader == NULL) {
-        return NULL;
-    }
-    if (now - current_at > STALE_MS && now >= s->own_try_at) {
-        s->own_try_at =
-            now + OWN_TRY_MIN_MS + rng_below(&s->rng, OWN_TRY_SPREAD_MS);
-        return NULL;
-    }
-    return leader;
+    return local_leader(s, now);
 }
 
 /* The first rank of P's data centre, among those that answer: the others
--- a/source/source.h
+++ b/source/source.h
@@ -8,7 +8,9 @@
  *
  * A leader may be cut off, frozen or turned away by the store and not know it.
  * So each instance also asks another data centre's leader, now and then,
- * whether there is anything newer.
+ * whether there is anything newer.  When all leaders are blind, what is known
+ * grows old everywhere: each passes over those that tell old news, and in the
+ * end follows the store itself.
  *
  * Pure: no sockets, clocks or threads.
  */
@@ -40,7 +42,6 @@
     char data_centre[SOURCE_NAME_LEN];
     bool announced; /* this instance itself is */
     rng_t rng;
-    ms_t own_try_at; /* it asks the store itself while nobody is current */
     uint32_t n;
     source_peer_t peer[SOURCE_PEERS_MAX];
 } sources_t;
@@ -50,13 +51,12 @@
 /* A peer is announced, or named in the settings (DATA_CENTRE ""). */
 void sources_add(sources_t *s, const addr_t *a, const char *data_centre);
 void sources_remove(sources_t *s, const addr_t *a);
-/* It did not answer, or it did. */
+/* It did not answer, or what it knows is old; or it did. */
 void sources_failed(sources_t *s, ms_t now, const addr_t *a);
 void sources_answered(sources_t *s, const addr_t *a);
 
-/* The peer to follow, or NULL: follow the store itself.  CURRENT_AT is when
- * what is known was last known to be current. */
-const source_peer_t *sources_lead(sources_t *s, ms_t now, ms_t current_at);
+/* The peer to follow, or NULL: follow the store itself. */
+const source_peer_t *sources_lead(const sources_t *s, ms_t now);
 /* A peer to ask for anything newer, other than the one that is followed; NULL:
  * there is none. */
 const source_peer_t *sources_check(sources_t *s, ms_t now);
--- a/standin/feeds.c
+++ b/standin/feeds.c
@@ -21,8 +21,7 @@
 void
 si_feeds_clear(si_feeds_t *fs)
 {
-    LIST_EACH(it, &fs->list)
-    {
+    LIST_EACH (it, &fs->list) {
         feed_remove(fs, LIST_OWNER(it, si_feed_t, link));
     }
 }
@@ -37,8 +36,7 @@
 static si_feed_t *
 feed_find(si_feeds_t *fs, const addr_t *client, const coap_msg_t *m)
 {
-    LIST_EACH(it, &fs->list)
-    {
+    LIST_EACH (it, &fs->list) {
         si_feed_t *f = LIST_OWNER(it, si_feed_t, link);
         if (addr_eq(&f->header.client, client) && token_is(f, m)) {
             return f;
@@ -86,8 +84,7 @@
 void
 si_feeds_answered(si_feeds_t *fs, const addr_t *client, const coap_msg_t *m)
 {
-    LIST_EACH(it, &fs->list)
-    {
+    LIST_EACH (it, &fs->list) {
         si_feed_t *f = LIST_OWNER(it, si_feed_t, link);
         bool con = f->con_tries > 0 && f->con_mid == m->mid;
 
@@ -157,8 +154,7 @@
 void
 si_feeds_tick(si_feeds_t *fs, ms_t now, si_notify_t *notify, void *arg)
 {
-    LIST_EACH(it, &fs->list)
-    {
+    LIST_EACH (it, &fs->list) {
         si_feed_t *f = LIST_OWNER(it, si_feed_t, link);
 
         if (f->con_tries > 0 && now >= f->con_at &&
--- a/standin/uploads.c
+++ b/standin/uploads.c
@@ -27,8 +27,7 @@
 void
 si_uploads_clear(si_uploads_t *us)
 {
-    LIST_EACH(it, &us->list)
-    {
+    LIST_EACH (it, &us->list) {
         upload_remove(us, LIST_OWNER(it, upload_t, link));
     }
 }
@@ -36,8 +35,7 @@
 static upload_t *
 upload_find(si_uploads_t *us, const addr_t *client)
 {
-    LIST_EACH(it, &us->list)
-    {
+    LIST_EACH (it, &us->list) {
         upload_t *up = LIST_OWNER(it, upload_t, link);
         if (addr_eq(&up->client, client)) {
             return up;
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -289,8 +289,7 @@
 static void
 start_queued(si_upstream_t *u, ms_t now)
 {
-    LIST_EACH(it, &u->queue)
-    {
+    LIST_EACH (it, &u->queue) {
         if (u->n_running >= u->params.slots) {
             return;
         }
@@ -598,8 +597,7 @@
     if (now < u->up_at) {
         return;
     }
-    LIST_EACH(it, &u->running)
-    {
+    LIST_EACH (it, &u->running) {
         si_exchange_t *x = LIST_OWNER(it, si_exchange_t, work);
         if (now >= x->done_at) {
             ex_finish(u, now, x);
--- a/tagged/daemon.c
+++ b/tagged/daemon.c
@@ -29,6 +29,7 @@
     {.name = "serve", .run = serve_run, .inbox = 4},
     {.name = "follow", .run = follow_run, .inbox = 4},
     {.name = "check", .run = check_run, .inbox = 4},
+    {.name = "announce", .run = announce_run, .inbox = 4},
 };
 
 static int
@@ -50,8 +51,10 @@
 {
     t->replica = replica_new(t->started);
     t->store = store_new(t->settings.store_url);
+    t->writer = store_new(t->settings.store_url);
     t->kern = kern_new();
-    if (t->replica == NULL || t->store == NULL || t->kern == NULL) {
+    if (t->replica == NULL || t->store == NULL || t->writer == NULL ||
+        t->kern == NULL) {
         return err_set(e, -ENOMEM, "start", t->settings.name, "out of memory");
     }
     t->flow_fd = udp_open(&t->settings.flow_addr, e);
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -8,16 +8,18 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A watch waits so long.  One that the store has forgotten never answers, and
- * that may befall all leaders at the same time: then only the end of the wait
- * shows it.  A change is due 3 s after the 4 s of grace that follow a fault.
- */
-#define WATCH_MS 2600
-_Static_assert(WATCH_MS + STORE_SLACK_MS <= 3500,
-               "a forgotten watch must be found in time");
+/* A watch waits so long: its end confirms that nothing has changed, and shows
+ * a watch that the store has forgotten. */
+#define WATCH_MS 1500
 /* A peer answers at once when there is something new, and at the latest after
  * so long, which shows that it lives. */
-#define PEER_WAIT_MS 1000
+#define PEER_WAIT_MS 600
+/* What nobody has confirmed for so long may be old: the leaders may all be
+ * blind.  Above a watch and a wait in calm; a change is due 3 s after it was
+ * accepted, also when the last confirmation was just before it. */
+#define STALE_MS 2500
+_Static_assert(WATCH_MS + PEER_WAIT_MS + 300 <= STALE_MS,
+               "in calm nothing may look old");
 /* After a change, before the next watch: changes come in series, each answer
  * is a call that is paid for, and a change may take 3 s. */
 #define GATHER_MS 200
@@ -27,14 +29,6 @@
  * return all at once.  The upper bound is short of what a change may take. */
 #define BACKOFF_MIN_MS 150
 #define BACKOFF_MAX_MS 1200
-/* An announcement lapses so long after its instance died.  Until then peers
- * pass it over as one that doesn't answer. */
-#define ANNOUNCE_MS 60000
-#define RENEW_MS 20000
-/* Instances that start together wait a random time before they announce
- * themselves: by then they see that enough others have. */
-#define ANNOUNCE_SPREAD_MS 3000
-
 typedef struct {
     tagged_t *t;
     rng_t rng;
@@ -42,8 +36,6 @@
      * news was lost on the way: only a list tells what there is. */
     bool must_list;
     ms_t backoff;
-    uint64_t lease; /* of its announcement; 0: none of its own */
-    ms_t announce_at;
     peer_client_t peer;
 } follow_t;
 
@@ -89,12 +81,20 @@
     return rc;
 }
 
+static bool
+is_stale(const follow_t *f)
+{
+    return clock_now() - replica_current_at(f->t->replica) > STALE_MS;
+}
+
 static int
 watch(follow_t *f, err_t *e)
 {
     uint64_t after = replica_revision(f->t->replica);
+    /* Old news are confirmed or replaced at once, without a wait. */
+    ms_t wait = is_stale(f) ? 0 : WATCH_MS;
     store_items_t items;
-    int rc = store_watch(f->t->store, after, WATCH_MS, &items, e);
+    int rc = store_watch(f->t->store, after, wait, &items, e);
 
     if (rc == -ESTALE) {
         log_line(LVL_WARN, "follow",
@@ -113,61 +113,6 @@
     return rc;
 }
 
-/* ---- Its own announcement, by which peers find it ---- */
-
-static int
-renew(follow_t *f, err_t *e)
-{
-    int rc = store_renew(f->t->store, f->lease, e);
-
-    if (rc == -ENOENT) { /* it ended meanwhile: announced anew */
-        f->lease = 0;
-    }
-    return rc;
-}
-
-static int
-announce_anew(follow_t *f, err_t *e)
-{
-    char key[128];
-
-    store_peer_key(key, sizeof(key), &f->t->settings.admin_addr);
-    return store_announce(f->t->store, key, f->t->settings.data_centre,
-                          ANNOUNCE_MS, &f->lease, e);
-}
-
-/* An instance without a lease of its own that is announced has restarted: the
- * announcement of before holds until it lapses, and is then made anew. */
-static void
-announce(follow_t *f)
-{
-    ms_t now = clock_now();
-    err_t e = {0};
-    bool needed;
-    int rc = 0;
-
-    if (now < f->announce_at) {
-        return;
-    }
-    pthread_mutex_lock(&f->t->follow_lock);
-    needed = sources_should_announce(&f->t->sources);
-    pthread_mutex_unlock(&f->t->follow_lock);
-    if (f->lease != 0) {
-        rc = renew(f, &e);
-    }
-    else if (needed) {
-        rc = announce_anew(f, &e);
-    }
-    f->announce_at = now + (f->lease != 0 && rc == 0
-                                ? RENEW_MS
-                                : rng_below(&f->rng, ANNOUNCE_SPREAD_MS));
-    if (rc < 0) {
-        log_line(LVL_WARN, "follow",
-                 "The instance is not announced. step=\"%s\" error=\"%s\"",
-                 e.step, e.text);
-    }
-}
-
 /* ---- The loop ---- */
 
 static ms_t
@@ -196,25 +141,31 @@
     return rc > 0 ? GATHER_MS : 0;
 }
 
+/* One question to the peer at A.  One that doesn't answer, or leaves what is
+ * known here old, is passed over. */
 static ms_t
 follow_peer(follow_t *f, const addr_t *a)
 {
+    ms_t wait = is_stale(f) ? 0 : PEER_WAIT_MS;
     char text[ADDR_STRLEN];
     err_t e = {0};
-    int rc = news_ask(f->t, &f->peer, a, PEER_WAIT_MS, &e);
+    int rc = news_ask(f->t, &f->peer, a, wait, &e);
+    bool old = rc >= 0 && is_stale(f);
 
     pthread_mutex_lock(&f->t->follow_lock);
-    if (rc < 0) {
+    if (rc < 0 || old) {
         sources_failed(&f->t->sources, clock_now(), a);
     }
     else {
         sources_answered(&f->t->sources, a);
     }
     pthread_mutex_unlock(&f->t->follow_lock);
-    if (rc < 0) {
+    if (rc < 0 || old) {
         log_line(LVL_WARN, "follow",
-                 "The followed peer does not answer. peer=%s error=\"%s\"",
-                 addr_text(a, text), e.text);
+                 "The followed peer is passed over. peer=%s error=\"%s\" "
+                 "age_ms=%lld",
+                 addr_text(a, text), rc < 0 ? e.text : "what it knows is old",
+                 (long long)(clock_now() - replica_current_at(f->t->replica)));
     }
     return 0;
 }
@@ -224,16 +175,15 @@
 {
     const source_peer_t *p;
     addr_t a = {0};
+    char text[ADDR_STRLEN];
 
     pthread_mutex_lock(&f->t->follow_lock);
-    p = sources_lead(&f->t->sources, clock_now(),
-                     replica_current_at(f->t->replica));
+    p = sources_lead(&f->t->sources, clock_now());
     if (p != NULL) {
         a = p->addr;
     }
     pthread_mutex_unlock(&f->t->follow_lock);
     if ((p == NULL) != *leading) {
-        char text[ADDR_STRLEN];
         *leading = p == NULL;
         log_line(LVL_INFO, "follow", "It follows another source. source=%s",
                  p != NULL ? addr_text(&a, text) : "store");
@@ -284,12 +234,8 @@
 
     f.rng.seed = hash64(f.t->settings.name, strlen(f.t->settings.name),
                         (uint64_t)f.t->started + 1);
-    f.announce_at = f.t->started + rng_below(&f.rng, ANNOUNCE_SPREAD_MS);
     while (!duty_stopping(self)) {
         ms_t pause = follow_once(&f, &leading);
-        if (SHARED(f.t, store_up) && replica_revision(f.t->replica) > 0) {
-            announce(&f);
-        }
         if (__atomic_exchange_n(&f.t->reload, false, __ATOMIC_RELAXED)) {
             reload(&f);
         }
--- a/tagged/news.c
+++ b/tagged/news.c
@@ -52,7 +52,7 @@
 }
 
 static int
-pass_on(tagged_t *t, const store_items_t *items)
+pass_on(tagged_t *t, const store_items_t *items, bool first)
 {
     changes_t *c = calloc(1, sizeof(*c) + (items->n + 1) * sizeof(*c->event));
     int rc;
@@ -60,6 +60,7 @@
     if (c == NULL) {
         return -ENOMEM;
     }
+    c->first = first;
     for (size_t i = 0; i < items->n; i++) {
         decode(t, &items->item[i], c);
     }
@@ -78,13 +79,15 @@
 news_take(tagged_t *t, const store_items_t *items)
 {
     store_items_t changed;
+    bool first;
     int n, rc;
 
     pthread_mutex_lock(&t->follow_lock);
+    first = replica_revision(t->replica) == 0;
     rc = replica_merge(t->replica, clock_now(), items, &changed);
     n = (int)changed.n;
     if (rc == 0 && n > 0) {
-        rc = pass_on(t, &changed);
+        rc = pass_on(t, &changed, first);
     }
     pthread_mutex_unlock(&t->follow_lock);
     store_items_free(&changed);
--- a/tagged/packets.c
+++ b/tagged/packets.c
@@ -93,6 +93,21 @@
     }
 }
 
+static void
+log_request(packets_t *p, const flow_packet_t *in, const flow_decision_t *d,
+            const uint8_t *data, size_t len)
+{
+    char id[PACKET_ID_LEN], caller[ADDR_STRLEN], service[ADDR_STRLEN];
+
+    if (d->asks && packet_request_id(data, len, id) && may_log(p)) {
+        log_line(LVL_INFO, "request",
+                 "Begins. request=%s flow=%s>%s upstream=%llx busy=%u", id,
+                 addr_text(&in->caller, caller),
+                 addr_text(&in->service, service),
+                 (unsigned long long)d->upstream, d->busy);
+    }
+}
+
 static void
 log_reach(const flow_out_t *out)
 {
@@ -238,12 +253,15 @@
 }
 
 static void
-take_upstream(packets_t *p, const store_event_t *ev)
+take_upstream(packets_t *p, const store_event_t *ev, bool first)
 {
     const flow_upstream_t *u = &ev->upstream;
     char addr[ADDR_STRLEN];
     int rc = flowset_set_upstream(p->flows, p->now, u);
 
+    if (first && rc == 0) {
+        return; /* a line for all of them is enough */
+    }
     log_line(rc < 0 ? LVL_ERROR : LVL_INFO, "upstreams",
              "Announced. upstream=%llx addr=%s service=%s data_centre=%s "
              "state=%s warm_up_ms=%lld revision=%llu%s",
@@ -254,14 +272,14 @@
 }
 
 static void
-take_event(packets_t *p, store_event_t *ev)
+take_event(packets_t *p, store_event_t *ev, bool first)
 {
     switch (ev->kind) {
     case STORE_ROUTES:
         take_routes(p, ev);
         return;
     case STORE_UPSTREAM:
-        take_upstream(p, ev);
+        take_upstream(p, ev, first);
         return;
     case STORE_UPSTREAM_GONE:
         log_line(LVL_INFO, "upstreams",
@@ -300,7 +318,13 @@
 take_changes(packets_t *p, changes_t *c)
 {
     for (size_t i = 0; i < c->n; i++) {
-        take_event(p, &c->event[i]);
+        take_event(p, &c->event[i], c->first);
+    }
+    if (c->first) {
+        const flow_stats_t *s = flowset_stats(p->flows);
+        log_line(LVL_INFO, "upstreams",
+                 "The first list. upstreams=%u usable=%u routes=%u",
+                 s->upstreams, s->usable, s->routes);
     }
     if (!p->serving && flowset_ready(p->flows)) {
         begin_serving(p);
@@ -326,6 +350,7 @@
         if (in.opens) {
             packet_set_tag(data, d.tag);
         }
+        log_request(p, &in, &d, data, len);
         send_upstream(p, data, len, &d);
         return;
     case FLOW_RESET:
--- a/tagged/report.c
+++ b/tagged/report.c
@@ -101,7 +101,8 @@
     line(f, "gauge", "store_revision", replica_revision(t->replica));
     line(f, "gauge", "replica_age_milliseconds",
          (uint64_t)(clock_now() - replica_current_at(t->replica)));
-    line(f, "counter", "store_calls_total", store_calls(t->store));
+    line(f, "counter", "store_calls_total",
+         store_calls(t->store) + store_calls(t->writer));
     line(f, "counter", "store_failures_total",
          counter_read(&c->store_failures));
     line(f, "counter", "store_items_refused_total",
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -4,6 +4,7 @@
  *   packets   callers' packets: received, decided (flow/), sent; probes
  *   follow    follows the store, or the peer that does (source/)
  *   check     asks another peer for anything newer
+ *   announce  keeps the instance's own announcement in the store
  *   serve     HTTP: readiness, metrics, status, the replica for peers
  *   main      signals, start and stop
  *
@@ -48,6 +49,7 @@
 
 /* What has changed in the store. */
 typedef struct {
+    bool first; /* nothing was known before */
     size_t n;
     store_event_t event[];
 } changes_t;
@@ -71,7 +73,8 @@
     char settings_file[256];
     kern_t *kern;
     replica_t *replica;
-    store_t *store;              /* follow's */
+    store_t *store;              /* follow's client */
+    store_t *writer;             /* announce's */
     pthread_mutex_t follow_lock; /* sources, and the order of changes */
     sources_t sources;
     int flow_fd;
@@ -97,6 +100,7 @@
 void packets_run(duty_t *self, void *tagged);
 void follow_run(duty_t *self, void *tagged);
 void check_run(duty_t *self, void *tagged);
+void announce_run(duty_t *self, void *tagged);
 void serve_run(duty_t *self, void *tagged);
 
 /* ---- news.c: how what is new gets from a source to packets ---- */
