tagged: old news send an instance to the store first; a stop ends at once

Now the store is asked first, peers when it can't be reached. A source that knows less than is known here no longer counts as a confirmation.

Now it forwards to the last moment and ends.

--- a/tagged/daemon.c
+++ b/tagged/daemon.c
@@ -11,8 +11,6 @@
 #include <unistd.h>
 
 #define CHANGES_INBOX 64
-/* Duties are given so long to end. */
-#define JOIN_MS 500
 /* Without a packet for so long, nobody sends here any more: routers have
  * noticed that it isn't ready (two looks, half a second apart). */
 #define QUIET_MS 1500
@@ -153,9 +151,10 @@
     log_line(LVL_INFO, "main", "It runs. data_centre=%s store=%s records=%u",
              s->data_centre, s->store_url, s->records);
     wait_for_end(&t, signals);
-    /* A call to the store may still block: the process ends without it. */
-    kern_stop(t.kern, JOIN_MS);
-    log_line(LVL_INFO, "main", "It has stopped.");
+    /* The duties are not joined: a call to the store may block for a second,
+     * in which the routers may still send packets here and get no other
+     * process in its place.  Packets are forwarded to the last moment. */
+    log_line(LVL_INFO, "main", "It stops.");
     log_close();
     _exit(EXIT_SUCCESS);
 }
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -35,6 +35,7 @@
     /* The store's history doesn't reach back to the replica's revision, or
      * news was lost on the way: only a list tells what there is. */
     bool must_list;
+    bool store_failed; /* the last try was the store's, and failed */
     ms_t backoff;
     peer_client_t peer;
 } follow_t;
@@ -134,6 +135,7 @@
     int rc = known && !f->must_list ? watch(f, &e) : list(f, &e);
 
     note_store(f, rc, &e);
+    f->store_failed = rc < 0;
     if (rc < 0) {
         return next_backoff(f);
     }
@@ -152,6 +154,8 @@
     int rc = news_ask(f->t, &f->peer, a, wait, &e);
     bool old = rc >= 0 && is_stale(f);
 
+    f->store_failed = false;
+
     pthread_mutex_lock(&f->t->follow_lock);
     if (rc < 0 || old) {
         sources_failed(&f->t->sources, clock_now(), a);
@@ -170,25 +174,42 @@
     return 0;
 }
 
-static ms_t
-follow_once(follow_t *f, bool *leading)
+/* The peer to follow, or false: the store.  Old news mean that the leaders are
+ * blind: the store is asked at once, and peers only where it can't be reached
+ * from here.  Walking through peers first takes seconds when many are cut off.
+ */
+static bool
+pick_peer(follow_t *f, addr_t *a)
 {
     const source_peer_t *p;
-    addr_t a = {0};
-    char text[ADDR_STRLEN];
 
+    if (is_stale(f) && !f->store_failed) {
+        return false;
+    }
     pthread_mutex_lock(&f->t->follow_lock);
     p = sources_lead(&f->t->sources, clock_now());
     if (p != NULL) {
-        a = p->addr;
+        *a = p->addr;
     }
     pthread_mutex_unlock(&f->t->follow_lock);
-    if ((p == NULL) != *leading) {
-        *leading = p == NULL;
-        log_line(LVL_INFO, "follow", "It follows another source. source=%s",
-                 p != NULL ? addr_text(&a, text) : "store");
+    return p != NULL;
+}
+
+static ms_t
+follow_once(follow_t *f, bool *leading)
+{
+    addr_t a = {0};
+    bool peer = pick_peer(f, &a);
+    char text[ADDR_STRLEN];
+
+    if (peer == *leading) {
+        *leading = !peer;
+        log_line(LVL_INFO, "follow",
+                 "It follows another source. source=%s age_ms=%lld",
+                 peer ? addr_text(&a, text) : "store",
+                 (long long)(clock_now() - replica_current_at(f->t->replica)));
     }
-    return p != NULL ? follow_peer(f, &a) : follow_store(f);
+    return peer ? follow_peer(f, &a) : follow_store(f);
 }
 
 /* The settings file has changed.  What a running process can't change is
--- a/tagged/replica.c
+++ b/tagged/replica.c
@@ -202,7 +202,9 @@
         }
         r->items.revision = items->revision;
     }
-    if (rc == 0 && now - items->age > r->current_at) {
+    /* A source that knows less than is known here was not current. */
+    if (rc == 0 && items->revision >= r->items.revision &&
+        now - items->age > r->current_at) {
         r->current_at = now - items->age;
     }
     forget_removed(r);
--- a/test/replica_test.cc
+++ b/test/replica_test.cc
@@ -162,6 +162,18 @@
     EXPECT_EQ(replica_current_at(r), 2000);
 }
 
+/* A source whose watch is dead believes that it is current.  That it knows
+ * less shows that it isn't. */
+TEST_F(Replica, ASourceThatKnowsLessDoesNotConfirm)
+{
+    merge(Items(20, true));
+    now = 9000;
+    merge(Items(15));
+    EXPECT_EQ(replica_current_at(r), 1000);
+    merge(Items(20));
+    EXPECT_EQ(replica_current_at(r), 9000);
+}
+
 /* Whatever order news come in, by whatever way, the last word of each key by
  * revision holds, and what was passed on adds up to it. */
 TEST_F(Replica, AnyOrderEndsInTheSameState)
