flow: an upstream that refuses at once draws no flows; load tests; the soak

Now the usual answer time is the median over upstreams, and one far below it counts four times its load.

test/flow_load_test.cc replays a burst, a slow, a deaf, a warming and a refusing upstream, calm and a local burst. test/tagged_soak.bash harms real processes at random; its first runs shared ports between neighbours and counted each other's requests: each run has addresses of its own now.

--- a/Makefile
+++ b/Makefile
@@ -123,6 +123,13 @@
 soak: $(B)/core_prop_test
 	SISKIN_SCHEDULES=$(N) SISKIN_SEED=$(SEED) $(B)/core_prop_test
 
+# The soak of tagged flows with real processes, JOBS seeds at a time.
+SEEDS ?= 1 2 3 4 5 6 7 8
+JOBS  ?= 3
+soak-tagged: all
+	printf '%s\n' $(SEEDS) | \
+	    xargs -P $(JOBS) -n 1 bash test/tagged_soak.bash $(B)
+
 demo: setup
 	$(MAKE) -j8 all
 	./test/demo $(B)
@@ -131,6 +138,6 @@
 	rm -rf build build-san
 
 .PHONY: all tests benches format format-check lint setup test check sanitize \
-        soak bench demo clean
+        soak soak-tagged bench demo clean
 .SECONDARY:
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- a/flow/choice.c
+++ b/flow/choice.c
@@ -7,6 +7,8 @@
  */
 #include "flow/state.h"
 
+#include <stdlib.h>
+
 /* Requests in progress that one open flow stands for.  Long flows ask now and
  * then: as many of them as come to one request in progress make it likely.
  * Large enough that flows are spread evenly when nothing is in progress. */
@@ -16,6 +18,11 @@
 /* The most that a slow upstream is held back, as a factor of its load.  Above
  * it the average says little, and a few flows must go on measuring. */
 #define SLOW_FACTOR_MAX 8.0
+/* An upstream that answers in less than this share of the service's usual time
+ * is taken to refuse requests, and counts so many times its load: four idle
+ * ones go before it, and it still gets a flow now and then to prove itself. */
+#define FAST_SHARE 0.4
+#define FAST_FACTOR 4.0
 /* An average that no answer has renewed for so long tells nothing. */
 #define ANSWER_FRESH_MS 3000
 /* Requests in progress per slot, seen here, at which an upstream of another
@@ -33,6 +40,9 @@
  * also lapse while the store is away, and are back within two seconds. */
 #define LAPSE_MS 2000
 
+/* Upstreams whose answer times make the service's usual one. */
+#define MEDIAN_MAX 64
+
 /* How well an upstream would do.  Lower is better. */
 typedef enum {
     TIER_GOOD,
@@ -62,10 +72,11 @@
     return u->listed ? TIER_GOOD : TIER_LAPSED;
 }
 
-/* How much slower U answers than its service does on average, at least 1: an
- * upstream that answers fast may just be refusing. */
+/* What U's answer time says against it, as a factor of its load.  Slower than
+ * the service's usual: its requests will wait.  Much faster: it refuses them
+ * at once, and as it then looks idle, it would draw most new flows. */
 static double
-slowness(const upstream_t *u, ms_t now)
+oddness(const upstream_t *u, ms_t now)
 {
     double x;
 
@@ -74,6 +85,9 @@
         return 1;
     }
     x = u->answer_ms / u->service->answer_ms;
+    if (x < FAST_SHARE) {
+        return FAST_FACTOR;
+    }
     return x < 1 ? 1 : x > SLOW_FACTOR_MAX ? SLOW_FACTOR_MAX : x;
 }
 
@@ -89,7 +103,7 @@
     double load = 1 + u->busy + u->open * FLOW_SHARE + u->unanswered;
     double factor = now < u->warm_at ? WARM_UP_FACTOR : 1;
 
-    return load / u->a.slots * factor * slowness(u, now);
+    return load / u->a.slots * factor * oddness(u, now);
 }
 
 static bool
@@ -143,6 +157,39 @@
                                                                   : near.up;
 }
 
+static int
+cmp_double(const void *a, const void *b)
+{
+    double x = *(const double *)a, y = *(const double *)b;
+
+    return (x > y) - (x < y);
+}
+
+/* Adds the averages of LIST that are fresh to MS, from place N on. */
+static size_t
+gather(upstream_t *const *list, uint32_t n_list, ms_t now, double *ms,
+       size_t n)
+{
+    for (uint32_t i = 0; i < n_list && n < MEDIAN_MAX; i++) {
+        const upstream_t *u = list[i];
+        if (u->answer_ms > 0 && now - u->answered_at <= ANSWER_FRESH_MS) {
+            ms[n++] = u->answer_ms;
+        }
+    }
+    return n;
+}
+
+void
+choice_sweep(service_t *s, ms_t now)
+{
+    double ms[MEDIAN_MAX];
+    size_t n = gather(s->near, s->n_near, now, ms, 0);
+
+    n = gather(s->far, s->n_far, now, ms, n);
+    qsort(ms, n, sizeof(*ms), cmp_double);
+    s->answer_ms = n > 0 ? ms[n / 2] : 0;
+}
+
 /* One of the route's targets, by weight. */
 static const flow_target_t *
 draw_target(flowset_t *f, const flow_route_t *r)
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -29,8 +29,6 @@
 /* Weight of a new sample in the moving averages of the time to an answer: the
  * last five or so count. */
 #define SAMPLE_WEIGHT 0.2
-/* The same, for the average over a service's upstreams. */
-#define SERVICE_WEIGHT 0.02
 
 static const char *const reasons[FLOW_REASONS] = {
     [FLOW_BY_TAG] = "tag",
@@ -256,7 +254,6 @@
     hist_add(&f->stats.answer_ms, (uint64_t)ms);
     if (r->repeatable) { /* uploads take as long as the caller sends */
         sample(&r->up->answer_ms, SAMPLE_WEIGHT, ms + 1);
-        sample(&r->up->service->answer_ms, SERVICE_WEIGHT, ms + 1);
         r->up->answered_at = now;
     }
     record_answered(r);
@@ -544,6 +541,9 @@
         check_asked(f, now);
         records_expire(f, now);
         forget_upstreams(f, now);
+        LIST_EACH (it, &f->services) {
+            choice_sweep(LIST_OWNER(it, service_t, link), now);
+        }
         f->sweep_at = now + SWEEP_MS;
     }
     return f->n_records > 0 && f->sweep_at < next ? f->sweep_at : next;
--- a/flow/state.h
+++ b/flow/state.h
@@ -64,7 +64,8 @@
     link_t link;              /* flowset_t.services */
     upstream_t **near, **far; /* in this data centre; in others */
     uint32_t n_near, n_far, cap_near, cap_far;
-    double answer_ms; /* moving average over its upstreams */
+    double answer_ms; /* median of its upstreams' averages; 0: none.  A mean
+                       * would follow the one that is odd */
 };
 
 /* ---- Records of flows ---- */
@@ -140,6 +141,9 @@
 upstream_t *choose(flowset_t *f, ms_t now, const flow_route_t *r,
                    const upstream_t * not );
 
+/* Brings the service's usual answer time up to date. */
+void choice_sweep(service_t *s, ms_t now);
+
 /* ---- reach.c ---- */
 
 /* A packet of a caller proves that U answered after SINCE. */
--- /dev/null
+++ b/test/flow_load_test.cc
@@ -0,0 +1,397 @@
+/* Placing new flows under load, replayed against upstreams with slots and
+ * queues in virtual time.  Each test names the load, and compares with what
+ * callers would get without the decision. */
+#include "test/flow_bed.h"
+
+#include <cmath>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+
+namespace
+{
+
+const char *const ROUTE = "198.18.0.1:443";
+
+struct Upstream {
+    flow_upstream_t a;
+    double work_ms;
+    bool deaf = false;    /* takes no opening packet, though it lives */
+    bool sheds = false;   /* refuses each request at once */
+    int running = 0;
+    std::queue<int> waiting; /* requests */
+    int taken = 0;
+};
+
+enum class What { OPEN, OPENED, COPY, ARRIVED, DONE, TICK };
+
+struct Event {
+    ms_t at;
+    uint64_t order;
+    What what;
+    int request;
+    bool
+    operator<(const Event &o) const
+    {
+        return at != o.at ? at > o.at : order > o.order;
+    }
+};
+
+struct Request {
+    int instance;
+    ms_t began;
+    uint64_t upstream = 0;
+    ms_t done = -1;
+    bool refused = false;
+};
+
+/* How upstreams are chosen. */
+enum class Policy { FLOWS, RANDOM };
+
+struct Load {
+    std::vector<std::unique_ptr<FlowBed>> instances;
+    std::map<uint64_t, Upstream> up;
+    std::vector<Request> requests;
+    std::priority_queue<Event> events;
+    rng_t rng = {42, 0};
+    ms_t now = 0;
+    uint64_t order = 0;
+    Policy policy = Policy::FLOWS;
+
+    explicit Load(int n_instances)
+    {
+        for (int i = 0; i < n_instances; i++) {
+            instances.emplace_back(new FlowBed());
+            instances.back()->routes(1, {{ROUTE, "svc", true}});
+        }
+    }
+
+    void
+    add(uint64_t id, const char *data_centre, double work_ms,
+        ms_t warm_up_ms = 0)
+    {
+        Upstream u;
+        u.a = FlowBed::upstream(id, "svc", data_centre);
+        u.a.warm_up_ms = warm_up_ms;
+        u.work_ms = work_ms;
+        up[id] = u;
+        for (auto &i : instances) {
+            i->now = now;
+            i->announce(u.a);
+        }
+    }
+
+    void
+    at(ms_t when, What what, int request)
+    {
+        events.push({when, order++, what, request});
+    }
+
+    /* Requests, each on a flow of its own, at so many a second. */
+    void
+    offer(ms_t from, ms_t to, double per_s)
+    {
+        for (double t = (double)from; t < (double)to;) {
+            requests.push_back(
+                {(int)rng_below(&rng, (uint32_t)instances.size()), (ms_t)t});
+            at((ms_t)t, What::OPEN, (int)requests.size() - 1);
+            t += -std::log(1 - rng_below(&rng, 1000000) / 1e6) * 1000 / per_s;
+        }
+    }
+
+    uint64_t
+    random_upstream()
+    {
+        auto it = up.begin();
+        std::advance(it, rng_below(&rng, (uint32_t)up.size()));
+        return it->first;
+    }
+
+    FlowBed &
+    bed(int request)
+    {
+        FlowBed &b = *instances[requests[request].instance];
+        b.now = now;
+        return b;
+    }
+
+    void
+    send_opening(int i, uint32_t copy)
+    {
+        flow_decision_t d = bed(i).packet(FlowBed::syn(1 + i, ROUTE, copy));
+        if (d.verb != FLOW_FORWARD) {
+            return;
+        }
+        requests[i].upstream =
+            policy == Policy::FLOWS ? d.upstream : random_upstream();
+        if (copy == 0) {
+            up[requests[i].upstream].taken++;
+        }
+        at(now + 8, What::OPENED, i);
+        if (copy < 2) {
+            at(requests[i].began + (copy == 0 ? 200 : 600), What::COPY, i);
+        }
+    }
+
+    double
+    work(const Upstream &u)
+    {
+        return u.work_ms * (0.5 + rng_below(&rng, 1000) / 1000.0);
+    }
+
+    void
+    start(Upstream &u)
+    {
+        while (u.running < (int)u.a.slots && !u.waiting.empty()) {
+            u.running++;
+            at(now + 1 + (ms_t)work(u), What::DONE, u.waiting.front());
+            u.waiting.pop();
+        }
+    }
+
+    void
+    step(const Event &e)
+    {
+        Request &r = requests[e.request < 0 ? 0 : e.request];
+        uint32_t tag = (uint32_t)r.upstream;
+        switch (e.what) {
+        case What::OPEN:
+            send_opening(e.request, 0);
+            break;
+        case What::COPY:
+            if (r.done < 0 && up[r.upstream].deaf) {
+                send_opening(e.request, now - r.began > 300 ? 2 : 1);
+            }
+            break;
+        case What::OPENED:
+            if (!up[r.upstream].deaf) {
+                bed(e.request).packet(
+                    FlowBed::data(1 + e.request, ROUTE, tag, 1001, 100, 1));
+                at(now + 1, What::ARRIVED, e.request);
+            }
+            break;
+        case What::ARRIVED:
+            if (up[r.upstream].sheds) {
+                r.refused = true;
+                at(now + 1, What::DONE, e.request);
+                up[r.upstream].running++;
+                break;
+            }
+            up[r.upstream].waiting.push(e.request);
+            start(up[r.upstream]);
+            break;
+        case What::DONE: {
+            flow_packet_t p =
+                FlowBed::data(1 + e.request, ROUTE, tag, 1101, 0, 400);
+            up[r.upstream].running--;
+            start(up[r.upstream]);
+            r.done = now + 3;
+            bed(e.request).packet(p);
+            p.ends = true;
+            bed(e.request).packet(p);
+            break;
+        }
+        case What::TICK:
+            for (auto &i : instances) {
+                i->now = now;
+                i->tick();
+                std::vector<flow_out_t> asked;
+                asked.swap(i->probes);
+                for (const flow_out_t &q : asked) {
+                    i->probed(q.upstream, PROBE_ANSWERED);
+                }
+            }
+            break;
+        }
+    }
+
+    void
+    run(ms_t until)
+    {
+        for (ms_t t = 0; t < until; t += 10) {
+            at(t, What::TICK, -1);
+        }
+        while (!events.empty()) {
+            Event e = events.top();
+            events.pop();
+            now = e.at;
+            step(e);
+        }
+    }
+
+    /* Of the requests of that time, the share not answered within MS. */
+    double
+    late(ms_t from, ms_t to, ms_t ms) const
+    {
+        int all = 0, bad = 0;
+        for (const Request &r : requests) {
+            if (r.began >= from && r.began < to) {
+                all++;
+                bad += r.done < 0 || r.refused || r.done - r.began > ms;
+            }
+        }
+        return (double)bad / all;
+    }
+
+    double
+    share(uint64_t id) const
+    {
+        double all = 0;
+        for (const auto &u : up) {
+            all += u.second.taken;
+        }
+        return up.at(id).taken / all;
+    }
+};
+
+} // namespace
+
+/* A burst brings 5 upstreams of 2 slots to nine tenths of what they can do.
+ * By chance, some queue while others idle. */
+TEST(Placing, InABurstFewerRequestsWaitThanByChance)
+{
+    double late[2];
+
+    for (Policy p : {Policy::FLOWS, Policy::RANDOM}) {
+        Load l(2);
+        l.policy = p;
+        for (uint64_t id = 1; id <= 5; id++) {
+            l.add(id, "dc-a", 40);
+        }
+        l.offer(0, 3000, 100);
+        l.offer(3000, 6000, 225);
+        l.run(7000);
+        late[(int)p] = l.late(3000, 6000, 150);
+    }
+    EXPECT_LT(late[0], late[1] / 2);
+}
+
+/* One of five becomes five times as slow.  Its requests stay in progress, and
+ * its answers take longer: it gets few new flows. */
+TEST(Placing, ASlowUpstreamGetsFewFlows)
+{
+    double late[2];
+
+    for (Policy p : {Policy::FLOWS, Policy::RANDOM}) {
+        Load l(2);
+        l.policy = p;
+        for (uint64_t id = 1; id <= 5; id++) {
+            l.add(id, "dc-a", id == 1 ? 150 : 30);
+        }
+        l.offer(0, 6000, 90);
+        l.run(7000);
+        late[(int)p] = l.late(1000, 6000, 120);
+        if (p == Policy::FLOWS) {
+            EXPECT_LT(l.share(1), 0.08); /* a fair share is 0.20 */
+        }
+    }
+    EXPECT_LT(late[0], late[1] / 2);
+}
+
+TEST(Placing, AnUpstreamThatWarmsUpGetsLess)
+{
+    Load l(1);
+
+    for (uint64_t id = 1; id <= 4; id++) {
+        l.add(id, "dc-a", 20, id == 1 ? 100000 : 0);
+    }
+    l.offer(0, 5000, 200);
+    l.run(6000);
+    EXPECT_LT(l.share(1), 0.18);
+    EXPECT_GT(l.share(1), 0.02);
+}
+
+/* In calm no flow leaves the data centre: one that crosses is lost when data
+ * centres lose each other. */
+TEST(Placing, InCalmFlowsStayInTheirDataCentre)
+{
+    Load l(2);
+
+    for (uint64_t id = 1; id <= 4; id++) {
+        l.add(id, "dc-a", 20);
+        l.add(id + 10, "dc-b", 20);
+    }
+    l.offer(0, 5000, 150);
+    l.run(6000);
+    for (uint64_t id = 11; id <= 14; id++) {
+        EXPECT_EQ(l.share(id), 0);
+    }
+}
+
+/* A burst of one data centre's callers: twice what its upstreams can do, with
+ * others idle next door. */
+TEST(Placing, ABurstSpillsOverToAnotherDataCentre)
+{
+    double late[2];
+
+    for (bool other : {false, true}) {
+        Load l(2);
+        for (uint64_t id = 1; id <= 3; id++) {
+            l.add(id, "dc-a", 40);
+            if (other) {
+                l.add(id + 10, "dc-b", 40);
+            }
+        }
+        l.offer(0, 4000, 225);
+        l.run(30000);
+        late[other] = l.late(500, 4000, 150);
+    }
+    EXPECT_LT(late[true], late[false] / 2);
+    EXPECT_LT(late[true], 0.3);
+}
+
+/* A server lives and answers probes but takes no flow.  Without a doubt that
+ * a probe can settle, its unanswered openings alone must keep flows away. */
+TEST(Placing, AnUpstreamThatOpensNothingGetsFewFlows)
+{
+    Load l(2);
+
+    for (uint64_t id = 1; id <= 5; id++) {
+        l.add(id, "dc-a", 20);
+    }
+    l.up[1].deaf = true;
+    l.offer(0, 6000, 100);
+    l.run(7000);
+    EXPECT_LT(l.share(1), 0.06);
+    EXPECT_LT(l.late(1000, 6000, 500), 0.02);
+}
+
+/* An upstream that refuses at once looks idle and fast.  It must not draw the
+ * flows that the others would have served. */
+TEST(Placing, FastRefusalsDrawNoFlows)
+{
+    Load l(2);
+
+    for (uint64_t id = 1; id <= 5; id++) {
+        l.add(id, "dc-a", 40);
+    }
+    l.up[1].sheds = true;
+    l.offer(0, 6000, 60);
+    l.run(7000);
+    EXPECT_LT(l.share(1), 0.35); /* a fair share is 0.20 */
+}
+
+/* Long flows ask now and then.  Placed by requests in progress alone, in calm
+ * all would go to whoever is idle at that moment, often the same one. */
+TEST(Placing, LongFlowsAreSpreadEvenly)
+{
+    FlowBed bed;
+    std::map<uint64_t, int> held;
+    int most = 0, least = 1000;
+
+    bed.routes(1, {{ROUTE, "svc", true}});
+    for (uint64_t id = 1; id <= 5; id++) {
+        bed.announce(FlowBed::upstream(id, "svc", "dc-a"));
+    }
+    for (int caller = 1; caller <= 100; caller++) {
+        held[bed.open(caller, ROUTE)]++;
+    }
+    for (const auto &h : held) {
+        most = std::max(most, h.second);
+        least = std::min(least, h.second);
+    }
+    EXPECT_EQ(held.size(), 5u);
+    EXPECT_LE(most - least, 2);
+}
--- a/test/tagged_bed.bash
+++ b/test/tagged_bed.bash
@@ -7,7 +7,7 @@
 dir=$(mktemp -d)
 # The callers' ports are the instances': an address of its own for each run.
 net=127.$((40 + $$ % 150)).$(($$ / 150 % 250))
-store_port=$((20000 + $$ % 10000))
+store_port=$((20000 + $$ % 20000))
 store=http://127.0.0.1:$store_port
 declare -A process
 
--- /dev/null
+++ b/test/tagged_soak.bash
@@ -0,0 +1,257 @@
+#!/usr/bin/env bash
+# A randomized soak of tagged flows with real processes: instances, servers,
+# the store and the ways between them fail in series that overlap, while
+# callers go on.  The promises are checked from what callers and servers see.
+# usage: test/tagged_soak.bash BUILD SEED [SECONDS [INSTANCES]]
+# Each process is ended by its id; all of them were started here.
+. "$(dirname "$0")/tagged_bed.bash"
+exec 2>soak.err         # the shell tells of each process that was killed
+seed=$2 seconds=${3:-12} n=${4:-5}
+RANDOM=$seed
+trace=$dir/faults
+broken=0
+version=1
+servers=()              # numbers of those that run
+next_server=1
+gone_dark=0             # servers were killed or paused: flows may be reset
+
+pick() {                # WORD...: one of them
+    local words=("$@")
+    echo "${words[RANDOM % ${#words[@]}]}"
+}
+
+say() {
+    echo "$(date +%S.%N | cut -c1-6) $*" >>"$trace"
+}
+
+fail() {
+    broken=$((broken + 1))
+    echo "BROKEN seed $seed: $*"
+}
+
+new_server() {          # [SERVICE]
+    local k=$next_server
+    next_server=$((next_server + 1))
+    server "$k" "${1:-feed}" "dc-$((k % 2))" --drain-ms=1000
+    servers+=("$k")
+    say "server $k comes"
+}
+
+some_server() {         # never the last two of the archive (1 and 2)
+    local live=()
+    for k in "${servers[@]}"; do
+        [ "$k" -gt 2 ] && live+=("$k")
+    done
+    [ ${#live[@]} -gt 2 ] && pick "${live[@]}"
+}
+
+forget_server() {
+    local rest=()
+    for k in "${servers[@]}"; do
+        [ "$k" -eq "$1" ] || rest+=("$k")
+    done
+    servers=("${rest[@]}")
+}
+
+# ---- Faults; those that last are ended later, by a job of their own ----
+
+later() {               # SECONDS COMMAND...
+    local s=$1
+    shift
+    (sleep "$s" && "$@") &
+}
+
+command_proxy() {       # INSTANCE WORDS
+    printf '%s' "$2" >"/dev/udp/$net.$1/7003"
+}
+
+# Instances that have ended are started again, as the platform does.
+reap() {
+    local i
+    for i in $(seq "$n"); do
+        if ! kill -0 "${process[i$i]}" 2>/dev/null; then
+            ended "i$i"
+            [ "$rc" -eq 0 ] || [ "$rc" -eq 137 ] ||
+                fail "instance $i ended with $rc"
+            instance "$i"
+        fi
+    done
+}
+
+# Stops may come while an instance is paused, leaves, or has just started.
+fault_instance() {
+    local i=$((RANDOM % n + 1)) how
+    how=$(pick TERM KILL STOP HUP)
+    say "instance $i $how"
+    signal "i$i" "$how"
+    [ "$how" = STOP ] &&
+        later "$((RANDOM % 3 + 1))" kill -CONT "${process[i$i]}"
+}
+
+fault_way() {
+    local i=$((RANDOM % n + 1)) how
+    how=$(pick "delay 300" silent oneway reset stale)
+    say "way of instance $i: $how"
+    command_proxy "$i" "$how"
+    later "$((RANDOM % 4 + 1))" command_proxy "$i" pass
+}
+
+fault_store() {
+    local how
+    how=$(pick down=503 down=reset slow_ms=200 lose=3 forget=1 lapse=1 deaf=1)
+    say "store $how"
+    switch "$how"
+    case $how in
+    down=*) later "$((RANDOM % 3 + 1))" switch down= ;;
+    slow_ms=*) later "$((RANDOM % 3 + 1))" switch slow_ms=0 ;;
+    esac
+}
+
+fault_server() {
+    local k how
+    k=$(some_server)
+    how=$(pick TERM TERM KILL STOP)
+    new_server
+    [ -n "$k" ] || return
+    say "server $k $how"
+    signal "s$k" "$how"
+    case $how in
+    STOP)
+        gone_dark=1
+        later "$((RANDOM % 3 + 1))" kill -CONT "${process[s$k]}"
+        ;;
+    KILL)
+        gone_dark=1
+        forget_server "$k"
+        ;;
+    TERM) forget_server "$k" ;;
+    esac
+}
+
+fault_version() {
+    version=$((version + RANDOM % 3 + 1))
+    say "version $version"
+    configure "$version" "$((9000 + version))"
+}
+
+# ---- What is watched meanwhile ----
+
+declare -A seen         # the version that an instance's process has shown
+
+check_versions() {
+    local i v started
+    for i in $(seq "$n"); do
+        v=$(metric "$i" version)
+        started=${process[i$i]:-}
+        [ -n "$v" ] || continue
+        if [ "$v" -lt "${seen[$started]:-0}" ]; then
+            fail "instance $i went back from ${seen[$started]} to $v"
+        fi
+        seen[$started]=$v
+    done
+}
+
+start_all() {
+    local i
+    start_store
+    configure $version
+    for i in $(seq "$n"); do
+        start "p$i" "$b/si_pproxy" --listen="$net.$i:7003" \
+            --target="127.0.0.1:$store_port"
+        settings "$i" "dc-$((i % 2))" "http://$net.$i:7003"
+    done
+    new_server archive
+    new_server archive
+    for i in 1 2 3 4 5 6; do
+        new_server
+    done
+    for i in $(seq "$n"); do
+        instance "$i"
+    done
+    for i in $(seq "$n"); do
+        until_quietly ready "$i" || fail "instance $i does not start"
+        until_quietly metric_is "$i" upstreams_usable -ge 8
+    done
+}
+
+heal() {
+    local i k
+    switch "down=&slow_ms=0&lose=0"
+    for i in $(seq "$n"); do
+        command_proxy "$i" pass
+        signal "i$i" CONT
+    done
+    for k in "${servers[@]}"; do
+        signal "s$k" CONT
+    done
+}
+
+# All that was harmed is whole again: everything must be as if nothing had
+# happened, each instance at the newest version and all servers used.
+check_healed() {
+    local i
+    version=$((version + 1))
+    configure "$version"
+    for i in $(seq "$n"); do
+        until_quietly ready "$i" || fail "instance $i is not ready again"
+        until_quietly metric_is "$i" version -eq "$version" ||
+            fail "instance $i has version $(metric "$i" version), not $version"
+        until_quietly metric_is "$i" upstreams_usable -eq "${#servers[@]}" ||
+            fail "instance $i uses $(metric "$i" upstreams_usable) of ${#servers[@]} servers"
+    done
+}
+
+# Of the requests that began in the last seconds, after all was healed, almost
+# all are served.
+check_served() {
+    local total lost
+    total=$(tail -n 200 callers.log | grep -c '^done')
+    lost=$(tail -n 200 callers.log | grep '^done' | grep -vc ' served ')
+    [ "$total" -gt 100 ] || fail "only $total requests at the end"
+    [ "$lost" -le 2 ] || fail "$lost of the last $total requests not served"
+}
+
+check_promises() {
+    [ "$(twice)" -eq 0 ] || fail "$(twice) requests ran twice"
+    [ "$(misrouted)" -eq 0 ] || fail "$(misrouted) ran at another service"
+    [ "$(forged)" -eq 0 ] || fail "$(forged) packets were changed"
+    grep -q '^mixed' callers.log && fail "$(grep -c '^mixed' callers.log) answers mixed up"
+    if [ $gone_dark -eq 0 ] && grep -q '^reset' callers.log; then
+        fail "$(grep -c '^reset' callers.log) open flows reset, though no server died"
+    fi
+    grep -h -e ERROR -e Sanitizer -e 'runtime error' i*.log i*.err >errors &&
+        fail "errors: $(head -n 2 errors)"
+}
+
+run() {
+    start_all
+    callers 600 "$n" --seed="$seed" --pause-ms=60
+    sleep 1
+    local end=$((SECONDS + seconds))
+    while [ $SECONDS -lt $end ]; do
+        "fault_$(pick instance instance way way store server version)"
+        reap
+        check_versions
+        sleep "0.$((RANDOM % 8))"
+    done
+    heal
+    for _ in 1 2 3 4 5 6 7; do # those that leave take their time
+        sleep 1
+        reap
+    done
+    check_healed
+    sleep 3
+    signal callers TERM
+    ended callers
+    check_served
+    check_promises
+    [ $broken -eq 0 ] && echo "seed $seed: kept"
+    return $broken
+}
+
+run
+rc=$?
+if [ $rc -ne 0 ] && [ -n "${KEEP_BROKEN:-}" ]; then
+    mkdir -p "$KEEP_BROKEN/$seed" && cp ./*.log ./*.err faults "$KEEP_BROKEN/$seed"
+fi
+exit $((rc > 0))
--- a/test/tagged_store.sh
+++ b/test/tagged_store.sh
@@ -13,17 +13,15 @@
     done
 }
 
-proxy_port=$((store_port + 10001))
-
 run() {
     start_store
     # Instance 3 reaches the store through a proxy.
-    start proxy "$b/si_pproxy" --listen="127.0.0.1:$proxy_port" \
+    start proxy "$b/si_pproxy" --listen="$net.3:7003" \
         --target="127.0.0.1:$store_port"
     configure 1
     settings 1 dc-0
     settings 2 dc-1
-    settings 3 dc-2 "http://127.0.0.1:$proxy_port"
+    settings 3 dc-2 "http://$net.3:7003"
     settings 4 dc-0
     for n in 1 2 3; do
         server $n feed dc-$n
@@ -66,15 +64,15 @@
     # Only instance 3 is turned away.  Its peers' versions reach it; so do
     # servers that come.
     echo "## The store is silent for one instance"
-    printf silent >"/dev/udp/127.0.0.1/$proxy_port"
+    printf silent >"/dev/udp/$net.3/7003"
     configure 5
     server 4 feed dc-2
     in_force 5 1 2 3
     until_true "3 knows the new server" metric_is 3 upstreams_usable -eq 4
-    printf pass >"/dev/udp/127.0.0.1/$proxy_port"
+    printf pass >"/dev/udp/$net.3/7003"
 
     echo "## A connection goes stale, new ones work"
-    printf stale >"/dev/udp/127.0.0.1/$proxy_port"
+    printf stale >"/dev/udp/$net.3/7003"
     configure 6
     in_force 6 1 2 3
 
