test: tagged_store waits for statistics of after the lapse

Seen once: '1' usable upstream where 4 were expected. Cause: the wait before it could be satisfied by statistics copied before the leases ended. The test now waits for the store's entries and the instance's revision first.

--- a/test/tagged_store.sh
+++ b/test/tagged_store.sh
@@ -13,6 +13,22 @@
     done
 }
 
+# The servers that the store has.
+announced() {           # NUMBER
+    [ "$(curl -s -m 3 "$store/api/kv-range?prefix=servers/i-00005" |
+        grep -o '"key"' | wc -l)" -eq "$1" ]
+}
+
+revision() {
+    curl -s -m 3 "$store/api/kv-range?prefix=servers/" |
+        sed -n 's/.*"store_revision":\([0-9]*\).*/\1/p'
+}
+
+# The instance's statistics are from after what the store has now.
+heard() {               # NUMBER
+    metric_is "$1" store_revision -ge "$(revision)" && sleep 0.6
+}
+
 run() {
     start_store
     # Instance 3 reaches the store through a proxy.
@@ -89,6 +105,9 @@
     # next heartbeat; no flow is reset meanwhile.
     echo "## All leases end"
     switch lapse=1
+    until_true "the store has them again" announced 4
+    until_true "1 has heard of it" heard 1
+    until_true "4 has heard of it" heard 4
     until_true "1 has all servers again" metric_is 1 upstreams_usable -eq 4
     until_true "4 has all servers again" metric_is 4 upstreams_usable -eq 4
     for i in 1 2 3 4; do
@@ -99,7 +118,7 @@
     curl -s -o /dev/null -X POST "$store/api/kv-txn?as=platform" -d \
         '{"precondition":[],"puts":[{"key":"servers/i-00000000ff","value":"!","lease":0},{"key":"servers/nothing","value":"e30=","lease":0},{"key":"servers/i-00000000fe","value":"eyJzZXJ2aWNlIjo3fQ==","lease":0}],"remove":[]}'
     until_true "1 refuses three" metric_is 1 store_items_refused_total -ge 3
-    metric 1 upstreams_usable
+    until_true "1 has four" metric_is 1 upstreams_usable -eq 4
 
     echo "## A version that can't be read leaves the last in force"
     curl -s -o /dev/null -X POST --data-binary '{"version":9}' "$store/config"
