flow: three silent probes, another upstream answering beside the last two

With half of the packets lost that happens to one doubt in eight; with three probes and two answers beside them to one in thirty-two, and a link that loses half is slowed by the users' own count.

--- a/flow/reach.c
+++ b/flow/reach.c
@@ -10,8 +10,8 @@
  *
  *   accepted   it lives, however slow it is
  *   refused    the process has ended, and its flows with it
- *   silent     twice in a row, while another upstream answers: it can't be
- *              reached from here
+ *   silent     three times in a row, while another upstream answers: it can't
+ *              be reached from here
  */
 #include "flow/state.h"
 
@@ -22,8 +22,10 @@
 #define PROBE_MS 100
 /* A probe whose end was not told by then was never made. */
 #define PROBE_LOST_MS (8 * PROBE_MS)
-/* Probes without an answer before an upstream is out: one may be lost. */
-#define PROBES_SILENT 2
+/* Probes without an answer before an upstream is out.  A full link drops
+ * packets at random: two of them lost and another's passed is still likely
+ * there, three lost and two passed is not. */
+#define PROBES_SILENT 3
 /* A probe that was answered settles doubts for so long: the packets that are
  * repeated meanwhile were sent before it. */
 #define TRUST_MS 400
@@ -203,12 +205,12 @@
     return best;
 }
 
-/* The last try, with another upstream asked beside it.  An instance whose own
+/* A further try, with another upstream asked beside it.  An instance whose own
  * link or processor is overloaded finds every upstream silent; had it taken
  * that for their fault, it would reset flows that are merely late.  Only when
- * the other answers in time is the silence U's own. */
+ * the other answers in time, each time, is the silence U's own. */
 static void
-start_last_probe(flowset_t *f, ms_t now, upstream_t *u)
+probe_beside(flowset_t *f, ms_t now, upstream_t *u)
 {
     upstream_t *control = control_for(f, u);
 
@@ -232,17 +234,21 @@
 static void
 probe_silent(flowset_t *f, ms_t now, upstream_t *u)
 {
+    bool beside = f->answered_from >= u->probed_at;
+
     u->silent++;
-    if (u->reach == REACH_DOUBTED && u->silent < PROBES_SILENT) {
-        start_last_probe(f, now, u);
-        return;
-    }
-    if (u->reach == REACH_DOUBTED && f->answered_from < u->probed_at) {
-        u->silent = 0; /* nothing is proved: all over again, a little later */
-    }
-    else if (u->reach == REACH_DOUBTED) {
-        set_reach(f, u, REACH_OUT, "it did not answer two probes");
-        reset_waiting(f, u);
+    if (u->reach == REACH_DOUBTED) {
+        if (u->silent == 1 || (beside && u->silent < PROBES_SILENT)) {
+            probe_beside(f, now, u);
+            return;
+        }
+        if (beside) {
+            set_reach(f, u, REACH_OUT, "it alone did not answer three probes");
+            reset_waiting(f, u);
+        }
+        else {
+            u->silent = 0; /* nothing is proved: all over again, later */
+        }
     }
     schedule(f, u, next_retry(u, now));
 }
--- a/tagged/replica.c
+++ b/tagged/replica.c
@@ -190,7 +190,7 @@
 
     *changed = (store_items_t){.revision = items->revision};
     pthread_mutex_lock(&r->lock);
-    if (items->whole && items->revision >= r->items.revision) {
+    if (items->whole) {
         rc = remove_missing(r, items, changed);
     }
     for (size_t i = 0; i < items->n && rc == 0; i++) {
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -364,6 +364,8 @@
     EXPECT_EQ(bed.probes[1].upstream, 0x11u);
     EXPECT_EQ(bed.probes[2].upstream, 0x12u);
     bed.probed(0x12, PROBE_ANSWERED);
+    bed.probed(0x11, PROBE_SILENT);
+    bed.probed(0x12, PROBE_ANSWERED);
     EXPECT_EQ(bed.packet(FlowBed::data(a, FEED, 0x11, 1001, 100)).verb,
               FLOW_FORWARD);
     bed.now += 200;
@@ -409,6 +411,26 @@
     EXPECT_EQ(bed.packet(FlowBed::syn(500, FEED)).verb, FLOW_FORWARD);
 }
 
+/* A link that is nearly full drops some packets and lets others pass.  One
+ * answer beside a silent probe is then no proof: it takes both. */
+TEST_F(Flow, OneAnswerBesideASilentProbeProvesNothing)
+{
+    int a = (int)open_at(0x11, 1);
+
+    doubt(a, 0x11);
+    bed.probed(0x11, PROBE_SILENT);
+    bed.now += 100;
+    bed.probed(0x12, PROBE_ANSWERED);
+    bed.probed(0x11, PROBE_SILENT);
+    bed.now += 100;
+    bed.probed(0x12, PROBE_SILENT);
+    bed.probed(0x11, PROBE_SILENT);
+    EXPECT_TRUE(bed.resets.empty());
+    for (const flow_out_t &r : bed.reaches) {
+        EXPECT_NE(r.reach.to, REACH_OUT);
+    }
+}
+
 /* It comes back by proof: it is probed now and then, and the first answer
  * makes it good. */
 TEST_F(Flow, AnUnreachableUpstreamReturnsWithItsFirstAnswer)
@@ -417,9 +439,11 @@
     size_t before;
 
     doubt(a, 0x11);
-    bed.probed(0x11, PROBE_SILENT);
-    bed.probed(0x12, PROBE_ANSWERED);
-    bed.probed(0x11, PROBE_SILENT);
+    for (int i = 0; i < 3; i++) {
+        bed.now += 100;
+        bed.probed(0x12, PROBE_ANSWERED);
+        bed.probed(0x11, PROBE_SILENT);
+    }
     before = bed.probes.size();
     bed.advance(500);
     EXPECT_EQ(bed.probes.size(), before + 1);
