--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -417,17 +417,26 @@
 {
     int a = (int)open_at(0x11, 1);
 
-    doubt(a, 0x11);
-    bed.probed(0x11, PROBE_SILENT);
-    bed.now += 100;
-    bed.probed(0x12, PROBE_ANSWERED);
-    bed.probed(0x11, PROBE_SILENT);
-    bed.now += 100;
-    bed.probed(0x12, PROBE_SILENT);
-    bed.probed(0x11, PROBE_SILENT);
-    EXPECT_TRUE(bed.resets.empty());
-    for (const flow_out_t &r : bed.reaches) {
-        EXPECT_NE(r.reach.to, REACH_OUT);
+    for (flow_probe_t first : {PROBE_ANSWERED, PROBE_SILENT}) {
+        bed.now += 5000;
+        doubt(a, 0x11);
+        bed.probed(0x11, PROBE_SILENT);
+        bed.now += 100;
+        bed.probed(0x12, first);
+        bed.probed(0x11, PROBE_SILENT);
+        bed.now += 100;
+        bed.probed(0x12,
+                   first == PROBE_SILENT ? PROBE_ANSWERED : PROBE_SILENT);
+        bed.probed(0x11, PROBE_SILENT);
+        EXPECT_TRUE(bed.resets.empty());
+        for (const flow_out_t &r : bed.reaches) {
+            EXPECT_NE(r.reach.to, REACH_OUT);
+        }
+        bed.advance(2000);
+        bed.probed(0x12, PROBE_ANSWERED);
+        bed.probed(0x11, PROBE_ANSWERED);
+        bed.packet(FlowBed::data(a, FEED, 0x11, 1101, 0, 9000));
+        bed.packet(FlowBed::data(a, FEED, 0x11, 1001, 0, 9000));
     }
 }
 
