tagged: a probe's time runs from when it is made

Cause, by reading after the log showed pauses of 150 ms and more at instances with 0.12 of a core: a probe got the time of the duty's last wake-up. When a large configuration was taken in between, its 100 ms were over before the first look, and it counted as silent. Ruled out: a full link (no burst), a cut. probes.c reads the clock itself now, and looks at the connection after it.

--- /dev/null
+++ b/bench/flow_bench.c
@@ -0,0 +1,148 @@
+/* flow_bench: what a tagged instance's decisions cost, by the number of
+ * upstreams, routes and flows remembered: memory, and processor time for a
+ * new flow and for a later packet.
+ *
+ * usage: flow_bench > table
+ */
+#include "flow/flow.h"
+
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define PACKETS 400000
+
+static void
+ignore(void *arg, const flow_out_t *out)
+{
+    (void)arg;
+    (void)out;
+}
+
+static double
+cpu_us(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+    return (double)ts.tv_sec * 1e6 + (double)ts.tv_nsec / 1e3;
+}
+
+static addr_t
+address(uint32_t n, uint16_t port)
+{
+    addr_t a = {.ip = {[10] = 255, [11] = 255, [12] = 10}, .port = port};
+
+    a.ip[13] = (uint8_t)(n >> 16);
+    a.ip[14] = (uint8_t)(n >> 8);
+    a.ip[15] = (uint8_t)n;
+    return a;
+}
+
+static flow_conf_t *
+routes(uint32_t n, uint32_t services)
+{
+    flow_conf_t *c = calloc(1, sizeof(*c));
+
+    c->version = 1;
+    c->idle_ms = 15000;
+    c->routes = calloc(n, sizeof(*c->routes));
+    c->targets = calloc(n, sizeof(*c->targets));
+    for (uint32_t i = 0; i < n; i++) {
+        flow_route_t *r = &c->routes[c->n_routes++];
+        r->addr = address(i, 443);
+        r->repeatable = true;
+        r->first = c->n_targets;
+        r->n_targets = 1;
+        c->targets[c->n_targets].weight = 1;
+        snprintf(c->targets[c->n_targets++].service, FLOW_NAME_LEN, "s%u",
+                 i % services);
+    }
+    return c;
+}
+
+static void
+announce(flowset_t *f, uint32_t n, uint32_t services)
+{
+    for (uint32_t i = 1; i <= n; i++) {
+        flow_upstream_t u = {.id = i, .revision = i, .slots = 2};
+        u.addr = address(i, 80);
+        snprintf(u.service, FLOW_NAME_LEN, "s%u", i % services);
+        snprintf(u.data_centre, FLOW_NAME_LEN, "dc%u", i % 16);
+        flowset_set_upstream(f, 0, &u);
+    }
+}
+
+static size_t
+used(void)
+{
+    return mallinfo2().uordblks;
+}
+
+/* One packet of each kind in turn, over so many callers. */
+static double
+packets(flowset_t *f, uint32_t callers, uint32_t n_routes, bool opens)
+{
+    static uint32_t tag[1 << 20];
+    flow_decision_t d;
+    double from = cpu_us();
+
+    for (uint32_t i = 0; i < PACKETS; i++) {
+        uint32_t c = i % callers;
+        flow_packet_t p = {.caller = address(c, (uint16_t)(1024 + c % 60000)),
+                           .service = address(c % n_routes, 443),
+                           .opens = opens,
+                           .seq = i,
+                           .len = opens ? 0 : 100,
+                           .ack = opens ? 0 : i,
+                           .tag = opens ? 0 : tag[c]};
+        flowset_packet(f, 1000 + i / 1000, &p, &d);
+        if (opens) {
+            tag[c] = d.tag;
+        }
+    }
+    return (cpu_us() - from) / PACKETS;
+}
+
+static void
+row(uint32_t upstreams, uint32_t services, uint32_t n_routes, uint32_t flows)
+{
+    const flow_spec_t spec = {.data_centre = "dc1",
+                              .seed = 1,
+                              .records_max = flows,
+                              .emit = ignore};
+    size_t base = used(), after_routes, after_upstreams, after_flows;
+    flowset_t *f = flowset_new(&spec);
+    double open_us, later_us;
+
+    flowset_set_conf(f, 0, routes(n_routes, services));
+    after_routes = used();
+    announce(f, upstreams, services);
+    after_upstreams = used();
+    open_us = packets(f, flows, n_routes, true);
+    after_flows = used();
+    later_us = packets(f, flows, n_routes, false);
+    printf("%9u %8u %7u %7u %8.0f %9.0f %8.0f %9.2f %9.2f\n", upstreams,
+           services, n_routes, flows,
+           (double)(after_routes - base) / n_routes,
+           (double)(after_upstreams - after_routes) / upstreams,
+           (double)(after_flows - after_upstreams) / flows, open_us, later_us);
+    flowset_free(f);
+}
+
+int
+main(void)
+{
+    printf("# bytes each, and processor time in microseconds a packet\n");
+    printf("%9s %8s %7s %7s %8s %9s %8s %9s %9s\n", "upstreams", "services",
+           "routes", "flows", "B/route", "B/upstr.", "B/flow", "us/open",
+           "us/later");
+    row(18, 2, 115, 300);
+    row(150, 2, 250, 2000);
+    row(1500, 20, 1000, 10000);
+    row(15000, 200, 4000, 31000);
+    row(120000, 1000, 18000, 31000);
+    return 0;
+}
--- a/tagged/packets.c
+++ b/tagged/packets.c
@@ -216,7 +216,7 @@
         }
         return;
     case FLOW_OUT_PROBE:
-        if (probes_start(&p->probes, p->now, out) < 0) {
+        if (probes_start(&p->probes, out) < 0) {
             counter_add(&p->t->count.probes_skipped, 1);
         }
         return;
@@ -458,7 +458,7 @@
             changes_free(msg);
         }
         receive(&p);
-        probes_check(&p.probes, p.now, probe_done, &p);
+        probes_check(&p.probes, probe_done, &p);
         next = flowset_tick(p.flows, p.now);
         flush(&p);
         publish(&p);
--- a/tagged/probes.c
+++ b/tagged/probes.c
@@ -29,7 +29,7 @@
 }
 
 int
-probes_start(probes_t *p, ms_t now, const flow_out_t *out)
+probes_start(probes_t *p, const flow_out_t *out)
 {
     probe_t *free_ = NULL;
 
@@ -42,7 +42,7 @@
         return -EAGAIN;
     }
     *free_ = (probe_t){.upstream = out->upstream,
-                       .until = now + out->probe.timeout_ms};
+                       .until = clock_now() + out->probe.timeout_ms};
     free_->fd = connect_to(&out->probe.to, &free_->failure);
     if (p->n <= (size_t)(free_ - p->probe)) {
         p->n = (size_t)(free_ - p->probe) + 1;
@@ -115,8 +115,9 @@
 }
 
 void
-probes_check(probes_t *p, ms_t now, probe_done_t *done, void *arg)
+probes_check(probes_t *p, probe_done_t *done, void *arg)
 {
+    ms_t now = clock_now(); /* before it looks whether they were answered */
     int failure;
 
     for (size_t i = 0; i < p->n; i++) {
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -137,13 +137,15 @@
 
 typedef void probe_done_t(void *arg, uint64_t upstream, flow_probe_t result);
 
-/* -EAGAIN: no place is free. */
-int probes_start(probes_t *p, ms_t now, const flow_out_t *out);
+/* Reads the clock itself: a caller's time may be that of its last wake-up, and
+ * a probe started by it would be over before it could be answered.
+ * -EAGAIN: no place is free. */
+int probes_start(probes_t *p, const flow_out_t *out);
 /* Fills FDS from the first place on; returns how many.  *NEXT is lowered to
  * when the first probe ends. */
 size_t probes_poll(const probes_t *p, struct pollfd *fds, ms_t *next);
 /* Ends the probes that were answered or refused, or whose time is over. */
-void probes_check(probes_t *p, ms_t now, probe_done_t *done, void *arg);
+void probes_check(probes_t *p, probe_done_t *done, void *arg);
 void probes_close(probes_t *p);
 
 /* Metrics as Prometheus text, status as JSON; malloc, or NULL. */
--- /dev/null
+++ b/test/probes_test.cc
@@ -0,0 +1,139 @@
+/* Probes: bare TCP connections to upstreams, against sockets on loopback. */
+#include "tagged/tagged.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <map>
+#include <netinet/in.h>
+#include <unistd.h>
+
+namespace
+{
+
+class Probes : public ::testing::Test
+{
+  protected:
+    probes_t p = {};
+    std::map<uint64_t, flow_probe_t> done;
+
+    ~Probes() override
+    {
+        probes_close(&p);
+    }
+
+    static void
+    take(void *arg, uint64_t upstream, flow_probe_t result)
+    {
+        static_cast<Probes *>(arg)->done[upstream] = result;
+    }
+
+    int
+    start(uint64_t id, const addr_t &to, ms_t timeout_ms)
+    {
+        flow_out_t out = {};
+        out.kind = FLOW_OUT_PROBE;
+        out.upstream = id;
+        out.probe.to = to;
+        out.probe.timeout_ms = timeout_ms;
+        return probes_start(&p, &out);
+    }
+
+    /* Waits as the packets duty does, until all have ended. */
+    void
+    finish()
+    {
+        while (p.n > 0) {
+            struct pollfd fds[PROBES_MAX];
+            ms_t next = MS_NEVER;
+            size_t n = probes_poll(&p, fds, &next);
+            poll(fds, n, 10);
+            probes_check(&p, take, this);
+        }
+    }
+
+    static int
+    listener(addr_t *a, int backlog)
+    {
+        struct sockaddr_storage ss;
+        socklen_t len;
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+        addr_parse(a, "127.0.0.1:1");
+        a->port = 0;
+        len = addr_to_sock(a, &ss);
+        EXPECT_EQ(bind(fd, (struct sockaddr *)&ss, len), 0);
+        EXPECT_EQ(listen(fd, backlog), 0);
+        getsockname(fd, (struct sockaddr *)&ss, &len);
+        addr_from_sock(a, &ss);
+        return fd;
+    }
+};
+
+} // namespace
+
+/* The process need not accept: its kernel answers. */
+TEST_F(Probes, AListenerAnswersThoughItsProcessIsBusy)
+{
+    addr_t a;
+    int fd = listener(&a, 16);
+
+    EXPECT_EQ(start(1, a, 5000), 0);
+    finish();
+    EXPECT_EQ(done[1], PROBE_ANSWERED);
+    close(fd);
+}
+
+TEST_F(Probes, AClosedPortRefuses)
+{
+    addr_t a;
+    int fd = listener(&a, 16);
+
+    close(fd);
+    EXPECT_EQ(start(1, a, 5000), 0);
+    finish();
+    EXPECT_EQ(done[1], PROBE_REFUSED);
+}
+
+/* A listener whose queue is full drops what comes further, as a host that
+ * can't be reached would. */
+TEST_F(Probes, AFullQueueIsSilent)
+{
+    addr_t a;
+    int fd = listener(&a, 0);
+
+    for (uint64_t id = 1; id <= 8; id++) {
+        EXPECT_EQ(start(id, a, 150), 0);
+    }
+    finish();
+    EXPECT_EQ(done[8], PROBE_SILENT);
+    close(fd);
+}
+
+/* The caller's work took longer than the probe's time, as on a small instance
+ * that takes a large configuration.  What was answered meanwhile counts. */
+TEST_F(Probes, ALateLookFindsTheAnswer)
+{
+    addr_t a;
+    int fd = listener(&a, 16);
+
+    EXPECT_EQ(start(1, a, 20), 0);
+    usleep(60000);
+    probes_check(&p, take, this);
+    EXPECT_EQ(done[1], PROBE_ANSWERED);
+    close(fd);
+}
+
+TEST_F(Probes, MoreThanThereIsRoomForAreRefused)
+{
+    addr_t a;
+    int fd = listener(&a, 128);
+
+    for (uint64_t id = 1; id <= PROBES_MAX; id++) {
+        EXPECT_EQ(start(id, a, 5000), 0);
+    }
+    EXPECT_EQ(start(PROBES_MAX + 1, a, 5000), -EAGAIN);
+    finish();
+    EXPECT_EQ(done.size(), (size_t)PROBES_MAX);
+    EXPECT_EQ(start(PROBES_MAX + 1, a, 5000), 0);
+    close(fd);
+}
