--- a/bench/flow_bench.c
+++ b/bench/flow_bench.c
@@ -109,10 +109,8 @@
 static void
 row(uint32_t upstreams, uint32_t services, uint32_t n_routes, uint32_t flows)
 {
-    const flow_spec_t spec = {.data_centre = "dc1",
-                              .seed = 1,
-                              .records_max = flows,
-                              .emit = ignore};
+    const flow_spec_t spec = {
+        .data_centre = "dc1", .seed = 1, .records_max = flows, .emit = ignore};
     size_t base = used(), after_routes, after_upstreams, after_flows;
     flowset_t *f = flowset_new(&spec);
     double open_us, later_us;
@@ -125,8 +123,7 @@
     after_flows = used();
     later_us = packets(f, flows, n_routes, false);
     printf("%9u %8u %7u %7u %8.0f %9.0f %8.0f %9.2f %9.2f\n", upstreams,
-           services, n_routes, flows,
-           (double)(after_routes - base) / n_routes,
+           services, n_routes, flows, (double)(after_routes - base) / n_routes,
            (double)(after_upstreams - after_routes) / upstreams,
            (double)(after_flows - after_upstreams) / flows, open_us, later_us);
     flowset_free(f);
--- a/bench/tagged_load.c
+++ b/bench/tagged_load.c
@@ -106,8 +106,8 @@
     }
     pthread_create(&thread, NULL, count, &in);
     before = cpu_ticks(atol(argv[3]));
-    send_all(out, &target, (uint32_t)strtoul(argv[4], NULL, 16),
-             atol(argv[5]), atol(argv[6]));
+    send_all(out, &target, (uint32_t)strtoul(argv[4], NULL, 16), atol(argv[5]),
+             atol(argv[6]));
     usleep(200000);
     ended = true;
     pthread_join(thread, NULL);
--- a/flow/directory.c
+++ b/flow/directory.c
@@ -44,10 +44,11 @@
 service_t *
 service_named(flowset_t *f, const char *name)
 {
+    uint64_t hash = hash64(name, strlen(name), 0);
     service_t *s;
 
-    LIST_EACH (it, &f->services) {
-        s = LIST_OWNER(it, service_t, link);
+    INDEX_EACH (it, &f->by_name, hash) {
+        s = LIST_OWNER(it, service_t, by_name.link);
         if (strcmp(s->name, name) == 0) {
             return s;
         }
@@ -56,6 +57,7 @@
     if (s != NULL) {
         strncpy(s->name, name, sizeof(s->name) - 1);
         list_append(&f->services, &s->link);
+        index_add(&f->by_name, &s->by_name, hash);
     }
     return s;
 }
@@ -84,6 +86,12 @@
     return NULL;
 }
 
+uint64_t
+addr_hash(const addr_t *a)
+{
+    return hash64(a->ip, sizeof(a->ip), a->port);
+}
+
 upstream_t *
 upstream_new(flowset_t *f, const flow_upstream_t *a)
 {
@@ -109,6 +117,7 @@
     list_init(&u->due);
     list_append(&f->upstreams, &u->all);
     index_add(&f->by_id, &u->by_id, hash_mix(a->id, 0));
+    index_add(&f->by_addr, &u->by_addr, addr_hash(&a->addr));
     list_init(&u->by_tag.link);
     if (!u->tag_taken) {
         index_add(&f->by_tag, &u->by_tag, hash_mix((uint32_t)a->id, 1));
@@ -127,6 +136,7 @@
     list_remove(&u->all);
     list_remove(&u->due);
     index_remove(&f->by_id, &u->by_id);
+    index_remove(&f->by_addr, &u->by_addr);
     if (!u->tag_taken) {
         index_remove(&f->by_tag, &u->by_tag);
     }
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -67,7 +67,8 @@
     list_init(&f->asking);
     list_init(&f->doubted);
     if (index_init(&f->by_id) < 0 || index_init(&f->by_tag) < 0 ||
-        index_init(&f->by_key) < 0) {
+        index_init(&f->by_addr) < 0 || index_init(&f->by_key) < 0 ||
+        index_init(&f->by_name) < 0) {
         flowset_free(f);
         return NULL;
     }
@@ -91,7 +92,9 @@
     }
     index_free(&f->by_id);
     index_free(&f->by_tag);
+    index_free(&f->by_addr);
     index_free(&f->by_key);
+    index_free(&f->by_name);
     flow_conf_free(f->conf);
     free(f);
 }
@@ -138,8 +141,8 @@
 {
     bool former = false;
 
-    LIST_EACH (it, &f->upstreams) {
-        upstream_t *u = LIST_OWNER(it, upstream_t, all);
+    INDEX_EACH (it, &f->by_addr, addr_hash(&a->addr)) {
+        upstream_t *u = LIST_OWNER(it, upstream_t, by_addr.link);
         if (u->a.id == a->id || !addr_eq(&u->a.addr, &a->addr)) {
             continue;
         }
--- a/flow/state.h
+++ b/flow/state.h
@@ -32,7 +32,7 @@
 
 typedef struct {
     flow_upstream_t a; /* as announced */
-    entry_t by_id, by_tag;
+    entry_t by_id, by_tag, by_addr;
     link_t all;     /* flowset_t.upstreams */
     link_t records; /* of the flows it holds, as seen here */
     link_t due;     /* flowset_t.doubted: those with a probe or a wait */
@@ -61,6 +61,7 @@
 /* A service and those of its upstreams that may be chosen. */
 struct service {
     char name[FLOW_NAME_LEN];
+    entry_t by_name;
     link_t link;              /* flowset_t.services */
     upstream_t **near, **far; /* in this data centre; in others */
     uint32_t n_near, n_far, cap_near, cap_far;
@@ -93,7 +94,7 @@
     char data_centre[FLOW_NAME_LEN];
     rng_t rng;
     flow_conf_t *conf; /* NULL: none yet; routes sorted by address */
-    index_t by_id, by_tag, by_key;
+    index_t by_id, by_tag, by_addr, by_key, by_name;
     link_t upstreams, services, recent, doubted;
     link_t opening, asking; /* records: see record_t.waiting */
     uint32_t n_upstreams, n_records;
@@ -108,6 +109,8 @@
 service_t *service_named(flowset_t *f, const char *name);
 upstream_t *upstream_by_id(const flowset_t *f, uint64_t id);
 upstream_t *upstream_by_tag(const flowset_t *f, uint32_t tag);
+/* Those at address A are in the bucket of this hash. */
+uint64_t addr_hash(const addr_t *a);
 /* A new upstream, not yet in its service's lists.  NULL without memory. */
 upstream_t *upstream_new(flowset_t *f, const flow_upstream_t *a);
 void upstream_free(flowset_t *f, upstream_t *u);
--- a/test/probes_test.cc
+++ b/test/probes_test.cc
@@ -7,11 +7,9 @@
 #include <netinet/in.h>
 #include <unistd.h>
 
-namespace
-{
+namespace {
 
-class Probes : public ::testing::Test
-{
+class Probes : public ::testing::Test {
   protected:
     probes_t p = {};
     std::map<uint64_t, flow_probe_t> done;
--- a/test/tagged_soak.bash
+++ b/test/tagged_soak.bash
@@ -13,7 +13,7 @@
 version=1
 servers=()              # numbers of those that run
 next_server=1
-gone_dark=0             # servers were killed or paused: flows may be reset
+dark=" "                # servers that were killed or paused
 
 pick() {                # WORD...: one of them
     local words=("$@")
@@ -117,11 +117,11 @@
     signal "s$k" "$how"
     case $how in
     STOP)
-        gone_dark=1
+        dark+="$k "
         later "$((RANDOM % 3 + 1))" kill -CONT "${process[s$k]}"
         ;;
     KILL)
-        gone_dark=1
+        dark+="$k "
         forget_server "$k"
         ;;
     TERM) forget_server "$k" ;;
@@ -211,15 +211,27 @@
     [ "$lost" -le 2 ] || fail "$lost of the last $total requests not served"
 }
 
+# An open flow may be reset only when its server was killed or paused, or after
+# it had ended.
+check_resets() {
+    local id tag at k ended_at
+    grep '^reset' callers.log >resets
+    while read -r _ id tag at; do
+        k=$((16#$tag - 16#5a0000))
+        [[ $dark == *" $k "* ]] && continue
+        ended_at=$(sed -n 's/^ended //p' "s$k.log")
+        [ -n "$ended_at" ] && [ "$at" -ge "$ended_at" ] && continue
+        fail "open flow of $id reset at $at; server $k ended ${ended_at:-not}"
+    done <resets
+}
+
 check_promises() {
     # Idempotent ones may: a caller retries them when their server dies.
     [ "$(twice_of_once)" -eq 0 ] || fail "$(twice_of_once) requests ran twice"
     [ "$(misrouted)" -eq 0 ] || fail "$(misrouted) ran at another service"
     [ "$(forged)" -eq 0 ] || fail "$(forged) packets were changed"
     grep -q '^mixed' callers.log && fail "$(grep -c '^mixed' callers.log) answers mixed up"
-    if [ $gone_dark -eq 0 ] && grep -q '^reset' callers.log; then
-        fail "$(grep -c '^reset' callers.log) open flows reset, though no server died"
-    fi
+    check_resets
     grep -h -e ERROR -e Sanitizer -e 'runtime error' i*.log i*.err >errors &&
         fail "errors: $(head -n 2 errors)"
 }
