--- a/bench/tagged_load.c
+++ b/bench/tagged_load.c
@@ -20,6 +20,22 @@
 static uint64_t arrived;
 static bool ended;
 
+/* The balancer's probes find the upstream alive. */
+static int
+listen_at(const addr_t *a)
+{
+    struct sockaddr_storage ss;
+    socklen_t len = addr_to_sock(a, &ss);
+    int one = 1;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    if (fd < 0 || bind(fd, (struct sockaddr *)&ss, len) < 0) {
+        return -1;
+    }
+    return listen(fd, 4096);
+}
+
 static void *
 count(void *arg)
 {
@@ -100,7 +116,7 @@
     }
     in = si_udp_open(&upstream);
     out = si_udp_open(&any);
-    if (in < 0 || out < 0) {
+    if (in < 0 || out < 0 || listen_at(&upstream) < 0) {
         fprintf(stderr, "tagged_load: no socket\n");
         return 1;
     }
--- a/test/tagged_soak.sh
+++ b/test/tagged_soak.sh
@@ -5,8 +5,9 @@
 set -u
 here=$(dirname "$0")
 bad=0
-# SEED: cause, when it failed
-seeds="101 102"
+# 29: its servers drained for less time than an instance may take to hear of it
+# 52: an instance restarted among blind peers used a server that was leaving
+seeds="101 29 52"
 for seed in $seeds; do
     bash "$here/tagged_soak.bash" "$1" "$seed" 8 || bad=1
 done
