--- a/flow/directory.c
+++ b/flow/directory.c
@@ -129,9 +129,6 @@
 void
 upstream_free(flowset_t *f, upstream_t *u)
 {
-    LIST_EACH (it, &u->records) {
-        record_free(f, LIST_OWNER(it, record_t, of));
-    }
     upstream_withdraw(u);
     list_remove(&u->all);
     list_remove(&u->due);
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -12,7 +12,8 @@
  *
  * The files call downwards only: flows.c (entry points), reach.c (which
  * upstream answers), choice.c (which takes a new flow), records.c (what is
- * remembered of a flow), directory.c (routes and upstreams).
+ * remembered of a flow), directory.c (routes and upstreams), index.c (a hash
+ * table).
  */
 #ifndef SISKIN_FLOW_H
 #define SISKIN_FLOW_H
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -75,6 +75,25 @@
     return f;
 }
 
+/* U has started anew under its id: it holds none of these flows, and resets
+ * them itself when their callers send again. */
+static void
+forget_flows(flowset_t *f, upstream_t *u)
+{
+    LIST_EACH (it, &u->records) {
+        record_free(f, LIST_OWNER(it, record_t, of));
+    }
+    u->answer_ms = 0;
+    u->unanswered = 0;
+}
+
+static void
+drop_upstream(flowset_t *f, upstream_t *u)
+{
+    forget_flows(f, u);
+    upstream_free(f, u);
+}
+
 void
 flowset_free(flowset_t *f)
 {
@@ -82,7 +101,7 @@
         return;
     }
     LIST_EACH (it, &f->upstreams) {
-        upstream_free(f, LIST_OWNER(it, upstream_t, all));
+        drop_upstream(f, LIST_OWNER(it, upstream_t, all));
     }
     LIST_EACH (it, &f->services) {
         service_t *s = LIST_OWNER(it, service_t, link);
@@ -156,18 +175,6 @@
     return former;
 }
 
-/* U has started anew under its id: it holds none of these flows, and resets
- * them itself when their callers send again. */
-static void
-forget_flows(flowset_t *f, upstream_t *u)
-{
-    LIST_EACH (it, &u->records) {
-        record_free(f, LIST_OWNER(it, record_t, of));
-    }
-    u->answer_ms = 0;
-    u->unanswered = 0;
-}
-
 int
 flowset_set_upstream(flowset_t *f, ms_t now, const flow_upstream_t *a)
 {
@@ -176,7 +183,7 @@
 
     if (u != NULL && (strcmp(u->a.service, a->service) != 0 ||
                       !addr_eq(&u->a.addr, &a->addr))) {
-        upstream_free(f, u); /* the id now stands for something else */
+        drop_upstream(f, u); /* the id now stands for something else */
         u = NULL;
     }
     if (u == NULL) {
@@ -525,7 +532,7 @@
     LIST_EACH (it, &f->upstreams) {
         upstream_t *u = LIST_OWNER(it, upstream_t, all);
         if (!u->listed && !u->probing && now - u->unlisted_at > FORGET_MS) {
-            upstream_free(f, u);
+            drop_upstream(f, u);
         }
     }
 }
--- a/flow/state.h
+++ b/flow/state.h
@@ -113,6 +113,7 @@
 uint64_t addr_hash(const addr_t *a);
 /* A new upstream, not yet in its service's lists.  NULL without memory. */
 upstream_t *upstream_new(flowset_t *f, const flow_upstream_t *a);
+/* U has no records any more. */
 void upstream_free(flowset_t *f, upstream_t *u);
 /* Puts U into its service's list, if it may be chosen at all. */
 int upstream_offer(flowset_t *f, upstream_t *u);
--- a/siskind/admin.c
+++ b/siskind/admin.c
@@ -1,5 +1,6 @@
 /* The admin duty: HTTP for operators (libmicrohttpd), on a loopback address.
  * Each answer is made from a snapshot that the decide duty gives. */
+#include "kern/reply.h"
 #include "siskind/siskind.h"
 
 #include <errno.h>
@@ -15,31 +16,10 @@
 #define JSON "application/json"
 #define PROMETHEUS "text/plain; version=0.0.4"
 
-static enum MHD_Result
-reply(struct MHD_Connection *c, unsigned status, const char *type, char *text)
-{
-    struct MHD_Response *r;
-    enum MHD_Result rc;
-
-    if (text == NULL) {
-        return MHD_NO;
-    }
-    r = MHD_create_response_from_buffer(strlen(text), text,
-                                        MHD_RESPMEM_MUST_FREE);
-    if (r == NULL) {
-        free(text);
-        return MHD_NO;
-    }
-    MHD_add_response_header(r, "Content-Type", type);
-    rc = MHD_queue_response(c, status, r);
-    MHD_destroy_response(r);
-    return rc;
-}
-
 static enum MHD_Result
 fail(struct MHD_Connection *c, unsigned status, const char *text)
 {
-    return reply(c, status, JSON, strdup(text));
+    return http_reply(c, status, JSON, strdup(text));
 }
 
 /* Asks decide, and waits a bounded time. */
@@ -94,17 +74,18 @@
     }
     switch (route->page) {
     case PAGE_METRICS:
-        rc = reply(c, MHD_HTTP_OK, PROMETHEUS, report_metrics(d, &a->view));
+        rc = http_reply(c, MHD_HTTP_OK, PROMETHEUS,
+                        report_metrics(d, &a->view));
         break;
     case PAGE_FLOWS:
-        rc = reply(c, MHD_HTTP_OK, JSON, report_flows(&a->view));
+        rc = http_reply(c, MHD_HTTP_OK, JSON, report_flows(&a->view));
         break;
     case PAGE_STATUS:
-        rc = reply(c, MHD_HTTP_OK, JSON, report_status(d, &a->view));
+        rc = http_reply(c, MHD_HTTP_OK, JSON, report_status(d, &a->view));
         break;
     case PAGE_CHANGE:
-        rc = reply(c, a->rc < 0 ? MHD_HTTP_CONFLICT : MHD_HTTP_OK, JSON,
-                   report_status(d, &a->view));
+        rc = http_reply(c, a->rc < 0 ? MHD_HTTP_CONFLICT : MHD_HTTP_OK, JSON,
+                        report_status(d, &a->view));
         break;
     }
     ask_release(a);
--- a/tagged/serve.c
+++ b/tagged/serve.c
@@ -1,5 +1,6 @@
 /* The serve duty: HTTP (libmicrohttpd).  Readiness has a listener of its own;
  * metrics, status and the replica are on the admin address. */
+#include "kern/reply.h"
 #include "tagged/tagged.h"
 
 #include <errno.h>
@@ -18,34 +19,13 @@
 #define PROMETHEUS "text/plain; version=0.0.4"
 #define JSON "application/json"
 
-static enum MHD_Result
-reply(struct MHD_Connection *c, unsigned status, const char *type, char *text)
-{
-    struct MHD_Response *r;
-    enum MHD_Result rc;
-
-    if (text == NULL) {
-        return MHD_NO;
-    }
-    r = MHD_create_response_from_buffer(strlen(text), text,
-                                        MHD_RESPMEM_MUST_FREE);
-    if (r == NULL) {
-        free(text);
-        return MHD_NO;
-    }
-    MHD_add_response_header(r, "Content-Type", type);
-    rc = MHD_queue_response(c, status, r);
-    MHD_destroy_response(r);
-    return rc;
-}
-
 static enum MHD_Result
 reply_ready(struct MHD_Connection *c, tagged_t *t)
 {
     bool ready = SHARED(t, ready) && !SHARED(t, leaving);
 
-    return reply(c, ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE, TEXT,
-                 strdup(ready ? "ready\n" : "not ready\n"));
+    return http_reply(c, ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
+                      TEXT, strdup(ready ? "ready\n" : "not ready\n"));
 }
 
 /* ---- Peers that wait for changes ---- */
@@ -126,7 +106,8 @@
         duty_wake(kern_find(t->kern, "serve"));
         return MHD_YES;
     }
-    return reply(c, MHD_HTTP_OK, JSON, replica_text(t->replica, now, after));
+    return http_reply(c, MHD_HTTP_OK, JSON,
+                      replica_text(t->replica, now, after));
 }
 
 static enum MHD_Result
@@ -139,14 +120,15 @@
         return reply_replica(c, t, waited);
     }
     if (strcmp(path, "/metrics") == 0) {
-        return reply(c, MHD_HTTP_OK, PROMETHEUS, tagged_metrics(t));
+        return http_reply(c, MHD_HTTP_OK, PROMETHEUS, tagged_metrics(t));
     }
     if (strcmp(path, "/status") == 0) {
-        return reply(c, MHD_HTTP_OK, JSON, tagged_status(t));
+        return http_reply(c, MHD_HTTP_OK, JSON, tagged_status(t));
     }
-    return reply(c, MHD_HTTP_NOT_FOUND, JSON,
-                 strdup("{\"error\":\"expected /ready, /metrics, /status or "
-                        "/replica\"}\n"));
+    return http_reply(
+        c, MHD_HTTP_NOT_FOUND, JSON,
+        strdup("{\"error\":\"expected /ready, /metrics, /status or "
+               "/replica\"}\n"));
 }
 
 static enum MHD_Result
@@ -170,8 +152,8 @@
     }
     *state = &routed;
     if (strcmp(method, "GET") != 0) {
-        return reply(c, MHD_HTTP_METHOD_NOT_ALLOWED, JSON,
-                     strdup("{\"error\":\"expected GET\"}\n"));
+        return http_reply(c, MHD_HTTP_METHOD_NOT_ALLOWED, JSON,
+                          strdup("{\"error\":\"expected GET\"}\n"));
     }
     return route(c, arg, path, waited);
 }
