--- a/kern/reply.c
+++ b/kern/reply.c
@@ -5,7 +5,8 @@
 #include <string.h>
 
 enum MHD_Result
-http_reply(struct MHD_Connection *c, unsigned status, const char *type, char *text)
+http_reply(struct MHD_Connection *c, unsigned status, const char *type,
+           char *text)
 {
     struct MHD_Response *r;
     enum MHD_Result rc;
