flow: a leaving upstream is dead at the second refused probe

A leaving server closes its port some moments before its last flows end, and planned work always counts. Ruled out: silence (no such line for it), an address used again. The property test found that a refused upstream announced anew could be chosen before it was probed: it is not now. A crash still counts at once.

--- a/flow/choice.c
+++ b/flow/choice.c
@@ -60,7 +60,7 @@
 static tier_t
 tier_of(const upstream_t *u, ms_t now, const upstream_t * not )
 {
-    if (u->reach == REACH_DEAD || u->reach == REACH_OUT) {
+    if (u->reach == REACH_DEAD || u->reach == REACH_OUT || u->refused > 0) {
         return TIER_NONE;
     }
     if (!u->listed && now - u->unlisted_at >= LAPSE_MS) {
--- a/flow/directory.c
+++ b/flow/directory.c
@@ -112,7 +112,7 @@
     u->tag_taken =
         (uint32_t)a->id == 0 || upstream_by_tag(f, (uint32_t)a->id) != NULL;
     u->probe_at = MS_NEVER;
-    u->alive_at = u->trusted_to = -MS_NEVER;
+    u->alive_at = u->refused_at = u->trusted_to = -MS_NEVER;
     list_init(&u->records);
     list_init(&u->due);
     list_append(&f->upstreams, &u->all);
--- a/flow/reach.c
+++ b/flow/reach.c
@@ -9,7 +9,8 @@
  * answers:
  *
  *   accepted   it lives, however slow it is
- *   refused    the process has ended, and its flows with it
+ *   refused    the process has ended, and its flows with it; of one that is
+ *              leaving, when it is refused again
  *   silent     three times in a row, while another upstream answers: it can't
  *              be reached from here
  */
@@ -26,6 +27,10 @@
  * packets at random: two of them lost and another's passed is still likely
  * there, three lost and two passed is not. */
 #define PROBES_SILENT 3
+/* Refused probes in a row that prove the end of an upstream that is leaving:
+ * it may close its port a little before its last flows end.  A crash ends both
+ * at once, and one refusal proves it. */
+#define REFUSED_LEAVING 2
 /* A probe that was answered settles doubts for so long: the packets that are
  * repeated meanwhile were sent before it. */
 #define TRUST_MS 400
@@ -121,7 +126,7 @@
 void
 reach_announced(flowset_t *f, ms_t now, upstream_t *u)
 {
-    if (u->reach == REACH_DEAD || u->reach == REACH_OUT) {
+    if (u->reach == REACH_DEAD || u->reach == REACH_OUT || u->refused > 0) {
         start_probe(f, now, u);
     }
 }
@@ -253,6 +258,19 @@
     schedule(f, u, next_retry(u, now));
 }
 
+static void
+probe_refused(flowset_t *f, ms_t now, upstream_t *u)
+{
+    bool served_since = u->alive_at > u->refused_at;
+
+    u->refused++;
+    u->refused_at = now;
+    if (!u->a.draining || (u->refused >= REFUSED_LEAVING && !served_since)) {
+        reach_dead(f, now, u, "its host refused a probe");
+    }
+    schedule(f, u, next_retry(u, now));
+}
+
 void
 reach_probed(flowset_t *f, ms_t now, upstream_t *u, flow_probe_t result)
 {
@@ -264,6 +282,7 @@
             f->answered_from = u->probed_at;
         }
         u->silent = 0;
+        u->refused = 0;
         u->retry_ms = 0;
         u->unanswered = 0;
         u->alive_at = now;
@@ -271,8 +290,7 @@
         set_reach(f, u, REACH_GOOD, "it answered a probe");
         break;
     case PROBE_REFUSED:
-        reach_dead(f, now, u, "its host refused a probe");
-        schedule(f, u, next_retry(u, now));
+        probe_refused(f, now, u);
         break;
     case PROBE_SILENT:
         probe_silent(f, now, u);
--- a/flow/state.h
+++ b/flow/state.h
@@ -51,6 +51,8 @@
     flow_reach_t reach;
     bool probing;
     int silent;      /* probes in a row without an answer */
+    int refused;     /* probes in a row that were refused */
+    ms_t refused_at; /* the last of them */
     ms_t alive_at;   /* the last sign of life */
     ms_t retry_ms;   /* the last wait between probes; 0: none yet */
     ms_t probed_at;  /* the last one started */
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -200,6 +200,27 @@
     }
 }
 
+/* A leaving server closes its TCP port some moments before its last flows end.
+ * One refused probe is then no proof: reset at once, a flow that its server
+ * still serves would be cut by a planned change.  The second, later, is. */
+TEST_F(Flow, ALeavingUpstreamsFlowsAreLeftUntilTheSecondRefusal)
+{
+    uint32_t caller = open_at(0x11, 1);
+    flow_upstream_t u = FlowBed::upstream(0x11, "svc", "dc-a");
+
+    u.draining = true;
+    bed.announce(u);
+    flowset_remove_upstream(bed.flows, bed.now, 0x11);
+    bed.probed(0x11, PROBE_REFUSED);
+    EXPECT_TRUE(bed.resets.empty());
+    EXPECT_EQ(
+        bed.packet(FlowBed::data((int)caller, FEED, 0x11, 1001, 10)).verb,
+        FLOW_FORWARD);
+    bed.advance(500);
+    bed.probed(0x11, PROBE_REFUSED);
+    EXPECT_FALSE(bed.resets.empty());
+}
+
 /* An address is given to a server of another service only after its former
  * holder has ended.  Packets of the former's flows must not be carried to the
  * new one, and their callers needn't wait. */
