tagged: long answers between peers are packed and kept; a long list is left to them

An instance that knows nothing reads the first page of the list, which now names the announced peers, leaves the others to its peers for 0.8 to 1.6 s, and asks its own data centre first; seeds read on at once. A starting peer that knows nothing yet is waited at, not passed over. Late answers with everything get twice the time at the next try.

Ruled out: calls refused by the store (429) - 2,100 reads, 6,000 a second are allowed. Stale reads at a tenth of the price would still be 1 MB each.

--- a/plat/http.c
+++ b/plat/http.c
@@ -107,10 +107,15 @@
     curl_easy_setopt(c, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(c, CURLOPT_PROXY, "");
     curl_easy_setopt(c, CURLOPT_PROTOCOLS_STR, "http");
-    curl_easy_setopt(c, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_MS);
+    curl_easy_setopt(
+        c, CURLOPT_CONNECTTIMEOUT_MS,
+        (long)(call->connect_ms > 0 ? call->connect_ms : CONNECT_MS));
     curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
     curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, take);
     curl_easy_setopt(c, CURLOPT_WRITEDATA, h);
+    if (call->packed) {
+        curl_easy_setopt(c, CURLOPT_ACCEPT_ENCODING, "zstd");
+    }
     if (call->body != NULL || call->method == HTTP_POST) {
         const char *body = call->body != NULL ? call->body : "";
         curl_easy_setopt(c, CURLOPT_POSTFIELDS, body);
--- a/plat/http.h
+++ b/plat/http.h
@@ -20,6 +20,8 @@
     const char *body; /* NULL: none */
     ms_t timeout_ms;
     const char *step; /* for errors */
+    bool packed;      /* the answer may come packed (zstd) */
+    ms_t connect_ms;  /* of TIMEOUT_MS for the connection; 0: up to 1,000 */
 } http_call_t;
 
 typedef struct {
--- a/source/source.c
+++ b/source/source.c
@@ -7,6 +7,12 @@
  * failures are restarts, which take a second or two. */
 #define FAILED_MIN_MS 1500
 #define FAILED_MAX_MS 12000
+/* A long list is left to peers for so long, and a random time more, so that
+ * those whose peers are all down don't read it all at once.  A seed has it
+ * within a second over a link of 10 Mbit/s (3,000 upstreams: 1 MB). */
+#define LEAVE_MIN_MS 800
+#define LEAVE_SPREAD_MS 800
+
 void
 sources_init(sources_t *s, const addr_t *self, const char *data_centre,
              uint64_t seed)
@@ -33,6 +39,7 @@
 
     if (addr_eq(a, &s->self)) {
         s->announced = s->announced || data_centre[0] != '\0';
+        s->seed = s->seed || data_centre[0] == '\0';
         return;
     }
     if (p == NULL) { /* where there is no room, chance says who goes */
@@ -160,6 +167,35 @@
     return other != NULL ? other : any != NULL ? any : leader;
 }
 
+const source_peer_t *
+sources_start(sources_t *s, ms_t now)
+{
+    const source_peer_t *any = NULL, *local = NULL;
+    uint32_t n_any = 0, n_local = 0;
+
+    for (uint32_t i = 0; i < s->n; i++) {
+        const source_peer_t *p = &s->peer[i];
+        if (now < p->failed_until) {
+            continue;
+        }
+        if (rng_below(&s->rng, ++n_any) == 0) {
+            any = p;
+        }
+        if (is_local(s, p) && rng_below(&s->rng, ++n_local) == 0) {
+            local = p;
+        }
+    }
+    return local != NULL ? local : any;
+}
+
+ms_t
+sources_leave_list_ms(sources_t *s)
+{
+    return s->seed || s->n == 0
+               ? 0
+               : LEAVE_MIN_MS + rng_below(&s->rng, LEAVE_SPREAD_MS);
+}
+
 bool
 sources_should_announce(const sources_t *s)
 {
--- a/source/source.h
+++ b/source/source.h
@@ -41,6 +41,7 @@
     addr_t self;
     char data_centre[SOURCE_NAME_LEN];
     bool announced; /* this instance itself is */
+    bool seed;      /* the settings name this instance itself */
     rng_t rng;
     uint32_t n;
     source_peer_t peer[SOURCE_PEERS_MAX];
@@ -60,6 +61,13 @@
 /* A peer to ask for anything newer, other than the one that is followed; NULL:
  * there is none. */
 const source_peer_t *sources_check(sources_t *s, ms_t now);
+/* For an instance that knows nothing: the peer to ask for everything, or
+ * NULL. */
+const source_peer_t *sources_start(sources_t *s, ms_t now);
+/* How long it leaves a list of several pages to its peers before it goes on
+ * reading it itself.  When all instances start together, one answer of each
+ * data centre's link is enough for the store. */
+ms_t sources_leave_list_ms(sources_t *s);
 /* True while too few instances of the data centre are announced and this one
  * isn't. */
 bool sources_should_announce(const sources_t *s);
--- a/tagged/check.c
+++ b/tagged/check.c
@@ -10,17 +10,20 @@
 /* Between two questions.  A change must be in force within 3 s: this leaves
  * room for one peer that doesn't answer and a second question. */
 #define CHECK_MS 700
-/* Until something is known: an instance that starts while the store is away
- * gets it from a peer. */
+/* Until something is known: an instance that starts while the store is away,
+ * or among many, gets it from a peer.  A peer that is only starting itself
+ * answers when it knows something, or after START_WAIT_MS. */
 #define START_MS 100
+#define START_WAIT_MS 300
 
 static const source_peer_t *
-pick(tagged_t *t, addr_t *a)
+pick(tagged_t *t, bool starting, addr_t *a)
 {
     const source_peer_t *p;
 
     pthread_mutex_lock(&t->follow_lock);
-    p = sources_check(&t->sources, clock_now());
+    p = starting ? sources_start(&t->sources, clock_now())
+                 : sources_check(&t->sources, clock_now());
     if (p != NULL) {
         *a = p->addr;
     }
@@ -32,7 +35,10 @@
 note(tagged_t *t, const addr_t *a, int rc)
 {
     pthread_mutex_lock(&t->follow_lock);
-    if (rc < 0) {
+    if (rc == -ENODATA) {
+        ; /* it starts itself: it may be the first to know */
+    }
+    else if (rc < 0) {
         sources_failed(&t->sources, clock_now(), a);
     }
     else {
@@ -50,10 +56,10 @@
     addr_t a;
     int rc;
 
-    if (pick(t, &a) == NULL) {
+    if (pick(t, before == 0, &a) == NULL) {
         return;
     }
-    rc = news_ask(t, c, &a, 0, &e);
+    rc = news_ask(t, c, &a, before == 0 ? START_WAIT_MS : 0, &e);
     note(t, &a, rc);
     if (rc > 0) {
         counter_add(&t->count.news_from_check, 1);
--- a/tagged/daemon.c
+++ b/tagged/daemon.c
@@ -48,11 +48,12 @@
 start(tagged_t *t, err_t *e)
 {
     t->replica = replica_new(t->started);
+    t->answers = answers_new();
     t->store = store_new(t->settings.store_url);
     t->writer = store_new(t->settings.store_url);
     t->kern = kern_new();
-    if (t->replica == NULL || t->store == NULL || t->writer == NULL ||
-        t->kern == NULL) {
+    if (t->replica == NULL || t->answers == NULL || t->store == NULL ||
+        t->writer == NULL || t->kern == NULL) {
         return err_set(e, -ENOMEM, "start", t->settings.name, "out of memory");
     }
     t->flow_fd = udp_open(&t->settings.flow_addr, e);
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -23,14 +23,16 @@
 /* After a change, before the next watch: changes come in series, each answer
  * is a call that is paid for, and a change may take 3 s. */
 #define GATHER_MS 200
-/* The whole list, with the store slow by a factor of 60. */
+/* A page of the list, with the store slow by a factor of 60. */
 #define LIST_MS 1200
 /* Between calls that fail: doubling, with jitter, so that instances do not
  * return all at once.  The upper bound is short of what a change may take. */
 #define BACKOFF_MIN_MS 150
 #define BACKOFF_MAX_MS 1200
+
 typedef struct {
     tagged_t *t;
+    duty_t *self;
     rng_t rng;
     /* The store's history doesn't reach back to the replica's revision, or
      * news was lost on the way: only a list tells what there is. */
@@ -68,20 +70,56 @@
 }
 
 static int
-list(follow_t *f, err_t *e)
+take(follow_t *f, store_items_t *items)
 {
-    store_items_t items;
-    int rc = store_list(f->t->store, LIST_MS, &items, e);
+    int rc = news_take(f->t, items);
 
-    if (rc < 0) {
-        return rc;
-    }
-    rc = news_take(f->t, &items);
     f->must_list = rc < 0;
-    store_items_free(&items);
+    store_items_free(items);
     return rc;
 }
 
+/* A list of several pages: an instance that knows nothing leaves it to its
+ * peers, which have it packed.  True: one of them told. */
+static bool
+leave_list(follow_t *f, const store_items_t *first_page)
+{
+    ms_t until, now = clock_now();
+
+    news_take_peers(f->t, first_page);
+    pthread_mutex_lock(&f->t->follow_lock);
+    until = now + sources_leave_list_ms(&f->t->sources);
+    pthread_mutex_unlock(&f->t->follow_lock);
+    while (now < until && replica_revision(f->t->replica) == 0 &&
+           !duty_stopping(f->self)) {
+        duty_wait(f->self, NULL, 0, until - now);
+        now = clock_now();
+    }
+    return replica_revision(f->t->replica) > 0;
+}
+
+static int
+list(follow_t *f, err_t *e)
+{
+    store_items_t items = {.whole = true};
+    bool more = true, first = true;
+
+    while (more) {
+        int rc = store_list_page(f->t->store, LIST_MS, &items, &more, e);
+        if (rc == 0 && more && first && !f->must_list &&
+            leave_list(f, &items)) {
+            store_items_free(&items);
+            return 0;
+        }
+        if (rc < 0) {
+            store_items_free(&items);
+            return rc;
+        }
+        first = false;
+    }
+    return take(f, &items);
+}
+
 static bool
 is_stale(const follow_t *f)
 {
@@ -105,13 +143,7 @@
         f->must_list = true;
         return 1; /* a change: the list can wait as long as any other */
     }
-    if (rc < 0) {
-        return rc;
-    }
-    rc = news_take(f->t, &items);
-    f->must_list = rc < 0;
-    store_items_free(&items);
-    return rc;
+    return rc < 0 ? rc : take(f, &items);
 }
 
 /* ---- The loop ---- */
@@ -250,7 +282,7 @@
 void
 follow_run(duty_t *self, void *tagged)
 {
-    follow_t f = {.t = tagged};
+    follow_t f = {.t = tagged, .self = self};
     bool leading = true;
 
     f.rng.seed = hash64(f.t->settings.name, strlen(f.t->settings.name),
--- a/tagged/news.c
+++ b/tagged/news.c
@@ -9,6 +9,10 @@
 /* What a peer's answer may take beyond the wait: it is a few milliseconds
  * away; one that takes longer is down, or no better than the store. */
 #define PEER_SLACK_MS 400
+/* All that is known may take longer: it shares its sender's link with what
+ * others ask for, and asking anew only sends it again.  Each time it comes too
+ * late it is given twice as long, so often at most. */
+#define LATE_MAX 3
 
 void
 changes_free(void *msg)
@@ -23,6 +27,17 @@
     free(c);
 }
 
+static void
+take_peer(tagged_t *t, const store_event_t *ev)
+{
+    if (ev->kind == STORE_PEER) {
+        sources_add(&t->sources, &ev->peer.addr, ev->peer.data_centre);
+    }
+    else {
+        sources_remove(&t->sources, &ev->peer.addr);
+    }
+}
+
 static void
 decode(tagged_t *t, const store_item_t *item, changes_t *c)
 {
@@ -37,10 +52,8 @@
     }
     switch (ev->kind) {
     case STORE_PEER:
-        sources_add(&t->sources, &ev->peer.addr, ev->peer.data_centre);
-        return;
     case STORE_PEER_GONE:
-        sources_remove(&t->sources, &ev->peer.addr);
+        take_peer(t, ev);
         return;
     case STORE_OTHER:
         return;
@@ -94,9 +107,28 @@
     if (n > 0) { /* peers wait for it */
         duty_wake(kern_find(t->kern, "serve"));
     }
+    if (first && n > 0) { /* follow may have left the list to peers */
+        duty_wake(kern_find(t->kern, "follow"));
+    }
     return rc < 0 ? rc : n;
 }
 
+void
+news_take_peers(tagged_t *t, const store_items_t *items)
+{
+    pthread_mutex_lock(&t->follow_lock);
+    for (size_t i = 0; i < items->n; i++) {
+        store_event_t ev;
+        err_t e = {0};
+        /* An unreadable one is reported when the whole list is taken. */
+        if (store_is_peer(&items->item[i]) &&
+            store_event(&ev, &items->item[i], &e) == 0) {
+            take_peer(t, &ev);
+        }
+    }
+    pthread_mutex_unlock(&t->follow_lock);
+}
+
 void
 peer_client_close(peer_client_t *c)
 {
@@ -124,8 +156,13 @@
          err_t *e)
 {
     char path[96];
-    http_call_t call = {
-        .path = path, .timeout_ms = wait_ms + PEER_SLACK_MS, .step = "peer"};
+    uint64_t after = replica_revision(t->replica);
+    ms_t slack = after > 0 ? PEER_SLACK_MS : PEER_SLACK_MS << c->late;
+    http_call_t call = {.path = path,
+                        .timeout_ms = wait_ms + slack,
+                        .connect_ms = PEER_SLACK_MS,
+                        .step = "peer",
+                        .packed = true};
     store_items_t items;
     http_reply_t r;
     int rc = open_client(c, a);
@@ -134,8 +171,7 @@
         return err_set(e, rc, call.step, "memory", "out of memory");
     }
     snprintf(path, sizeof(path), "/replica?after=%llu&wait_ms=%lld",
-             (unsigned long long)replica_revision(t->replica),
-             (long long)wait_ms);
+             (unsigned long long)after, (long long)wait_ms);
     __atomic_add_fetch(&t->count.peer_calls, 1, __ATOMIC_RELAXED);
     rc = http_call(c->http, &call, &r, e);
     if (rc == 0) {
@@ -143,8 +179,10 @@
     }
     if (rc < 0) {
         __atomic_add_fetch(&t->count.peer_failures, 1, __ATOMIC_RELAXED);
+        c->late += rc == -ETIMEDOUT && c->late < LATE_MAX;
         return rc;
     }
+    c->late = 0;
     rc = items.revision > 0 ? news_take(t, &items) : -ENODATA;
     store_items_free(&items);
     return rc;
--- a/tagged/replica.c
+++ b/tagged/replica.c
@@ -246,8 +246,19 @@
     }
 }
 
+bool
+replica_is_behind(replica_t *r, uint64_t after)
+{
+    bool behind;
+
+    pthread_mutex_lock(&r->lock);
+    behind = after < r->floor;
+    pthread_mutex_unlock(&r->lock);
+    return behind;
+}
+
 char *
-replica_text(replica_t *r, ms_t now, uint64_t after)
+replica_text(replica_t *r, ms_t now, uint64_t after, ms_t given_ms)
 {
     store_items_t out = {0};
     char *text = NULL;
@@ -255,7 +266,7 @@
     pthread_mutex_lock(&r->lock);
     out.whole = after < r->floor;
     out.revision = r->items.revision;
-    out.age = now - r->current_at;
+    out.age = now + given_ms - r->current_at;
     out.item = calloc(r->items.n + 1, sizeof(*out.item));
     if (out.item != NULL) {
         select_items(r, after, &out);
--- a/tagged/serve.c
+++ b/tagged/serve.c
@@ -106,8 +106,7 @@
         duty_wake(kern_find(t->kern, "serve"));
         return MHD_YES;
     }
-    return http_reply(c, MHD_HTTP_OK, JSON,
-                      replica_text(t->replica, now, after));
+    return answers_reply(t->answers, t->replica, c, after);
 }
 
 static enum MHD_Result
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -21,6 +21,7 @@
 #include "platform/platform.h"
 #include "source/source.h"
 
+#include <microhttpd.h>
 #include <pthread.h>
 
 #ifdef __cplusplus
@@ -41,9 +42,23 @@
 uint64_t replica_revision(replica_t *r);
 /* When it was last known to be all that the store holds. */
 ms_t replica_current_at(replica_t *r);
-/* What is newer than revision AFTER, as text for a peer; NULL without
- * memory. */
-char *replica_text(replica_t *r, ms_t now, uint64_t after);
+/* True where what was removed after revision AFTER is no longer known: only
+ * the whole helps. */
+bool replica_is_behind(replica_t *r, uint64_t after);
+/* What is newer than revision AFTER, as text for a peer, which gets it at most
+ * GIVEN_MS later; NULL without memory. */
+char *replica_text(replica_t *r, ms_t now, uint64_t after, ms_t given_ms);
+
+/* ---- Answers to peers, packed and kept for those that ask the same ---- */
+
+typedef struct answers answers_t;
+
+/* NULL without memory. */
+answers_t *answers_new(void);
+/* Answers C with what is newer than revision AFTER.  MHD_NO, which ends the
+ * connection, without memory. */
+enum MHD_Result answers_reply(answers_t *a, replica_t *r,
+                              struct MHD_Connection *c, uint64_t after);
 
 /* ---- Messages to packets ---- */
 
@@ -73,6 +88,7 @@
     char settings_file[256];
     kern_t *kern;
     replica_t *replica;
+    answers_t *answers;
     store_t *store;              /* follow's client */
     store_t *writer;             /* announce's */
     pthread_mutex_t follow_lock; /* sources, and the order of changes */
@@ -108,12 +124,15 @@
 /* Takes ITEMS into the replica and passes on what is new, in one order
  * whoever brings it.  The number of new items, or -ENOMEM, -EAGAIN. */
 int news_take(tagged_t *t, const store_items_t *items);
+/* Takes only what ITEMS tell of peers. */
+void news_take_peers(tagged_t *t, const store_items_t *items);
 /* Asks the peer at A for what is newer, by the client *H, which is made anew
  * when it is for another peer.  The answer may take WAIT_MS.  As news_take().
  */
 typedef struct {
     addr_t addr;
     void *http;
+    unsigned late; /* answers with everything that came too late, in a row */
 } peer_client_t;
 int news_ask(tagged_t *t, peer_client_t *c, const addr_t *a, ms_t wait_ms,
              err_t *e);
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -265,6 +265,17 @@
     EXPECT_EQ(ev.kind, STORE_PEER_GONE);
 }
 
+/* An instance that starts among thousands of upstreams leaves the list to its
+ * peers after the first page: by then it must know them. */
+TEST(Items, PeersComeBeforeUpstreamsInAList)
+{
+    addr_t a = address("250.1.0.10:8166");
+    char key[128];
+
+    store_peer_key(key, sizeof(key), &a);
+    EXPECT_LT(std::string(key), "servers/");
+}
+
 TEST(Items, TextAndBack)
 {
     store_items_t s = {}, back;
--- a/test/replica_test.cc
+++ b/test/replica_test.cc
@@ -56,7 +56,7 @@
     store_items_t
     text(uint64_t after)
     {
-        char *t = replica_text(r, now, after);
+        char *t = replica_text(r, now, after, 0);
         store_items_t out;
         EXPECT_EQ(store_items_parse(&out, t), 0);
         free(t);
@@ -162,6 +162,28 @@
     EXPECT_EQ(replica_current_at(r), 2000);
 }
 
+/* An answer is kept for others that ask the same a little later. */
+TEST_F(Replica, AnAnswerThatIsGivenLaterIsAsOldByThen)
+{
+    char *t;
+    store_items_t out;
+
+    merge(Items(10, true));
+    t = replica_text(r, now + 200, 0, 1000);
+    ASSERT_EQ(store_items_parse(&out, t), 0);
+    EXPECT_EQ(out.age, 1200);
+    free(t);
+    store_items_free(&out);
+}
+
+TEST_F(Replica, WhoLacksForgottenRemovalsIsBehind)
+{
+    merge(Items(10, true).add("a", "1", 5));
+    EXPECT_TRUE(replica_is_behind(r, 0));
+    EXPECT_FALSE(replica_is_behind(r, 10));
+    EXPECT_FALSE(replica_is_behind(r, 12));
+}
+
 /* A source whose watch is dead believes that it is current.  That it knows
  * less shows that it isn't. */
 TEST_F(Replica, ASourceThatKnowsLessDoesNotConfirm)
--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -2,7 +2,10 @@
 #include "source/source.h"
 #include "test/flow_bed.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
+#include <set>
+#include <string>
 
 /* Instances dc-a: 10.0.1.1 to 3, dc-b: 10.0.2.1 to 3; this one is 10.0.1.9. */
 class Sources : public ::testing::Test {
@@ -189,3 +192,52 @@
     }
     EXPECT_EQ(s.n, (uint32_t)SOURCE_PEERS_MAX);
 }
+
+/* All instances start at once and know nothing.  Whoever has a peer to ask
+ * leaves a long list to it; a seed is the peer that the others ask. */
+TEST_F(Sources, OnlyASeedReadsALongListAtOnce)
+{
+    sources_t alone, seed;
+    addr_t self = at(1, 9);
+
+    EXPECT_GT(sources_leave_list_ms(&s), 0);
+    sources_init(&alone, &self, "dc-a", 3);
+    EXPECT_EQ(sources_leave_list_ms(&alone), 0);
+    seed = s;
+    sources_add(&seed, &self, "");
+    EXPECT_EQ(sources_leave_list_ms(&seed), 0);
+}
+
+/* Their peers may all be down: then they read the list, not all at once. */
+TEST_F(Sources, TheListIsLeftForTimesThatDiffer)
+{
+    ms_t least = 1000000, most = 0;
+
+    for (int i = 0; i < 100; i++) {
+        ms_t wait = sources_leave_list_ms(&s);
+        least = std::min(least, wait);
+        most = std::max(most, wait);
+    }
+    EXPECT_GT(most - least, 500);
+}
+
+/* Bytes between data centres are paid for. */
+TEST_F(Sources, AtItsStartItAsksItsOwnDataCentreFirst)
+{
+    std::set<std::string> asked;
+    char text[ADDR_STRLEN];
+
+    for (int i = 0; i < 100; i++) {
+        const source_peer_t *p = sources_start(&s, now);
+        ASSERT_NE(p, nullptr);
+        EXPECT_STREQ(p->data_centre, "dc-a");
+        asked.insert(addr_text(&p->addr, text));
+    }
+    EXPECT_EQ(asked.size(), 3u); /* not all of them the same one */
+    for (int n = 1; n <= 3; n++) {
+        addr_t a = at(1, n);
+        sources_failed(&s, now, &a);
+    }
+    ASSERT_NE(sources_start(&s, now), nullptr);
+    EXPECT_STREQ(sources_start(&s, now)->data_centre, "dc-b");
+}
--- a/test/tagged_bed.bash
+++ b/test/tagged_bed.bash
@@ -110,6 +110,23 @@
         --route=198.18.0.2:8443,upload,2 --seconds="$seconds" "$@"
 }
 
+# Announces COUNT upstreams of "feed" that are entries of the store alone.
+entries() {             # COUNT
+    local i puts= value
+    for i in $(seq "$1"); do
+        value=$(printf '{"service":"feed","address":"10.9.%d.%d:7100","zone":"dc-0","slots":2,"state":"ready"}' \
+            $((i / 250)) $((i % 250 + 1)))
+        puts+=$(printf '{"key":"servers/i-%010x","value":"%s","lease":0},' \
+            $((0x660000 + i * 7919)) "$(base64 -w0 <<<"$value")")
+        if [ $((i % 32)) -eq 0 ] || [ "$i" -eq "$1" ]; then
+            echo "{\"precondition\":[],\"puts\":[${puts%,}],\"remove\":[]}" |
+                curl -s -o /dev/null -X POST --data-binary @- \
+                    "$store/api/kv-txn?as=platform"
+            puts=
+        fi
+    done
+}
+
 until_quietly() {       # COMMAND...: each 50 ms, 30 s at most
     for _ in $(seq 600); do
         "$@" >/dev/null 2>&1 && return 0
--- /dev/null
+++ b/test/tagged_herd.sh
@@ -0,0 +1,74 @@
+#!/usr/bin/env bash
+# All instances start at once while the store holds thousands of upstreams.
+# Callers see new flows refused until an instance knows them; when each reads
+# all pages for itself, the store's link and calls are what they wait for.  A
+# seed reads the list, the others have it from peers, packed.
+# usage: test/tagged_herd.sh BUILD
+. "$(dirname "$0")/tagged_bed.bash"
+
+instances=12
+upstreams=1200          # three pages of the store
+pages=0
+
+all_start() {
+    local n
+    for n in $(seq $instances); do
+        instance "$n"
+    done
+    for n in $(seq $instances); do
+        until_quietly ready "$n" || echo "$n is not ready"
+        until_quietly metric_is "$n" upstreams -eq $upstreams ||
+            echo "$n lacks upstreams"
+    done
+}
+
+# Two seeds read two pages behind the first each; a third instance may find
+# its peers late on a busy machine.  Each for itself: 24.
+few_pages() {
+    local n
+    n=$(curl -s -m 3 "$store/pages" | tr -dc 0-9)
+    [ $((n - pages)) -le 6 ] && echo "few pages" || echo "pages: $((n - pages))"
+    pages=$n
+}
+
+run() {
+    start_store
+    configure 1
+    entries $upstreams
+    for n in $(seq $instances); do
+        settings "$n" dc-$((n % 2))
+    done
+
+    echo "## All start"
+    all_start
+    few_pages
+
+    echo "## All are killed, and start again"
+    for n in $(seq $instances); do
+        signal "i$n" KILL
+        ended "i$n" 2>/dev/null
+    done
+    all_start
+    few_pages
+
+    echo "## A long answer is packed, and whole for one that takes no packed ones"
+    curl -s -m 3 -H 'Accept-Encoding: zstd' -o packed \
+        "http://$net.1:7002/replica?after=0"
+    curl -s -m 3 -o plain "http://$net.1:7002/replica?after=0"
+    curl -s -m 3 --compressed -o unpacked "http://$net.1:7002/replica?after=0"
+    [ $(($(stat -c %s packed) * 5)) -lt "$(stat -c %s plain)" ] &&
+        echo "a fifth of its size at most"
+    grep -o '"key":"servers/' plain | wc -l
+    grep -o '"key":"servers/' unpacked | wc -l
+
+    for n in $(seq $instances); do
+        signal "i$n" TERM
+    done
+    for n in $(seq $instances); do
+        ended "i$n"
+        [ "$rc" -eq 0 ] || echo "$n: exit $rc"
+    done
+}
+
+run >out
+expect <out
