siskinctl: explain and report read instances' logs

`siskinctl report [--into DIR]` sums up load, endings by reason, beliefs, versions from the first instance to the last, starts; gnuplot draws the tables. Lines of other programs and bytes that are no log are passed over.

--- /dev/null
+++ b/bench/herd.sh
@@ -0,0 +1,51 @@
+#!/usr/bin/env bash
+# All instances start at once, then are all killed and start again: how long
+# each takes from its start until it serves, and what it costs the store.
+# usage: bench/herd.sh BUILD [INSTANCES UPSTREAMS]
+set -u
+instances=${2:-30}
+upstreams=${3:-300}
+set -- "$1"
+. "$(dirname "$0")/../test/tagged_bed.bash" "$1"
+
+counted() {             # calls|pages
+    curl -s -m 3 "$store/$1" | tr -dc 0-9
+}
+
+all_serve() {
+    for n in $(seq "$instances"); do
+        until_quietly grep -q 'It serves' "i$n.log"
+    done
+}
+
+turn() {                # WHAT
+    local n calls pages
+    calls=$(counted calls)
+    pages=$(counted pages)
+    for n in $(seq "$instances"); do
+        : >"i$n.log"
+        instance "$n"
+    done
+    all_serve
+    calls=$(($(counted calls) - calls))
+    pages=$(($(counted pages) - pages))
+    grep -h 'It serves' i*.log | sed 's/.*since_start_ms=\([0-9]*\).*/\1/' |
+        sort -n >took
+    echo "$1: instances=$instances upstreams=$upstreams serve=$(wc -l <took)" \
+        "ms: median=$(sed -n "$((instances / 2 + 1))p" took)" \
+        "last=$(tail -1 took) store: calls=$calls pages=$pages"
+}
+
+start_store
+configure 1
+entries "$upstreams"
+for n in $(seq "$instances"); do
+    settings "$n" dc-$((n % 4))
+done
+turn "first start"
+sleep 10 # announced by then
+for n in $(seq "$instances"); do
+    signal "i$n" KILL
+    ended "i$n" 2>/dev/null
+done
+turn "all killed"
--- a/siskinctl/ctl.h
+++ b/siskinctl/ctl.h
@@ -27,8 +27,9 @@
     const char *upstream; /* IP:PORT, or NULL */
     const char *into;     /* a directory, or NULL */
     const char *change_id;
-    int64_t on;    /* the version edited; -1: not said */
-    int64_t count; /* versions to watch; 0: no end */
+    const char *id; /* what to explain, or NULL */
+    int64_t on;     /* the version edited; -1: not said */
+    int64_t count;  /* versions to watch; 0: no end */
     size_t n_files;
     const char *files[CTL_FILES_MAX];
 } options_t;
@@ -44,6 +45,8 @@
 ctl_exit_t cmd_flows(const options_t *o);
 ctl_exit_t cmd_drain(const options_t *o);
 ctl_exit_t cmd_undrain(const options_t *o);
+ctl_exit_t cmd_explain(const options_t *o);
+ctl_exit_t cmd_report(const options_t *o);
 
 /* ---- Output ---- */
 
--- /dev/null
+++ b/siskinctl/logs.c
@@ -0,0 +1,294 @@
+/* Reading logs: "TIME LEVEL INSTANCE PART: Sentence. name=value name="..."".
+ * What stands before the time, say the name of a machine that a collector has
+ * added, is passed over. */
+#include "siskinctl/logs.h"
+
+#include <ctype.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define READ_BYTES (1 << 16)
+#define TIME_LEN 24 /* 2026-01-02T03:04:05.678Z */
+
+/* ---- One line ---- */
+
+static bool
+is_time(const char *s)
+{
+    static const char form[] = "dddd-dd-ddTdd:dd:dd.dddZ";
+
+    for (size_t i = 0; form[i] != '\0'; i++) {
+        if (form[i] == 'd' ? !isdigit((unsigned char)s[i]) : s[i] != form[i]) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static ms_t
+read_time(const char *s)
+{
+    struct tm t = {0};
+    const char *end = strptime(s, "%Y-%m-%dT%H:%M:%S", &t);
+
+    return end != NULL ? (ms_t)timegm(&t) * 1000 + atoi(end + 1) : 0;
+}
+
+/* The next word of *S, ended by a NUL; *S is behind it. */
+static char *
+word(char **s)
+{
+    char *begin = *s + strspn(*s, " ");
+    size_t len = strcspn(begin, " ");
+
+    *s = begin + len + (begin[len] != '\0');
+    begin[len] = '\0';
+    return begin;
+}
+
+/* A value that stands in quotes may hold spaces. */
+static char *
+value(char **s)
+{
+    char *begin = *s, *end;
+
+    if (*begin != '"') {
+        return word(s);
+    }
+    begin++;
+    end = begin;
+    while (*end != '\0' &&
+           (*end != '"' || (end[1] != ' ' && end[1] != '\0'))) {
+        end++;
+    }
+    *s = end + (*end != '\0');
+    *end = '\0';
+    return begin;
+}
+
+/* The first field of S: " name=", the name in small letters. */
+static char *
+first_field(char *s)
+{
+    for (char *p = strchr(s, ' '); p != NULL; p = strchr(p + 1, ' ')) {
+        size_t len = strspn(p + 1, "abcdefghijklmnopqrstuvwxyz_");
+        if (len > 0 && p[1 + len] == '=') {
+            return p;
+        }
+    }
+    return NULL;
+}
+
+static void
+read_fields(log_entry_t *x, char *s)
+{
+    while (x->n_fields < LOG_FIELDS_MAX) {
+        char *name = s + strspn(s, " ");
+        char *equals = strchr(name, '=');
+        if (equals == NULL) {
+            return;
+        }
+        *equals = '\0';
+        s = equals + 1;
+        x->field[x->n_fields++] = (log_field_t){name, value(&s)};
+    }
+}
+
+static bool
+read_entry(log_entry_t *x, char *line)
+{
+    char *s = line, *part, *fields;
+    size_t len;
+
+    while (*s != '\0' && !is_time(s)) {
+        s++;
+    }
+    if (*s == '\0') {
+        return false;
+    }
+    *x = (log_entry_t){.at = read_time(s)};
+    s += TIME_LEN;
+    word(&s); /* the level */
+    x->instance = word(&s);
+    part = word(&s);
+    len = strlen(part);
+    if (len == 0 || part[len - 1] != ':') {
+        return false;
+    }
+    part[len - 1] = '\0';
+    x->part = part;
+    x->sentence = s;
+    fields = first_field(s);
+    if (fields != NULL) {
+        *fields = '\0';
+        read_fields(x, fields + 1);
+    }
+    return true;
+}
+
+/* ---- Files ---- */
+
+static int
+add(logs_t *l, const log_entry_t *x)
+{
+    if (l->n == l->cap) {
+        size_t cap = l->cap == 0 ? 1024 : 2 * l->cap;
+        log_entry_t *grown = realloc(l->entry, cap * sizeof(*grown));
+        if (grown == NULL) {
+            return -ENOMEM;
+        }
+        l->entry = grown;
+        l->cap = cap;
+    }
+    l->entry[l->n] = *x;
+    l->entry[l->n].read_as = l->n;
+    l->n++;
+    return 0;
+}
+
+/* All of IN, ended by a NUL (malloc); NULL without memory or when it can't be
+ * read. */
+static char *
+read_all(FILE *in)
+{
+    size_t len = 0, cap = 0, got;
+    char *text = NULL;
+
+    do {
+        if (len + READ_BYTES + 1 > cap) {
+            char *grown;
+            cap = 2 * cap + READ_BYTES + 1;
+            grown = realloc(text, cap);
+            if (grown == NULL) {
+                free(text);
+                return NULL;
+            }
+            text = grown;
+        }
+        got = fread(text + len, 1, READ_BYTES, in);
+        len += got;
+    } while (got > 0);
+    for (size_t i = 0; i < len; i++) { /* a crash may leave NULs in a log */
+        text[i] = text[i] == '\0' ? ' ' : text[i];
+    }
+    text[len] = '\0';
+    if (ferror(in)) {
+        free(text);
+        return NULL;
+    }
+    return text;
+}
+
+static int
+read_lines(logs_t *l, char *text)
+{
+    char *next;
+
+    for (char *line = text; line != NULL && *line != '\0'; line = next) {
+        log_entry_t x;
+        next = strchr(line, '\n');
+        if (next != NULL) {
+            *next++ = '\0';
+        }
+        if (!read_entry(&x, line)) {
+            l->unreadable++;
+        }
+        else if (add(l, &x) < 0) {
+            return -ENOMEM;
+        }
+    }
+    return 0;
+}
+
+static int
+read_file(logs_t *l, const char *name, err_t *e)
+{
+    bool standard = strcmp(name, "-") == 0;
+    FILE *in = standard ? stdin : fopen(name, "r");
+    char *text = in != NULL ? read_all(in) : NULL;
+    int rc = 0;
+
+    if (text == NULL) {
+        rc = err_set(e, -EIO, "read log", name, "%s", strerror(errno));
+    }
+    else {
+        l->text[l->n_texts++] = text;
+        if (read_lines(l, text) < 0) {
+            rc = err_set(e, -ENOMEM, "read log", name, "out of memory");
+        }
+    }
+    if (in != NULL && !standard) {
+        fclose(in);
+    }
+    return rc;
+}
+
+static int
+earlier(const void *a, const void *b)
+{
+    const log_entry_t *x = a, *y = b;
+
+    return x->at != y->at
+               ? (x->at > y->at) - (x->at < y->at)
+               : (x->read_as > y->read_as) - (x->read_as < y->read_as);
+}
+
+int
+logs_read(logs_t *l, const char *const *files, size_t n, err_t *e)
+{
+    static const char *const standard_input[] = {"-"};
+    int rc = 0;
+
+    if (n == 0) {
+        files = standard_input;
+        n = 1;
+    }
+    *l = (logs_t){.text = calloc(n, sizeof(*l->text))};
+    if (l->text == NULL) {
+        return err_set(e, -ENOMEM, "read log", "memory", "out of memory");
+    }
+    for (size_t i = 0; i < n && rc == 0; i++) {
+        rc = read_file(l, files[i], e);
+    }
+    if (rc < 0) {
+        logs_free(l);
+        return rc;
+    }
+    if (l->n > 0) {
+        qsort(l->entry, l->n, sizeof(*l->entry), earlier);
+    }
+    return 0;
+}
+
+void
+logs_free(logs_t *l)
+{
+    for (size_t i = 0; i < l->n_texts; i++) {
+        free(l->text[i]);
+    }
+    free(l->text);
+    free(l->entry);
+    *l = (logs_t){0};
+}
+
+const char *
+log_field(const log_entry_t *x, const char *name)
+{
+    for (uint32_t i = 0; i < x->n_fields; i++) {
+        if (strcmp(x->field[i].name, name) == 0) {
+            return x->field[i].value;
+        }
+    }
+    return NULL;
+}
+
+bool
+log_field_is(const log_entry_t *x, const char *name, const char *value_)
+{
+    const char *v = log_field(x, name);
+
+    return v != NULL && strcmp(v, value_) == 0;
+}
--- a/siskinctl/main.c
+++ b/siskinctl/main.c
@@ -23,6 +23,8 @@
     OPT_COUNT = 1 << 7,
     OPT_FILES = 1 << 8,    /* one at least */
     OPT_FILE_OPT = 1 << 9, /* one at most */
+    OPT_ID = 1 << 10,
+    OPT_LOGS = 1 << 11, /* none: standard input */
 } opt_t;
 
 static const struct {
@@ -50,6 +52,10 @@
     {"undrain", cmd_undrain,
      OPT_JSON | OPT_PLATFORM | OPT_ADMIN | OPT_UPSTREAM,
      "Takes a drain back."},
+    {"explain", cmd_explain, OPT_ID | OPT_LOGS,
+     "Tells from logs what became of a request, a flow or an upstream."},
+    {"report", cmd_report, OPT_JSON | OPT_INTO | OPT_LOGS,
+     "Sums up logs: load, resets, beliefs, versions; plots with --into."},
 };
 
 #define N_COMMANDS (sizeof(commands) / sizeof(commands[0]))
@@ -57,7 +63,7 @@
 /* The options of one command, in argtable's form. */
 typedef struct {
     struct arg_lit *help, *json, *settings;
-    struct arg_str *platform, *admin, *upstream, *into, *change_id;
+    struct arg_str *platform, *admin, *upstream, *into, *change_id, *id;
     struct arg_int *on, *count;
     struct arg_file *files;
     struct arg_end *end;
@@ -80,8 +86,14 @@
 args_build(args_t *a, unsigned opts)
 {
     int least = opts & OPT_FILES ? 1 : 0;
-    int most = opts & OPT_FILES ? CTL_FILES_MAX : 1;
-    const char *what = opts & OPT_FILES ? "FILE" : "NAME";
+    int most = opts & (OPT_FILES | OPT_LOGS) ? CTL_FILES_MAX : 1;
+    const char *what = opts & OPT_FILES  ? "FILE"
+                       : opts & OPT_LOGS ? "LOG"
+                                         : "NAME";
+    const char *meaning = opts & OPT_FILES ? "base file and overlays"
+                          : opts & OPT_LOGS
+                              ? "instances' logs (none, or -: standard input)"
+                              : "base, or a data centre";
 
     *a = (args_t){0};
     a->help = take(a, true, arg_lit0("h", "help", "print this"));
@@ -101,9 +113,8 @@
     a->upstream = take(a, opts & OPT_UPSTREAM,
                        arg_str0("u", "upstream", "IP:PORT",
                                 "the upstream, in place of an instance"));
-    a->into = take(
-        a, opts & OPT_INTO,
-        arg_str0(NULL, "into", "DIR", "write the texts to new files there"));
+    a->into = take(a, opts & OPT_INTO,
+                   arg_str0(NULL, "into", "DIR", "write to new files there"));
     a->on = take(a, opts & OPT_ON,
                  arg_int0(NULL, "on", "N", "the version that was edited"));
     a->change_id = take(a, opts & OPT_ON,
@@ -112,10 +123,12 @@
                                  "unknown"));
     a->count = take(a, opts & OPT_COUNT,
                     arg_int0("n", "count", "N", "stop after N versions"));
-    a->files = take(a, opts & (OPT_FILES | OPT_FILE_OPT),
-                    arg_filen(NULL, NULL, what, least, most,
-                              opts & OPT_FILES ? "base file and overlays"
-                                               : "base, or a data centre"));
+    a->id = take(a, opts & OPT_ID,
+                 arg_str1(NULL, NULL, "ID",
+                          "of a request or an upstream, or a flow as "
+                          "IP:PORT>IP:PORT"));
+    a->files = take(a, opts & (OPT_FILES | OPT_FILE_OPT | OPT_LOGS),
+                    arg_filen(NULL, NULL, what, least, most, meaning));
     a->end = take(a, true, arg_end(ERRORS_MAX));
 }
 
@@ -153,6 +166,7 @@
         .admin = string_or_env(a->admin, "SISKIN_ADMIN", ADMIN_DEFAULT),
         .upstream = string_or_null(a->upstream),
         .into = string_or_null(a->into),
+        .id = string_or_null(a->id),
         .change_id = string_or_null(a->change_id),
         .on = a->on != NULL && a->on->count > 0 ? a->on->ival[0] : -1,
         .count =
--- /dev/null
+++ b/siskinctl/report.c
@@ -0,0 +1,363 @@
+/* siskinctl report: what instances' logs tell of a time as a whole: who
+ * served how much, what was reset and why, what was believed of upstreams,
+ * when versions came into force, how fast instances served after a start. */
+#include "siskinctl/ctl.h"
+#include "siskinctl/logs.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Rows by name; each row an object of counters. */
+typedef struct {
+    json_t *instances, *upstreams, *resets, *beliefs, *versions, *seconds;
+    json_t *starting; /* instances that have no version yet */
+    ms_t from, to;
+} report_t;
+
+/* ---- Counting ---- */
+
+static json_t *
+row(json_t *table, const char *name)
+{
+    json_t *r = json_object_get(table, name);
+
+    if (r == NULL) {
+        r = json_object();
+        json_object_set_new(table, name, r);
+    }
+    return r;
+}
+
+static void
+set(json_t *r, const char *field, json_int_t value)
+{
+    json_object_set_new(r, field, json_integer(value));
+}
+
+static json_int_t
+get(const json_t *r, const char *field)
+{
+    return json_integer_value(json_object_get(r, field));
+}
+
+static void
+bump(json_t *r, const char *field)
+{
+    set(r, field, get(r, field) + 1);
+}
+
+static json_int_t
+number(const log_entry_t *x, const char *field)
+{
+    const char *v = log_field(x, field);
+
+    return v != NULL ? (json_int_t)strtoll(v, NULL, 10) : 0;
+}
+
+static const char *
+text(const log_entry_t *x, const char *field)
+{
+    const char *v = log_field(x, field);
+
+    return v != NULL ? v : "-";
+}
+
+static bool
+says(const log_entry_t *x, const char *part, const char *begin)
+{
+    return strcmp(x->part, part) == 0 &&
+           strncmp(x->sentence, begin, strlen(begin)) == 0;
+}
+
+static json_t *
+second_of(report_t *r, const log_entry_t *x)
+{
+    char name[32];
+
+    snprintf(name, sizeof(name), "%lld",
+             (long long)((x->at - r->from) / 1000));
+    return row(r->seconds, name);
+}
+
+/* FIELD of the instance, the upstream and the second grows by one. */
+static void
+count_load(report_t *r, const log_entry_t *x, const char *field)
+{
+    bump(row(r->instances, x->instance), field);
+    bump(second_of(r, x), field);
+    if (log_field(x, "upstream") != NULL) {
+        bump(row(r->upstreams, text(x, "upstream")), field);
+    }
+}
+
+/* An instance that starts takes an old version late: that says nothing of how
+ * fast versions spread. */
+static void
+count_version(report_t *r, const log_entry_t *x)
+{
+    bool starts = json_object_del(r->starting, x->instance) == 0;
+    ms_t at = x->at - r->from;
+    json_t *v;
+
+    set(row(r->instances, x->instance), "version", number(x, "version"));
+    if (starts) {
+        return;
+    }
+    v = row(r->versions, text(x, "version"));
+    if (json_object_get(v, "first_ms") == NULL) {
+        set(v, "first_ms", at);
+    }
+    set(v, "last_ms", at);
+    set(v, "spread_ms", at - get(v, "first_ms"));
+    bump(v, "instances");
+}
+
+static void
+count_serving(report_t *r, const log_entry_t *x)
+{
+    json_t *i = row(r->instances, x->instance);
+    json_int_t took = number(x, "since_start_ms");
+
+    bump(i, "starts");
+    if (took > get(i, "slowest_start_ms")) {
+        set(i, "slowest_start_ms", took);
+    }
+}
+
+static void
+count_entry(report_t *r, const log_entry_t *x)
+{
+    if (says(x, "request", "Begins")) {
+        count_load(r, x, "requests");
+    }
+    else if (says(x, "flow", "Opening")) {
+        count_load(r, x, "openings");
+    }
+    else if (says(x, "flow", "Reset") || says(x, "flow", "Dropped")) {
+        count_load(r, x, x->sentence[0] == 'R' ? "resets" : "dropped");
+        bump(row(r->resets, text(x, "reason")), "times");
+    }
+    else if (strcmp(x->part, "reach") == 0) {
+        json_t *b = row(r->beliefs, text(x, "why"));
+        json_object_set_new(b, "is", json_string(text(x, "is")));
+        bump(b, "times");
+        bump(row(r->upstreams, text(x, "upstream")), "beliefs");
+    }
+    else if (says(x, "routes", "In force")) {
+        count_version(r, x);
+    }
+    else if (says(x, "main", "It runs")) {
+        json_object_set_new(r->starting, x->instance, json_true());
+    }
+    else if (says(x, "packets", "It serves")) {
+        count_serving(r, x);
+    }
+}
+
+/* ---- Printing ---- */
+
+/* TABLE as rows that begin with NAME. */
+static json_t *
+rows(const json_t *table, const char *name)
+{
+    json_t *list = json_array(), *r;
+    const char *key;
+
+    json_object_foreach((json_t *)table, key, r)
+    {
+        json_t *out = json_pack("{ss}", name, key);
+        json_object_update(out, r);
+        json_array_append_new(list, out);
+    }
+    return list;
+}
+
+static json_t *
+summary(const report_t *r, const logs_t *l)
+{
+    return json_pack("{sI sI sI sI so so so so so}", "milliseconds",
+                     (json_int_t)(r->to - r->from), "lines", (json_int_t)l->n,
+                     "unreadable", (json_int_t)l->unreadable, "upstreams_seen",
+                     (json_int_t)json_object_size(r->upstreams), "instances",
+                     rows(r->instances, "instance"), "endings",
+                     rows(r->resets, "reason"), "beliefs",
+                     rows(r->beliefs, "why"), "versions",
+                     rows(r->versions, "version"), "upstreams",
+                     rows(r->upstreams, "upstream"));
+}
+
+/* ---- Plots ---- */
+
+static const char plots[] =
+    "# gnuplot report.gp: draws report.svg\n"
+    "set terminal svg size 900,1100 background rgb 'white'\n"
+    "set output 'report.svg'\n"
+    "set multiplot layout 4,1\n"
+    "set yrange [0:*]\n"
+    "set key outside top right horizontal\n"
+    "set ylabel 'a second'\n"
+    "set xlabel 'seconds'\n"
+    "set title 'Openings, requests, resets'\n"
+    "plot 'seconds.dat' using 1:2 with lines title 'openings', \\\n"
+    "     '' using 1:3 with lines title 'requests', \\\n"
+    "     '' using 1:4 with impulses title 'resets'\n"
+    "set title 'Requests by upstream'\n"
+    "set ylabel 'requests'\n"
+    "set xlabel 'upstreams'\n"
+    "unset xtics\n"
+    "set style fill solid 0.6\n"
+    "plot 'upstreams.dat' using 0:3 with boxes notitle\n"
+    "set title 'From the first to the last instance with a version'\n"
+    "set ylabel 'ms'\n"
+    "set xlabel 'version'\n"
+    "set xtics\n"
+    "plot 'versions.dat' using 1:4 with impulses notitle\n"
+    "set title 'From start to serving, the slowest of each instance'\n"
+    "set xlabel 'instances'\n"
+    "unset xtics\n"
+    "plot 'instances.dat' using 0:5 with points notitle\n"
+    "unset multiplot\n";
+
+typedef struct {
+    const char *file, *key;
+    const char *field[5];
+} plot_data_t;
+
+static const plot_data_t plot_data[] = {
+    {"seconds.dat", "second", {"openings", "requests", "resets"}},
+    {"upstreams.dat", "upstream", {"openings", "requests", "beliefs"}},
+    {"versions.dat", "version", {"first_ms", "last_ms", "spread_ms"}},
+    {"instances.dat",
+     "instance",
+     {"openings", "requests", "resets", "slowest_start_ms"}},
+};
+
+/* A new file in the directory; NULL: E tells. */
+static FILE *
+create(const options_t *o, const char *name, err_t *e)
+{
+    char path[512];
+    FILE *f;
+
+    snprintf(path, sizeof(path), "%s/%s", o->into, name);
+    f = fopen(path, "wx");
+    if (f == NULL) {
+        err_set(e, -errno, "report", path, "%s", strerror(errno));
+    }
+    return f;
+}
+
+static int
+finish(FILE *f, const char *name, err_t *e)
+{
+    bool bad = ferror(f) != 0;
+
+    bad |= fclose(f) != 0;
+    return bad ? err_set(e, -EIO, "report", name, "can't be written whole")
+               : 0;
+}
+
+static int
+write_data(const options_t *o, const plot_data_t *p, const json_t *table,
+           err_t *e)
+{
+    FILE *f = create(o, p->file, e);
+    const char *key;
+    json_t *r;
+
+    if (f == NULL) {
+        return -EIO;
+    }
+    fprintf(f, "# %s", p->key);
+    for (size_t i = 0; p->field[i] != NULL; i++) {
+        fprintf(f, " %s", p->field[i]);
+    }
+    json_object_foreach((json_t *)table, key, r)
+    {
+        fprintf(f, "\n%s", key);
+        for (size_t i = 0; p->field[i] != NULL; i++) {
+            fprintf(f, " %lld", (long long)get(r, p->field[i]));
+        }
+    }
+    fprintf(f, "\n");
+    return finish(f, p->file, e);
+}
+
+static int
+write_plots(const options_t *o, const report_t *r, err_t *e)
+{
+    const json_t *table[] = {r->seconds, r->upstreams, r->versions,
+                             r->instances};
+    FILE *f = create(o, "report.gp", e);
+    int rc = f != NULL ? 0 : -EIO;
+
+    if (f != NULL) {
+        fputs(plots, f);
+        rc = finish(f, "report.gp", e);
+    }
+    for (size_t i = 0; i < sizeof(table) / sizeof(table[0]) && rc == 0; i++) {
+        rc = write_data(o, &plot_data[i], table[i], e);
+    }
+    return rc;
+}
+
+/* ---- The command ---- */
+
+static ctl_exit_t
+tell(const options_t *o, const report_t *r, const logs_t *l)
+{
+    json_t *out = summary(r, l);
+    err_t e = {0};
+
+    if (o->json) {
+        ctl_json(out);
+    }
+    else {
+        ctl_table(out);
+        json_decref(out);
+    }
+    if (o->into != NULL && write_plots(o, r, &e) < 0) {
+        return ctl_fail(o, CTL_USAGE, &e);
+    }
+    return CTL_OK;
+}
+
+ctl_exit_t
+cmd_report(const options_t *o)
+{
+    report_t r = {
+        .instances = json_object(),
+        .upstreams = json_object(),
+        .resets = json_object(),
+        .beliefs = json_object(),
+        .versions = json_object(),
+        .seconds = json_object(),
+        .starting = json_object(),
+    };
+    ctl_exit_t rc;
+    logs_t logs;
+    err_t e;
+
+    if (logs_read(&logs, o->files, o->n_files, &e) < 0) {
+        return ctl_fail(o, CTL_USAGE, &e);
+    }
+    if (logs.n > 0) {
+        r.from = logs.entry[0].at;
+        r.to = logs.entry[logs.n - 1].at;
+    }
+    for (size_t i = 0; i < logs.n; i++) {
+        count_entry(&r, &logs.entry[i]);
+    }
+    rc = tell(o, &r, &logs);
+    json_decref(r.instances);
+    json_decref(r.upstreams);
+    json_decref(r.resets);
+    json_decref(r.beliefs);
+    json_decref(r.versions);
+    json_decref(r.seconds);
+    json_decref(r.starting);
+    logs_free(&logs);
+    return rc;
+}
--- a/test/ctl_usage.sh
+++ b/test/ctl_usage.sh
@@ -7,7 +7,8 @@
     ctl
     ctl --help
     ctl nothing
-    for c in check apply show diff watch status flows drain undrain; do
+    for c in check apply show diff watch status flows drain undrain explain \
+        report; do
         ctl $c --help
     done
     ctl check --nothing base.toml
