--- a/base/base.c
+++ b/base/base.c
@@ -95,6 +95,33 @@
     return ((uint64_t)(4 + i % 4 + 1) << (log - 2)) - 1;
 }
 
+/* Bounds shown: one a power of two, to 2^18. */
+#define BOUND_STEP 4
+#define BOUND_LAST 71
+
+void
+hist_print(FILE *f, const char *name, const char *labels, const hist_t *h)
+{
+    const char *comma = labels[0] != '\0' ? "," : "";
+    const char *open = labels[0] != '\0' ? "{" : "";
+    const char *close = labels[0] != '\0' ? "}" : "";
+    uint64_t sum = 0;
+
+    for (int i = 0; i <= BOUND_LAST; i++) {
+        sum += h->slot[i];
+        if (i % BOUND_STEP == BOUND_STEP - 1) {
+            fprintf(f, "%s_bucket{%s%sle=\"%llu\"} %llu\n", name, labels,
+                    comma, (unsigned long long)hist_bound(i),
+                    (unsigned long long)sum);
+        }
+    }
+    fprintf(f, "%s_bucket{%s%sle=\"+Inf\"} %llu\n", name, labels, comma,
+            (unsigned long long)h->count);
+    fprintf(f, "%s_sum%s%s%s %llu\n%s_count%s%s%s %llu\n", name, open, labels,
+            close, (unsigned long long)h->sum, name, open, labels, close,
+            (unsigned long long)h->count);
+}
+
 uint64_t
 hist_quantile(const hist_t *h, double q)
 {
--- a/base/base.h
+++ b/base/base.h
@@ -8,6 +8,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <sys/socket.h>
 
 #ifdef __cplusplus
@@ -153,6 +154,10 @@
 uint64_t hist_quantile(const hist_t *h, double q);
 /* The largest value counted in slot I. */
 uint64_t hist_bound(int i);
+/* Writes H as a Prometheus histogram of that name; LABELS as
+ * "service=\"a\",class=\"b\"", or "". */
+void hist_print(FILE *f, const char *name, const char *labels,
+                const hist_t *h);
 
 #ifdef __cplusplus
 }
--- a/flow/directory.c
+++ b/flow/directory.c
@@ -171,11 +171,10 @@
 }
 
 int
-upstream_offer(flowset_t *f, upstream_t *u)
+upstream_offer(upstream_t *u)
 {
     service_t *s = u->service;
 
-    (void)f;
     upstream_withdraw(u);
     if (u->tag_taken || u->a.draining) {
         return 0;
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -149,7 +149,7 @@
     u->listed = false;
     u->unlisted_at = now;
     upstream_withdraw(u);
-    reach_dead(f, now, u, "its address is another upstream's now");
+    reach_dead(f, u, "its address is another upstream's now");
 }
 
 /* An address is given to another upstream only after the one that was there
@@ -203,7 +203,7 @@
     }
     u->listed = true;
     reach_announced(f, now, u);
-    return upstream_offer(f, u);
+    return upstream_offer(u);
 }
 
 static void
--- a/flow/reach.c
+++ b/flow/reach.c
@@ -183,9 +183,8 @@
 }
 
 void
-reach_dead(flowset_t *f, ms_t now, upstream_t *u, const char *why)
+reach_dead(flowset_t *f, upstream_t *u, const char *why)
 {
-    (void)now;
     set_reach(f, u, REACH_DEAD, why);
     reset_all(f, u);
 }
@@ -266,7 +265,7 @@
     u->refused++;
     u->refused_at = now;
     if (!u->a.draining || (u->refused >= REFUSED_LEAVING && !served_since)) {
-        reach_dead(f, now, u, "its host refused a probe");
+        reach_dead(f, u, "its host refused a probe");
     }
     schedule(f, u, next_retry(u, now));
 }
--- a/flow/state.h
+++ b/flow/state.h
@@ -118,7 +118,7 @@
 /* U has no records any more. */
 void upstream_free(flowset_t *f, upstream_t *u);
 /* Puts U into its service's list, if it may be chosen at all. */
-int upstream_offer(flowset_t *f, upstream_t *u);
+int upstream_offer(upstream_t *u);
 void upstream_withdraw(upstream_t *u);
 
 /* ---- records.c ---- */
@@ -158,7 +158,7 @@
 void reach_doubt(flowset_t *f, ms_t now, upstream_t *u, ms_t since,
                  const char *why);
 /* U has ended for sure. */
-void reach_dead(flowset_t *f, ms_t now, upstream_t *u, const char *why);
+void reach_dead(flowset_t *f, upstream_t *u, const char *why);
 /* A probe of U, whatever callers' packets say. */
 void reach_ask(flowset_t *f, ms_t now, upstream_t *u, const char *why);
 /* U is announced (again). */
--- a/siskind/metrics.c
+++ b/siskind/metrics.c
@@ -4,10 +4,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-/* Histogram bounds shown: one a power of two, to 2^18 ms (over 4 minutes). */
-#define BOUND_STEP 4
-#define BOUND_LAST 71
-
 static void
 counter(FILE *f, const char *name, const char *label, const char *value,
         uint64_t n)
@@ -84,30 +80,11 @@
 static void
 wait_metrics(FILE *f, const char *service, const char *class, const hist_t *h)
 {
-    uint64_t sum = 0;
-
-    for (int i = 0; i <= BOUND_LAST; i++) {
-        sum += h->slot[i];
-        if (i % BOUND_STEP == BOUND_STEP - 1) {
-            fprintf(f,
-                    "siskin_wait_milliseconds_bucket{service=\"%s\","
-                    "class=\"%s\",le=\"%llu\"} %llu\n",
-                    service, class, (unsigned long long)hist_bound(i),
-                    (unsigned long long)sum);
-        }
-    }
-    fprintf(f,
-            "siskin_wait_milliseconds_bucket{service=\"%s\",class=\"%s\","
-            "le=\"+Inf\"} %llu\n",
-            service, class, (unsigned long long)h->count);
-    fprintf(f,
-            "siskin_wait_milliseconds_sum{service=\"%s\",class=\"%s\"} "
-            "%llu\n",
-            service, class, (unsigned long long)h->sum);
-    fprintf(f,
-            "siskin_wait_milliseconds_count{service=\"%s\",class=\"%s\"} "
-            "%llu\n",
-            service, class, (unsigned long long)h->count);
+    char labels[256];
+
+    snprintf(labels, sizeof(labels), "service=\"%s\",class=\"%s\"", service,
+             class);
+    hist_print(f, "siskin_wait_milliseconds", labels, h);
 }
 
 /* The plain counters of a service, by name. */
--- a/tagged/report.c
+++ b/tagged/report.c
@@ -5,10 +5,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-/* Histogram bounds shown: one a power of two, to 2^18 ms. */
-#define BOUND_STEP 4
-#define BOUND_LAST 71
-
 static void
 line(FILE *f, const char *type, const char *name, uint64_t n)
 {
@@ -19,21 +15,8 @@
 static void
 histogram(FILE *f, const char *name, const hist_t *h)
 {
-    uint64_t sum = 0;
-
-    fprintf(f, "# TYPE siskin_%s histogram\n", name);
-    for (int i = 0; i <= BOUND_LAST; i++) {
-        sum += h->slot[i];
-        if (i % BOUND_STEP == BOUND_STEP - 1) {
-            fprintf(f, "siskin_%s_bucket{le=\"%llu\"} %llu\n", name,
-                    (unsigned long long)hist_bound(i),
-                    (unsigned long long)sum);
-        }
-    }
-    fprintf(f, "siskin_%s_bucket{le=\"+Inf\"} %llu\n", name,
-            (unsigned long long)h->count);
-    fprintf(f, "siskin_%s_sum %llu\nsiskin_%s_count %llu\n", name,
-            (unsigned long long)h->sum, name, (unsigned long long)h->count);
+    fprintf(f, "# TYPE %s histogram\n", name);
+    hist_print(f, name, "", h);
 }
 
 static const char *const probe_names[PROBE_RESULTS] = {
@@ -64,8 +47,8 @@
         fprintf(f, "siskin_probes_total{result=\"%s\"} %llu\n", probe_names[i],
                 (unsigned long long)s->probes[i]);
     }
-    histogram(f, "answer_milliseconds", &s->answer_ms);
-    histogram(f, "open_milliseconds", &s->open_ms);
+    histogram(f, "siskin_answer_milliseconds", &s->answer_ms);
+    histogram(f, "siskin_open_milliseconds", &s->open_ms);
 }
 
 static flow_stats_t
--- a/wire/spp.c
+++ b/wire/spp.c
@@ -1,24 +1,12 @@
 /* The Simple Proxy Protocol header, and the names made from addresses. */
 #include "wire/wire.h"
+#include "base/bytes.h"
 
 #include <errno.h>
 #include <string.h>
 
 #define SPP_MAGIC 0x56EC
 
-static void
-put16(uint8_t *p, uint16_t v)
-{
-    p[0] = (uint8_t)(v >> 8);
-    p[1] = (uint8_t)v;
-}
-
-static uint16_t
-get16(const uint8_t *p)
-{
-    return (uint16_t)(p[0] << 8 | p[1]);
-}
-
 void
 spp_write(uint8_t out[SPP_LEN], const spp_t *h)
 {
