core: 32-bit indices of upstreams

Indices of upstreams had 16 bits, 120,000 upstreams are designed for. With 70,000 of them the last took the places of the first without a word: requests would have gone to a service that they weren't meant for.

Change. up_ix_t (32 bits) and service_ix_t (16 bits, 18,000 services are designed for) in place of uint16_t; a flow still takes 32 bytes, asserted.

Before: Size.EveryUpstreamKeepsItsPlace fails at the first upstream. A bucket's history grows from 80 to 112 bytes (by its size).

--- a/core/core.c
+++ b/core/core.c
@@ -50,15 +50,15 @@
 
 /* ---- Configuration ---- */
 
-uint16_t
+service_ix_t
 service_find(const core_t *c, const addr_t *a)
 {
     uint32_t i = map_get(&c->service_map, addr_id(a));
 
-    return i == MAP_NONE ? UP_NONE : (uint16_t)i;
+    return i == MAP_NONE ? SERVICE_NONE : (service_ix_t)i;
 }
 
-static uint16_t
+static service_ix_t
 service_add(core_t *c, const conf_service_t *conf)
 {
     service_t *s;
@@ -68,7 +68,7 @@
     s = &c->services[c->n_services];
     *s = (service_t){.id = addr_id(&conf->addr)};
     map_put(&c->service_map, s->id, c->n_services);
-    return (uint16_t)c->n_services++;
+    return (service_ix_t)c->n_services++;
 }
 
 void
@@ -107,9 +107,9 @@
 }
 
 static void
-take_upstream(core_t *c, uint16_t service, const conf_upstream_t *conf)
+take_upstream(core_t *c, service_ix_t service, const conf_upstream_t *conf)
 {
-    uint16_t u = up_find_id(c, conf->id);
+    up_ix_t u = up_find_id(c, conf->id);
 
     if (u != UP_NONE && c->ups[u].service != service) {
         /* The address has another service now: what is known of its earlier
@@ -131,10 +131,10 @@
 static void
 take_service(core_t *c, const conf_service_t *conf)
 {
-    uint16_t i = service_find(c, &conf->addr);
+    service_ix_t i = service_find(c, &conf->addr);
     service_t *s;
 
-    if (i == UP_NONE) {
+    if (i == SERVICE_NONE) {
         i = service_add(c, conf);
     }
     s = &c->services[i];
@@ -235,10 +235,10 @@
 void
 core_stats(const core_t *c, const addr_t *service, core_stats_t *out)
 {
-    uint16_t i = service_find(c, service);
+    service_ix_t i = service_find(c, service);
 
     *out = (core_stats_t){0};
-    if (i != UP_NONE) {
+    if (i != SERVICE_NONE) {
         *out = c->services[i].stats;
     }
 }
@@ -255,7 +255,7 @@
         }
         out[n] = (core_upstream_t){.addr = u->conf.addr,
                                    .draining = u->draining || u->conf_draining,
-                                   .trusted = up_trusted(c, (uint16_t)i),
+                                   .trusted = up_trusted(c, (up_ix_t)i),
                                    .ejected = c->now < u->eject_until,
                                    .epoch = u->epoch,
                                    .in_flight = u->in_flight,
--- a/core/flows.c
+++ b/core/flows.c
@@ -130,7 +130,8 @@
 /* NULL when the table is full: the flow then has no memory and follows the
  * table's first choice, and the established ones keep theirs. */
 flow_t *
-flow_add(core_t *c, uint64_t key, uint16_t service, uint16_t up, uint8_t flags)
+flow_add(core_t *c, uint64_t key, service_ix_t service, up_ix_t up,
+         uint8_t flags)
 {
     uint32_t i = take_flow(c);
     uint32_t *head = &c->flow_heads[key & c->flow_mask];
@@ -204,7 +205,7 @@
 }
 
 void
-flow_pin(core_t *c, flow_t *f, uint16_t up)
+flow_pin(core_t *c, flow_t *f, up_ix_t up)
 {
     if (f->up == up) {
         return;
@@ -271,7 +272,7 @@
 }
 
 void
-feeds_lost(core_t *c, uint16_t up)
+feeds_lost(core_t *c, up_ix_t up)
 {
     for (uint32_t i = 0; i < c->flow_top; i++) {
         flow_t *f = &c->flows[i];
--- a/core/input.c
+++ b/core/input.c
@@ -54,7 +54,7 @@
 use_hint(core_t *c, const dgram_t *d)
 {
     const hint_t *h = hint_find(c, d->key);
-    uint16_t u;
+    up_ix_t u;
 
     if (h == NULL) {
         return false;
@@ -186,7 +186,7 @@
 datagram_in(core_t *c, const spp_t *h, uint64_t from, uint8_t hops,
             const uint8_t *data, size_t len)
 {
-    uint16_t service = service_find(c, &h->service);
+    service_ix_t service = service_find(c, &h->service);
     coap_msg_t m;
     dgram_t d = {.service = service,
                  .h = h,
@@ -195,7 +195,7 @@
                  .data = data,
                  .len = len};
 
-    if (service == UP_NONE) {
+    if (service == SERVICE_NONE) {
         return;
     }
     c->services[service].stats.datagrams_in++;
@@ -226,9 +226,9 @@
 static void
 count_steer(core_t *c, const spp_t *h)
 {
-    uint16_t i = service_find(c, &h->service);
+    service_ix_t i = service_find(c, &h->service);
 
-    if (i != UP_NONE) {
+    if (i != SERVICE_NONE) {
         c->services[i].stats.steered_in++;
     }
 }
@@ -236,7 +236,7 @@
 static void
 want_upstream(core_t *c, uint64_t id, ms_t lease)
 {
-    uint16_t u = up_find_id(c, id);
+    up_ix_t u = up_find_id(c, id);
 
     if (u != UP_NONE) {
         c->ups[u].wanted_until = c->now + lease;
@@ -276,7 +276,7 @@
 /* The answer belongs to EX if it has its token, and comes from the upstream
  * and epoch that got the request. */
 static ex_t *
-answered_exchange(core_t *c, uint64_t key, uint16_t u, const coap_msg_t *m)
+answered_exchange(core_t *c, uint64_t key, up_ix_t u, const coap_msg_t *m)
 {
     ex_t *ex = ex_find_token(c, key, m);
 
@@ -287,10 +287,10 @@
 }
 
 static void
-coap_reply(core_t *c, uint16_t u, const spp_t *h, const uint8_t *data,
+coap_reply(core_t *c, up_ix_t u, const spp_t *h, const uint8_t *data,
            size_t len)
 {
-    uint16_t service = c->ups[u].service;
+    service_ix_t service = c->ups[u].service;
     service_t *s = &c->services[service];
     uint64_t key = flow_key(&h->service, &h->client);
     flow_t *f = flow_find(c, key);
@@ -331,7 +331,7 @@
 core_from_upstream(core_t *c, ms_t now, const addr_t *upstream,
                    const uint8_t *data, size_t len)
 {
-    uint16_t u = up_find(c, upstream);
+    up_ix_t u = up_find(c, upstream);
     spp_t h;
     coap_msg_t m;
 
--- a/core/pins.c
+++ b/core/pins.c
@@ -10,7 +10,7 @@
 
 /* The upstream for a new flow: the less loaded of the two choices.  A home in
  * doubt takes the first, as another home would. */
-static uint16_t
+static up_ix_t
 choose_flow(core_t *c, service_t *s, uint64_t key)
 {
     const bucket_t *b = bucket_of(s, key);
@@ -38,10 +38,10 @@
 
 /* An unknown flow of a bucket that changed moments ago, at a home that may
  * have lost its memory, is more likely an old one: it stays where it was. */
-static uint16_t
+static up_ix_t
 choose_unknown(core_t *c, service_t *s, uint64_t key)
 {
-    uint16_t old = earlier_first(s, key, c->now - OLD_FLOW_MS);
+    up_ix_t old = earlier_first(s, key, c->now - OLD_FLOW_MS);
 
     if (old != UP_NONE && !home_sure(c, flow_group(s, key)) &&
         up_trusted(c, old)) {
@@ -84,7 +84,7 @@
         f = NULL;
     }
     if (f == NULL) {
-        uint16_t up = choose_unknown(c, s, d->key);
+        up_ix_t up = choose_unknown(c, s, d->key);
         s->stats.requests[CLASS_OPAQUE]++;
         if (up == UP_NONE) {
             s->stats.refused[REFUSE_NONE]++;
@@ -113,7 +113,7 @@
 {
     flow_t *f = flow_own(c, d->key);
     const feed_t *feed;
-    uint16_t up;
+    up_ix_t up;
 
     if (f == NULL || (f->flags & FLOW_UPLOAD)) {
         return NULL; /* an upload's pin says nothing about feeds */
@@ -141,7 +141,7 @@
 feed_open(core_t *c, const dgram_t *d)
 {
     service_t *s = &c->services[d->service];
-    uint16_t up = choose_flow(c, s, d->key);
+    up_ix_t up = choose_flow(c, s, d->key);
     flow_t *f = NULL;
 
     s->stats.requests[CLASS_FEED]++;
@@ -187,7 +187,7 @@
 empty_unknown(core_t *c, const dgram_t *d)
 {
     service_t *s = &c->services[d->service];
-    uint16_t to[CHOICES_MAX];
+    up_ix_t to[CHOICES_MAX];
     int n = all_choices(c, s, d->key, to);
 
     for (int i = 0; i < n; i++) {
--- a/core/request.c
+++ b/core/request.c
@@ -41,7 +41,7 @@
 /* Can U be asked about a copy, and would it remember one?  Not when it has
  * restarted since it first got work, which takes it at least TRUST_MS. */
 static bool
-can_ask(const core_t *c, uint16_t u)
+can_ask(const core_t *c, up_ix_t u)
 {
     const up_t *up = &c->ups[u];
     bool forgot = c->now - up->epoch_since < DOUBT_MS &&
@@ -52,7 +52,7 @@
 
 /* Is one of them new, and has it yet to answer its first probe? */
 static bool
-unproven(const core_t *c, const uint16_t *at, int n)
+unproven(const core_t *c, const up_ix_t *at, int n)
 {
     for (int i = 0; i < n; i++) {
         const up_t *up = &c->ups[at[i]];
@@ -70,7 +70,7 @@
 request_fence(core_t *c, ex_t *ex)
 {
     service_t *s = service_of(c, ex);
-    uint16_t at[CHOICES_MAX];
+    up_ix_t at[CHOICES_MAX];
     int n = all_choices(c, s, ex->key, at);
 
     ex->n_fence = 0;
@@ -190,15 +190,15 @@
 /* The least loaded of the N upstreams LIST with room for CLS; FIRST wins a
  * tie.  The home sees all requests of the service, so it need not draw lots.
  */
-static uint16_t
-least_loaded(core_t *c, const uint16_t *list, uint32_t n, uint16_t first,
+static up_ix_t
+least_loaded(core_t *c, const up_ix_t *list, uint32_t n, up_ix_t first,
              class_t cls)
 {
-    uint16_t best = UP_NONE;
+    up_ix_t best = UP_NONE;
     uint32_t best_load = UINT32_MAX;
 
     for (uint32_t i = 0; i < n; i++) {
-        uint16_t u = list[i];
+        up_ix_t u = list[i];
         uint32_t load;
 
         if (!up_eligible(c, u) || !up_room(c, u, cls)) {
@@ -215,11 +215,11 @@
 
 /* A non-idempotent request goes to one of its choices and to no other: a home
  * without the record has only them to ask. */
-static uint16_t
+static up_ix_t
 choose(core_t *c, const ex_t *ex)
 {
     service_t *s = service_of(c, ex);
-    const uint16_t *choice = bucket_of(s, ex->key)->choice;
+    const up_ix_t *choice = bucket_of(s, ex->key)->choice;
 
     if (!ex->idempotent) {
         return least_loaded(c, choice, CHOICES, choice[0], ex->cls);
@@ -269,7 +269,7 @@
 
 /* The request runs at U or has run there: a copy brings its answer. */
 static void
-found_at(core_t *c, ex_t *ex, uint16_t u)
+found_at(core_t *c, ex_t *ex, up_ix_t u)
 {
     ex->up = u;
     ex->refuse_after = false;
@@ -288,7 +288,7 @@
 
 /* Upstream U told what became of the request of EX. */
 void
-request_fenced(core_t *c, ex_t *ex, uint16_t u, const char *state,
+request_fenced(core_t *c, ex_t *ex, up_ix_t u, const char *state,
                const char *by, uint32_t epoch)
 {
     for (int i = 0; i < ex->n_fence; i++) {
@@ -395,8 +395,8 @@
 upload_open(core_t *c, const dgram_t *d)
 {
     service_t *s = &c->services[d->service];
-    uint16_t first = bucket_of(s, d->key)->choice[0];
-    uint16_t up = first;
+    up_ix_t first = bucket_of(s, d->key)->choice[0];
+    up_ix_t up = first;
     flow_t *f;
 
     s->stats.requests[CLASS_BULK]++;
@@ -421,7 +421,7 @@
 upload_block(core_t *c, const dgram_t *d)
 {
     service_t *s = &c->services[d->service];
-    uint16_t first = bucket_of(s, d->key)->choice[0];
+    up_ix_t first = bucket_of(s, d->key)->choice[0];
     flow_t *f = flow_own(c, d->key);
     bool first_block = d->m->block1 >> 4 == 0;
 
@@ -520,8 +520,8 @@
 request_retry(core_t *c, ex_t *ex)
 {
     service_t *s = service_of(c, ex);
-    uint16_t old = ex->up;
-    uint16_t next;
+    up_ix_t old = ex->up;
+    up_ix_t next;
 
     ex_count(c, ex, false);
     if (ex->found) {
--- a/core/send.c
+++ b/core/send.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 void
-send_client(core_t *c, uint16_t service, const addr_t *client,
+send_client(core_t *c, service_ix_t service, const addr_t *client,
             const uint8_t *data, size_t len)
 {
     core_out_t out = {.kind = CORE_TO_CLIENT};
@@ -18,7 +18,7 @@
 }
 
 void
-send_upstream(core_t *c, uint16_t u, const addr_t *client, bool own,
+send_upstream(core_t *c, up_ix_t u, const addr_t *client, bool own,
               const uint8_t *data, size_t len)
 {
     core_out_t out = {.kind = CORE_TO_UPSTREAM};
--- a/core/state.h
+++ b/core/state.h
@@ -59,7 +59,12 @@
 
 /* ---- table.c ---- */
 
-#define UP_NONE UINT16_MAX
+/* Places of upstreams and services in the core's arrays: 120,000 upstreams and
+ * 18,000 services are designed for. */
+typedef uint32_t up_ix_t;
+typedef uint16_t service_ix_t;
+#define UP_NONE UINT32_MAX
+#define SERVICE_NONE UINT16_MAX
 #define CHOICES 3     /* upstreams that a bucket names */
 #define EARLIER_MAX 3 /* earlier sets of choices remembered for a bucket */
 #define CHOICES_MAX (CHOICES + CHOICES * EARLIER_MAX)
@@ -67,13 +72,13 @@
 
 /* The choices that a bucket had before a change. */
 typedef struct {
-    uint16_t choice[CHOICES]; /* upstream indices */
-    uint64_t version;         /* the version that changed them */
-    ms_t until;               /* when that came into force here */
+    up_ix_t choice[CHOICES]; /* upstream indices */
+    uint64_t version;        /* the version that changed them */
+    ms_t until;              /* when that came into force here */
 } earlier_t;
 
 typedef struct {
-    uint16_t choice[CHOICES]; /* by rank; the third only for PREFER_BALANCE */
+    up_ix_t choice[CHOICES]; /* by rank; the third only for PREFER_BALANCE */
     uint8_t n_earlier;
     earlier_t earlier[EARLIER_MAX];
 } bucket_t;
@@ -85,10 +90,10 @@
     bool listed;       /* in the configuration in force */
     ms_t listed_since; /* no instance had it before; INT64_MIN: unknown */
     ms_t unlisted_at;
-    ms_t wanted_until;  /* a hint for it is held here until then */
-    bool draining;      /* by its own report */
-    bool conf_draining; /* by configuration */
-    uint16_t service;   /* index */
+    ms_t wanted_until;    /* a hint for it is held here until then */
+    bool draining;        /* by its own report */
+    bool conf_draining;   /* by configuration */
+    service_ix_t service; /* index */
     conf_upstream_t conf;
 
     bool verified;    /* has ever answered for its service */
@@ -123,18 +128,19 @@
     FLOW_ENDED = 64 /* and answered: it takes no slot any more */
 };
 
-/* A flow pinned to an upstream; 32 bytes. */
+/* A flow pinned to an upstream. */
 typedef struct {
     uint64_t key;
     uint32_t next; /* chain, index + 1 */
     uint32_t last; /* last datagram seen, tenths of seconds since start */
     uint32_t feed; /* index + 1 into feeds, 0: none */
-    uint16_t up;
-    uint16_t up2; /* where older feeds of the flow live, or UP_NONE */
-    uint16_t service;
+    up_ix_t up;
+    up_ix_t up2; /* where older feeds of the flow live, or UP_NONE */
+    service_ix_t service;
     uint8_t flags;
     uint8_t steers; /* datagrams steered here, to decide on a hint */
 } flow_t;
+_Static_assert(sizeof(flow_t) == 32, "hundreds of millions are kept");
 
 /* What is needed to tell a caller that its feed is lost. */
 typedef struct {
@@ -178,8 +184,8 @@
     uint8_t life;  /* counts the uses of this entry */
     uint16_t mid;
     uint16_t answer_mid; /* of a separate response, 0: none */
-    uint16_t service;
-    uint16_t up;    /* target, UP_NONE: none */
+    service_ix_t service;
+    up_ix_t up;     /* target, UP_NONE: none */
     uint32_t epoch; /* of UP when forwarded */
     ms_t sent, retry_at;
     addr_t client;
@@ -187,9 +193,9 @@
     uint8_t token[COAP_TOKEN_MAX];
     coap_type_t type;
     uint8_t n_fence;
-    uint16_t fence[FENCE_MAX]; /* upstreams still to answer */
-    bool refuse_after;         /* once barred everywhere, say "not run" */
-    bool found;                /* an earlier copy was found at its upstream */
+    up_ix_t fence[FENCE_MAX]; /* upstreams still to answer */
+    bool refuse_after;        /* once barred everywhere, say "not run" */
+    bool found;               /* an earlier copy was found at its upstream */
     bool waiting;       /* a choice is new and has not answered a probe yet */
     refuse_t why;       /* of that refusal */
     uint8_t final;      /* code of the final answer, EX_REFUSED */
@@ -208,7 +214,7 @@
     uint64_t id;
     uint32_t n_buckets; /* a power of two */
     bucket_t *buckets;
-    uint16_t *ups; /* indices of its listed upstreams */
+    up_ix_t *ups; /* indices of its listed upstreams */
     uint32_t n_ups;
     bool mine; /* this instance may be the home of some of its keys */
     uint32_t groups;
@@ -267,7 +273,7 @@
 
 /* A datagram being decided on. */
 typedef struct {
-    uint16_t service;
+    service_ix_t service;
     const spp_t *h;
     uint64_t key;
     uint64_t home; /* key of the flow's home */
@@ -292,7 +298,7 @@
 
 /* table.c */
 bucket_t *bucket_of(service_t *s, uint64_t key);
-void table_build(core_t *c, uint16_t service);
+void table_build(core_t *c, service_ix_t service);
 uint64_t work_key(const service_t *s, uint64_t flow);
 /* By which key the home of a flow is found. */
 uint64_t flow_group(const service_t *s, uint64_t flow);
@@ -300,40 +306,40 @@
 void service_mine(core_t *c, service_t *s);
 /* Where another home may have sent a request of KEY: the present choices, and
  * earlier ones that are not past.  Returns how many were written to OUT. */
-int all_choices(core_t *c, service_t *s, uint64_t key, uint16_t *out);
+int all_choices(core_t *c, service_t *s, uint64_t key, up_ix_t *out);
 /* Does some instance still use choices of KEY that are earlier than these? */
 bool choices_differ(const core_t *c, service_t *s, uint64_t key);
 /* The first choice of KEY until SINCE or later; UP_NONE when it is the same.
  */
-uint16_t earlier_first(service_t *s, uint64_t key, ms_t since);
+up_ix_t earlier_first(service_t *s, uint64_t key, ms_t since);
 
 /* upstreams.c */
-uint16_t up_find(core_t *c, const addr_t *a);
-uint16_t up_find_id(core_t *c, uint64_t id);
-uint16_t up_add(core_t *c, const conf_upstream_t *conf, uint16_t service);
-bool up_trusted(const core_t *c, uint16_t u);
+up_ix_t up_find(core_t *c, const addr_t *a);
+up_ix_t up_find_id(core_t *c, uint64_t id);
+up_ix_t up_add(core_t *c, const conf_upstream_t *conf, service_ix_t service);
+bool up_trusted(const core_t *c, up_ix_t u);
 /* Given up: it has another service, or has answered nothing for long.  One
  * that is neither trusted nor lost has yet to answer, after a pause or at an
  * instance that has just become a home: its flows stay where they are, and
  * their datagrams are dropped for the moment. */
-bool up_lost(const core_t *c, uint16_t u);
+bool up_lost(const core_t *c, up_ix_t u);
 /* Trusted, listed, not draining, not ejected: may get new work. */
-bool up_eligible(const core_t *c, uint16_t u);
+bool up_eligible(const core_t *c, up_ix_t u);
 /* Requests at U, in parts of 1000 of its slots. */
-uint32_t up_load(const core_t *c, uint16_t u);
-bool up_room(const core_t *c, uint16_t u, class_t cls);
+uint32_t up_load(const core_t *c, up_ix_t u);
+bool up_room(const core_t *c, up_ix_t u, class_t cls);
 /* The next eligible upstream in rank order for KEY, other than NOT. */
-uint16_t up_next(core_t *c, service_t *s, uint64_t key, uint16_t not_);
+up_ix_t up_next(core_t *c, service_t *s, uint64_t key, up_ix_t not_);
 void up_probe_tick(core_t *c);
-void up_from_probe(core_t *c, uint16_t u, const coap_msg_t *m);
-void up_shed(core_t *c, uint16_t u);
-void up_cancel(core_t *c, const ex_t *ex, uint16_t u);
+void up_from_probe(core_t *c, up_ix_t u, const coap_msg_t *m);
+void up_shed(core_t *c, up_ix_t u);
+void up_cancel(core_t *c, const ex_t *ex, up_ix_t u);
 
 /* flows.c */
 int flows_new(core_t *c);
 void flows_free(core_t *c);
 flow_t *flow_find(core_t *c, uint64_t key);
-flow_t *flow_add(core_t *c, uint64_t key, uint16_t service, uint16_t up,
+flow_t *flow_add(core_t *c, uint64_t key, service_ix_t service, up_ix_t up,
                  uint8_t flags);
 /* Finds KEY's flow for its home; a copy held for another home becomes this
  * one's own. */
@@ -341,13 +347,13 @@
 /* By which key F's home is found: an upload's is its service's. */
 uint64_t flow_home_key(core_t *c, const flow_t *f);
 void flow_remove(core_t *c, flow_t *f);
-void flow_pin(core_t *c, flow_t *f, uint16_t up);
+void flow_pin(core_t *c, flow_t *f, up_ix_t up);
 void flow_touch(core_t *c, flow_t *f);
 /* M answers a block of the upload F. */
 void upload_answered(core_t *c, flow_t *f, const coap_msg_t *m);
 void flow_set_feed(core_t *c, flow_t *f, const dgram_t *d);
 void flow_sweep(core_t *c);
-void feeds_lost(core_t *c, uint16_t up);
+void feeds_lost(core_t *c, up_ix_t up);
 const hint_t *hint_find(core_t *c, uint64_t key);
 void hint_put(core_t *c, uint64_t key, uint64_t upstream, ms_t lease);
 
@@ -386,7 +392,7 @@
 void request_at_home(core_t *c, const dgram_t *d);
 /* Has EX barred wherever a copy may be but its target; then it goes on. */
 void request_fence(core_t *c, ex_t *ex);
-void request_fenced(core_t *c, ex_t *ex, uint16_t u, const char *state,
+void request_fenced(core_t *c, ex_t *ex, up_ix_t u, const char *state,
                     const char *by, uint32_t epoch);
 
 void request_answer(core_t *c, ex_t *ex, const coap_msg_t *m,
@@ -397,7 +403,8 @@
 void request_refuse(core_t *c, ex_t *ex, refuse_t why);
 
 /* core.c */
-uint16_t service_find(const core_t *c, const addr_t *a); /* or UP_NONE */
+service_ix_t service_find(const core_t *c,
+                          const addr_t *a); /* or SERVICE_NONE */
 
 /* input.c */
 void enter(core_t *c, ms_t now);
@@ -411,9 +418,9 @@
 
 /* send.c */
 void send_hint(core_t *c, uint64_t to, const flow_t *f);
-void send_client(core_t *c, uint16_t service, const addr_t *client,
+void send_client(core_t *c, service_ix_t service, const addr_t *client,
                  const uint8_t *data, size_t len);
-void send_upstream(core_t *c, uint16_t u, const addr_t *client, bool own,
+void send_upstream(core_t *c, up_ix_t u, const addr_t *client, bool own,
                    const uint8_t *data, size_t len);
 void send_steer(core_t *c, const dgram_t *d, uint64_t to);
 /* Builds an answer to a request and returns its length in BUF. */
--- a/core/sync.c
+++ b/core/sync.c
@@ -94,7 +94,7 @@
 hold_flow(core_t *c, const pin_t *pin)
 {
     flow_t *f = flow_find(c, pin->flow);
-    uint16_t up = up_find_id(c, pin->upstream);
+    up_ix_t up = up_find_id(c, pin->upstream);
     /* Its home has it.  When that changes, sync_targets_changed() has it
      * passed on: this may be the only instance left that knows it. */
     uint8_t flags = FLOW_HELD | FLOW_SYNCED;
--- a/core/table.c
+++ b/core/table.c
@@ -61,11 +61,11 @@
 
 /* Puts U into the order of choices by its score. */
 static void
-rank_insert(bucket_t *out, double *scores, uint16_t u, double v)
+rank_insert(bucket_t *out, double *scores, up_ix_t u, double v)
 {
     for (int i = 0; i < CHOICES; i++) {
         if (out->choice[i] == UP_NONE || v > scores[i]) {
-            uint16_t last_u = out->choice[i];
+            up_ix_t last_u = out->choice[i];
             double last_v = scores[i];
 
             out->choice[i] = u;
@@ -88,7 +88,7 @@
         out->choice[i] = UP_NONE;
     }
     for (uint32_t i = 0; i < s->n_ups; i++) {
-        uint16_t u = s->ups[i];
+        up_ix_t u = s->ups[i];
 
         if (!c->ups[u].conf_draining) {
             rank_insert(out, scores, u, score(&c->ups[u], b));
@@ -150,7 +150,7 @@
 }
 
 void
-table_build(core_t *c, uint16_t service)
+table_build(core_t *c, service_ix_t service)
 {
     service_t *s = &c->services[service];
     uint32_t n = bucket_count(s->n_ups);
@@ -178,7 +178,7 @@
 }
 
 static int
-add_choice(uint16_t *out, int n, uint16_t up)
+add_choice(up_ix_t *out, int n, up_ix_t up)
 {
     if (up == UP_NONE) {
         return n;
@@ -201,7 +201,7 @@
 }
 
 int
-all_choices(core_t *c, service_t *s, uint64_t key, uint16_t *out)
+all_choices(core_t *c, service_t *s, uint64_t key, up_ix_t *out)
 {
     const bucket_t *b = bucket_of(s, key);
     int n = 0;
@@ -230,7 +230,7 @@
     return false;
 }
 
-uint16_t
+up_ix_t
 earlier_first(service_t *s, uint64_t key, ms_t since)
 {
     const bucket_t *b = bucket_of(s, key);
--- a/core/upstreams.c
+++ b/core/upstreams.c
@@ -22,22 +22,22 @@
 #define EJECT_MS 2000
 #define LOAD_UNIT 1000
 
-uint16_t
+up_ix_t
 up_find(core_t *c, const addr_t *a)
 {
     return up_find_id(c, addr_id(a));
 }
 
-uint16_t
+up_ix_t
 up_find_id(core_t *c, uint64_t id)
 {
     uint32_t i = map_get(&c->up_map, id);
 
-    return i == MAP_NONE ? UP_NONE : (uint16_t)i;
+    return i == MAP_NONE ? UP_NONE : (up_ix_t)i;
 }
 
-uint16_t
-up_add(core_t *c, const conf_upstream_t *conf, uint16_t service)
+up_ix_t
+up_add(core_t *c, const conf_upstream_t *conf, service_ix_t service)
 {
     up_t *u;
 
@@ -56,11 +56,11 @@
                 .eject_until = INT64_MIN / 2,
                 .probe_next = c->now + rng_below(&c->rng, 100)};
     map_put(&c->up_map, conf->id, c->n_ups);
-    return (uint16_t)c->n_ups++;
+    return (up_ix_t)c->n_ups++;
 }
 
 bool
-up_trusted(const core_t *c, uint16_t u)
+up_trusted(const core_t *c, up_ix_t u)
 {
     const up_t *up = &c->ups[u];
 
@@ -69,7 +69,7 @@
 }
 
 bool
-up_lost(const core_t *c, uint16_t u)
+up_lost(const core_t *c, up_ix_t u)
 {
     const up_t *up = &c->ups[u];
 
@@ -78,13 +78,13 @@
 }
 
 static bool
-ejected(const core_t *c, uint16_t u)
+ejected(const core_t *c, up_ix_t u)
 {
     return c->now < c->ups[u].eject_until;
 }
 
 bool
-up_eligible(const core_t *c, uint16_t u)
+up_eligible(const core_t *c, up_ix_t u)
 {
     const up_t *up;
 
@@ -139,7 +139,7 @@
 }
 
 uint32_t
-up_load(const core_t *c, uint16_t u)
+up_load(const core_t *c, up_ix_t u)
 {
     const up_t *up = &c->ups[u];
     uint64_t busy = busy_at(c, up);
@@ -148,7 +148,7 @@
 }
 
 bool
-up_room(const core_t *c, uint16_t u, class_t cls)
+up_room(const core_t *c, up_ix_t u, class_t cls)
 {
     const up_t *up = &c->ups[u];
     const conf_service_t *s = &c->services[up->service].conf;
@@ -171,15 +171,15 @@
     return up->flows < up->conf.connections;
 }
 
-uint16_t
-up_next(core_t *c, service_t *s, uint64_t key, uint16_t not_)
+up_ix_t
+up_next(core_t *c, service_t *s, uint64_t key, up_ix_t not_)
 {
     uint64_t bucket = key & (s->n_buckets - 1);
-    uint16_t best = UP_NONE;
+    up_ix_t best = UP_NONE;
     uint64_t best_score = 0;
 
     for (uint32_t i = 0; i < s->n_ups; i++) {
-        uint16_t u = s->ups[i];
+        up_ix_t u = s->ups[i];
         uint64_t score = hash_mix(c->ups[u].conf.id, bucket);
 
         if (u != not_ && up_eligible(c, u) &&
@@ -194,7 +194,7 @@
 /* ---- Probes and cancellations ---- */
 
 static void
-own_request(core_t *c, uint16_t u, coap_msg_t *m)
+own_request(core_t *c, up_ix_t u, coap_msg_t *m)
 {
     uint8_t buf[256];
     int n;
@@ -208,7 +208,7 @@
 }
 
 static void
-probe(core_t *c, uint16_t u)
+probe(core_t *c, up_ix_t u)
 {
     up_t *up = &c->ups[u];
     coap_msg_t m = COAP_MSG_INIT;
@@ -252,11 +252,11 @@
         bool needed = probe_needed(c, up);
 
         if (up->used && needed && c->now >= up->probe_next) {
-            probe(c, (uint16_t)i);
+            probe(c, (up_ix_t)i);
         }
-        if (up_lost(c, (uint16_t)i) && !up_trusted(c, (uint16_t)i) &&
+        if (up_lost(c, (up_ix_t)i) && !up_trusted(c, (up_ix_t)i) &&
             up->flows + up->uploads > 0) {
-            feeds_lost(c, (uint16_t)i);
+            feeds_lost(c, (up_ix_t)i);
         }
     }
 }
@@ -277,7 +277,7 @@
 /* A new epoch: the upstream has started anew and has lost its feeds, its
  * uploads and what it knew of duplicates. */
 static void
-take_epoch(core_t *c, uint16_t u, uint32_t epoch, json_int_t age_ms)
+take_epoch(core_t *c, up_ix_t u, uint32_t epoch, json_int_t age_ms)
 {
     up_t *up = &c->ups[u];
     bool restarted = up->epoch != 0 && up->epoch != epoch;
@@ -296,7 +296,7 @@
 }
 
 static void
-take_load(core_t *c, uint16_t u, const json_t *j)
+take_load(core_t *c, up_ix_t u, const json_t *j)
 {
     up_t *up = &c->ups[u];
     const json_t *age = json_object_get(j, "age_ms");
@@ -326,7 +326,7 @@
 }
 
 static void
-take_cancelled(core_t *c, uint16_t u, const coap_msg_t *m, const json_t *j)
+take_cancelled(core_t *c, up_ix_t u, const coap_msg_t *m, const json_t *j)
 {
     uint32_t index;
     uint16_t mid;
@@ -347,7 +347,7 @@
 }
 
 void
-up_from_probe(core_t *c, uint16_t u, const coap_msg_t *m)
+up_from_probe(core_t *c, up_ix_t u, const coap_msg_t *m)
 {
     up_t *up = &c->ups[u];
     json_t *j = json_loadb((const char *)m->payload, m->payload_len, 0, NULL);
@@ -370,7 +370,7 @@
 
 /* Asks U to bar the request of EX. */
 void
-up_cancel(core_t *c, const ex_t *ex, uint16_t u)
+up_cancel(core_t *c, const ex_t *ex, up_ix_t u)
 {
     coap_msg_t m = COAP_MSG_INIT;
     uint32_t index = (uint32_t)(ex - c->exs);
@@ -407,7 +407,7 @@
 }
 
 void
-up_shed(core_t *c, uint16_t u)
+up_shed(core_t *c, up_ix_t u)
 {
     up_t *up = &c->ups[u];
 
--- a/test/core_test.cc
+++ b/test/core_test.cc
@@ -648,3 +648,56 @@
         EXPECT_EQ(zeros, f.promises());
     });
 }
+
+static addr_t
+ipv4(uint32_t ip, uint16_t port)
+{
+    return {.ip = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 255, 255, (uint8_t)(ip >> 24),
+                   (uint8_t)(ip >> 16), (uint8_t)(ip >> 8), (uint8_t)ip},
+            .port = port};
+}
+
+/* A site of 120,000 upstreams.  With a narrower index than they need, the
+ * last ones take the places of the first, and requests go to a service they
+ * aren't meant for. */
+TEST(Size, EveryUpstreamKeepsItsPlace)
+{
+    const uint32_t n_services = 7000, each = 10;
+    std::vector<conf_upstream_t> ups(n_services * each);
+    std::vector<conf_service_t> services(n_services);
+    core_params_t p = {.self = 1,
+                       .own_addr = ipv4(0x0b000001, 7000),
+                       .seed = 1,
+                       .max_flows = 16,
+                       .max_hints = 16,
+                       .max_exchanges = 16};
+    conf_t conf = {};
+
+    for (uint32_t i = 0; i < ups.size(); i++) {
+        ups[i].addr = ipv4(0x14000000 + i, 5683);
+        ups[i].id = addr_id(&ups[i].addr);
+        ups[i].slots = 4;
+        ups[i].weight = 1;
+    }
+    for (uint32_t s = 0; s < n_services; s++) {
+        snprintf(services[s].name, sizeof(services[s].name), "s%u", s);
+        services[s].addr = ipv4(0x0a000000 + s, 5683);
+        services[s].n_upstreams = each;
+        services[s].upstreams = &ups[s * each];
+    }
+    conf.version = 1;
+    conf.n_services = n_services;
+    conf.services = services.data();
+
+    core_t *c = core_new(
+        &p, [](void *, const core_out_t *) {}, nullptr);
+    ASSERT_NE(c, nullptr);
+    ASSERT_EQ(core_set_conf(c, 1000, &conf), 0);
+    std::vector<core_upstream_t> seen(ups.size() + 1);
+    ASSERT_EQ(core_upstreams(c, seen.data(), seen.size()), ups.size());
+    for (uint32_t i = 0; i < ups.size(); i++) {
+        ASSERT_TRUE(addr_eq(&seen[i].addr, &ups[i].addr)) << i;
+        ASSERT_STREQ(seen[i].service, services[i / each].name) << i;
+    }
+    core_free(c);
+}
