--- a/Makefile
+++ b/Makefile
@@ -133,6 +133,7 @@
 demo: setup
 	$(MAKE) -j8 all
 	./test/demo $(B)
+	./test/demo_tagged $(B)
 
 clean:
 	rm -rf build build-san
