core: layers, and a check that keeps them

The ten files of core/ all called one another: a newcomer couldn't tell which may call which.

Six layers, told in core/state.h and checked from the objects by test/layers.sh: the class of a request stands with its record, asking again and giving up with the decisions on requests (request_tick()), an upstream's new start and its bars are answers that input.c hands on, service_find() stands with the tables. Six files' calls went upwards (exchanges to input and request, input to core, request to input, upstreams to flows and request); none is left; homes, table, flows and sync stay one layer: where a key lives, and its copies.

Ruled out: splitting these four as well, since a flow's copy needs its home and a home's change its copies.

--- a/core/core.c
+++ b/core/core.c
@@ -50,14 +50,6 @@
 
 /* ---- Configuration ---- */
 
-service_ix_t
-service_find(const core_t *c, const addr_t *a)
-{
-    uint32_t i = map_get(&c->service_map, addr_id(a));
-
-    return i == MAP_NONE ? SERVICE_NONE : (service_ix_t)i;
-}
-
 static service_ix_t
 service_add(core_t *c, const conf_service_t *conf)
 {
@@ -184,7 +176,9 @@
         return;
     }
     up_probe_tick(c);
-    ex_tick(c);
+    flows_tick(c);
+    request_tick(c);
+    ex_expire(c);
     sync_refill(c);
     flow_sweep(c);
     sync_flush(c);
--- a/core/exchanges.c
+++ b/core/exchanges.c
@@ -5,8 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define RETRY_MS 60  /* between cancellations of one request */
-#define RETRY_MAX 6  /* such before giving up */
 #define BUFS_SHARE 8 /* records for each buffer */
 #define BUFS_KEPT 4  /* a quarter of the buffers is for new requests */
 
@@ -90,6 +88,15 @@
     for (ex_t *ex = ex_first(c, c->ex_heads[(k)&c->ex_mask], k); ex != NULL;  \
          ex = ex_first(c, ex->next, k))
 
+class_t
+class_of(const coap_msg_t *m)
+{
+    if (m->code == COAP_GET) {
+        return m->observe != COAP_NONE ? CLASS_FEED : CLASS_READ;
+    }
+    return m->block1 != COAP_NONE ? CLASS_BULK : CLASS_URGENT;
+}
+
 ex_t *
 ex_find(core_t *c, uint64_t key, uint16_t mid)
 {
@@ -144,7 +151,7 @@
 
     ex->state = state;
     if (stays) {
-        return; /* moved to the end, ex_tick() would come to it again */
+        return; /* moved to the end, request_tick() would come to it again */
     }
     list_remove(&ex->in);
     list_append(is_active(state) ? &c->ex_active : &c->ex_kept, &ex->in);
@@ -250,55 +257,6 @@
 
 /* ---- Time ---- */
 
-static void
-ask_again(core_t *c, ex_t *ex)
-{
-    if (ex->waiting) {
-        request_fence(c, ex);
-        return;
-    }
-    if (c->now < ex->retry_at) {
-        return;
-    }
-    if (c->now - ex->sent >= RETRY_MAX * RETRY_MS) {
-        request_unknown(c, ex);
-        return;
-    }
-    ex->retry_at = c->now + RETRY_MS;
-    for (int i = 0; i < ex->n_fence; i++) {
-        up_cancel(c, ex, ex->fence[i]);
-    }
-}
-
-static void
-check_sent(core_t *c, ex_t *ex)
-{
-    const up_t *u = &c->ups[ex->up];
-    bool restarted = u->epoch != ex->epoch;
-    bool late = c->now - ex->sent >= c->services[ex->service].conf.request_ms;
-    bool lost = !up_trusted(c, ex->up);
-
-    if (!restarted && !late && !(lost && ex->idempotent)) {
-        return;
-    }
-    if (ex->idempotent) {
-        request_retry(c, ex);
-        return;
-    }
-    /* It may have run before the upstream stopped: nobody can say. */
-    request_unknown(c, ex);
-}
-
-static void
-check_active(core_t *c, ex_t *ex)
-{
-    if (ex->state == EX_SENT) {
-        check_sent(c, ex);
-        return;
-    }
-    ask_again(c, ex);
-}
-
 /* A record is kept as long as its message ID may not be used again; when the
  * table fills, as long as copies of the request may come, which is what at
  * most once needs. */
@@ -311,11 +269,8 @@
 /* The kept records are in the order in which they were kept, so those that
  * have expired come first. */
 void
-ex_tick(core_t *c)
+ex_expire(core_t *c)
 {
-    LIST_EACH (l, &c->ex_active) {
-        check_active(c, LIST_OWNER(l, ex_t, in));
-    }
     while (!list_empty(&c->ex_kept)) {
         ex_t *ex = LIST_OWNER(c->ex_kept.next, ex_t, in);
         if (c->now - ex->sent < keep_ms(c)) {
--- a/core/flows.c
+++ b/core/flows.c
@@ -383,3 +383,16 @@
     *oldest =
         (hint_t){.key = key, .upstream = upstream, .until = c->now + lease};
 }
+
+void
+flows_tick(core_t *c)
+{
+    for (up_ix_t u = 0; u < c->n_ups; u++) {
+        const up_t *up = &c->ups[u];
+
+        if (up_lost(c, u) && !up_trusted(c, u) &&
+            up->flows + up->uploads > 0) {
+            feeds_lost(c, u);
+        }
+    }
+}
--- a/core/input.c
+++ b/core/input.c
@@ -6,15 +6,6 @@
  * an instance for dead after 600 ms. */
 #define PAUSE_MS 400
 
-class_t
-class_of(const coap_msg_t *m)
-{
-    if (m->code == COAP_GET) {
-        return m->observe != COAP_NONE ? CLASS_FEED : CLASS_READ;
-    }
-    return m->block1 != COAP_NONE ? CLASS_BULK : CLASS_URGENT;
-}
-
 /* ---- Datagrams from callers ---- */
 
 /* Sends D on to its home, or returns false when this is the place to decide.
@@ -327,6 +318,18 @@
     send_client(c, service, &h->client, data, len);
 }
 
+/* To a message of this instance itself. */
+static void
+own_reply(core_t *c, up_ix_t u, const coap_msg_t *m)
+{
+    if (m->token_len == CANCEL_TOKEN_LEN && m->token[0] == CANCEL_TAG) {
+        request_cancelled(c, u, m);
+    }
+    else if (up_from_probe(c, u, m)) {
+        feeds_lost(c, u);
+    }
+}
+
 void
 core_from_upstream(core_t *c, ms_t now, const addr_t *upstream,
                    const uint8_t *data, size_t len)
@@ -350,7 +353,7 @@
     len -= SPP_LEN;
     if (addr_eq(&h.client, &c->p.own_addr)) {
         if (coap_decode(&m, data, len) == 0) {
-            up_from_probe(c, u, &m);
+            own_reply(c, u, &m);
         }
         return;
     }
--- a/core/request.c
+++ b/core/request.c
@@ -10,6 +10,7 @@
  */
 #include "core/state.h"
 
+#include <jansson.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -19,6 +20,8 @@
 #define BLOCK_MORE 8        /* RFC 7959 2.2 */
 #define FIRST_PROBE_MS 1000 /* a new upstream is waited for so long */
 #define FENCE_AGAIN_MS 60   /* until a cancellation is sent again */
+#define RETRY_MS 60         /* between cancellations of one request */
+#define RETRY_MAX 6         /* such before giving up */
 
 static service_t *
 service_of(core_t *c, const ex_t *ex)
@@ -287,9 +290,9 @@
 }
 
 /* Upstream U told what became of the request of EX. */
-void
-request_fenced(core_t *c, ex_t *ex, up_ix_t u, const char *state,
-               const char *by, uint32_t epoch)
+static void
+take_fenced(core_t *c, ex_t *ex, up_ix_t u, const char *state, const char *by,
+            uint32_t epoch)
 {
     for (int i = 0; i < ex->n_fence; i++) {
         if (ex->fence[i] == u) {
@@ -594,3 +597,100 @@
     }
     answer_done(c, ex, m, data, len);
 }
+
+/* ---- Answers of upstreams that bar a request ---- */
+
+static void
+take_cancelled(core_t *c, up_ix_t u, const coap_msg_t *m, const json_t *j)
+{
+    uint32_t index;
+    uint16_t mid;
+    const char *state = json_string_value(json_object_get(j, "state"));
+    const char *by = json_string_value(json_object_get(j, "by"));
+    uint32_t epoch = (uint32_t)json_integer_value(json_object_get(j, "epoch"));
+    ex_t *ex;
+
+    memcpy(&index, m->token + 1, 4);
+    memcpy(&mid, m->token + 5, 2);
+    if (state == NULL || index >= c->p.max_exchanges) {
+        return;
+    }
+    ex = &c->exs[index];
+    if (ex->state == EX_FENCING && ex->mid == mid && ex->life == m->token[7]) {
+        take_fenced(c, ex, u, state, by, epoch);
+    }
+}
+
+void
+request_cancelled(core_t *c, up_ix_t u, const coap_msg_t *m)
+{
+    json_t *j;
+
+    if (m->code >> 5 != 2) {
+        return;
+    }
+    j = json_loadb((const char *)m->payload, m->payload_len, 0, NULL);
+    if (j != NULL) {
+        take_cancelled(c, u, m, j);
+    }
+    json_decref(j);
+}
+
+/* ---- Time ---- */
+
+static void
+ask_again(core_t *c, ex_t *ex)
+{
+    if (ex->waiting) {
+        request_fence(c, ex);
+        return;
+    }
+    if (c->now < ex->retry_at) {
+        return;
+    }
+    if (c->now - ex->sent >= RETRY_MAX * RETRY_MS) {
+        request_unknown(c, ex);
+        return;
+    }
+    ex->retry_at = c->now + RETRY_MS;
+    for (int i = 0; i < ex->n_fence; i++) {
+        up_cancel(c, ex, ex->fence[i]);
+    }
+}
+
+static void
+check_sent(core_t *c, ex_t *ex)
+{
+    const up_t *u = &c->ups[ex->up];
+    bool restarted = u->epoch != ex->epoch;
+    bool late = c->now - ex->sent >= c->services[ex->service].conf.request_ms;
+    bool lost = !up_trusted(c, ex->up);
+
+    if (!restarted && !late && !(lost && ex->idempotent)) {
+        return;
+    }
+    if (ex->idempotent) {
+        request_retry(c, ex);
+        return;
+    }
+    /* It may have run before the upstream stopped: nobody can say. */
+    request_unknown(c, ex);
+}
+
+static void
+check_active(core_t *c, ex_t *ex)
+{
+    if (ex->state == EX_SENT) {
+        check_sent(c, ex);
+        return;
+    }
+    ask_again(c, ex);
+}
+
+void
+request_tick(core_t *c)
+{
+    LIST_EACH (l, &c->ex_active) {
+        check_active(c, LIST_OWNER(l, ex_t, in));
+    }
+}
--- a/core/state.h
+++ b/core/state.h
@@ -1,16 +1,25 @@
 /* The core's state, shared by core's own files only.
  *
+ * Files call those of their own layer and below (test/layers.sh):
+ *
+ * layer 1: map send
+ * layer 2: upstreams exchanges
+ * layer 3: homes table flows sync
+ * layer 4: pins request
+ * layer 5: input
+ * layer 6: core
+ *
+ *   map.c        addresses to indices
+ *   send.c       what goes out
+ *   upstreams.c  trust, load, ejection, choice of an upstream for new work
+ *   exchanges.c  records of requests
  *   homes.c      which instance is the home of a key, and who is its backup
  *   table.c      buckets: the choices of a flow, and earlier ones
- *   upstreams.c  trust, load, ejection, choice of an upstream for new work
  *   flows.c      pins of flows at their home, hints at other instances
- *   exchanges.c  records of requests
  *   sync.c       copies of pins for the backup
- *   request.c    what a home does with a request
  *   pins.c       flows at their home
+ *   request.c    what a home does with a request
  *   input.c      what comes in, and where it is decided on
- *   send.c       what goes out
- *   map.c        addresses to indices
  *   core.c       start, configuration, ticks, statistics
  */
 #ifndef SISKIN_CORE_STATE_H
@@ -298,6 +307,8 @@
 
 /* table.c */
 bucket_t *bucket_of(service_t *s, uint64_t key);
+/* SERVICE_NONE: there is none. */
+service_ix_t service_find(const core_t *c, const addr_t *a);
 void table_build(core_t *c, service_ix_t service);
 uint64_t work_key(const service_t *s, uint64_t flow);
 /* By which key the home of a flow is found. */
@@ -330,8 +341,12 @@
 bool up_room(const core_t *c, up_ix_t u, class_t cls);
 /* The next eligible upstream in rank order for KEY, other than NOT. */
 up_ix_t up_next(core_t *c, service_t *s, uint64_t key, up_ix_t not_);
+/* First byte and length of the token of a message that bars a request. */
+#define CANCEL_TAG 'C'
+#define CANCEL_TOKEN_LEN 8
 void up_probe_tick(core_t *c);
-void up_from_probe(core_t *c, up_ix_t u, const coap_msg_t *m);
+/* An answer to a probe; true: the upstream has started anew. */
+bool up_from_probe(core_t *c, up_ix_t u, const coap_msg_t *m);
 void up_shed(core_t *c, up_ix_t u);
 void up_cancel(core_t *c, const ex_t *ex, up_ix_t u);
 
@@ -354,6 +369,8 @@
 void flow_set_feed(core_t *c, flow_t *f, const dgram_t *d);
 void flow_sweep(core_t *c);
 void feeds_lost(core_t *c, up_ix_t up);
+/* Tells callers of upstreams that are lost. */
+void flows_tick(core_t *c);
 const hint_t *hint_find(core_t *c, uint64_t key);
 void hint_put(core_t *c, uint64_t key, uint64_t upstream, ms_t lease);
 
@@ -375,7 +392,8 @@
 uint16_t *share_of(service_t *s, const addr_t *client);
 /* Counts EX at its upstream and caller, or ends that. */
 void ex_count(core_t *c, ex_t *ex, bool on);
-void ex_tick(core_t *c);
+void ex_expire(core_t *c);
+class_t class_of(const coap_msg_t *m);
 
 /* sync.c */
 
@@ -392,8 +410,10 @@
 void request_at_home(core_t *c, const dgram_t *d);
 /* Has EX barred wherever a copy may be but its target; then it goes on. */
 void request_fence(core_t *c, ex_t *ex);
-void request_fenced(core_t *c, ex_t *ex, up_ix_t u, const char *state,
-                    const char *by, uint32_t epoch);
+/* An upstream's answer to being asked to bar a request. */
+void request_cancelled(core_t *c, up_ix_t u, const coap_msg_t *m);
+/* Asks, retries and gives up what is in progress. */
+void request_tick(core_t *c);
 
 void request_answer(core_t *c, ex_t *ex, const coap_msg_t *m,
                     const uint8_t *data, size_t len);
@@ -403,8 +423,6 @@
 void request_refuse(core_t *c, ex_t *ex, refuse_t why);
 
 /* core.c */
-service_ix_t service_find(const core_t *c,
-                          const addr_t *a); /* or SERVICE_NONE */
 
 /* input.c */
 void enter(core_t *c, ms_t now);
@@ -429,6 +447,5 @@
 void answer_now(core_t *c, const dgram_t *d, uint8_t code, uint32_t max_age,
                 refuse_t why);
 uint32_t come_back(core_t *c, const service_t *s);
-class_t class_of(const coap_msg_t *m);
 
 #endif
--- a/core/table.c
+++ b/core/table.c
@@ -12,6 +12,14 @@
 #define FLOW_GROUPS 8 /* homes that share a service's flows */
 #define GROUP_SALT 0x666c6f77
 
+service_ix_t
+service_find(const core_t *c, const addr_t *a)
+{
+    uint32_t i = map_get(&c->service_map, addr_id(a));
+
+    return i == MAP_NONE ? SERVICE_NONE : (service_ix_t)i;
+}
+
 bucket_t *
 bucket_of(service_t *s, uint64_t key)
 {
--- a/core/upstreams.c
+++ b/core/upstreams.c
@@ -8,7 +8,6 @@
 #include <string.h>
 
 #define PROBE_TAG 'P'
-#define CANCEL_TAG 'C'
 #define PROBE_AGAIN_MS 300 /* after a probe went unanswered */
 #define PROBE_LOST_MS 250  /* an answer later than this is a miss */
 #define MISSES_MAX 3       /* no new work after so many in a row */
@@ -254,10 +253,6 @@
         if (up->used && needed && c->now >= up->probe_next) {
             probe(c, (up_ix_t)i);
         }
-        if (up_lost(c, (up_ix_t)i) && !up_trusted(c, (up_ix_t)i) &&
-            up->flows + up->uploads > 0) {
-            feeds_lost(c, (up_ix_t)i);
-        }
     }
 }
 
@@ -274,45 +269,46 @@
     up->reported = reported;
 }
 
-/* A new epoch: the upstream has started anew and has lost its feeds, its
- * uploads and what it knew of duplicates. */
-static void
+/* True for a new epoch: the upstream has started anew and has lost its feeds,
+ * its uploads and what it knew of duplicates. */
+static bool
 take_epoch(core_t *c, up_ix_t u, uint32_t epoch, json_int_t age_ms)
 {
     up_t *up = &c->ups[u];
     bool restarted = up->epoch != 0 && up->epoch != epoch;
 
     if (up->epoch == epoch) {
-        return;
+        return false;
     }
     up->epoch = epoch;
     up->epoch_since = restarted ? c->now : INT64_MIN / 2;
     if (age_ms >= 0) {
         up->epoch_since = c->now - age_ms;
     }
-    if (restarted) {
-        feeds_lost(c, u);
-    }
+    return restarted;
 }
 
-static void
+/* True: the upstream has started anew. */
+static bool
 take_load(core_t *c, up_ix_t u, const json_t *j)
 {
     up_t *up = &c->ups[u];
     const json_t *age = json_object_get(j, "age_ms");
     const char *service = json_string_value(json_object_get(j, "service"));
+    bool restarted;
     addr_t a;
 
     if (service == NULL || addr_parse(&a, service) < 0) {
-        return;
+        return false;
     }
     up->refused = addr_id(&a) != c->services[up->service].id;
     if (up->refused) {
         c->services[up->service].stats.misdirected++;
-        return;
+        return false;
     }
-    take_epoch(c, u, (uint32_t)json_integer_value(json_object_get(j, "epoch")),
-               age != NULL ? json_integer_value(age) : -1);
+    restarted = take_epoch(
+        c, u, (uint32_t)json_integer_value(json_object_get(j, "epoch")),
+        age != NULL ? json_integer_value(age) : -1);
     take_report(up,
                 (uint32_t)(json_integer_value(json_object_get(j, "busy")) +
                            json_integer_value(json_object_get(j, "queued"))));
@@ -323,49 +319,26 @@
      * things were, not how they are. */
     up->trust_until = up->probe_sent + TRUST_MS;
     up->probe_next = up->probe_sent + PROBE_MS;
+    return restarted;
 }
 
-static void
-take_cancelled(core_t *c, up_ix_t u, const coap_msg_t *m, const json_t *j)
-{
-    uint32_t index;
-    uint16_t mid;
-    const char *state = json_string_value(json_object_get(j, "state"));
-    const char *by = json_string_value(json_object_get(j, "by"));
-    uint32_t epoch = (uint32_t)json_integer_value(json_object_get(j, "epoch"));
-    ex_t *ex;
-
-    memcpy(&index, m->token + 1, 4);
-    memcpy(&mid, m->token + 5, 2);
-    if (state == NULL || index >= c->p.max_exchanges) {
-        return;
-    }
-    ex = &c->exs[index];
-    if (ex->state == EX_FENCING && ex->mid == mid && ex->life == m->token[7]) {
-        request_fenced(c, ex, u, state, by, epoch);
-    }
-}
-
-void
+bool
 up_from_probe(core_t *c, up_ix_t u, const coap_msg_t *m)
 {
     up_t *up = &c->ups[u];
     json_t *j = json_loadb((const char *)m->payload, m->payload_len, 0, NULL);
+    bool restarted = false;
 
     if (m->code >> 5 != 2 || j == NULL) {
         /* Refused: the address serves another service now. */
         up->refused |= m->code >> 5 == 4 && m->token[0] == PROBE_TAG;
-        json_decref(j);
-        return;
-    }
-    if (m->token_len == 5 && m->token[0] == PROBE_TAG &&
-        memcmp(m->token + 3, &up->probe_seq, 2) == 0) {
-        take_load(c, u, j);
     }
-    else if (m->token_len == 8 && m->token[0] == CANCEL_TAG) {
-        take_cancelled(c, u, m, j);
+    else if (m->token_len == 5 && m->token[0] == PROBE_TAG &&
+             memcmp(m->token + 3, &up->probe_seq, 2) == 0) {
+        restarted = take_load(c, u, j);
     }
     json_decref(j);
+    return restarted;
 }
 
 /* Asks U to bar the request of EX. */
