source: announced instances read a long list at once, starting ones ask seeds too

After all were killed, an instance knows from the first page whom its data centre has announced, and asked only those. They were starting too, knew nothing and left the list to one another; where none of them was a seed, nobody read it until all gave up waiting (0.8 to 1.6 s) and read it at the same time.

Seeds and announced instances leave the list to nobody; who starts asks an announced neighbour or a seed, each as often.

Ruled out: only the first in rank reads it; a dead one would make its data centre wait.

--- a/source/source.c
+++ b/source/source.c
@@ -170,8 +170,8 @@
 const source_peer_t *
 sources_start(sources_t *s, ms_t now)
 {
-    const source_peer_t *any = NULL, *local = NULL;
-    uint32_t n_any = 0, n_local = 0;
+    const source_peer_t *any = NULL, *local = NULL, *seed = NULL;
+    uint32_t n_any = 0, n_local = 0, n_seed = 0;
 
     for (uint32_t i = 0; i < s->n; i++) {
         const source_peer_t *p = &s->peer[i];
@@ -184,6 +184,12 @@
         if (is_local(s, p) && rng_below(&s->rng, ++n_local) == 0) {
             local = p;
         }
+        if (p->data_centre[0] == '\0' && rng_below(&s->rng, ++n_seed) == 0) {
+            seed = p;
+        }
+    }
+    if (local != NULL && seed != NULL) {
+        return rng_below(&s->rng, 2) == 0 ? local : seed;
     }
     return local != NULL ? local : any;
 }
@@ -191,7 +197,7 @@
 ms_t
 sources_leave_list_ms(sources_t *s)
 {
-    return s->seed || s->n == 0
+    return s->seed || s->announced || s->n == 0
                ? 0
                : LEAVE_MIN_MS + rng_below(&s->rng, LEAVE_SPREAD_MS);
 }
--- a/source/source.h
+++ b/source/source.h
@@ -65,8 +65,9 @@
  * NULL. */
 const source_peer_t *sources_start(sources_t *s, ms_t now);
 /* How long it leaves a list of several pages to its peers before it goes on
- * reading it itself.  When all instances start together, one answer of each
- * data centre's link is enough for the store. */
+ * reading it itself: when all instances start together, the store's link would
+ * carry the list to each of them.  Those that the others ask, seeds and
+ * announced ones, leave it to nobody. */
 ms_t sources_leave_list_ms(sources_t *s);
 /* True while too few instances of the data centre are announced and this one
  * isn't. */
--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -208,6 +208,32 @@
     EXPECT_EQ(sources_leave_list_ms(&seed), 0);
 }
 
+/* All instances are killed and start again.  The announced ones are those that
+ * the others of their data centre ask: if they too left the list to one
+ * another, nobody would read it. */
+TEST_F(Sources, AnAnnouncedInstanceReadsALongListAtOnce)
+{
+    addr_t self = at(1, 9);
+
+    sources_add(&s, &self, "dc-a");
+    EXPECT_EQ(sources_leave_list_ms(&s), 0);
+}
+
+/* Announced neighbours may be starting themselves and know nothing; a seed in
+ * another data centre may know already. */
+TEST_F(Sources, AtItsStartItAsksSeedsToo)
+{
+    addr_t seed = at(3, 1);
+    int asked = 0;
+
+    sources_add(&s, &seed, "");
+    for (int i = 0; i < 100; i++) {
+        asked += addr_eq(&sources_start(&s, now)->addr, &seed);
+    }
+    EXPECT_GT(asked, 10);
+    EXPECT_LT(asked, 90);
+}
+
 /* Their peers may all be down: then they read the list, not all at once. */
 TEST_F(Sources, TheListIsLeftForTimesThatDiffer)
 {
