source: only announced instances check with other data centres

Each instance asked another data centre's leader every 0.7 s for anything newer.

Announced instances (four of a data centre) check with the others, the rest with an announced neighbour. A change that a blind leader misses reaches them one check later at most: 1.4 s, where 3 s are allowed.

Ruled out: longer between two checks, which all small sites would pay with later news.

Sources.ChecksGoToTheOtherDataCentresLeader now says of which instances that holds (announced ones); two tests for the others were added.

--- a/source/source.c
+++ b/source/source.c
@@ -143,55 +143,73 @@
     return true;
 }
 
-const source_peer_t *
-sources_check(sources_t *s, ms_t now)
+typedef enum { ANY, NEIGHBOUR, SEED, OTHER_LEADER } kind_t;
+
+static bool
+is_kind(const sources_t *s, ms_t now, const source_peer_t *p, kind_t kind)
+{
+    switch (kind) {
+    case ANY:
+        return true;
+    case NEIGHBOUR:
+        return is_local(s, p);
+    case SEED:
+        return p->data_centre[0] == '\0';
+    case OTHER_LEADER:
+        return p->data_centre[0] != '\0' && !is_local(s, p) &&
+               leads(s, now, p);
+    }
+    return false;
+}
+
+/* One at random of that kind, but not BUT; NULL: there is none that answers.
+ */
+static const source_peer_t *
+one_of(sources_t *s, ms_t now, kind_t kind, const source_peer_t *but)
 {
-    const source_peer_t *leader = local_leader(s, now), *any = NULL;
-    const source_peer_t *other = NULL;
-    uint32_t n_any = 0, n_other = 0;
+    const source_peer_t *one = NULL;
+    uint32_t n = 0;
 
-    /* One at random of each kind: the n-th is taken with chance 1/n. */
     for (uint32_t i = 0; i < s->n; i++) {
         const source_peer_t *p = &s->peer[i];
-        if (now < p->failed_until || p == leader) {
-            continue;
-        }
-        if (rng_below(&s->rng, ++n_any) == 0) {
-            any = p;
-        }
-        if (p->data_centre[0] != '\0' && !is_local(s, p) && leads(s, now, p) &&
-            rng_below(&s->rng, ++n_other) == 0) {
-            other = p;
+        /* The n-th is taken with chance 1/n. */
+        if (now >= p->failed_until && p != but && is_kind(s, now, p, kind) &&
+            rng_below(&s->rng, ++n) == 0) {
+            one = p;
         }
     }
-    return other != NULL ? other : any != NULL ? any : leader;
+    return one;
 }
 
 const source_peer_t *
-sources_start(sources_t *s, ms_t now)
+sources_check(sources_t *s, ms_t now)
 {
-    const source_peer_t *any = NULL, *local = NULL, *seed = NULL;
-    uint32_t n_any = 0, n_local = 0, n_seed = 0;
+    const source_peer_t *leader = local_leader(s, now);
+    kind_t first = s->announced ? OTHER_LEADER : NEIGHBOUR;
+    kind_t second = s->announced ? NEIGHBOUR : OTHER_LEADER;
+    const source_peer_t *p = one_of(s, now, first, leader);
 
-    for (uint32_t i = 0; i < s->n; i++) {
-        const source_peer_t *p = &s->peer[i];
-        if (now < p->failed_until) {
-            continue;
-        }
-        if (rng_below(&s->rng, ++n_any) == 0) {
-            any = p;
-        }
-        if (is_local(s, p) && rng_below(&s->rng, ++n_local) == 0) {
-            local = p;
-        }
-        if (p->data_centre[0] == '\0' && rng_below(&s->rng, ++n_seed) == 0) {
-            seed = p;
-        }
+    if (p == NULL) {
+        p = one_of(s, now, second, leader);
+    }
+    if (p == NULL) {
+        p = one_of(s, now, ANY, leader);
     }
+    return p != NULL ? p : leader;
+}
+
+const source_peer_t *
+sources_start(sources_t *s, ms_t now)
+{
+    const source_peer_t *local = one_of(s, now, NEIGHBOUR, NULL);
+    const source_peer_t *seed = one_of(s, now, SEED, NULL);
+
     if (local != NULL && seed != NULL) {
         return rng_below(&s->rng, 2) == 0 ? local : seed;
     }
-    return local != NULL ? local : any;
+    return local != NULL  ? local
+           : seed != NULL ? seed
+                          : one_of(s, now, ANY, NULL);
 }
 
 ms_t
--- a/source/source.h
+++ b/source/source.h
@@ -7,10 +7,12 @@
  * while cost a few calls and do no harm, since revisions tell what is newer.
  *
  * A leader may be cut off, frozen or turned away by the store and not know it.
- * So each instance also asks another data centre's leader, now and then,
- * whether there is anything newer.  When all leaders are blind, what is known
- * grows old everywhere: each passes over those that tell old news, and in the
- * end follows the store itself.
+ * So each announced instance also asks another data centre's leader, now and
+ * then, whether there is anything newer, and the others ask an announced
+ * neighbour: what crosses between data centres, and what a leader is asked
+ * from outside, stay the same however many instances there are.  When all
+ * leaders are blind, what is known grows old everywhere: each passes over
+ * those that tell old news, and in the end follows the store itself.
  *
  * Pure: no sockets, clocks or threads.
  */
--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -118,10 +118,12 @@
     EXPECT_EQ(asked, 3);
 }
 
-/* What it follows may be blind.  It asks the other data centre's leader, whose
- * news come another way. */
+/* What it follows may be blind.  An announced instance asks the other data
+ * centre's leader, whose news come another way. */
 TEST_F(Sources, ChecksGoToTheOtherDataCentresLeader)
 {
+    addr_t self = at(1, 9);
+    sources_add(&s, &self, "dc-a");
     const source_peer_t *p = sources_check(&s, now);
     addr_t leader;
 
@@ -136,6 +138,38 @@
     EXPECT_FALSE(addr_eq(&sources_check(&s, now)->addr, &leader));
 }
 
+/* Bytes between data centres are paid for, and a leader has a tenth of a core:
+ * what it is asked must not grow with the fleet.  The others ask the announced
+ * ones beside their leader, which ask the other data centre. */
+TEST_F(Sources, ThoseNotAnnouncedCheckWithAnnouncedNeighbours)
+{
+    std::set<std::string> asked;
+    char text[ADDR_STRLEN];
+
+    for (int i = 0; i < 100; i++) {
+        const source_peer_t *p = sources_check(&s, now);
+        ASSERT_NE(p, nullptr);
+        EXPECT_STREQ(p->data_centre, "dc-a");
+        EXPECT_FALSE(addr_eq(&p->addr, &lead()->addr));
+        asked.insert(addr_text(&p->addr, text));
+    }
+    EXPECT_EQ(asked.size(), 2u);
+}
+
+/* None of its neighbours answers but the leader, which may be the blind one.
+ */
+TEST_F(Sources, WithoutNeighboursItChecksWithTheOtherDataCentre)
+{
+    for (int n = 1; n <= 3; n++) {
+        addr_t a = at(1, n);
+        if (!addr_eq(&a, &lead()->addr)) {
+            sources_failed(&s, now, &a);
+        }
+    }
+    ASSERT_NE(sources_check(&s, now), nullptr);
+    EXPECT_STREQ(sources_check(&s, now)->data_centre, "dc-b");
+}
+
 /* Its data centre is cut off from the other: it checks with neighbours. */
 TEST_F(Sources, ACutDataCentreChecksWithinItself)
 {
