Two findings of the soak: a removed server came back, an opened flow was reset

An instance started, read the store's list at revision 136, and in the same moment took everything from a peer that was at an older one: a server that had been removed in between looked new, and nobody tells of its removal again. It was used for good ("instance 2 uses 10 of 9 servers"). An instance passed opening packets to a server that had just been killed, and was paused. The callers' copies opened the flows through other instances at living servers. Back again, its probe was refused, and it reset the three flows it remembered there.

Up to the revision that the replica has, what isn't in it has been removed (replica.c). An opening packet that is older than the earliest copy is forgotten at its upstream's death and not reset (reach.c).

--- a/flow/flows.c
+++ b/flow/flows.c
@@ -9,9 +9,6 @@
  * is here a round trip later: some 10 ms.  So long without it, something is
  * wrong with the upstream or the way to it. */
 #define OPENING_MS 80
-/* Ends send again after 200 ms at the earliest.  Bytes seen before that come
- * sooner have only been overtaken on the way. */
-#define REPEAT_MIN_MS 150
 /* A request unanswered for so long is no longer counted as in progress: it was
  * given up, or its flow goes on through another instance. */
 #define ASKED_MAX_MS 3000
@@ -149,7 +146,7 @@
     u->listed = false;
     u->unlisted_at = now;
     upstream_withdraw(u);
-    reach_dead(f, u, "its address is another upstream's now");
+    reach_dead(f, now, u, "its address is another upstream's now");
 }
 
 /* An address is given to another upstream only after the one that was there
--- a/flow/reach.c
+++ b/flow/reach.c
@@ -156,13 +156,20 @@
 
 /* Tells callers of a dead upstream at once: those that wait try elsewhere
  * within their goal, and those that are idle lose nothing.  What the upstream
- * held is lost, and waiting for it can't bring it back. */
+ * held is lost, and waiting for it can't bring it back.
+ *
+ * An opening packet is another matter once its caller may have sent a copy:
+ * the copy may have gone through another instance and opened the flow at an
+ * upstream that lives. */
 static void
-reset_all(flowset_t *f, upstream_t *u)
+reset_all(flowset_t *f, ms_t now, upstream_t *u)
 {
     LIST_EACH (it, &u->records) {
         record_t *r = LIST_OWNER(it, record_t, of);
-        if (!r->ended) {
+        if (!r->open && now - r->last_at >= REPEAT_MIN_MS) {
+            record_free(f, r);
+        }
+        else if (!r->ended) {
             reset(f, r, FLOW_UPSTREAM_DEAD);
         }
     }
@@ -183,10 +190,10 @@
 }
 
 void
-reach_dead(flowset_t *f, upstream_t *u, const char *why)
+reach_dead(flowset_t *f, ms_t now, upstream_t *u, const char *why)
 {
     set_reach(f, u, REACH_DEAD, why);
-    reset_all(f, u);
+    reset_all(f, now, u);
 }
 
 /* An upstream that should answer: of this data centre if possible, the last
@@ -265,7 +272,7 @@
     u->refused++;
     u->refused_at = now;
     if (!u->a.draining || (u->refused >= REFUSED_LEAVING && !served_since)) {
-        reach_dead(f, u, "its host refused a probe");
+        reach_dead(f, now, u, "its host refused a probe");
     }
     schedule(f, u, next_retry(u, now));
 }
--- a/flow/state.h
+++ b/flow/state.h
@@ -73,6 +73,10 @@
 
 /* ---- Records of flows ---- */
 
+/* Ends send again after 200 ms at the earliest.  Bytes seen before that come
+ * sooner have only been overtaken on the way. */
+#define REPEAT_MIN_MS 150
+
 typedef struct {
     entry_t by_key;
     link_t recent;  /* flowset_t.recent, least recently used first */
@@ -158,7 +162,7 @@
 void reach_doubt(flowset_t *f, ms_t now, upstream_t *u, ms_t since,
                  const char *why);
 /* U has ended for sure. */
-void reach_dead(flowset_t *f, upstream_t *u, const char *why);
+void reach_dead(flowset_t *f, ms_t now, upstream_t *u, const char *why);
 /* A probe of U, whatever callers' packets say. */
 void reach_ask(flowset_t *f, ms_t now, upstream_t *u, const char *why);
 /* U is announced (again). */
--- a/source/source.c
+++ b/source/source.c
@@ -188,9 +188,10 @@
 
     for (uint32_t i = 0; i < s->n; i++) {
         const source_peer_t *p = &s->peer[i];
-        /* The n-th is taken with chance 1/n. */
-        if (now >= p->failed_until && p != but && is_kind(s, now, p, kind) &&
-            rng_below(&s->rng, ++n) == 0) {
+        if (p == but || now < p->failed_until || !is_kind(s, now, p, kind)) {
+            continue;
+        }
+        if (rng_below(&s->rng, ++n) == 0) { /* the n-th with chance 1/n */
             one = p;
         }
     }
--- a/tagged/replica.c
+++ b/tagged/replica.c
@@ -96,16 +96,18 @@
     return 0;
 }
 
-/* Takes NEW_ if it is newer than what there is; then it goes into CHANGED
- * too. */
+/* Takes NEW_ if it is newer than what there is; then it goes into CHANGED too.
+ * Up to revision KNOWN the replica is complete: what isn't there has been
+ * removed, and a source that is behind must not bring it back. */
 static int
-put(replica_t *r, const store_item_t *new_, store_items_t *changed)
+put(replica_t *r, const store_item_t *new_, uint64_t known,
+    store_items_t *changed)
 {
     bool found;
     size_t at = place(&r->items, new_->key, &found);
     int rc;
 
-    if (found && r->items.item[at].revision >= new_->revision) {
+    if (new_->revision <= (found ? r->items.item[at].revision : known)) {
         return 0;
     }
     if (found) {
@@ -162,7 +164,7 @@
     int rc = 0;
 
     for (size_t i = 0; i < items->n && rc == 0; i++) {
-        rc = put(&seen, &items->item[i], &ignored);
+        rc = put(&seen, &items->item[i], 0, &ignored);
     }
     for (size_t i = r->items.n; i-- > 0 && rc == 0;) {
         const store_item_t *it = &r->items.item[i];
@@ -186,15 +188,17 @@
 replica_merge(replica_t *r, ms_t now, const store_items_t *items,
               store_items_t *changed)
 {
+    uint64_t known;
     int rc = 0;
 
     *changed = (store_items_t){.revision = items->revision};
     pthread_mutex_lock(&r->lock);
+    known = r->items.revision;
     if (items->whole) {
         rc = remove_missing(r, items, changed);
     }
     for (size_t i = 0; i < items->n && rc == 0; i++) {
-        rc = put(r, &items->item[i], changed);
+        rc = put(r, &items->item[i], known, changed);
     }
     if (rc == 0 && items->revision > r->items.revision) {
         if (r->items.revision == 0) {
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -341,6 +341,37 @@
               FLOW_UPSTREAM_DEAD);
 }
 
+/* An instance passes an opening packet to an upstream that has just died, and
+ * stands still.  The caller's copy goes to another instance, which opens the
+ * flow at a living upstream.  Back again, the first instance learns of the
+ * death: a reset would end the flow that lives. */
+TEST_F(Flow, AnOpeningThatIsOlderThanACopyIsNotReset)
+{
+    int caller = 1;
+    uint64_t up = bed.packet(FlowBed::syn(caller, COMMAND)).upstream;
+
+    bed.advance(80);
+    ASSERT_EQ(bed.probes.size(), 1u);
+    bed.resets.clear();
+    bed.now += 700;
+    flowset_paused(bed.flows, bed.now);
+    bed.probed(up, PROBE_REFUSED);
+    EXPECT_TRUE(bed.resets.empty());
+}
+
+/* Before its caller sends a copy, the opening can only have been passed on
+ * here: its caller is told at once. */
+TEST_F(Flow, AYoungOpeningAtADeadUpstreamIsReset)
+{
+    uint64_t up = bed.packet(FlowBed::syn(1, COMMAND)).upstream;
+
+    bed.advance(80);
+    ASSERT_EQ(bed.probes.size(), 1u);
+    bed.resets.clear();
+    bed.probed(up, PROBE_REFUSED);
+    EXPECT_EQ(bed.resets.size(), 1u);
+}
+
 /* A request is unanswered for much longer than the service's usual: it is
  * asked about before its caller sends again.  Once others get answers, a long
  * wait means a long request, and no probe is spent. */
