--- a/siskinctl/explain.c
+++ b/siskinctl/explain.c
@@ -17,7 +17,8 @@
 #define AROUND_MS 5000
 #define NAMES_MAX 256
 
-/* Names that belong to the matter: flows or upstreams. */
+/* Names that belong to the matter: flows, upstreams or instances.  Past
+ * NAMES_MAX they are left out, and the end says so. */
 typedef struct {
     size_t n;
     const char *name[NAMES_MAX];
@@ -147,16 +148,24 @@
     return NULL;
 }
 
+static const char *
+or_more(const names_t *s)
+{
+    return s->n == NAMES_MAX ? " or more" : "";
+}
+
 static void
 conclude(const matter_t *m)
 {
     size_t begun = count(m, "request", "Begins");
     const log_entry_t *end = last_end(m);
 
-    printf("\n%zu lines in %lld ms; flows: %zu, upstreams: %zu, instances: "
-           "%zu\n",
-           m->n, (long long)(m->last - m->first), m->flows.n, m->upstreams.n,
-           m->instances.n);
+    printf(
+        "\n%zu lines in %lld ms; flows: %zu%s, upstreams: %zu%s, instances: "
+        "%zu%s\n",
+        m->n, (long long)(m->last - m->first), m->flows.n, or_more(&m->flows),
+        m->upstreams.n, or_more(&m->upstreams), m->instances.n,
+        or_more(&m->instances));
     printf("opened %zu, begun %zu, reset %zu, dropped %zu\n",
            count(m, "flow", "Opening"), begun, count(m, "flow", "Reset"),
            count(m, "flow", "Dropped"));
