core: what only request.c calls is its own

request_fence(), _retry(), _unknown(), _forward() and _refuse() stood in state.h though no other file calls them since asking again moved beside them.

--- a/core/request.c
+++ b/core/request.c
@@ -66,11 +66,14 @@
     return false;
 }
 
+static void forward(core_t *c, ex_t *ex);
+static void end_unknown(core_t *c, ex_t *ex);
+
 /* Has EX barred wherever a copy may be, but for its target.  When one of these
  * can't be asked, or the target has restarted and forgotten, nobody can say
  * what became of a copy. */
-void
-request_fence(core_t *c, ex_t *ex)
+static void
+fence(core_t *c, ex_t *ex)
 {
     service_t *s = service_of(c, ex);
     up_ix_t at[CHOICES_MAX];
@@ -84,7 +87,7 @@
     }
     for (int i = 0; i < n; i++) {
         if (!can_ask(c, at[i])) {
-            request_unknown(c, ex);
+            end_unknown(c, ex);
             return;
         }
         if (at[i] != ex->up || ex->refuse_after) {
@@ -92,7 +95,7 @@
         }
     }
     if (ex->n_fence == 0) {
-        request_forward(c, ex);
+        forward(c, ex);
         return;
     }
     ex_state(c, ex, EX_FENCING);
@@ -133,8 +136,8 @@
     ex_state(c, ex, EX_REFUSED);
 }
 
-void
-request_unknown(core_t *c, ex_t *ex)
+static void
+end_unknown(core_t *c, ex_t *ex)
 {
     service_of(c, ex)->stats.refused[REFUSE_UNKNOWN]++;
     answer_final(c, ex, COAP_GW_TIMEOUT, COAP_NONE);
@@ -152,32 +155,32 @@
 /* "Not run" must stay true.  A sure home refuses by its own word: its record
  * keeps later copies from running.  Another one has the request barred first
  * wherever a copy could be; if that can't be had, the outcome is unknown. */
-void
-request_refuse(core_t *c, ex_t *ex, refuse_t why)
+static void
+end_refused(core_t *c, ex_t *ex, refuse_t why)
 {
     if (ex->idempotent || sure_of(c, ex)) {
         refuse_now(c, ex, why);
         return;
     }
     if (ex->refuse_after) {
-        request_unknown(c, ex);
+        end_unknown(c, ex);
         return;
     }
     ex_count(c, ex, false);
     ex->refuse_after = true;
     ex->why = why;
-    request_fence(c, ex);
+    fence(c, ex);
 }
 
 /* ---- Forwarding ---- */
 
-void
-request_forward(core_t *c, ex_t *ex)
+static void
+forward(core_t *c, ex_t *ex)
 {
     service_t *s = service_of(c, ex);
 
     if (!up_trusted(c, ex->up)) {
-        request_refuse(c, ex, REFUSE_NONE);
+        end_refused(c, ex, REFUSE_NONE);
         return;
     }
     ex_state(c, ex, EX_SENT);
@@ -255,19 +258,19 @@
     service_t *s = service_of(c, ex);
 
     if (over_share(s, d)) {
-        request_refuse(c, ex, REFUSE_SHARE);
+        end_refused(c, ex, REFUSE_SHARE);
         return;
     }
     ex->up = choose(c, ex);
     if (ex->up == UP_NONE) {
-        request_refuse(c, ex, any_eligible(c, s) ? REFUSE_FULL : REFUSE_NONE);
+        end_refused(c, ex, any_eligible(c, s) ? REFUSE_FULL : REFUSE_NONE);
         return;
     }
     if (ex->idempotent || sure_of(c, ex)) {
-        request_forward(c, ex);
+        forward(c, ex);
         return;
     }
-    request_fence(c, ex);
+    fence(c, ex);
 }
 
 /* The request runs at U or has run there: a copy brings its answer. */
@@ -277,7 +280,7 @@
     ex->up = u;
     ex->refuse_after = false;
     ex->found = true;
-    request_forward(c, ex);
+    forward(c, ex);
 }
 
 static bool
@@ -300,7 +303,7 @@
         }
     }
     if (!can_ask(c, u) || c->ups[u].epoch != epoch) {
-        request_unknown(c, ex);
+        end_unknown(c, ex);
         return;
     }
     if (strcmp(state, "barred") != 0) {
@@ -319,7 +322,7 @@
         refuse_now(c, ex, ex->why);
         return;
     }
-    request_forward(c, ex);
+    forward(c, ex);
 }
 
 /* ---- Copies of a known request ---- */
@@ -363,7 +366,7 @@
     case EX_REFUSED:
         if (ex->final == COAP_UNAVAILABLE && !sure_of(c, ex)) {
             /* Since it was refused here, another home may have run it. */
-            request_unknown(c, ex);
+            end_unknown(c, ex);
             return;
         }
         send_final(c, ex);
@@ -383,7 +386,7 @@
         return;
     case EX_BARRED:
         /* The other home had the time to answer, and the caller asks on. */
-        request_unknown(c, ex);
+        end_unknown(c, ex);
         return;
     case EX_FENCING:
     case EX_FREE:
@@ -502,7 +505,7 @@
         crossed->state != EX_DONE) {
         /* The token is that of a request still in progress, of the port's
          * last user perhaps, whose answer would be taken for this one's. */
-        request_refuse(c, ex, REFUSE_MID_REUSE);
+        end_refused(c, ex, REFUSE_MID_REUSE);
         return;
     }
     open_request(c, d, ex);
@@ -519,8 +522,8 @@
 
 /* The upstream said "not run", or the request is idempotent: another may
  * have it, within the budget. */
-void
-request_retry(core_t *c, ex_t *ex)
+static void
+retry(core_t *c, ex_t *ex)
 {
     service_t *s = service_of(c, ex);
     up_ix_t old = ex->up;
@@ -528,12 +531,12 @@
 
     ex_count(c, ex, false);
     if (ex->found) {
-        request_unknown(c, ex); /* it was found there, and now is not */
+        end_unknown(c, ex); /* it was found there, and now is not */
         return;
     }
     if (ex->tries >= TRIES_MAX || !retry_allowed(s) ||
         (!ex->idempotent && !sure_of(c, ex))) {
-        request_refuse(c, ex, REFUSE_FULL);
+        end_refused(c, ex, REFUSE_FULL);
         return;
     }
     next = choose(c, ex);
@@ -541,14 +544,14 @@
         next = up_next(c, s, ex->key, old);
     }
     if (next == UP_NONE || next == old) {
-        request_refuse(c, ex, REFUSE_FULL);
+        end_refused(c, ex, REFUSE_FULL);
         return;
     }
     ex->up = next;
     ex->tries++;
     s->retried++;
     s->stats.retries++;
-    request_forward(c, ex);
+    forward(c, ex);
 }
 
 /* The answer is final; a read's record has done its work. */
@@ -587,7 +590,7 @@
     }
     if (m->code == COAP_UNAVAILABLE && ex->state == EX_SENT) {
         up_shed(c, ex->up);
-        request_retry(c, ex);
+        retry(c, ex);
         return;
     }
     if (ex->state == EX_SENT) {
@@ -642,14 +645,14 @@
 ask_again(core_t *c, ex_t *ex)
 {
     if (ex->waiting) {
-        request_fence(c, ex);
+        fence(c, ex);
         return;
     }
     if (c->now < ex->retry_at) {
         return;
     }
     if (c->now - ex->sent >= RETRY_MAX * RETRY_MS) {
-        request_unknown(c, ex);
+        end_unknown(c, ex);
         return;
     }
     ex->retry_at = c->now + RETRY_MS;
@@ -670,11 +673,11 @@
         return;
     }
     if (ex->idempotent) {
-        request_retry(c, ex);
+        retry(c, ex);
         return;
     }
     /* It may have run before the upstream stopped: nobody can say. */
-    request_unknown(c, ex);
+    end_unknown(c, ex);
 }
 
 static void
--- a/core/state.h
+++ b/core/state.h
@@ -408,21 +408,12 @@
 /* request.c */
 bool is_upload_block(const coap_msg_t *m);
 void request_at_home(core_t *c, const dgram_t *d);
-/* Has EX barred wherever a copy may be but its target; then it goes on. */
-void request_fence(core_t *c, ex_t *ex);
 /* An upstream's answer to being asked to bar a request. */
 void request_cancelled(core_t *c, up_ix_t u, const coap_msg_t *m);
 /* Asks, retries and gives up what is in progress. */
 void request_tick(core_t *c);
-
 void request_answer(core_t *c, ex_t *ex, const coap_msg_t *m,
                     const uint8_t *data, size_t len);
-void request_forward(core_t *c, ex_t *ex);
-void request_retry(core_t *c, ex_t *ex);
-void request_unknown(core_t *c, ex_t *ex);
-void request_refuse(core_t *c, ex_t *ex, refuse_t why);
-
-/* core.c */
 
 /* input.c */
 void enter(core_t *c, ms_t now);
