Twins found in the read of the whole change made one; behaviour as before

- the prelude of HTTP handlers stood in tagged/serve.c and siskind/admin.c: http_request_whole() in kern/reply
- plain metrics were printed by tagged/report.c and twice in siskind/metrics.c: metric_print() in base, beside hist_print()
- "a new file in the directory named" stood in siskinctl's show and report: ctl_write()
- the part and beginning of a log line were compared in explain (twice) and report: log_says()
- follow and check told source/ under the lock what came of a question: news_note(), and both through sources_checked()
- core's flows_tick() looks first at whether an upstream has flows at all

Left: HTTP calls of platform/store.c (each names its own path, body and errors), accessors under a lock, the set-up of demo_tagged and tagged_path (one tells each step, the other doesn't).

Seen: the 106 names and labels of a tagged instance's metrics are the same from the build before and after; ctl_logs, ctl_config, ctl_usage, ctl_man, siskind_life, siskind_usage, tagged_herd, tagged_store, tagged_path, layers as expected; source, replica, flow, core tests passed; format and lint.

--- a/base/base.c
+++ b/base/base.c
@@ -95,6 +95,13 @@
     return ((uint64_t)(4 + i % 4 + 1) << (log - 2)) - 1;
 }
 
+void
+metric_print(FILE *f, const char *type, const char *name, uint64_t n)
+{
+    fprintf(f, "# TYPE %s %s\n%s %llu\n", name, type, name,
+            (unsigned long long)n);
+}
+
 /* Bounds shown: one a power of two, to 2^18. */
 #define BOUND_STEP 4
 #define BOUND_LAST 71
--- a/base/base.h
+++ b/base/base.h
@@ -154,6 +154,8 @@
 uint64_t hist_quantile(const hist_t *h, double q);
 /* The largest value counted in slot I. */
 uint64_t hist_bound(int i);
+/* Writes a Prometheus metric without labels; TYPE "counter" or "gauge". */
+void metric_print(FILE *f, const char *type, const char *name, uint64_t n);
 /* Writes H as a Prometheus histogram of that name; LABELS as
  * "service=\"a\",class=\"b\"", or "". */
 void hist_print(FILE *f, const char *name, const char *labels,
--- a/bench/herd.sh
+++ b/bench/herd.sh
@@ -8,10 +8,6 @@
 set -- "$1"
 . "$(dirname "$0")/../test/tagged_bed.bash" "$1"
 
-counted() {             # calls|pages
-    curl -s -m 3 "$store/$1" | tr -dc 0-9
-}
-
 all_serve() {
     for n in $(seq "$instances"); do
         until_quietly grep -q 'It serves' "i$n.log"
@@ -19,21 +15,19 @@
 }
 
 turn() {                # WHAT
-    local n calls pages
-    calls=$(counted calls)
-    pages=$(counted pages)
+    local n calls_before pages_before
+    calls_before=$(calls)
+    pages_before=$(pages)
     for n in $(seq "$instances"); do
         : >"i$n.log"
         instance "$n"
     done
     all_serve
-    calls=$(($(counted calls) - calls))
-    pages=$(($(counted pages) - pages))
     grep -h 'It serves' i*.log | sed 's/.*since_start_ms=\([0-9]*\).*/\1/' |
         sort -n >took
     echo "$1: instances=$instances upstreams=$upstreams serve=$(wc -l <took)" \
         "ms: median=$(sed -n "$((instances / 2 + 1))p" took)" \
-        "last=$(tail -1 took) store: calls=$calls pages=$pages"
+        "last=$(tail -1 took) store: calls=$(($(calls) - calls_before)) pages=$(($(pages) - pages_before))"
 }
 
 start_store
--- a/core/flows.c
+++ b/core/flows.c
@@ -390,8 +390,8 @@
     for (up_ix_t u = 0; u < c->n_ups; u++) {
         const up_t *up = &c->ups[u];
 
-        if (up_lost(c, u) && !up_trusted(c, u) &&
-            up->flows + up->uploads > 0) {
+        if (up->flows + up->uploads > 0 && up_lost(c, u) &&
+            !up_trusted(c, u)) {
             feeds_lost(c, u);
         }
     }
--- a/kern/reply.c
+++ b/kern/reply.c
@@ -25,3 +25,19 @@
     MHD_destroy_response(r);
     return rc;
 }
+
+bool
+http_request_whole(size_t *body_len, void **state)
+{
+    static int seen;
+
+    if (*state == NULL) {
+        *state = &seen;
+        return false;
+    }
+    if (*body_len > 0) {
+        *body_len = 0;
+        return false;
+    }
+    return true;
+}
--- a/siskinctl/ctl.h
+++ b/siskinctl/ctl.h
@@ -57,6 +57,11 @@
 ctl_exit_t ctl_exit_of(int rc);
 /* Prints O as one line of JSON and frees it. */
 void ctl_json(json_t *o);
+/* Writes TEXT to the new file NAME in the directory that the options name.  A
+ * file that stands there may hold an operator's work and is left as it is:
+ * -EIO, and E with its path. */
+int ctl_write(const options_t *o, const char *step, const char *name,
+              const char *text, err_t *e);
 /* Prints a JSON object as "key value" lines and aligned tables. */
 void ctl_table(const json_t *o);
 
--- a/siskinctl/explain.c
+++ b/siskinctl/explain.c
@@ -126,9 +126,7 @@
     size_t n = 0;
 
     for (size_t i = 0; i < m->logs->n; i++) {
-        const log_entry_t *x = &m->logs->entry[i];
-        n += m->told[i] && strcmp(x->part, part) == 0 &&
-             strncmp(x->sentence, sentence, strlen(sentence)) == 0;
+        n += m->told[i] && log_says(&m->logs->entry[i], part, sentence);
     }
     return n;
 }
@@ -139,9 +137,8 @@
 {
     for (size_t i = m->logs->n; i-- > 0;) {
         const log_entry_t *x = &m->logs->entry[i];
-        if (m->told[i] && strcmp(x->part, "flow") == 0 &&
-            (strncmp(x->sentence, "Reset", 5) == 0 ||
-             strncmp(x->sentence, "Dropped", 7) == 0)) {
+        if (m->told[i] &&
+            (log_says(x, "flow", "Reset") || log_says(x, "flow", "Dropped"))) {
             return x;
         }
     }
--- a/siskinctl/logs.c
+++ b/siskinctl/logs.c
@@ -292,3 +292,10 @@
 
     return v != NULL && strcmp(v, value_) == 0;
 }
+
+bool
+log_says(const log_entry_t *x, const char *part, const char *begin)
+{
+    return strcmp(x->part, part) == 0 &&
+           strncmp(x->sentence, begin, strlen(begin)) == 0;
+}
--- a/siskinctl/logs.h
+++ b/siskinctl/logs.h
@@ -35,5 +35,7 @@
 const char *log_field(const log_entry_t *x, const char *name);
 /* True where the field is there and has that value. */
 bool log_field_is(const log_entry_t *x, const char *name, const char *value);
+/* True for a line of PART whose sentence begins so. */
+bool log_says(const log_entry_t *x, const char *part, const char *begin);
 
 #endif
--- a/siskinctl/output.c
+++ b/siskinctl/output.c
@@ -64,6 +64,24 @@
     }
 }
 
+int
+ctl_write(const options_t *o, const char *step, const char *name,
+          const char *text, err_t *e)
+{
+    char path[512];
+    FILE *f;
+    int bad;
+
+    snprintf(path, sizeof(path), "%s/%s", o->into, name);
+    f = fopen(path, "wx");
+    if (f == NULL) {
+        return err_set(e, -EIO, step, path, "%s", strerror(errno));
+    }
+    bad = fputs(text, f) < 0;
+    bad |= fclose(f) != 0;
+    return bad ? err_set(e, -EIO, step, path, "can't be written whole") : 0;
+}
+
 /* ---- Tables ---- */
 
 /* A value on one line: "yes", "12", "urgent=3 feed=1", "-" for nothing. */
--- a/siskinctl/report.c
+++ b/siskinctl/report.c
@@ -64,13 +64,6 @@
     return v != NULL ? v : "-";
 }
 
-static bool
-says(const log_entry_t *x, const char *part, const char *begin)
-{
-    return strcmp(x->part, part) == 0 &&
-           strncmp(x->sentence, begin, strlen(begin)) == 0;
-}
-
 static json_t *
 second_of(report_t *r, const log_entry_t *x)
 {
@@ -129,13 +122,13 @@
 static void
 count_entry(report_t *r, const log_entry_t *x)
 {
-    if (says(x, "request", "Begins")) {
+    if (log_says(x, "request", "Begins")) {
         count_load(r, x, "requests");
     }
-    else if (says(x, "flow", "Opening")) {
+    else if (log_says(x, "flow", "Opening")) {
         count_load(r, x, "openings");
     }
-    else if (says(x, "flow", "Reset") || says(x, "flow", "Dropped")) {
+    else if (log_says(x, "flow", "Reset") || log_says(x, "flow", "Dropped")) {
         count_load(r, x, x->sentence[0] == 'R' ? "resets" : "dropped");
         bump(row(r->resets, text(x, "reason")), "times");
     }
@@ -145,13 +138,13 @@
         bump(b, "times");
         bump(row(r->upstreams, text(x, "upstream")), "beliefs");
     }
-    else if (says(x, "routes", "In force")) {
+    else if (log_says(x, "routes", "In force")) {
         count_version(r, x);
     }
-    else if (says(x, "main", "It runs")) {
+    else if (log_says(x, "main", "It runs")) {
         json_object_set_new(r->starting, x->instance, json_true());
     }
-    else if (says(x, "packets", "It serves")) {
+    else if (log_says(x, "packets", "It serves")) {
         count_serving(r, x);
     }
 }
@@ -234,41 +227,18 @@
      {"openings", "requests", "resets", "slowest_start_ms"}},
 };
 
-/* A new file in the directory; NULL: E tells. */
-static FILE *
-create(const options_t *o, const char *name, err_t *e)
-{
-    char path[512];
-    FILE *f;
-
-    snprintf(path, sizeof(path), "%s/%s", o->into, name);
-    f = fopen(path, "wx");
-    if (f == NULL) {
-        err_set(e, -errno, "report", path, "%s", strerror(errno));
-    }
-    return f;
-}
-
-static int
-finish(FILE *f, const char *name, err_t *e)
-{
-    bool bad = ferror(f) != 0;
-
-    bad |= fclose(f) != 0;
-    return bad ? err_set(e, -EIO, "report", name, "can't be written whole")
-               : 0;
-}
-
-static int
-write_data(const options_t *o, const plot_data_t *p, const json_t *table,
-           err_t *e)
+/* TABLE as lines of P's fields; malloc, or NULL. */
+static char *
+data_text(const plot_data_t *p, const json_t *table)
 {
-    FILE *f = create(o, p->file, e);
+    char *out = NULL;
+    size_t len = 0;
+    FILE *f = open_memstream(&out, &len);
     const char *key;
     json_t *r;
 
     if (f == NULL) {
-        return -EIO;
+        return NULL;
     }
     fprintf(f, "# %s", p->key);
     for (size_t i = 0; p->field[i] != NULL; i++) {
@@ -282,7 +252,8 @@
         }
     }
     fprintf(f, "\n");
-    return finish(f, p->file, e);
+    fclose(f);
+    return out;
 }
 
 static int
@@ -290,15 +261,14 @@
 {
     const json_t *table[] = {r->seconds, r->upstreams, r->versions,
                              r->instances};
-    FILE *f = create(o, "report.gp", e);
-    int rc = f != NULL ? 0 : -EIO;
+    int rc = ctl_write(o, "report", "report.gp", plots, e);
 
-    if (f != NULL) {
-        fputs(plots, f);
-        rc = finish(f, "report.gp", e);
-    }
     for (size_t i = 0; i < sizeof(table) / sizeof(table[0]) && rc == 0; i++) {
-        rc = write_data(o, &plot_data[i], table[i], e);
+        char *data = data_text(&plot_data[i], table[i]);
+        rc = data != NULL
+                 ? ctl_write(o, "report", plot_data[i].file, data, e)
+                 : err_set(e, -ENOMEM, "report", "memory", "out of memory");
+        free(data);
     }
     return rc;
 }
--- a/siskinctl/version.c
+++ b/siskinctl/version.c
@@ -110,36 +110,20 @@
                      "no such text; expected base or a data centre in force");
 }
 
-/* "x": a file that stands there may hold an operator's unapplied edits. */
-static ctl_exit_t
-write_file(const options_t *o, const char *name, const char *text)
-{
-    char path[512];
-    FILE *f;
-    int bad;
-
-    snprintf(path, sizeof(path), "%s/%s.toml", o->into, name);
-    f = fopen(path, "wx");
-    if (f == NULL) {
-        return fail_show(o, path, strerror(errno));
-    }
-    bad = fputs(text, f) < 0;
-    bad |= fclose(f) != 0;
-    return bad ? fail_show(o, path, "can't be written whole") : CTL_OK;
-}
-
 static ctl_exit_t
 show_into(const options_t *o, const conf_bundle_t *b)
 {
-    ctl_exit_t code = CTL_OK;
+    char name[NAME_LEN + 8];
+    err_t e;
 
-    for (size_t i = 0; i < b->n && code == CTL_OK; i++) {
-        code = write_file(o, b->file[i], b->text[i]);
-    }
-    if (code == CTL_OK) {
-        printf("version %llu\n", (unsigned long long)b->version);
+    for (size_t i = 0; i < b->n; i++) {
+        snprintf(name, sizeof(name), "%s.toml", b->file[i]);
+        if (ctl_write(o, "show", name, b->text[i], &e) < 0) {
+            return ctl_fail(o, CTL_NO, &e);
+        }
     }
-    return code;
+    printf("version %llu\n", (unsigned long long)b->version);
+    return CTL_OK;
 }
 
 static ctl_exit_t
--- a/siskind/admin.c
+++ b/siskind/admin.c
@@ -97,18 +97,11 @@
            const char *method, const char *version, const char *body,
            size_t *body_len, void **state)
 {
-    static int seen;
     bool known = false;
 
     (void)version;
     (void)body;
-    /* The first call has the headers only; a body is read and ignored. */
-    if (*state == NULL) {
-        *state = &seen;
-        return MHD_YES;
-    }
-    if (*body_len > 0) {
-        *body_len = 0;
+    if (!http_request_whole(body_len, state)) {
         return MHD_YES;
     }
     for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
--- a/siskind/metrics.c
+++ b/siskind/metrics.c
@@ -12,47 +12,49 @@
             (unsigned long long)n);
 }
 
-static void
-total(FILE *f, const char *name, uint64_t n)
-{
-    fprintf(f, "# TYPE siskin_%s counter\nsiskin_%s %llu\n", name, name,
-            (unsigned long long)n);
-}
-
-static void
-gauge(FILE *f, const char *name, uint64_t n)
-{
-    fprintf(f, "# TYPE siskin_%s gauge\nsiskin_%s %llu\n", name, name,
-            (unsigned long long)n);
-}
-
 static void
 instance_metrics(FILE *f, const daemon_t *d, const view_t *v)
 {
     const counters_t *c = &d->count;
 
-    gauge(f, "version", v->version);
-    gauge(f, "version_age_milliseconds", (uint64_t)v->version_age);
-    gauge(f, "flows", v->flows);
-    gauge(f, "hints", v->hints);
-    gauge(f, "exchanges", v->exchanges);
-    gauge(f, "peers", v->n_peers);
-    total(f, "datagrams_received_total", counter_read(&c->received));
-    total(f, "datagrams_sent_total", counter_read(&c->sent));
-    total(f, "stale_received_total", counter_read(&c->stale_in));
-    total(f, "stale_sent_total", counter_read(&c->stale_out));
-    total(f, "too_long_total", counter_read(&c->too_long));
-    total(f, "peer_refused_total", counter_read(&c->peer_refused));
-    total(f, "send_full_total", counter_read(&c->send_full));
-    total(f, "send_failed_total", counter_read(&c->send_failed));
-    total(f, "no_socket_total", counter_read(&c->no_socket));
-    total(f, "control_bytes_total", counter_read(&c->control_bytes));
-    total(f, "platform_calls_total",
-          counter_read(&c->watch_calls) + counter_read(&c->roster_calls));
-    total(f, "bulk_served_total", counter_read(&c->bulk_served));
-    total(f, "bulk_fetched_total", counter_read(&c->bulk_fetched));
-    total(f, "bulk_refused_total", counter_read(&c->bulk_refused));
-    total(f, "bulk_bytes_total", counter_read(&c->bulk_bytes));
+    metric_print(f, "gauge", "siskin_version", v->version);
+    metric_print(f, "gauge", "siskin_version_age_milliseconds",
+                 (uint64_t)v->version_age);
+    metric_print(f, "gauge", "siskin_flows", v->flows);
+    metric_print(f, "gauge", "siskin_hints", v->hints);
+    metric_print(f, "gauge", "siskin_exchanges", v->exchanges);
+    metric_print(f, "gauge", "siskin_peers", v->n_peers);
+    metric_print(f, "counter", "siskin_datagrams_received_total",
+                 counter_read(&c->received));
+    metric_print(f, "counter", "siskin_datagrams_sent_total",
+                 counter_read(&c->sent));
+    metric_print(f, "counter", "siskin_stale_received_total",
+                 counter_read(&c->stale_in));
+    metric_print(f, "counter", "siskin_stale_sent_total",
+                 counter_read(&c->stale_out));
+    metric_print(f, "counter", "siskin_too_long_total",
+                 counter_read(&c->too_long));
+    metric_print(f, "counter", "siskin_peer_refused_total",
+                 counter_read(&c->peer_refused));
+    metric_print(f, "counter", "siskin_send_full_total",
+                 counter_read(&c->send_full));
+    metric_print(f, "counter", "siskin_send_failed_total",
+                 counter_read(&c->send_failed));
+    metric_print(f, "counter", "siskin_no_socket_total",
+                 counter_read(&c->no_socket));
+    metric_print(f, "counter", "siskin_control_bytes_total",
+                 counter_read(&c->control_bytes));
+    metric_print(f, "counter", "siskin_platform_calls_total",
+                 counter_read(&c->watch_calls) +
+                     counter_read(&c->roster_calls));
+    metric_print(f, "counter", "siskin_bulk_served_total",
+                 counter_read(&c->bulk_served));
+    metric_print(f, "counter", "siskin_bulk_fetched_total",
+                 counter_read(&c->bulk_fetched));
+    metric_print(f, "counter", "siskin_bulk_refused_total",
+                 counter_read(&c->bulk_refused));
+    metric_print(f, "counter", "siskin_bulk_bytes_total",
+                 counter_read(&c->bulk_bytes));
 }
 
 static void
--- a/source/source.h
+++ b/source/source.h
@@ -62,7 +62,7 @@
 typedef enum {
     SOURCE_TOLD,
     SOURCE_STARTING, /* it knows nothing itself yet */
-    SOURCE_SILENT    /* no answer, or none that can be read */
+    SOURCE_SILENT    /* no answer, none that can be read, or old news */
 } source_answer_t;
 void sources_checked(sources_t *s, ms_t now, const addr_t *a,
                      source_answer_t answer);
--- a/tagged/check.c
+++ b/tagged/check.c
@@ -31,18 +31,6 @@
     return p;
 }
 
-static void
-note(tagged_t *t, const addr_t *a, int rc)
-{
-    source_answer_t answer = rc >= 0          ? SOURCE_TOLD
-                             : rc == -ENODATA ? SOURCE_STARTING
-                                              : SOURCE_SILENT;
-
-    pthread_mutex_lock(&t->follow_lock);
-    sources_checked(&t->sources, clock_now(), a, answer);
-    pthread_mutex_unlock(&t->follow_lock);
-}
-
 static void
 check_once(tagged_t *t, peer_client_t *c)
 {
@@ -56,7 +44,10 @@
         return;
     }
     rc = news_ask(t, c, &a, before == 0 ? START_WAIT_MS : 0, &e);
-    note(t, &a, rc);
+    news_note(t, &a,
+              rc >= 0          ? SOURCE_TOLD
+              : rc == -ENODATA ? SOURCE_STARTING
+                               : SOURCE_SILENT);
     if (rc > 0) {
         counter_add(&t->count.news_from_check, 1);
         log_line(LVL_INFO, "check",
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -188,14 +188,7 @@
 
     f->store_failed = false;
 
-    pthread_mutex_lock(&f->t->follow_lock);
-    if (rc < 0 || old) {
-        sources_failed(&f->t->sources, clock_now(), a);
-    }
-    else {
-        sources_answered(&f->t->sources, a);
-    }
-    pthread_mutex_unlock(&f->t->follow_lock);
+    news_note(f->t, a, rc < 0 || old ? SOURCE_SILENT : SOURCE_TOLD);
     if (rc < 0 || old) {
         log_line(LVL_WARN, "follow",
                  "The followed peer is passed over. peer=%s error=\"%s\" "
--- a/tagged/news.c
+++ b/tagged/news.c
@@ -129,6 +129,14 @@
     pthread_mutex_unlock(&t->follow_lock);
 }
 
+void
+news_note(tagged_t *t, const addr_t *a, source_answer_t answer)
+{
+    pthread_mutex_lock(&t->follow_lock);
+    sources_checked(&t->sources, clock_now(), a, answer);
+    pthread_mutex_unlock(&t->follow_lock);
+}
+
 void
 peer_client_close(peer_client_t *c)
 {
--- a/tagged/report.c
+++ b/tagged/report.c
@@ -5,13 +5,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-static void
-line(FILE *f, const char *type, const char *name, uint64_t n)
-{
-    fprintf(f, "# TYPE siskin_%s %s\nsiskin_%s %llu\n", name, type, name,
-            (unsigned long long)n);
-}
-
 static void
 histogram(FILE *f, const char *name, const hist_t *h)
 {
@@ -29,13 +22,13 @@
 static void
 flow_metrics(FILE *f, const flow_stats_t *s)
 {
-    line(f, "gauge", "version", s->version);
-    line(f, "gauge", "routes", s->routes);
-    line(f, "gauge", "upstreams", s->upstreams);
-    line(f, "gauge", "upstreams_usable", s->usable);
-    line(f, "gauge", "flows", s->records);
-    line(f, "counter", "flows_reset_total", s->resets);
-    line(f, "counter", "flows_forgotten_total", s->forgotten);
+    metric_print(f, "gauge", "siskin_version", s->version);
+    metric_print(f, "gauge", "siskin_routes", s->routes);
+    metric_print(f, "gauge", "siskin_upstreams", s->upstreams);
+    metric_print(f, "gauge", "siskin_upstreams_usable", s->usable);
+    metric_print(f, "gauge", "siskin_flows", s->records);
+    metric_print(f, "counter", "siskin_flows_reset_total", s->resets);
+    metric_print(f, "counter", "siskin_flows_forgotten_total", s->forgotten);
     fprintf(f, "# TYPE siskin_packets_total counter\n");
     for (int i = 0; i < FLOW_REASONS; i++) {
         fprintf(f, "siskin_packets_total{reason=\"%s\"} %llu\n",
@@ -75,28 +68,36 @@
         return NULL;
     }
     flow_metrics(f, &s);
-    line(f, "counter", "received_total", counter_read(&c->received));
-    line(f, "counter", "sent_total", counter_read(&c->sent));
-    line(f, "counter", "unreadable_total", counter_read(&c->unreadable));
-    line(f, "counter", "send_failed_total", counter_read(&c->send_failed));
-    line(f, "counter", "pauses_total", counter_read(&c->pauses));
-    line(f, "gauge", "store_up", SHARED(t, store_up));
-    line(f, "gauge", "store_revision", replica_revision(t->replica));
-    line(f, "gauge", "replica_age_milliseconds",
-         (uint64_t)(clock_now() - replica_current_at(t->replica)));
-    line(f, "counter", "store_calls_total",
-         store_calls(t->store) + store_calls(t->writer));
-    line(f, "counter", "store_failures_total",
-         counter_read(&c->store_failures));
-    line(f, "counter", "store_items_refused_total",
-         counter_read(&c->refused_items));
-    line(f, "counter", "peer_calls_total", counter_read(&c->peer_calls));
-    line(f, "counter", "peer_failures_total", counter_read(&c->peer_failures));
-    line(f, "counter", "news_from_check_total",
-         counter_read(&c->news_from_check));
-    line(f, "counter", "log_lines_limited_total",
-         counter_read(&c->lines_limited));
-    line(f, "counter", "log_lines_left_out_total", log_left_out());
+    metric_print(f, "counter", "siskin_received_total",
+                 counter_read(&c->received));
+    metric_print(f, "counter", "siskin_sent_total", counter_read(&c->sent));
+    metric_print(f, "counter", "siskin_unreadable_total",
+                 counter_read(&c->unreadable));
+    metric_print(f, "counter", "siskin_send_failed_total",
+                 counter_read(&c->send_failed));
+    metric_print(f, "counter", "siskin_pauses_total",
+                 counter_read(&c->pauses));
+    metric_print(f, "gauge", "siskin_store_up", SHARED(t, store_up));
+    metric_print(f, "gauge", "siskin_store_revision",
+                 replica_revision(t->replica));
+    metric_print(f, "gauge", "siskin_replica_age_milliseconds",
+                 (uint64_t)(clock_now() - replica_current_at(t->replica)));
+    metric_print(f, "counter", "siskin_store_calls_total",
+                 store_calls(t->store) + store_calls(t->writer));
+    metric_print(f, "counter", "siskin_store_failures_total",
+                 counter_read(&c->store_failures));
+    metric_print(f, "counter", "siskin_store_items_refused_total",
+                 counter_read(&c->refused_items));
+    metric_print(f, "counter", "siskin_peer_calls_total",
+                 counter_read(&c->peer_calls));
+    metric_print(f, "counter", "siskin_peer_failures_total",
+                 counter_read(&c->peer_failures));
+    metric_print(f, "counter", "siskin_news_from_check_total",
+                 counter_read(&c->news_from_check));
+    metric_print(f, "counter", "siskin_log_lines_limited_total",
+                 counter_read(&c->lines_limited));
+    metric_print(f, "counter", "siskin_log_lines_left_out_total",
+                 log_left_out());
     fclose(f);
     return text;
 }
--- a/tagged/serve.c
+++ b/tagged/serve.c
@@ -135,18 +135,12 @@
            const char *method, const char *version, const char *body,
            size_t *body_len, void **state)
 {
-    static int seen, routed; /* how far a request has come */
+    static int routed; /* the state of a request that has been */
     bool waited = *state == &routed;
 
     (void)version;
     (void)body;
-    /* The first call has the headers only; a body is read and ignored. */
-    if (*state == NULL) {
-        *state = &seen;
-        return MHD_YES;
-    }
-    if (*body_len > 0) {
-        *body_len = 0;
+    if (!http_request_whole(body_len, state)) {
         return MHD_YES;
     }
     *state = &routed;
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -146,6 +146,8 @@
 } peer_client_t;
 int news_ask(tagged_t *t, peer_client_t *c, const addr_t *a, ms_t wait_ms,
              err_t *e);
+/* What came of asking the peer at A, for the choice of the next. */
+void news_note(tagged_t *t, const addr_t *a, source_answer_t answer);
 void peer_client_close(peer_client_t *c);
 
 /* ---- probes.c: bare TCP connections to upstreams ---- */
--- a/test/tagged_herd.sh
+++ b/test/tagged_herd.sh
@@ -8,7 +8,7 @@
 
 instances=24
 upstreams=1200          # three pages of the store
-pages=0
+read_before=0
 
 # Instances that the store has: four of each data centre at least.
 announced_are() {       # NUMBER
@@ -32,10 +32,10 @@
 # late on a busy machine.  Each for itself: 48.
 few_pages() {           # READERS
     local n most=$((2 * ($1 + 1)))
-    n=$(curl -s -m 3 "$store/pages" | tr -dc 0-9)
-    [ $((n - pages)) -le $most ] && echo "few pages" ||
-        echo "pages: $((n - pages)), expected at most $most"
-    pages=$n
+    n=$(pages)
+    [ $((n - read_before)) -le $most ] && echo "few pages" ||
+        echo "pages: $((n - read_before)), expected at most $most"
+    read_before=$n
 }
 
 run() {
@@ -53,14 +53,14 @@
     instance 1
     until_quietly metric_is 1 store_up -eq 0
     sleep 1
-    [ "$(curl -s -m 3 "$store/pages" | tr -dc 0-9)" -lt 50 ] &&
+    [ "$(pages)" -lt 50 ] &&
         echo "a bounded number of pages"
     ready 1 || echo "it is not ready on half a list"
     switch endless=0
     until_true "it is ready on a whole one" ready 1
     signal i1 TERM
     ended i1
-    pages=$(curl -s -m 3 "$store/pages" | tr -dc 0-9)
+    read_before=$(pages)
 
     echo "## All start: the seeds read on"
     all_start
