An opening that waited, or a copy, is never answered by a reset

Opening packets had lain in the socket of an instance that stood still; the callers' copies opened the flows through others. Awake, it passed the old packets on, to a server that had died meanwhile, was refused by its host, and reset flows whose records were some milliseconds old. By reading, the same for a copy whose first packet a slow server answers late, and for an old opening or a copy without a route or upstream.

A packet carries how long it waited (the kernel's stamp, the reading of it moved from siskind/ to kern/). An opening older than the earliest copy, or a copy, is forgotten at its upstream's death, and dropped where nothing takes it. A sign of life counts from when it came.

--- a/flow/flow.h
+++ b/flow/flow.h
@@ -81,6 +81,7 @@
                    * copies of it were sent before */
     uint32_t tag; /* the last that the caller received; 0: none yet */
     uint16_t len; /* bytes of data */
+    ms_t age_ms;  /* how long it waited until it was read */
 } flow_packet_t;
 
 typedef enum { FLOW_FORWARD, FLOW_RESET, FLOW_DROP } flow_verb_t;
@@ -91,7 +92,9 @@
     FLOW_COPY,          /* forwarded: a copy of an opening packet, as before */
     FLOW_COPY_MOVED,    /* forwarded: a copy, to another upstream */
     FLOW_NO_ROUTE,      /* reset: nothing is configured at that address */
-    FLOW_NO_UPSTREAM,   /* reset: no upstream of the service can take it */
+    FLOW_NO_UPSTREAM,   /* reset: no upstream of the service can take it.
+                         * Both dropped where another opening packet of the
+                         * caller may have opened the flow */
     FLOW_UPSTREAM_DEAD, /* reset: its upstream has ended */
     FLOW_UPSTREAM_OUT,  /* reset: its upstream can't be reached, and its
                          * requests may be repeated */
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -280,11 +280,11 @@
         r->seq_end = end - p->len;
         r->ack = p->ack;
         fresh = p->len > 0;
-        reach_alive(f, now, u);
+        reach_alive(f, now - p->age_ms, u);
     }
     else if ((int32_t)(p->ack - r->ack) > 0) {
         r->ack = p->ack;
-        reach_alive(f, now, u);
+        reach_alive(f, now - p->age_ms, u);
         if (r->asked_at != 0) {
             answer_seen(f, now, r);
         }
@@ -369,21 +369,38 @@
     }
 }
 
+/* May another opening packet of the same caller have opened the flow, through
+ * another instance or before an upstream died?  Then the caller must not be
+ * told that it failed. */
+static bool
+opened_elsewhere(const flow_packet_t *p)
+{
+    return p->ack > 0 || p->age_ms >= REPEAT_MIN_MS;
+}
+
+static void
+refuse_opening(const flow_packet_t *p, flow_reason_t reason,
+               flow_decision_t *d)
+{
+    decide(d, opened_elsewhere(p) ? FLOW_DROP : FLOW_RESET, reason);
+}
+
 /* A copy of an opening packet that nobody answered: another upstream takes it,
  * or the same if it is the only one. */
 static void
-take_copy(flowset_t *f, ms_t now, record_t *r, const flow_route_t *route,
-          flow_decision_t *d)
+take_copy(flowset_t *f, ms_t now, const flow_packet_t *p, record_t *r,
+          const flow_route_t *route, flow_decision_t *d)
 {
     upstream_t *u;
 
     reach_doubt(f, now, r->up, r->sent_at, "an opening packet is repeated");
     u = choose(f, now, route, r->up);
     if (u == NULL) {
-        decide(d, FLOW_RESET, FLOW_NO_UPSTREAM);
+        refuse_opening(p, FLOW_NO_UPSTREAM, d);
         record_free(f, r);
         return;
     }
+    r->copied = true;
     forward(d, u == r->up ? FLOW_COPY : FLOW_COPY_MOVED, u);
     if (u != r->up) {
         record_move(r, u);
@@ -401,11 +418,11 @@
     upstream_t *u;
 
     if (route == NULL) {
-        decide(d, FLOW_RESET, FLOW_NO_ROUTE);
+        refuse_opening(p, FLOW_NO_ROUTE, d);
         return;
     }
     if (r != NULL && !r->open && p->ack > 0) {
-        take_copy(f, now, r, route, d);
+        take_copy(f, now, p, r, route, d);
         return;
     }
     if (r != NULL) { /* the caller's port is used again */
@@ -413,11 +430,14 @@
     }
     u = choose(f, now, route, NULL);
     if (u == NULL) {
-        decide(d, FLOW_RESET, FLOW_NO_UPSTREAM);
+        refuse_opening(p, FLOW_NO_UPSTREAM, d);
         return;
     }
     forward(d, FLOW_CHOSEN, u);
-    record_new(f, now, p, u, route->repeatable);
+    r = record_new(f, now, p, u, route->repeatable);
+    if (r != NULL) {
+        r->copied = opened_elsewhere(p);
+    }
 }
 
 void
--- a/flow/reach.c
+++ b/flow/reach.c
@@ -100,11 +100,11 @@
 }
 
 void
-reach_alive(flowset_t *f, ms_t now, upstream_t *u)
+reach_alive(flowset_t *f, ms_t at, upstream_t *u)
 {
-    u->alive_at = now;
+    u->alive_at = at > u->alive_at ? at : u->alive_at;
     u->unanswered = 0;
-    if (u->reach == REACH_DOUBTED) {
+    if (u->reach == REACH_DOUBTED && at >= u->probed_at) {
         set_reach(f, u, REACH_GOOD, "a caller's flow goes on");
     }
 }
@@ -160,13 +160,13 @@
  *
  * An opening packet is another matter once its caller may have sent a copy:
  * the copy may have gone through another instance and opened the flow at an
- * upstream that lives. */
+ * upstream that lives, or the first of them may have at a slow one. */
 static void
 reset_all(flowset_t *f, ms_t now, upstream_t *u)
 {
     LIST_EACH (it, &u->records) {
         record_t *r = LIST_OWNER(it, record_t, of);
-        if (!r->open && now - r->last_at >= REPEAT_MIN_MS) {
+        if (!r->open && (r->copied || now - r->last_at >= REPEAT_MIN_MS)) {
             record_free(f, r);
         }
         else if (!r->ended) {
--- a/flow/state.h
+++ b/flow/state.h
@@ -87,6 +87,7 @@
     upstream_t *up;
     bool repeatable;
     bool open;        /* a packet came after the opening one */
+    bool copied;      /* another opening packet may have opened the flow */
     bool ended;       /* the caller has closed it: no load any more */
     uint32_t seq_end; /* behind the last byte that the caller sent */
     uint32_t ack;     /* the caller's last */
@@ -156,8 +157,8 @@
 
 /* ---- reach.c ---- */
 
-/* A packet of a caller proves that U answered after SINCE. */
-void reach_alive(flowset_t *f, ms_t now, upstream_t *u);
+/* A packet of a caller that came at AT proves that U answered. */
+void reach_alive(flowset_t *f, ms_t at, upstream_t *u);
 /* Packets to U since SINCE went unanswered. */
 void reach_doubt(flowset_t *f, ms_t now, upstream_t *u, ms_t since,
                  const char *why);
--- a/siskind/receive.c
+++ b/siskind/receive.c
@@ -25,7 +25,7 @@
     struct mmsghdr msgs[BATCH];
     struct iovec iov[BATCH];
     struct sockaddr_storage remote[BATCH];
-    char control[BATCH][CMSG_SPACE(sizeof(struct timespec))];
+    char control[BATCH][UDP_STAMP_LEN];
 } receive_t;
 
 /* What epoll hands back: a fixed socket or a service's. */
@@ -35,28 +35,6 @@
     const port_t *port;
 } source_t;
 
-static int64_t
-real_ms(const struct timespec *ts)
-{
-    return (int64_t)ts->tv_sec * 1000 + ts->tv_nsec / 1000000;
-}
-
-/* When the kernel took the datagram in, on the monotonic clock. */
-static ms_t
-arrival(struct msghdr *h, ms_t now, int64_t real_now)
-{
-    for (struct cmsghdr *c = CMSG_FIRSTHDR(h); c != NULL;
-         c = CMSG_NXTHDR(h, c)) {
-        if (c->cmsg_level == SOL_SOCKET && c->cmsg_type == SCM_TIMESTAMPNS) {
-            struct timespec ts;
-            memcpy(&ts, CMSG_DATA(c), sizeof(ts));
-            int64_t age = real_now - real_ms(&ts);
-            return age > 0 ? now - age : now;
-        }
-    }
-    return now;
-}
-
 /* Sheds callers' datagrams when a quarter of the inbox is left: upstreams'
  * answers and peers' messages finish work that is under way, and come first.
  * Shed silently, as the network would: "not run" can't be said of a request of
@@ -123,7 +101,7 @@
     p->kind = MSG_PACKET;
     p->pool = r->d->in;
     p->sock = s->sock;
-    p->at = arrival(&r->msgs[i].msg_hdr, now, real_now);
+    p->at = now - udp_age(&r->msgs[i].msg_hdr, real_now);
     p->start = SPP_LEN;
     p->len = (uint16_t)r->msgs[i].msg_len;
     if (s->port != NULL) {
@@ -140,7 +118,7 @@
 static int
 read_batch(receive_t *r, const source_t *s)
 {
-    struct timespec ts;
+    int64_t real_now;
     ms_t now;
     int want = refill(r);
     int n = recvmmsg(s->fd, r->msgs, (unsigned)want, MSG_DONTWAIT, NULL);
@@ -148,10 +126,10 @@
     if (n <= 0) {
         return 0;
     }
-    clock_gettime(CLOCK_REALTIME, &ts);
+    real_now = udp_clock();
     now = clock_now();
     for (int i = 0; i < n; i++) {
-        pass_on(r, s, i, now, real_ms(&ts));
+        pass_on(r, s, i, now, real_now);
     }
     counter_add(&r->d->count.received, (uint64_t)n);
     duty_wake(r->decide);
--- a/tagged/packets.c
+++ b/tagged/packets.c
@@ -34,6 +34,7 @@
     struct mmsghdr in[BATCH], out[BATCH];
     struct iovec in_iov[BATCH], out_iov[BATCH][2];
     struct sockaddr_storage to[BATCH];
+    char stamp[BATCH][UDP_STAMP_LEN];
     uint8_t data[BATCH][PACKET_BYTES + 1]; /* one more: too long shows */
     uint8_t prefix[BATCH][PACKET_PREFIX];
     uint8_t reset[BATCH][PACKET_HEAD];
@@ -73,21 +74,23 @@
     case FLOW_FORWARD:
         log_line(LVL_INFO, "flow",
                  "Opening. flow=%s>%s copy=%u reason=%s upstream=%llx to=%s "
-                 "service=%s busy=%u open=%u version=%llu replica_age_ms=%lld",
+                 "service=%s busy=%u open=%u waited_ms=%lld version=%llu "
+                 "replica_age_ms=%lld",
                  caller, service, in->ack, flow_reason_name(d->reason),
                  (unsigned long long)d->upstream, addr_text(&d->to, to),
-                 d->service, d->busy, d->open, (unsigned long long)d->version,
+                 d->service, d->busy, d->open, (long long)in->age_ms,
+                 (unsigned long long)d->version,
                  (long long)(p->now - p->current_at));
         return;
     case FLOW_RESET:
     case FLOW_DROP:
         log_line(LVL_INFO, "flow",
                  "%s. flow=%s>%s reason=%s tag=%x upstream=%llx seq=%u "
-                 "len=%u version=%llu replica_age_ms=%lld",
+                 "len=%u waited_ms=%lld version=%llu replica_age_ms=%lld",
                  d->verb == FLOW_RESET ? "Reset" : "Dropped", caller, service,
                  flow_reason_name(d->reason), in->tag,
                  (unsigned long long)d->upstream, in->seq, in->len,
-                 (unsigned long long)d->version,
+                 (long long)in->age_ms, (unsigned long long)d->version,
                  (long long)(p->now - p->current_at));
         return;
     }
@@ -334,7 +337,7 @@
 /* ---- The loop ---- */
 
 static void
-take_packet(packets_t *p, uint8_t *data, size_t len)
+take_packet(packets_t *p, uint8_t *data, size_t len, ms_t age)
 {
     flow_packet_t in;
     flow_decision_t d;
@@ -343,6 +346,7 @@
         counter_add(&p->t->count.unreadable, 1);
         return;
     }
+    in.age_ms = age;
     flowset_packet(p->flows, p->now, &in, &d);
     log_decision(p, &in, &d);
     switch (d.verb) {
@@ -365,6 +369,7 @@
 receive(packets_t *p)
 {
     int n = p->serving ? BATCH : 0;
+    int64_t real_now;
 
     for (int turn = 0; turn < TURNS && n == BATCH; turn++) {
         n = recvmmsg(p->t->flow_fd, p->in, BATCH, MSG_DONTWAIT, NULL);
@@ -373,8 +378,11 @@
         }
         counter_add(&p->t->count.received, (uint64_t)n);
         SHARE(p->t, packet_at, p->now);
+        real_now = udp_clock();
         for (int i = 0; i < n; i++) {
-            take_packet(p, p->data[i], p->in[i].msg_len);
+            struct msghdr *h = &p->in[i].msg_hdr;
+            take_packet(p, p->data[i], p->in[i].msg_len, udp_age(h, real_now));
+            h->msg_controllen = sizeof(p->stamp[i]); /* for the next */
         }
         flush(p); /* before the buffers are filled again */
     }
@@ -409,8 +417,10 @@
     p->flows = flowset_new(&spec);
     for (int i = 0; i < BATCH; i++) {
         p->in_iov[i] = (struct iovec){p->data[i], sizeof(p->data[i])};
-        p->in[i].msg_hdr =
-            (struct msghdr){.msg_iov = &p->in_iov[i], .msg_iovlen = 1};
+        p->in[i].msg_hdr = (struct msghdr){.msg_iov = &p->in_iov[i],
+                                           .msg_iovlen = 1,
+                                           .msg_control = p->stamp[i],
+                                           .msg_controllen = UDP_STAMP_LEN};
     }
     return p->flows != NULL;
 }
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -359,6 +359,91 @@
     EXPECT_TRUE(bed.resets.empty());
 }
 
+/* An instance stands still with a caller's opening packet in its socket.  The
+ * caller's copy opens the flow through another one.  Awake again, the instance
+ * passes the old packet on to an upstream that has died meanwhile, and learns
+ * so at once: the record is young, the packet is not. */
+TEST_F(Flow, AnOpeningThatWaitedToBeReadIsNotReset)
+{
+    flow_packet_t p = FlowBed::syn(1, COMMAND);
+    uint64_t up;
+
+    p.age_ms = 700;
+    up = bed.packet(p).upstream;
+    bed.advance(80);
+    ASSERT_EQ(bed.probes.size(), 1u);
+    bed.probed(up, PROBE_REFUSED);
+    EXPECT_TRUE(bed.resets.empty());
+}
+
+/* A slow upstream answers the first opening packet after its caller has sent a
+ * copy.  The copy came here and went to an upstream that is dead: the flow is
+ * open by now, and a reset would end it. */
+TEST_F(Flow, ACopyAtADeadUpstreamIsNotReset)
+{
+    uint64_t up = bed.packet(FlowBed::syn(1, COMMAND, 1)).upstream;
+
+    bed.advance(80);
+    ASSERT_EQ(bed.probes.size(), 1u);
+    bed.probed(up, PROBE_REFUSED);
+    EXPECT_TRUE(bed.resets.empty());
+}
+
+/* The same when both came here and the copy was moved to the dead one. */
+TEST_F(Flow, AMovedCopyAtADeadUpstreamIsNotReset)
+{
+    uint64_t second;
+
+    bed.packet(FlowBed::syn(1, COMMAND));
+    bed.now += 200;
+    second = bed.packet(FlowBed::syn(1, COMMAND, 1)).upstream;
+    bed.advance(80);
+    bed.probed(second, PROBE_REFUSED);
+    EXPECT_TRUE(bed.resets.empty());
+}
+
+/* An instance that stood still knows no upstream or route that takes an old
+ * opening packet or a copy: another instance may have opened the flow.  Its
+ * caller is told at the packet that is neither. */
+TEST_F(Flow, ALateOpeningThatNobodyTakesIsDropped)
+{
+    static const char NOWHERE[] = "198.18.0.9:9";
+    flow_packet_t late = FlowBed::syn(1, NOWHERE);
+
+    late.age_ms = 150;
+    EXPECT_EQ(bed.packet(late).verb, FLOW_DROP);
+    EXPECT_EQ(bed.packet(FlowBed::syn(2, NOWHERE, 1)).verb, FLOW_DROP);
+    EXPECT_EQ(bed.packet(FlowBed::syn(3, NOWHERE)).verb, FLOW_RESET);
+    for (uint64_t id : {0x11, 0x12, 0x21}) {
+        flowset_remove_upstream(bed.flows, bed.now, id);
+        bed.probed(id, PROBE_REFUSED);
+    }
+    late.service = address(FEED);
+    EXPECT_EQ(bed.packet(late).verb, FLOW_DROP);
+    EXPECT_EQ(bed.packet(late).reason, FLOW_NO_UPSTREAM);
+    EXPECT_EQ(bed.packet(FlowBed::syn(2, FEED, 1)).verb, FLOW_DROP);
+    EXPECT_EQ(bed.packet(FlowBed::syn(3, FEED)).verb, FLOW_RESET);
+}
+
+/* Packets that waited tell of the time when they came: a caller went on then,
+ * and its upstream may have died since.  The doubt stays. */
+TEST_F(Flow, AnOldSignOfLifeSettlesNoDoubt)
+{
+    uint32_t caller = open_at(0x11, 1);
+    flow_packet_t p = FlowBed::data((int)caller, FEED, 0x11, 1101, 0, 6000);
+
+    doubt((int)caller, 0x11);
+    ASSERT_EQ(bed.probes.size(), 1u);
+    bed.reaches.clear();
+    p.age_ms = 300;
+    bed.packet(p);
+    EXPECT_TRUE(bed.reaches.empty());
+    p.age_ms = 0;
+    p.ack++;
+    bed.packet(p);
+    EXPECT_EQ(bed.reaches.size(), 1u);
+}
+
 /* Before its caller sends a copy, the opening can only have been passed on
  * here: its caller is told at once. */
 TEST_F(Flow, AYoungOpeningAtADeadUpstreamIsReset)
--- a/test/kern_test.cc
+++ b/test/kern_test.cc
@@ -218,3 +218,40 @@
     EXPECT_EQ(*got.begin(), pool_get(p));
     pool_free(p);
 }
+
+// A datagram lies in the socket while nobody reads: its age tells for how
+// long.  One whose stamp is later than the clock, which stepped back, is new.
+TEST(Udp, ADatagramTellsHowLongItWaited)
+{
+    addr_t a = {};
+    err_t e = {};
+    char data[8], stamp[UDP_STAMP_LEN];
+    iovec iov = {data, sizeof(data)};
+    msghdr h = {};
+    sockaddr_storage ss;
+    socklen_t len = sizeof(ss);
+
+    ASSERT_EQ(0, addr_parse(&a, "127.0.0.1:1"));
+    a.port = 0;
+    int fd = udp_open(&a, &e);
+    ASSERT_GE(fd, 0) << e.text;
+    ASSERT_EQ(0, getsockname(fd, reinterpret_cast<sockaddr *>(&ss), &len));
+    h.msg_iov = &iov;
+    h.msg_iovlen = 1;
+    h.msg_control = stamp;
+    ms_t age = 0;
+    // The kernel begins to stamp a moment after the first socket asks it to.
+    for (int i = 0; i < 100 && age < 29; i++) {
+        ASSERT_EQ(3, sendto(fd, "abc", 3, 0, reinterpret_cast<sockaddr *>(&ss),
+                            len));
+        usleep(30000);
+        h.msg_controllen = sizeof(stamp);
+        ASSERT_EQ(3, recvmsg(fd, &h, 0));
+        age = udp_age(&h, udp_clock());
+    }
+    EXPECT_GE(age, 29);
+    EXPECT_EQ(0, udp_age(&h, udp_clock() - 3600000));
+    h.msg_controllen = 0;
+    EXPECT_EQ(0, udp_age(&h, udp_clock()));
+    close(fd);
+}
