News that packets' inbox can't take stays new

Cause (by reading, then by a test). news_take() merged into the replica first and posted then. With the inbox full the post failed, the replica had it, and no source tells it again: packets missed an upstream or a removal for good.

The inbox is looked at first, under the lock that alone lets threads send to it; without room nothing is taken (-ENOBUFS), the source is asked again after the usual back-off and is not blamed. Counted (siskin_news_put_off_total), told.

Keeping what was not posted: a second list with an order of its own. Sending the whole replica again: it can't tell of what was removed.

Before: News.WhatTheInboxCantTakeIsTakenLater fails. After: news 2 passed.

--- a/tagged/check.c
+++ b/tagged/check.c
@@ -45,9 +45,9 @@
     }
     rc = news_ask(t, c, &a, before == 0 ? START_WAIT_MS : 0, &e);
     news_note(t, &a,
-              rc >= 0          ? SOURCE_TOLD
-              : rc == -ENODATA ? SOURCE_STARTING
-                               : SOURCE_SILENT);
+              rc >= 0 || rc == -ENOBUFS ? SOURCE_TOLD
+              : rc == -ENODATA          ? SOURCE_STARTING
+                                        : SOURCE_SILENT);
     if (rc > 0) {
         counter_add(&t->count.news_from_check, 1);
         log_line(LVL_INFO, "check",
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -74,7 +74,7 @@
 {
     int rc = news_take(f->t, items);
 
-    f->must_list = rc < 0;
+    f->must_list = rc < 0 && rc != -ENOBUFS;
     store_items_free(items);
     return rc;
 }
@@ -166,6 +166,9 @@
     bool known = replica_revision(f->t->replica) > 0;
     int rc = known && !f->must_list ? watch(f, &e) : list(f, &e);
 
+    if (rc == -ENOBUFS) { /* not the store's fault */
+        return next_backoff(f);
+    }
     note_store(f, rc, &e);
     f->store_failed = rc < 0;
     if (rc < 0) {
@@ -187,7 +190,9 @@
     bool old = rc >= 0 && is_stale(f);
 
     f->store_failed = false;
-
+    if (rc == -ENOBUFS) { /* not the peer's fault */
+        return next_backoff(f);
+    }
     news_note(f->t, a, rc < 0 || old ? SOURCE_SILENT : SOURCE_TOLD);
     if (rc < 0 || old) {
         log_line(LVL_WARN, "follow",
--- a/tagged/news.c
+++ b/tagged/news.c
@@ -88,6 +88,27 @@
     return rc;
 }
 
+/* Whatever is new would be lost: packets has no room, and what the replica
+ * holds is told by nobody again.  Only news_take() sends to packets, one
+ * thread at a time, so that room that is there now stays. */
+static bool
+must_wait(tagged_t *t, const store_items_t *items)
+{
+    const duty_t *packets = kern_find(t->kern, "packets");
+
+    if (items->revision <= replica_revision(t->replica) ||
+        duty_depth(packets) < duty_capacity(packets)) {
+        return false;
+    }
+    counter_add(&t->count.news_put_off, 1);
+    log_line(LVL_WARN, "news",
+             "Packets takes nothing now: it is taken later. revision=%llu "
+             "was=%llu items=%zu",
+             (unsigned long long)items->revision,
+             (unsigned long long)replica_revision(t->replica), items->n);
+    return true;
+}
+
 int
 news_take(tagged_t *t, const store_items_t *items)
 {
@@ -96,6 +117,10 @@
     int n, rc;
 
     pthread_mutex_lock(&t->follow_lock);
+    if (must_wait(t, items)) {
+        pthread_mutex_unlock(&t->follow_lock);
+        return -ENOBUFS;
+    }
     first = replica_revision(t->replica) == 0;
     rc = replica_merge(t->replica, clock_now(), items, &changed);
     n = (int)changed.n;
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -91,6 +91,7 @@
     uint64_t store_failures, refused_items;
     uint64_t peer_calls, peer_failures; /* follow's and check's: atomic */
     uint64_t news_from_check; /* what the followed source had not told */
+    uint64_t news_put_off;    /* packets' inbox was full */
 } tagged_counters_t;
 
 typedef struct {
@@ -132,7 +133,8 @@
 /* ---- news.c: how what is new gets from a source to packets ---- */
 
 /* Takes ITEMS into the replica and passes on what is new, in one order
- * whoever brings it.  The number of new items, or -ENOMEM, -EAGAIN. */
+ * whoever brings it.  The number of new items, or -ENOMEM.  -ENOBUFS: packets'
+ * inbox is full, and nothing was taken. */
 int news_take(tagged_t *t, const store_items_t *items);
 /* Takes only what ITEMS tell of peers. */
 void news_take_peers(tagged_t *t, const store_items_t *items);
--- /dev/null
+++ b/test/news_test.cc
@@ -0,0 +1,105 @@
+/* News on their way to the packets duty: what its inbox can't take stays new.
+ */
+#include "tagged/tagged.h"
+
+#include <errno.h>
+#include <gtest/gtest.h>
+#include <string>
+
+namespace {
+
+class News : public ::testing::Test {
+  protected:
+    tagged_t *t = static_cast<tagged_t *>(calloc(1, sizeof(tagged_t)));
+    duty_t *packets;
+
+    void
+    SetUp() override
+    {
+        t->kern = kern_new();
+        t->replica = replica_new(1000);
+        pthread_mutex_init(&t->follow_lock, NULL);
+        for (const char *name : {"packets", "serve", "follow"}) {
+            duty_spec_t s = {name, NULL, NULL, 4, false, changes_free};
+            ASSERT_EQ(kern_add(t->kern, &s), 0);
+        }
+        packets = kern_find(t->kern, "packets");
+    }
+    void
+    TearDown() override
+    {
+        kern_free(t->kern);
+        replica_free(t->replica);
+        free(t);
+    }
+
+    /* The upstream's announcement, and all the store holds up to REVISION. */
+    int
+    told(uint64_t id, uint64_t revision)
+    {
+        char key[40];
+        store_items_t s = {};
+        int rc;
+
+        snprintf(key, sizeof(key), "servers/%010llx", (unsigned long long)id);
+        s.revision = revision;
+        store_items_add(&s, key,
+                        "{\"service\":\"feed\",\"address\":\"10.0.0.1:80\","
+                        "\"zone\":\"dc-0\",\"slots\":2,\"state\":\"ready\"}",
+                        revision);
+        rc = news_take(t, &s);
+        store_items_free(&s);
+        return rc;
+    }
+
+    /* The upstream that the next message announces; 0: there is none. */
+    uint64_t
+    taken()
+    {
+        void *msg;
+        uint64_t id = 0;
+
+        if (duty_take(packets, &msg, 1) == 1) {
+            changes_t *c = static_cast<changes_t *>(msg);
+            id = c->n == 1 ? c->event[0].upstream.id : 0;
+            changes_free(c);
+        }
+        return id;
+    }
+};
+
+} // namespace
+
+/* The packets duty gets no processor time while news keep coming.  When its
+ * inbox is full, an upstream's announcement must not be marked as known: no
+ * source would ever tell it again, and callers would be sent to upstreams that
+ * have left. */
+TEST_F(News, WhatTheInboxCantTakeIsTakenLater)
+{
+    uint64_t id = 1, revision;
+
+    while (duty_depth(packets) < duty_capacity(packets)) {
+        ASSERT_EQ(told(id, id), 1);
+        id++;
+    }
+    revision = replica_revision(t->replica);
+    EXPECT_EQ(told(id, id), -ENOBUFS);
+    EXPECT_EQ(replica_revision(t->replica), revision);
+    for (uint64_t i = 1; i < id; i++) {
+        EXPECT_EQ(taken(), i);
+    }
+    EXPECT_EQ(told(id, id), 1);
+    EXPECT_EQ(taken(), id);
+}
+
+/* Most answers only confirm that nothing has changed: they need no room. */
+TEST_F(News, AConfirmationNeedsNoRoom)
+{
+    uint64_t id = 1;
+
+    while (duty_depth(packets) < duty_capacity(packets)) {
+        ASSERT_EQ(told(id, id), 1);
+        id++;
+    }
+    EXPECT_EQ(told(id - 1, id - 1), 0);
+}
