Followers of a data centre make a tree; confirmations are passed on

All instances of a data centre asked one leader. The fleet that is designed for has 875 in a data centre.

An instance has places for 32 followers, kept for 2 s without asking, and sends further ones on (307, the address) to one of those, which they follow as their relay until it fails; then they start at the leader again (source/, pure). One that waits is answered too when this instance hears that nothing has changed, or ages would add up along the tree past 2.5 s. Those below the leader's own followers ask others for news every 5.6 s in place of 0.7 s: their relays do.

Announcing relays in the store: 28 leases a data centre, and more peers than an instance holds. Longer waits: a silent leader is found later.

--- a/conf/tagged.c
+++ b/conf/tagged.c
@@ -1,6 +1,7 @@
 /* Settings of an instance that serves tagged flows. */
 #include "conf/tagged.h"
 #include "conf/fields.h"
+#include "source/source.h"
 
 #include <errno.h>
 #include <string.h>
@@ -14,6 +15,10 @@
 #define RECORDS_MIN 256
 #define RECORDS_MAX 4000000
 
+/* Each asks some twice a second and costs some 50 us: 0.3 % of a core. */
+#define FOLLOWERS_DEFAULT 32
+#define FOLLOWERS_MIN 2
+
 static const char *const kinds[] = {"tagged", NULL};
 /* In the order of log_level_t. */
 static const char *const levels[] = {"error", "warn", "info", "debug", NULL};
@@ -36,6 +41,8 @@
               STOP_MAX_MS, "milliseconds"),
     U32_FIELD("records", OPTIONAL, draft_settings_t, s.records, RECORDS_MIN,
               RECORDS_MAX, "flows"),
+    U32_FIELD("followers", OPTIONAL, draft_settings_t, s.followers,
+              FOLLOWERS_MIN, FOLLOWERS_MAX, "instances"),
     CHOICE_FIELD("log_level", OPTIONAL, draft_settings_t, s.log_level, levels),
 };
 
@@ -91,7 +98,8 @@
     const origin_t o = {file, e};
     draft_settings_t d = {.s = {.log_level = LVL_INFO,
                                 .stop_ms = STOP_DEFAULT_MS,
-                                .records = RECORDS_DEFAULT}};
+                                .records = RECORDS_DEFAULT,
+                                .followers = FOLLOWERS_DEFAULT}};
     const field_set_t set = {tagged_fields, FIELD_COUNT(tagged_fields), &d};
     toml_doc_t *doc = toml_doc_parse(file, text, e);
     int rc;
--- a/conf/tagged.h
+++ b/conf/tagged.h
@@ -18,8 +18,9 @@
     addr_t ready_addr;   /* HTTP: may it be given packets? */
     addr_t admin_addr;   /* HTTP: metrics, status, what it knows, for peers */
     char store_url[128]; /* of the platform's store */
-    uint32_t stop_ms; /* the platform ends a process so long after SIGTERM */
-    uint32_t records; /* flows remembered */
+    uint32_t stop_ms;   /* the platform ends a process so long after SIGTERM */
+    uint32_t records;   /* flows remembered */
+    uint32_t followers; /* instances that may follow this one */
     log_level_t log_level;
     uint32_t n_seeds;
     addr_t seed[TAGGED_SEEDS]; /* admin addresses of some instances */
--- /dev/null
+++ b/source/followers.c
@@ -0,0 +1,63 @@
+/* Those that follow this instance: see source.h. */
+#include "source/source.h"
+
+#include <string.h>
+
+/* A follower asks at least once a second; one that is silent for so long has
+ * gone, or follows another. */
+#define PLACE_MS 2000
+
+void
+followers_init(followers_t *f, uint32_t most, uint64_t seed)
+{
+    *f = (followers_t){.most = most, .rng = {.seed = seed}};
+}
+
+static void
+expire(followers_t *f, ms_t now)
+{
+    for (uint32_t i = 0; i < f->n;) {
+        if (now >= f->follower[i].until) {
+            f->follower[i] = f->follower[--f->n];
+        }
+        else {
+            i++;
+        }
+    }
+}
+
+static follower_t *
+place_of(followers_t *f, const addr_t *from)
+{
+    for (uint32_t i = 0; i < f->n; i++) {
+        if (addr_eq(&f->follower[i].addr, from)) {
+            return &f->follower[i];
+        }
+    }
+    return NULL;
+}
+
+bool
+followers_take(followers_t *f, ms_t now, const addr_t *from, addr_t *instead)
+{
+    follower_t *place;
+
+    expire(f, now);
+    place = place_of(f, from);
+    if (place == NULL && f->n == f->most) {
+        *instead = f->follower[rng_below(&f->rng, f->n)].addr;
+        return false;
+    }
+    if (place == NULL) {
+        place = &f->follower[f->n++];
+    }
+    *place = (follower_t){.addr = *from, .until = now + PLACE_MS};
+    return true;
+}
+
+uint32_t
+followers_count(followers_t *f, ms_t now)
+{
+    expire(f, now);
+    return f->n;
+}
--- a/source/source.c
+++ b/source/source.c
@@ -1,6 +1,7 @@
 /* Whom an instance follows: see source.h. */
 #include "source/source.h"
 
+#include <errno.h>
 #include <string.h>
 
 /* A peer that failed is left alone, doubling.  The first wait is short: most
@@ -13,6 +14,10 @@
 #define LEAVE_MIN_MS 800
 #define LEAVE_SPREAD_MS 800
 
+/* Sent on so often, it goes round in circles, which may arise while leaders
+ * change.  With places for 32 a tree of three levels holds 32,768. */
+#define SENT_ON_MAX 8
+
 void
 sources_init(sources_t *s, const addr_t *self, const char *data_centre,
              uint64_t seed)
@@ -71,6 +76,9 @@
 {
     source_peer_t *p = find(s, a);
 
+    if (s->relayed && addr_eq(a, &s->relay.addr)) {
+        s->relayed = false;
+    }
     if (p != NULL) {
         p->wait = p->wait == 0 ? FAILED_MIN_MS : 2 * p->wait;
         if (p->wait > FAILED_MAX_MS) {
@@ -85,6 +93,7 @@
 {
     source_peer_t *p = find(s, a);
 
+    s->sent_on = 0;
     if (p != NULL) {
         p->wait = 0;
         p->failed_until = 0;
@@ -141,7 +150,28 @@
 const source_peer_t *
 sources_lead(const sources_t *s, ms_t now)
 {
-    return local_leader(s, now);
+    const source_peer_t *leader = local_leader(s, now);
+
+    return leader != NULL && s->relayed ? &s->relay : leader;
+}
+
+int
+sources_sent_on(sources_t *s, const addr_t *to)
+{
+    s->relayed = ++s->sent_on <= SENT_ON_MAX && !addr_eq(to, &s->self);
+    if (!s->relayed) {
+        s->sent_on = 0;
+        return -ELOOP;
+    }
+    s->relay = (source_peer_t){.addr = *to};
+    strcpy(s->relay.data_centre, s->data_centre);
+    return 0;
+}
+
+bool
+sources_relayed(const sources_t *s)
+{
+    return s->relayed;
 }
 
 /* The first rank of P's data centre, among those that answer: the others
--- a/source/source.h
+++ b/source/source.h
@@ -14,6 +14,12 @@
  * leaders are blind, what is known grows old everywhere: each passes over
  * those that tell old news, and in the end follows the store itself.
  *
+ * A leader has so many places for followers, and sends further ones on to one
+ * of those that it has: they follow that one, their relay, which does the
+ * same. So a data centre of any size is a tree that nobody plans, each
+ * instance answers a few, and what is new arrives some milliseconds a level
+ * later.  One whose relay fails starts at the leader again.
+ *
  * Pure: no sockets, clocks or threads.
  */
 #ifndef SISKIN_SOURCE_H
@@ -44,6 +50,9 @@
     char data_centre[SOURCE_NAME_LEN];
     bool announced; /* this instance itself is */
     bool seed;      /* the settings name this instance itself */
+    bool relayed;   /* it follows RELAY, not the leader */
+    source_peer_t relay;
+    uint32_t sent_on; /* times in a row, without an answer */
     rng_t rng;
     uint32_t n;
     source_peer_t peer[SOURCE_PEERS_MAX];
@@ -67,6 +76,11 @@
 void sources_checked(sources_t *s, ms_t now, const addr_t *a,
                      source_answer_t answer);
 
+/* The followed peer has no place and names TO.  -ELOOP: it was sent on too
+ * often; the leader is followed again, after a pause. */
+int sources_sent_on(sources_t *s, const addr_t *to);
+/* True when it follows a relay, which looks for news elsewhere itself. */
+bool sources_relayed(const sources_t *s);
 /* The peer to follow, or NULL: follow the store itself. */
 const source_peer_t *sources_lead(const sources_t *s, ms_t now);
 /* A peer to ask for anything newer, other than the one that is followed; NULL:
@@ -84,6 +98,31 @@
  * isn't. */
 bool sources_should_announce(const sources_t *s);
 
+/* ---- Those that follow this instance ---- */
+
+#define FOLLOWERS_MAX 64
+
+typedef struct {
+    addr_t addr;
+    ms_t until; /* it keeps its place so long without asking */
+} follower_t;
+
+typedef struct {
+    uint32_t most; /* places */
+    uint32_t n;
+    rng_t rng;
+    follower_t follower[FOLLOWERS_MAX];
+} followers_t;
+
+/* MOST is FOLLOWERS_MAX at most. */
+void followers_init(followers_t *f, uint32_t most, uint64_t seed);
+/* FROM asks: true where it has a place or gets one.  False: it should ask
+ * *INSTEAD, a follower. */
+bool followers_take(followers_t *f, ms_t now, const addr_t *from,
+                    addr_t *instead);
+/* How many have a place. */
+uint32_t followers_count(followers_t *f, ms_t now);
+
 #ifdef __cplusplus
 }
 #endif
--- a/tagged/check.c
+++ b/tagged/check.c
@@ -10,6 +10,9 @@
 /* Between two questions.  A change must be in force within 3 s: this leaves
  * room for one peer that doesn't answer and a second question. */
 #define CHECK_MS 700
+/* One that follows a relay leaves it to the relay, mostly: the announced ones
+ * would be asked by all of the data centre, each time. */
+#define CHECK_RELAYED_MS (8 * CHECK_MS)
 /* Until something is known: an instance that starts while the store is away,
  * or among many, gets it from a peer.  A peer that is only starting itself
  * answers when it knows something, or after START_WAIT_MS. */
@@ -58,6 +61,19 @@
     }
 }
 
+static ms_t
+pause_ms(tagged_t *t)
+{
+    bool relayed;
+
+    pthread_mutex_lock(&t->follow_lock);
+    relayed = sources_relayed(&t->sources);
+    pthread_mutex_unlock(&t->follow_lock);
+    return replica_revision(t->replica) == 0 ? START_MS
+           : relayed                         ? CHECK_RELAYED_MS
+                                             : CHECK_MS;
+}
+
 void
 check_run(duty_t *self, void *tagged)
 {
@@ -66,8 +82,7 @@
 
     while (!duty_stopping(self)) {
         check_once(t, &c);
-        duty_wait(self, NULL, 0,
-                  replica_revision(t->replica) == 0 ? START_MS : CHECK_MS);
+        duty_wait(self, NULL, 0, pause_ms(t));
     }
     peer_client_close(&c);
 }
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -178,6 +178,23 @@
     return rc > 0 ? GATHER_MS : 0;
 }
 
+/* The peer has no place: another is to be asked. */
+static ms_t
+sent_on(follow_t *f, const addr_t *a, const addr_t *instead)
+{
+    char from[ADDR_STRLEN], to[ADDR_STRLEN];
+    int rc;
+
+    pthread_mutex_lock(&f->t->follow_lock);
+    rc = sources_sent_on(&f->t->sources, instead);
+    pthread_mutex_unlock(&f->t->follow_lock);
+    log_line(rc < 0 ? LVL_WARN : LVL_INFO, "follow", "%s peer=%s instead=%s",
+             rc < 0 ? "It was sent on too often, and waits."
+                    : "It is sent on.",
+             addr_text(a, from), addr_text(instead, to));
+    return rc < 0 ? next_backoff(f) : 0;
+}
+
 /* One question to the peer at A.  One that doesn't answer, or leaves what is
  * known here old, is passed over. */
 static ms_t
@@ -186,10 +203,14 @@
     ms_t wait = is_stale(f) ? 0 : PEER_WAIT_MS;
     char text[ADDR_STRLEN];
     err_t e = {0};
-    int rc = news_ask(f->t, &f->peer, a, wait, &e);
+    addr_t instead;
+    int rc = news_follow(f->t, &f->peer, a, wait, &instead, &e);
     bool old = rc >= 0 && is_stale(f);
 
     f->store_failed = false;
+    if (rc == -EREMOTE) {
+        return sent_on(f, a, &instead);
+    }
     if (rc == -ENOBUFS) { /* not the peer's fault */
         return next_backoff(f);
     }
--- a/tagged/news.c
+++ b/tagged/news.c
@@ -129,7 +129,8 @@
     }
     pthread_mutex_unlock(&t->follow_lock);
     store_items_free(&changed);
-    if (n > 0) { /* peers wait for it */
+    if (n > 0 || SHARED(t, waiting) > 0) { /* for news, or to hear that there
+                                            * are none */
         duty_wake(kern_find(t->kern, "serve"));
     }
     if (first && n > 0) { /* follow may have left the list to peers */
@@ -184,39 +185,84 @@
     return c->http != NULL ? 0 : -ENOMEM;
 }
 
-int
-news_ask(tagged_t *t, peer_client_t *c, const addr_t *a, ms_t wait_ms,
-         err_t *e)
+/* Asks for PATH; the answer is the caller's to read. */
+static int
+ask(tagged_t *t, peer_client_t *c, const addr_t *a, const char *path,
+    ms_t wait_ms, http_reply_t *r, err_t *e)
 {
-    char path[96];
-    uint64_t after = replica_revision(t->replica);
-    ms_t slack = after > 0 ? PEER_SLACK_MS : PEER_SLACK_MS << c->late;
+    bool all = replica_revision(t->replica) == 0;
+    ms_t slack = all ? PEER_SLACK_MS << c->late : PEER_SLACK_MS;
     http_call_t call = {.path = path,
                         .timeout_ms = wait_ms + slack,
                         .connect_ms = PEER_SLACK_MS,
                         .step = "peer",
                         .packed = true};
-    store_items_t items;
-    http_reply_t r;
     int rc = open_client(c, a);
 
     if (rc < 0) {
         return err_set(e, rc, call.step, "memory", "out of memory");
     }
-    snprintf(path, sizeof(path), "/replica?after=%llu&wait_ms=%lld",
-             (unsigned long long)after, (long long)wait_ms);
     __atomic_add_fetch(&t->count.peer_calls, 1, __ATOMIC_RELAXED);
-    rc = http_call(c->http, &call, &r, e);
-    if (rc == 0) {
-        rc = r.status == 200 ? store_items_parse(&items, r.body) : -EPROTO;
-    }
+    rc = http_call(c->http, &call, r, e);
+    c->late = rc == -ETIMEDOUT && c->late < LATE_MAX ? c->late + 1
+              : rc == -ETIMEDOUT                     ? c->late
+                                                     : 0;
+    return rc;
+}
+
+static int
+take_answer(tagged_t *t, const http_reply_t *r)
+{
+    store_items_t items;
+    int rc = r->status == 200 ? store_items_parse(&items, r->body) : -EPROTO;
+
     if (rc < 0) {
-        __atomic_add_fetch(&t->count.peer_failures, 1, __ATOMIC_RELAXED);
-        c->late += rc == -ETIMEDOUT && c->late < LATE_MAX;
         return rc;
     }
-    c->late = 0;
     rc = items.revision > 0 ? news_take(t, &items) : -ENODATA;
     store_items_free(&items);
     return rc;
 }
+
+static int
+count_failure(tagged_t *t, int rc)
+{
+    if (rc < 0 && rc != -ENODATA && rc != -ENOBUFS) {
+        __atomic_add_fetch(&t->count.peer_failures, 1, __ATOMIC_RELAXED);
+    }
+    return rc;
+}
+
+int
+news_ask(tagged_t *t, peer_client_t *c, const addr_t *a, ms_t wait_ms,
+         err_t *e)
+{
+    char path[96];
+    http_reply_t r;
+    int rc;
+
+    snprintf(path, sizeof(path), "/replica?after=%llu&wait_ms=%lld",
+             (unsigned long long)replica_revision(t->replica),
+             (long long)wait_ms);
+    rc = ask(t, c, a, path, wait_ms, &r, e);
+    return count_failure(t, rc < 0 ? rc : take_answer(t, &r));
+}
+
+int
+news_follow(tagged_t *t, peer_client_t *c, const addr_t *a, ms_t wait_ms,
+            addr_t *instead, err_t *e)
+{
+    char path[96 + ADDR_STRLEN], self[ADDR_STRLEN];
+    http_reply_t r;
+    int rc;
+
+    snprintf(path, sizeof(path), "/replica?after=%llu&wait_ms=%lld&from=%s",
+             (unsigned long long)replica_revision(t->replica),
+             (long long)wait_ms, addr_text(&t->settings.admin_addr, self));
+    rc = ask(t, c, a, path, wait_ms, &r, e);
+    if (rc == 0 && r.status == 307 && r.body != NULL) {
+        return addr_parse(instead, r.body) < 0 ? count_failure(t, -EPROTO)
+                                               : -EREMOTE;
+    }
+    return count_failure(t, rc < 0 ? rc : take_answer(t, &r));
+}
--- a/tagged/report.c
+++ b/tagged/report.c
@@ -94,6 +94,9 @@
                  counter_read(&c->peer_failures));
     metric_print(f, "counter", "siskin_news_from_check_total",
                  counter_read(&c->news_from_check));
+    metric_print(f, "gauge", "siskin_followers", SHARED(t, followers));
+    metric_print(f, "counter", "siskin_followers_sent_on_total",
+                 counter_read(&c->sent_on));
     metric_print(f, "counter", "siskin_news_put_off_total",
                  counter_read(&c->news_put_off));
     metric_print(f, "counter", "siskin_log_lines_limited_total",
--- a/tagged/serve.c
+++ b/tagged/serve.c
@@ -13,6 +13,12 @@
 /* Peers that wait for changes at a time; more are answered at once. */
 #define WAITING_MAX 128
 #define WAIT_MAX_MS 10000
+/* One that waits is told that nothing has changed as soon as this instance has
+ * heard so: its own followers wait for that, and ages would add up along the
+ * way to more than what counts as old.  Smaller steps aren't passed on. */
+#define CONFIRM_MS 300
+/* While there are followers: to see that they have gone. */
+#define COUNT_MS 1000
 #define STACK_BYTES (128 * 1024)
 
 #define TEXT "text/plain"
@@ -33,6 +39,7 @@
 typedef struct {
     struct MHD_Connection *c; /* NULL: a free place */
     uint64_t after;
+    ms_t current_at; /* of the replica, as it began to wait */
     ms_t until;
 } waiting_t;
 
@@ -41,17 +48,20 @@
 static struct {
     pthread_mutex_t lock;
     waiting_t place[WAITING_MAX];
+    followers_t followers;
 } waiting = {.lock = PTHREAD_MUTEX_INITIALIZER};
 
 static bool
-park(struct MHD_Connection *c, uint64_t after, ms_t until)
+park(struct MHD_Connection *c, tagged_t *t, uint64_t after, ms_t until)
 {
     bool parked = false;
+    ms_t current_at = replica_current_at(t->replica);
 
     pthread_mutex_lock(&waiting.lock);
     for (size_t i = 0; i < WAITING_MAX && !parked; i++) {
         if (waiting.place[i].c == NULL) {
-            waiting.place[i] = (waiting_t){c, after, until};
+            waiting.place[i] = (waiting_t){c, after, current_at, until};
+            SHARE(t, waiting, SHARED(t, waiting) + 1);
             MHD_suspend_connection(c);
             parked = true;
         }
@@ -65,6 +75,7 @@
 release(tagged_t *t, bool all)
 {
     uint64_t revision = replica_revision(t->replica);
+    ms_t current_at = replica_current_at(t->replica);
     ms_t now = clock_now(), next = -1;
 
     pthread_mutex_lock(&waiting.lock);
@@ -73,18 +84,39 @@
         if (w->c == NULL) {
             continue;
         }
-        if (all || revision > w->after || now >= w->until) {
+        if (all || revision > w->after || now >= w->until ||
+            current_at - w->current_at >= CONFIRM_MS) {
             MHD_resume_connection(w->c);
             w->c = NULL;
+            SHARE(t, waiting, SHARED(t, waiting) - 1);
         }
         else if (next < 0 || w->until - now < next) {
             next = w->until - now;
         }
     }
+    SHARE(t, followers, followers_count(&waiting.followers, now));
+    if (next < 0 && SHARED(t, followers) > 0) {
+        next = COUNT_MS;
+    }
     pthread_mutex_unlock(&waiting.lock);
     return next;
 }
 
+/* Has FROM a place, or does it get one? */
+static bool
+take_follower(tagged_t *t, const addr_t *from, addr_t *instead)
+{
+    bool taken;
+
+    pthread_mutex_lock(&waiting.lock);
+    taken = followers_take(&waiting.followers, clock_now(), from, instead);
+    pthread_mutex_unlock(&waiting.lock);
+    if (!taken) {
+        counter_add(&t->count.sent_on, 1);
+    }
+    return taken;
+}
+
 static uint64_t
 argument(struct MHD_Connection *c, const char *name)
 {
@@ -94,14 +126,30 @@
     return s != NULL ? strtoull(s, NULL, 10) : 0;
 }
 
+/* The follower that asks; false: it is no follower. */
+static bool
+asker(struct MHD_Connection *c, addr_t *from)
+{
+    const char *s =
+        MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "from");
+
+    return s != NULL && addr_parse(from, s) == 0;
+}
+
 static enum MHD_Result
 reply_replica(struct MHD_Connection *c, tagged_t *t, bool waited)
 {
     uint64_t after = argument(c, "after"), wait = argument(c, "wait_ms");
     ms_t now = clock_now();
+    addr_t from, instead;
+    char text[ADDR_STRLEN];
 
+    if (!waited && asker(c, &from) && !take_follower(t, &from, &instead)) {
+        return http_reply(c, MHD_HTTP_TEMPORARY_REDIRECT, TEXT,
+                          strdup(addr_text(&instead, text)));
+    }
     if (!waited && wait > 0 && replica_revision(t->replica) <= after &&
-        park(c, after,
+        park(c, t, after,
              now + (ms_t)(wait < WAIT_MAX_MS ? wait : WAIT_MAX_MS))) {
         duty_wake(kern_find(t->kern, "serve"));
         return MHD_YES;
@@ -181,8 +229,12 @@
 serve_run(duty_t *self, void *tagged)
 {
     tagged_t *t = tagged;
-    struct MHD_Daemon *ready = listen_at(t, &t->settings.ready_addr);
-    struct MHD_Daemon *admin = listen_at(t, &t->settings.admin_addr);
+    struct MHD_Daemon *ready, *admin;
+
+    followers_init(&waiting.followers, t->settings.followers,
+                   (uint64_t)t->started);
+    ready = listen_at(t, &t->settings.ready_addr);
+    admin = listen_at(t, &t->settings.admin_addr);
 
     while (!duty_stopping(self)) {
         duty_wait(self, NULL, 0, release(t, false));
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -92,6 +92,7 @@
     uint64_t peer_calls, peer_failures; /* follow's and check's: atomic */
     uint64_t news_from_check; /* what the followed source had not told */
     uint64_t news_put_off;    /* packets' inbox was full */
+    uint64_t sent_on;         /* askers, to followers of this instance */
 } tagged_counters_t;
 
 typedef struct {
@@ -107,11 +108,13 @@
     int flow_fd;
     ms_t started;
     /* Atomic facts */
-    bool ready;     /* there are routes and upstreams */
-    bool leaving;   /* SIGTERM came */
-    bool reload;    /* SIGHUP came: follow reads the settings again */
-    bool store_up;  /* the last call to the store succeeded */
-    ms_t packet_at; /* when the last packet came */
+    bool ready;         /* there are routes and upstreams */
+    bool leaving;       /* SIGTERM came */
+    bool reload;        /* SIGHUP came: follow reads the settings again */
+    bool store_up;      /* the last call to the store succeeded */
+    uint32_t waiting;   /* peers that wait for an answer */
+    uint32_t followers; /* of them and others, those with a place */
+    ms_t packet_at;     /* when the last packet came */
     tagged_counters_t count;
     /* A copy of packets' statistics. */
     pthread_mutex_t stats_lock;
@@ -138,16 +141,21 @@
 int news_take(tagged_t *t, const store_items_t *items);
 /* Takes only what ITEMS tell of peers. */
 void news_take_peers(tagged_t *t, const store_items_t *items);
-/* Asks the peer at A for what is newer, by the client *H, which is made anew
- * when it is for another peer.  The answer may take WAIT_MS.  As news_take().
- */
 typedef struct {
     addr_t addr;
     void *http;
     unsigned late; /* answers with everything that came too late, in a row */
 } peer_client_t;
+
+/* Asks the peer at A for what is newer, by the client C, which is made anew
+ * when it is for another peer.  The answer may take WAIT_MS.  As news_take().
+ */
 int news_ask(tagged_t *t, peer_client_t *c, const addr_t *a, ms_t wait_ms,
              err_t *e);
+/* The same as a follower of A.  -EREMOTE: A has no place, and *INSTEAD is to
+ * be followed. */
+int news_follow(tagged_t *t, peer_client_t *c, const addr_t *a, ms_t wait_ms,
+                addr_t *instead, err_t *e);
 /* What came of asking the peer at A, for the choice of the next. */
 void news_note(tagged_t *t, const addr_t *a, source_answer_t answer);
 void peer_client_close(peer_client_t *c);
--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -3,9 +3,11 @@
 #include "test/flow_bed.h"
 
 #include <algorithm>
+#include <errno.h>
 #include <gtest/gtest.h>
 #include <set>
 #include <string>
+#include <vector>
 
 /* Instances dc-a: 10.0.1.1 to 3, dc-b: 10.0.2.1 to 3; this one is 10.0.1.9. */
 class Sources : public ::testing::Test {
@@ -324,3 +326,152 @@
     ASSERT_NE(sources_start(&s, now), nullptr);
     EXPECT_STREQ(sources_start(&s, now)->data_centre, "dc-b");
 }
+
+/* ---- A tree of followers ---- */
+
+/* The leader has no place: it names a relay, which is followed until it fails.
+ * Its failure says nothing of the leader. */
+TEST_F(Sources, SentOnItFollowsTheRelayUntilThatFails)
+{
+    addr_t leader = lead()->addr, relay = at(1, 77);
+
+    EXPECT_EQ(sources_sent_on(&s, &relay), 0);
+    EXPECT_TRUE(sources_relayed(&s));
+    ASSERT_NE(lead(), nullptr);
+    EXPECT_TRUE(addr_eq(&lead()->addr, &relay));
+    sources_checked(&s, now, &relay, SOURCE_TOLD);
+    EXPECT_TRUE(addr_eq(&lead()->addr, &relay));
+    sources_checked(&s, now, &relay, SOURCE_SILENT);
+    EXPECT_FALSE(sources_relayed(&s));
+    EXPECT_TRUE(addr_eq(&lead()->addr, &leader));
+}
+
+/* While leaders change, instances may send one another on for ever. */
+TEST_F(Sources, SentOnAgainAndAgainItStartsAtTheLeader)
+{
+    addr_t leader = lead()->addr;
+    int rc = 0, times = 0;
+
+    for (; rc == 0 && times < 100; times++) {
+        addr_t to = at(1, 50 + times % 2);
+        rc = sources_sent_on(&s, &to);
+    }
+    EXPECT_EQ(rc, -ELOOP);
+    EXPECT_LT(times, 20);
+    EXPECT_TRUE(addr_eq(&lead()->addr, &leader));
+    /* An answer shows that there was no circle. */
+    for (times = 0; times < 100; times++) {
+        addr_t to = at(1, 50 + times % 2);
+        EXPECT_EQ(sources_sent_on(&s, &to), 0);
+        sources_checked(&s, now, &to, SOURCE_TOLD);
+    }
+}
+
+TEST_F(Sources, ItIsNotSentToItself)
+{
+    addr_t self = at(1, 9);
+
+    EXPECT_EQ(sources_sent_on(&s, &self), -ELOOP);
+    EXPECT_FALSE(sources_relayed(&s));
+}
+
+/* The leader dies, and this one is the next: it follows the store, and not the
+ * relay, which may be one of its own followers by now. */
+TEST_F(Sources, ALeaderFollowsNoRelay)
+{
+    addr_t relay = at(1, 77), self = at(1, 9);
+
+    sources_sent_on(&s, &relay);
+    sources_add(&s, &self, "dc-a");
+    for (int n = 1; n <= 3; n++) {
+        addr_t a = at(1, n);
+        sources_remove(&s, &a);
+    }
+    EXPECT_EQ(lead(), nullptr);
+}
+
+/* Instances of one data centre find their places, each starting at the leader
+ * (10.0.1.0) and going where it is sent. */
+class Tree : public ::testing::Test {
+  protected:
+    static constexpr int SIZE = 900;
+    static constexpr uint32_t MOST = 32;
+    std::vector<followers_t> of{SIZE};
+    ms_t now = 1000;
+
+    static addr_t
+    at(int i)
+    {
+        return address("10.1." + std::to_string(i / 250) + "." +
+                       std::to_string(i % 250) + ":8000");
+    }
+
+    static int
+    number(const addr_t &a)
+    {
+        return a.ip[14] * 250 + a.ip[15];
+    }
+
+    void
+    SetUp() override
+    {
+        for (int i = 0; i < SIZE; i++) {
+            followers_init(&of[(size_t)i], MOST, (uint64_t)i);
+        }
+    }
+
+    /* The levels that WHO goes down. */
+    int
+    descend(int who)
+    {
+        addr_t from = at(who), to = at(0);
+        for (int level = 1; level < 20; level++) {
+            addr_t next = {};
+            if (followers_take(&of[(size_t)number(to)], now, &from, &next)) {
+                return level;
+            }
+            to = next;
+        }
+        return 20;
+    }
+};
+
+/* 900 instances ask one: nobody answers more than 32, and nobody is further
+ * than four levels away. */
+TEST_F(Tree, EachAnswersAFew)
+{
+    for (int i = 1; i < SIZE; i++) {
+        EXPECT_LE(descend(i), 4) << i;
+    }
+    EXPECT_EQ(followers_count(&of[0], now), MOST);
+}
+
+TEST_F(Tree, AFollowerKeepsItsPlace)
+{
+    for (int i = 1; i <= 40; i++) {
+        descend(i);
+    }
+    now += 1500;
+    for (int i = 1; i <= 32; i++) {
+        EXPECT_EQ(descend(i), 1);
+    }
+}
+
+/* A follower dies.  Others are sent to it, and come back, until its place is
+ * free. */
+TEST_F(Tree, AGoneFollowersPlaceIsTaken)
+{
+    addr_t instead, late = at(99);
+
+    for (int i = 1; i <= 32; i++) {
+        descend(i);
+    }
+    now += 1500;
+    for (int i = 2; i <= 32; i++) {
+        descend(i);
+    }
+    EXPECT_FALSE(followers_take(&of[0], now, &late, &instead));
+    now += 600;
+    EXPECT_TRUE(followers_take(&of[0], now, &late, &instead));
+    EXPECT_EQ(followers_count(&of[0], now), 32u);
+}
