Tests for the tree's safeguards; each switched off in a copy; the soak makes trees

Two safeguards of the tree were missed when switched off: that confirmations are passed on, and that those below a relay ask others rarely. In the soak instances have two places, so that many make a tree.

--- a/source/source.c
+++ b/source/source.c
@@ -18,6 +18,14 @@
  * change.  With places for 32 a tree of three levels holds 32,768. */
 #define SENT_ON_MAX 8
 
+/* Between two questions to others than the followed one.  A change must be in
+ * force within 3 s: this leaves room for one peer that doesn't answer and a
+ * second question. */
+#define CHECK_MS 700
+/* One that follows a relay leaves it to the relay, mostly: the announced ones
+ * would be asked by all of the data centre, each time. */
+#define CHECK_RELAYED_MS (8 * CHECK_MS)
+
 void
 sources_init(sources_t *s, const addr_t *self, const char *data_centre,
              uint64_t seed)
@@ -168,10 +176,10 @@
     return 0;
 }
 
-bool
-sources_relayed(const sources_t *s)
+ms_t
+sources_check_ms(const sources_t *s)
 {
-    return s->relayed;
+    return s->relayed ? CHECK_RELAYED_MS : CHECK_MS;
 }
 
 /* The first rank of P's data centre, among those that answer: the others
--- a/source/source.h
+++ b/source/source.h
@@ -79,13 +79,13 @@
 /* The followed peer has no place and names TO.  -ELOOP: it was sent on too
  * often; the leader is followed again, after a pause. */
 int sources_sent_on(sources_t *s, const addr_t *to);
-/* True when it follows a relay, which looks for news elsewhere itself. */
-bool sources_relayed(const sources_t *s);
 /* The peer to follow, or NULL: follow the store itself. */
 const source_peer_t *sources_lead(const sources_t *s, ms_t now);
 /* A peer to ask for anything newer, other than the one that is followed; NULL:
  * there is none. */
 const source_peer_t *sources_check(sources_t *s, ms_t now);
+/* How long between two such questions. */
+ms_t sources_check_ms(const sources_t *s);
 /* For an instance that knows nothing: the peer to ask for everything, or
  * NULL. */
 const source_peer_t *sources_start(sources_t *s, ms_t now);
--- a/tagged/check.c
+++ b/tagged/check.c
@@ -7,12 +7,6 @@
 
 #include <errno.h>
 
-/* Between two questions.  A change must be in force within 3 s: this leaves
- * room for one peer that doesn't answer and a second question. */
-#define CHECK_MS 700
-/* One that follows a relay leaves it to the relay, mostly: the announced ones
- * would be asked by all of the data centre, each time. */
-#define CHECK_RELAYED_MS (8 * CHECK_MS)
 /* Until something is known: an instance that starts while the store is away,
  * or among many, gets it from a peer.  A peer that is only starting itself
  * answers when it knows something, or after START_WAIT_MS. */
@@ -64,14 +58,12 @@
 static ms_t
 pause_ms(tagged_t *t)
 {
-    bool relayed;
+    ms_t ms;
 
     pthread_mutex_lock(&t->follow_lock);
-    relayed = sources_relayed(&t->sources);
+    ms = sources_check_ms(&t->sources);
     pthread_mutex_unlock(&t->follow_lock);
-    return replica_revision(t->replica) == 0 ? START_MS
-           : relayed                         ? CHECK_RELAYED_MS
-                                             : CHECK_MS;
+    return replica_revision(t->replica) == 0 ? START_MS : ms;
 }
 
 void
--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -336,16 +336,26 @@
     addr_t leader = lead()->addr, relay = at(1, 77);
 
     EXPECT_EQ(sources_sent_on(&s, &relay), 0);
-    EXPECT_TRUE(sources_relayed(&s));
     ASSERT_NE(lead(), nullptr);
     EXPECT_TRUE(addr_eq(&lead()->addr, &relay));
     sources_checked(&s, now, &relay, SOURCE_TOLD);
     EXPECT_TRUE(addr_eq(&lead()->addr, &relay));
     sources_checked(&s, now, &relay, SOURCE_SILENT);
-    EXPECT_FALSE(sources_relayed(&s));
     EXPECT_TRUE(addr_eq(&lead()->addr, &leader));
 }
 
+/* The announced instances would be asked by all of a data centre. */
+TEST_F(Sources, BelowARelayOthersAreAskedRarely)
+{
+    addr_t relay = at(1, 77);
+    ms_t leaders = sources_check_ms(&s);
+
+    sources_sent_on(&s, &relay);
+    EXPECT_GE(sources_check_ms(&s), 5 * leaders);
+    sources_checked(&s, now, &relay, SOURCE_SILENT);
+    EXPECT_EQ(sources_check_ms(&s), leaders);
+}
+
 /* While leaders change, instances may send one another on for ever. */
 TEST_F(Sources, SentOnAgainAndAgainItStartsAtTheLeader)
 {
@@ -371,8 +381,10 @@
 {
     addr_t self = at(1, 9);
 
+    addr_t leader = lead()->addr;
+
     EXPECT_EQ(sources_sent_on(&s, &self), -ELOOP);
-    EXPECT_FALSE(sources_relayed(&s));
+    EXPECT_TRUE(addr_eq(&lead()->addr, &leader));
 }
 
 /* The leader dies, and this one is the next: it follows the store, and not the
--- a/test/tagged_soak.bash
+++ b/test/tagged_soak.bash
@@ -159,6 +159,7 @@
         start "p$i" "$b/si_pproxy" --listen="$net.$i:7003" \
             --target="127.0.0.1:$store_port"
         settings "$i" "dc-$((i % 2))" "http://$net.$i:7003"
+        echo 'followers = 2' >>"$i.toml" # many make a tree
     done
     new_server archive
     new_server archive
--- a/test/tagged_tree.sh
+++ b/test/tagged_tree.sh
@@ -66,6 +66,21 @@
     done
 }
 
+# False where there was news meanwhile: some are still being announced.
+waits_in_calm() {
+    local one before revision
+    one=$(find store)
+    before=$(metric "$one" store_calls_total)
+    revision=$(metric "$one" store_revision)
+    curl -s -m 30 -o /dev/null \
+        "http://$net.$one:7002/replica?after=$revision&wait_ms=10000"
+    metric_is "$one" store_revision -eq "$revision" || return 1
+    # The store is asked every 1.5 s, and the announcement renewed.
+    before=$(($(metric "$one" store_calls_total) - before))
+    [ $before -le 4 ] && echo "it did not wait for the end" >heard ||
+        echo "$before calls meanwhile" >heard
+}
+
 run() {
     local one
     start_store
@@ -83,6 +98,10 @@
     crowded
     reaches_all 2
 
+    echo "## One that waits hears of the next confirmation"
+    until_quietly waits_in_calm
+    cat heard
+
     echo "## A relay is killed"
     one=$(find relay)
     dies "$one"
