core: memory that runs out leaves the version before in force

Cause. core/ used what calloc() and realloc() gave unchecked: a version larger than memory ended the process (Memory.TheVersionBeforeStays crashed), and every instance gets the same version.

Change. core_set_conf() makes room for all of a version first and then takes it, which can't fail; core_set_members() keeps the members it has. Both say -ENOMEM, decide tells, and takes the members at the next tick. Services grow by doubling.

Undoing a version taken in part: tables and trust would have to go back too.

--- a/core/core.c
+++ b/core/core.c
@@ -50,19 +50,84 @@
 
 /* ---- Configuration ---- */
 
+static int
+more_services(core_t *c)
+{
+    uint32_t cap = c->cap_services == 0 ? 16 : 2 * c->cap_services;
+    service_t *all = realloc(c->services, cap * sizeof(*all));
+
+    if (all == NULL) {
+        return -ENOMEM;
+    }
+    c->services = all;
+    c->cap_services = cap;
+    return 0;
+}
+
+/* A service that has no upstreams yet; SERVICE_NONE without memory. */
 static service_ix_t
 service_add(core_t *c, const conf_service_t *conf)
 {
-    service_t *s;
+    service_t s = {.id = addr_id(&conf->addr), .conf = *conf};
 
-    c->services =
-        realloc(c->services, (c->n_services + 1) * sizeof(*c->services));
-    s = &c->services[c->n_services];
-    *s = (service_t){.id = addr_id(&conf->addr)};
-    map_put(&c->service_map, s->id, c->n_services);
+    if (c->n_services == c->cap_services && more_services(c) < 0) {
+        return SERVICE_NONE;
+    }
+    if (map_put(&c->service_map, s.id, c->n_services) < 0) {
+        return SERVICE_NONE;
+    }
+    s.conf.upstreams = NULL;
+    c->services[c->n_services] = s;
     return (service_ix_t)c->n_services++;
 }
 
+/* How many of its upstreams take a new place (see take_upstream()). */
+static size_t
+new_upstreams(const core_t *c, const conf_service_t *conf)
+{
+    service_ix_t service = service_find(c, &conf->addr);
+    size_t n = 0;
+
+    for (uint32_t i = 0; i < conf->n_upstreams; i++) {
+        up_ix_t u = up_find_id(c, conf->upstreams[i].id);
+        n += u == UP_NONE || c->ups[u].service != service;
+    }
+    return n;
+}
+
+static int
+service_reserve(core_t *c, const conf_service_t *conf)
+{
+    service_ix_t i = service_find(c, &conf->addr);
+
+    if (i == SERVICE_NONE) {
+        i = service_add(c, conf);
+    }
+    if (i == SERVICE_NONE) {
+        return -ENOMEM;
+    }
+    return table_reserve(&c->services[i], conf->n_upstreams);
+}
+
+/* All the memory that CONF needs, before anything of it is taken: a version is
+ * in force whole or not at all.  What fails leaves more room and, at most,
+ * services without upstreams, whose requests are refused as before. */
+static int
+conf_reserve(core_t *c, const conf_t *conf)
+{
+    size_t more = 0;
+    int rc;
+
+    for (uint32_t i = 0; i < conf->n_services; i++) {
+        more += new_upstreams(c, &conf->services[i]);
+    }
+    rc = ups_reserve(c, more);
+    for (uint32_t i = 0; rc == 0 && i < conf->n_services; i++) {
+        rc = service_reserve(c, &conf->services[i]);
+    }
+    return rc;
+}
+
 void
 core_history_complete(core_t *c)
 {
@@ -124,16 +189,11 @@
 take_service(core_t *c, const conf_service_t *conf)
 {
     service_ix_t i = service_find(c, &conf->addr);
-    service_t *s;
+    service_t *s = &c->services[i];
 
-    if (i == SERVICE_NONE) {
-        i = service_add(c, conf);
-    }
-    s = &c->services[i];
     s->conf = *conf;
     s->conf.upstreams = NULL;
     s->n_ups = 0;
-    s->ups = realloc(s->ups, (conf->n_upstreams + 1) * sizeof(*s->ups));
     for (uint32_t k = 0; k < conf->n_upstreams; k++) {
         take_upstream(c, i, &conf->upstreams[k]);
     }
@@ -143,9 +203,15 @@
 int
 core_set_conf(core_t *c, ms_t now, const conf_t *conf)
 {
+    int rc;
+
     if (conf->version <= c->version) {
         return -ESTALE;
     }
+    rc = conf_reserve(c, conf);
+    if (rc < 0) {
+        return rc;
+    }
     c->now = now;
     c->first_version = c->version == 0;
     c->version = conf->version;
--- a/core/core.h
+++ b/core/core.h
@@ -110,7 +110,7 @@
  * (-ESTALE): versions never revert.  An instance that starts is given the
  * versions of the last DOUBT_MS in order, with NOW as when each came into
  * force at the peer it has them from: it must know which upstreams may hold
- * requests made before it started. */
+ * requests made before it started.  -ENOMEM: the version before stays. */
 int core_set_conf(core_t *c, ms_t now, const conf_t *conf);
 /* Said before the first core_set_conf(): no instance had a version before that
  * one.  A peer knows that was told so; and an instance that has the site's
@@ -122,9 +122,10 @@
 uint64_t core_version(const core_t *c);
 
 /* The members changed.  LIST as members_list() gives it; DOUBT_AT and LOWEST
- * as members_doubt_at() and members_lowest_version(). */
-void core_set_members(core_t *c, ms_t now, const member_t *list, size_t n,
-                      ms_t doubt_at, uint64_t lowest);
+ * as members_doubt_at() and members_lowest_version().  -ENOMEM: those before
+ * stay. */
+int core_set_members(core_t *c, ms_t now, const member_t *list, size_t n,
+                     ms_t doubt_at, uint64_t lowest);
 
 /* A datagram from a caller, on the service's socket. */
 void core_from_client(core_t *c, ms_t now, const addr_t *service,
--- a/core/homes.c
+++ b/core/homes.c
@@ -1,6 +1,7 @@
 /* Homes: rendezvous hashing of slots over the members. */
 #include "core/state.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -211,7 +212,7 @@
            m->state != MEMBER_GONE && peer_find(c, m->id) == NULL;
 }
 
-void
+int
 core_set_members(core_t *c, ms_t now, const member_t *list, size_t n,
                  ms_t doubt_at, uint64_t lowest)
 {
@@ -219,6 +220,9 @@
     bool moved = false;
     bool same;
 
+    if (peers == NULL) {
+        return -ENOMEM;
+    }
     c->now = now;
     if (c->start < 0) {
         c->start = c->last_call = now;
@@ -244,7 +248,7 @@
     c->peers = peers;
     c->n_peers = n;
     if (same) {
-        return;
+        return 0;
     }
     c->handing = false;
     for (uint32_t i = 0; i < HOME_SLOTS; i++) {
@@ -256,4 +260,5 @@
     if (moved) {
         sync_targets_changed(c);
     }
+    return 0;
 }
--- a/core/map.c
+++ b/core/map.c
@@ -65,16 +65,25 @@
     return 0;
 }
 
+int
+map_reserve(map_t *m, size_t more)
+{
+    int rc = 0;
+
+    while (rc == 0 && (m->keys == NULL || 2 * (m->used + more) > m->mask)) {
+        rc = map_grow(m);
+    }
+    return rc;
+}
+
 int
 map_put(map_t *m, uint64_t key, uint32_t value)
 {
     uint32_t i;
+    int rc = map_reserve(m, 1);
 
-    if (m->keys == NULL || 2 * (m->used + 1) > m->mask) {
-        int rc = map_grow(m);
-        if (rc < 0) {
-            return rc;
-        }
+    if (rc < 0) {
+        return rc;
     }
     i = place(m, key);
     m->used += m->keys[i] == 0;
--- a/core/state.h
+++ b/core/state.h
@@ -39,7 +39,10 @@
 } map_t;
 
 uint32_t map_get(const map_t *m, uint64_t key);
+/* -ENOMEM: M is as before. */
 int map_put(map_t *m, uint64_t key, uint32_t value);
+/* MORE entries can be put without a failure. */
+int map_reserve(map_t *m, size_t more);
 void map_free(map_t *m);
 
 /* The least power of two that isn't below N. */
@@ -254,7 +257,7 @@
     size_t n_peers;
 
     service_t *services;
-    uint32_t n_services; /* indices used so far */
+    uint32_t n_services, cap_services; /* indices used so far */
     up_t *ups;
     uint32_t n_ups, cap_ups;
 
@@ -310,6 +313,8 @@
 /* SERVICE_NONE: there is none. */
 service_ix_t service_find(const core_t *c, const addr_t *a);
 void table_build(core_t *c, service_ix_t service);
+/* Room for N_UPS upstreams, as table_build() needs.  -ENOMEM: as before. */
+int table_reserve(service_t *s, uint32_t n_ups);
 uint64_t work_key(const service_t *s, uint64_t flow);
 /* By which key the home of a flow is found. */
 uint64_t flow_group(const service_t *s, uint64_t flow);
@@ -326,8 +331,11 @@
 
 /* upstreams.c */
 up_ix_t up_find(core_t *c, const addr_t *a);
-up_ix_t up_find_id(core_t *c, uint64_t id);
+up_ix_t up_find_id(const core_t *c, uint64_t id);
+/* There must be room. */
 up_ix_t up_add(core_t *c, const conf_upstream_t *conf, service_ix_t service);
+/* Room for MORE upstreams.  -ENOMEM: as before. */
+int ups_reserve(core_t *c, size_t more);
 bool up_trusted(const core_t *c, up_ix_t u);
 /* Given up: it has another service, or has answered nothing for long.  One
  * that is neither trusted nor lost has yet to answer, after a pause or at an
--- a/core/table.c
+++ b/core/table.c
@@ -3,6 +3,7 @@
  * rank, so a change moves the fewest buckets. */
 #include "core/state.h"
 
+#include <errno.h>
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
@@ -139,11 +140,14 @@
 
 /* More buckets: bucket B of the old table becomes B and B + old size, which
  * had the same choices. */
-static void
+static int
 grow(service_t *s, uint32_t n)
 {
     bucket_t *b = calloc(n, sizeof(*b));
 
+    if (b == NULL) {
+        return -ENOMEM;
+    }
     for (uint32_t i = 0; i < n; i++) {
         if (s->n_buckets > 0) {
             b[i] = s->buckets[i & (s->n_buckets - 1)];
@@ -155,19 +159,29 @@
     free(s->buckets);
     s->buckets = b;
     s->n_buckets = n;
+    return 0;
+}
+
+int
+table_reserve(service_t *s, uint32_t n_ups)
+{
+    uint32_t n = bucket_count(n_ups);
+    up_ix_t *ups = realloc(s->ups, (n_ups + 1) * sizeof(*ups));
+
+    if (ups == NULL) {
+        return -ENOMEM;
+    }
+    s->ups = ups;
+    return n > s->n_buckets ? grow(s, n) : 0;
 }
 
 void
 table_build(core_t *c, service_ix_t service)
 {
     service_t *s = &c->services[service];
-    uint32_t n = bucket_count(s->n_ups);
     uint32_t more = s->n_ups > 0 ? (s->n_ups - 1) / GROUP_UPSTREAMS : 0;
     uint32_t groups = 1 + more;
 
-    if (n > s->n_buckets) {
-        grow(s, n);
-    }
     if (groups != s->groups) {
         s->groups_since = s->groups == 0 ? INT64_MIN / 2 : c->now;
         s->groups = groups;
--- a/core/upstreams.c
+++ b/core/upstreams.c
@@ -28,23 +28,39 @@
 }
 
 up_ix_t
-up_find_id(core_t *c, uint64_t id)
+up_find_id(const core_t *c, uint64_t id)
 {
     uint32_t i = map_get(&c->up_map, id);
 
     return i == MAP_NONE ? UP_NONE : (up_ix_t)i;
 }
 
+int
+ups_reserve(core_t *c, size_t more)
+{
+    size_t cap = c->cap_ups == 0 ? 64 : c->cap_ups;
+    up_t *ups;
+
+    while (cap < c->n_ups + more) {
+        cap *= 2;
+    }
+    if (cap == c->cap_ups) {
+        return map_reserve(&c->up_map, more);
+    }
+    ups = realloc(c->ups, cap * sizeof(*ups));
+    if (ups == NULL) {
+        return -ENOMEM;
+    }
+    c->ups = ups;
+    c->cap_ups = (uint32_t)cap;
+    return map_reserve(&c->up_map, more);
+}
+
 up_ix_t
 up_add(core_t *c, const conf_upstream_t *conf, service_ix_t service)
 {
-    up_t *u;
+    up_t *u = &c->ups[c->n_ups];
 
-    if (c->n_ups == c->cap_ups) {
-        c->cap_ups = c->cap_ups == 0 ? 64 : 2 * c->cap_ups;
-        c->ups = realloc(c->ups, c->cap_ups * sizeof(*c->ups));
-    }
-    u = &c->ups[c->n_ups];
     *u = (up_t){.used = true,
                 .service = service,
                 .conf = *conf,
--- a/siskind/decide.c
+++ b/siskind/decide.c
@@ -135,6 +135,7 @@
 {
     conf_t *conf = n->conf.conf;
     conf_t *old = c->conf;
+    int rc;
 
     bool complete =
         n->conf.complete || (n->conf.first && !core_met_elder(c->core));
@@ -142,7 +143,13 @@
     if (complete && old == NULL) {
         core_history_complete(c->core);
     }
-    if (core_set_conf(c->core, c->now - n->conf.age, conf) < 0) {
+    rc = core_set_conf(c->core, c->now - n->conf.age, conf);
+    if (rc == -ENOMEM) {
+        log_line(LVL_ERROR, "decide",
+                 "Out of memory: a version is not taken. version=%llu",
+                 (unsigned long long)conf->version);
+    }
+    if (rc < 0) {
         return;
     }
     FACT_SET(c->d, complete, core_history_is_complete(c->core));
@@ -232,7 +239,12 @@
     c->doubt_at = doubt;
     c->lowest = lowest;
     n = members_list(c->members, &list);
-    core_set_members(c->core, c->now, list, n, doubt, lowest);
+    if (core_set_members(c->core, c->now, list, n, doubt, lowest) < 0) {
+        log_line(LVL_ERROR, "decide",
+                 "Out of memory: the members are taken later. members=%zu", n);
+        c->members_changed = true;
+        return;
+    }
     for (size_t i = 0; i < n; i++) {
         peers += list[i].id != c->d->self && list[i].state != MEMBER_GONE;
     }
--- a/test/core_test.cc
+++ b/test/core_test.cc
@@ -2,7 +2,10 @@
 // each test, the expected report on the right.  Times are virtual.
 #include "test/fleet.h"
 
+#include <errno.h>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 #include <string.h>
 
 static const char zeros[] =
@@ -657,47 +660,122 @@
             .port = port};
 }
 
-/* A site of 120,000 upstreams.  With a narrower index than they need, the
- * last ones take the places of the first, and requests go to a service they
- * aren't meant for. */
-TEST(Size, EveryUpstreamKeepsItsPlace)
+/* A configuration of SERVICES with EACH upstreams. */
+struct Site {
+    std::vector<conf_upstream_t> ups;
+    std::vector<conf_service_t> services;
+    conf_t conf = {};
+
+    Site(uint64_t version, uint32_t n_services, uint32_t each)
+        : ups((size_t)n_services * each), services(n_services)
+    {
+        for (uint32_t i = 0; i < ups.size(); i++) {
+            ups[i].addr = ipv4(0x14000000 + i, 5683);
+            ups[i].id = addr_id(&ups[i].addr);
+            ups[i].slots = 4;
+            ups[i].weight = 1;
+        }
+        for (uint32_t s = 0; s < n_services; s++) {
+            snprintf(services[s].name, sizeof(services[s].name), "s%u", s);
+            services[s].addr = ipv4(0x0a000000 + s, 5683);
+            services[s].n_upstreams = each;
+            services[s].upstreams = &ups[s * each];
+        }
+        conf.version = version;
+        conf.n_services = n_services;
+        conf.services = services.data();
+    }
+};
+
+static core_t *
+quiet_core()
 {
-    const uint32_t n_services = 7000, each = 10;
-    std::vector<conf_upstream_t> ups(n_services * each);
-    std::vector<conf_service_t> services(n_services);
     core_params_t p = {.self = 1,
                        .own_addr = ipv4(0x0b000001, 7000),
                        .seed = 1,
                        .max_flows = 16,
                        .max_hints = 16,
                        .max_exchanges = 16};
-    conf_t conf = {};
 
-    for (uint32_t i = 0; i < ups.size(); i++) {
-        ups[i].addr = ipv4(0x14000000 + i, 5683);
-        ups[i].id = addr_id(&ups[i].addr);
-        ups[i].slots = 4;
-        ups[i].weight = 1;
+    return core_new(
+        &p, [](void *, const core_out_t *) {}, nullptr);
+}
+
+/* A site of 120,000 upstreams.  With a narrower index than they need, the
+ * last ones take the places of the first, and requests go to a service they
+ * aren't meant for. */
+TEST(Size, EveryUpstreamKeepsItsPlace)
+{
+    const uint32_t each = 10;
+    Site site(1, 7000, each);
+    core_t *c = quiet_core();
+
+    ASSERT_NE(c, nullptr);
+    ASSERT_EQ(core_set_conf(c, 1000, &site.conf), 0);
+    std::vector<core_upstream_t> seen(site.ups.size() + 1);
+    ASSERT_EQ(core_upstreams(c, seen.data(), seen.size()), site.ups.size());
+    for (uint32_t i = 0; i < site.ups.size(); i++) {
+        ASSERT_TRUE(addr_eq(&seen[i].addr, &site.ups[i].addr)) << i;
+        ASSERT_STREQ(seen[i].service, site.services[i / each].name) << i;
     }
-    for (uint32_t s = 0; s < n_services; s++) {
-        snprintf(services[s].name, sizeof(services[s].name), "s%u", s);
-        services[s].addr = ipv4(0x0a000000 + s, 5683);
-        services[s].n_upstreams = each;
-        services[s].upstreams = &ups[s * each];
+    core_free(c);
+}
+
+/* ---- Memory runs out ---- */
+
+static const size_t ROOM_MB = 128;
+
+#ifdef __SANITIZE_ADDRESS__
+/* Its allocator takes no limit at run time: one block of more than ROOM_MB is
+ * refused throughout. */
+extern "C" const char *
+__asan_default_options()
+{
+    return "allocator_may_return_null=1:max_allocation_size_mb=128";
+}
+
+struct LittleMemory {};
+#else
+/* The address space may grow by ROOM_MB, while it exists. */
+struct LittleMemory {
+    rlimit before;
+
+    LittleMemory()
+    {
+        size_t pages = 0;
+        FILE *f = fopen("/proc/self/statm", "r");
+        EXPECT_EQ(fscanf(f, "%zu", &pages), 1);
+        fclose(f);
+        getrlimit(RLIMIT_AS, &before);
+        rlimit now = before;
+        now.rlim_cur = pages * (size_t)getpagesize() + (ROOM_MB << 20);
+        setrlimit(RLIMIT_AS, &now);
     }
-    conf.version = 1;
-    conf.n_services = n_services;
-    conf.services = services.data();
+    ~LittleMemory()
+    {
+        setrlimit(RLIMIT_AS, &before);
+    }
+};
+#endif
+
+/* A version needs more memory than there is.  Taken in part, it would leave
+ * services without upstreams, or end the process: callers go on by the version
+ * before, and a smaller one is taken later. */
+TEST(Memory, TheVersionBeforeStays)
+{
+    Site small(1, 2, 3), large(2, 60000, 10), next(3, 3, 3);
+    std::vector<core_upstream_t> seen(20);
+    core_t *c = quiet_core();
 
-    core_t *c = core_new(
-        &p, [](void *, const core_out_t *) {}, nullptr);
     ASSERT_NE(c, nullptr);
-    ASSERT_EQ(core_set_conf(c, 1000, &conf), 0);
-    std::vector<core_upstream_t> seen(ups.size() + 1);
-    ASSERT_EQ(core_upstreams(c, seen.data(), seen.size()), ups.size());
-    for (uint32_t i = 0; i < ups.size(); i++) {
-        ASSERT_TRUE(addr_eq(&seen[i].addr, &ups[i].addr)) << i;
-        ASSERT_STREQ(seen[i].service, services[i / each].name) << i;
+    ASSERT_EQ(core_set_conf(c, 1000, &small.conf), 0);
+    {
+        LittleMemory little;
+        EXPECT_EQ(core_set_conf(c, 2000, &large.conf), -ENOMEM);
     }
+    EXPECT_EQ(core_version(c), 1u);
+    EXPECT_EQ(core_upstreams(c, seen.data(), seen.size()), 6u);
+    EXPECT_EQ(core_set_conf(c, 3000, &next.conf), 0);
+    EXPECT_EQ(core_upstreams(c, seen.data(), seen.size()), 9u);
     core_free(c);
 }
