--- a/core/state.h
+++ b/core/state.h
@@ -257,7 +257,8 @@
     size_t n_peers;
 
     service_t *services;
-    uint32_t n_services, cap_services; /* indices used so far */
+    uint32_t n_services; /* indices used so far */
+    uint32_t cap_services;
     up_t *ups;
     uint32_t n_ups, cap_ups;
 
--- a/source/followers.c
+++ b/source/followers.c
@@ -1,8 +1,6 @@
 /* Those that follow this instance: see source.h. */
 #include "source/source.h"
 
-#include <string.h>
-
 /* A follower asks at least once a second; one that is silent for so long has
  * gone, or follows another. */
 #define PLACE_MS 2000
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -74,7 +74,9 @@
 {
     int rc = news_take(f->t, items);
 
-    f->must_list = rc < 0 && rc != -ENOBUFS;
+    if (rc != -ENOBUFS) { /* else nothing was taken, and nothing lost */
+        f->must_list = rc < 0;
+    }
     store_items_free(items);
     return rc;
 }
@@ -221,7 +223,9 @@
                  "age_ms=%lld",
                  addr_text(a, text), rc < 0 ? e.text : "what it knows is old",
                  (long long)(clock_now() - replica_current_at(f->t->replica)));
+        return 0;
     }
+    f->backoff = 0;
     return 0;
 }
 
--- a/tagged/news.c
+++ b/tagged/news.c
@@ -204,9 +204,12 @@
     }
     __atomic_add_fetch(&t->count.peer_calls, 1, __ATOMIC_RELAXED);
     rc = http_call(c->http, &call, r, e);
-    c->late = rc == -ETIMEDOUT && c->late < LATE_MAX ? c->late + 1
-              : rc == -ETIMEDOUT                     ? c->late
-                                                     : 0;
+    if (rc == -ETIMEDOUT) {
+        c->late += c->late < LATE_MAX;
+    }
+    else if (rc == 0) {
+        c->late = 0;
+    }
     return rc;
 }
 
@@ -214,7 +217,8 @@
 take_answer(tagged_t *t, const http_reply_t *r)
 {
     store_items_t items;
-    int rc = r->status == 200 ? store_items_parse(&items, r->body) : -EPROTO;
+    int rc = r->status == MHD_HTTP_OK ? store_items_parse(&items, r->body)
+                                      : -EPROTO;
 
     if (rc < 0) {
         return rc;
@@ -260,7 +264,7 @@
              (unsigned long long)replica_revision(t->replica),
              (long long)wait_ms, addr_text(&t->settings.admin_addr, self));
     rc = ask(t, c, a, path, wait_ms, &r, e);
-    if (rc == 0 && r.status == 307 && r.body != NULL) {
+    if (rc == 0 && r.status == MHD_HTTP_TEMPORARY_REDIRECT && r.body != NULL) {
         return addr_parse(instead, r.body) < 0 ? count_failure(t, -EPROTO)
                                                : -EREMOTE;
     }
