--- a/test/core_test.cc
+++ b/test/core_test.cc
@@ -770,7 +770,7 @@
     ASSERT_NE(c, nullptr);
     ASSERT_EQ(core_set_conf(c, 1000, &small.conf), 0);
     {
-        LittleMemory little;
+        [[maybe_unused]] LittleMemory little;
         EXPECT_EQ(core_set_conf(c, 2000, &large.conf), -ENOMEM);
     }
     EXPECT_EQ(core_version(c), 1u);
