--- a/base/base.c
+++ b/base/base.c
@@ -2,6 +2,7 @@
 #include "base/base.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
 #define XXH_INLINE_ALL
@@ -31,6 +32,27 @@
     return clock_ms(&ts);
 }
 
+#define ARRAY_MIN 8
+
+void *
+array_grow(void *array, size_t *cap, size_t need, size_t size)
+{
+    size_t more = *cap > 0 ? *cap : ARRAY_MIN;
+    void *grown;
+
+    while (more < need) {
+        more *= 2;
+    }
+    if (more == *cap) {
+        return array;
+    }
+    grown = realloc(array, more * size);
+    if (grown != NULL) {
+        *cap = more;
+    }
+    return grown;
+}
+
 int
 err_set(err_t *e, int code, const char *step, const char *peer,
         const char *fmt, ...)
--- a/base/base.h
+++ b/base/base.h
@@ -30,6 +30,13 @@
 /* The kernel's form of either. */
 ms_t clock_ms(const struct timespec *ts);
 
+/* ---- Arrays ---- */
+
+/* Room for NEED elements of SIZE bytes in ARRAY (malloc, or NULL), which has
+ * room for *CAP: the array, moved perhaps, that doubles as often as it takes.
+ * NULL without memory; ARRAY is as before then. */
+void *array_grow(void *array, size_t *cap, size_t need, size_t size);
+
 /* ---- Addresses ---- */
 
 /* An IP address and UDP or TCP port.  IPv4 is held as ::ffff:a.b.c.d. */
--- a/conf/model.h
+++ b/conf/model.h
@@ -41,7 +41,8 @@
     service_draft_t *services; /* sorted by name */
     uint32_t n_services;
     upstream_draft_t *upstreams;
-    uint32_t n_upstreams, cap_upstreams;
+    uint32_t n_upstreams;
+    size_t cap_upstreams;
 } draft_t;
 
 /* The rules that hold between tables.  Sorts the upstreams by service and
--- a/conf/parse.c
+++ b/conf/parse.c
@@ -182,17 +182,13 @@
 static upstream_draft_t *
 add_upstream(draft_t *d)
 {
-    uint32_t cap = d->cap_upstreams > 0 ? 2 * d->cap_upstreams : 32;
-    upstream_draft_t *grown;
+    upstream_draft_t *grown = array_grow(d->upstreams, &d->cap_upstreams,
+                                         d->n_upstreams + 1, sizeof(*grown));
 
-    if (d->n_upstreams == d->cap_upstreams) {
-        grown = realloc(d->upstreams, cap * sizeof(*grown));
-        if (grown == NULL) {
-            return NULL;
-        }
-        d->upstreams = grown;
-        d->cap_upstreams = cap;
+    if (grown == NULL) {
+        return NULL;
     }
+    d->upstreams = grown;
     grown = &d->upstreams[d->n_upstreams++];
     *grown = (upstream_draft_t){0};
     return grown;
--- a/core/core.c
+++ b/core/core.c
@@ -50,29 +50,18 @@
 
 /* ---- Configuration ---- */
 
-static int
-more_services(core_t *c)
-{
-    uint32_t cap = c->cap_services == 0 ? 16 : 2 * c->cap_services;
-    service_t *all = realloc(c->services, cap * sizeof(*all));
-
-    if (all == NULL) {
-        return -ENOMEM;
-    }
-    c->services = all;
-    c->cap_services = cap;
-    return 0;
-}
-
 /* A service that has no upstreams yet; SERVICE_NONE without memory. */
 static service_ix_t
 service_add(core_t *c, const conf_service_t *conf)
 {
     service_t s = {.id = addr_id(&conf->addr), .conf = *conf};
+    service_t *all = array_grow(c->services, &c->cap_services,
+                                c->n_services + 1, sizeof(*all));
 
-    if (c->n_services == c->cap_services && more_services(c) < 0) {
+    if (all == NULL) {
         return SERVICE_NONE;
     }
+    c->services = all;
     if (map_put(&c->service_map, s.id, c->n_services) < 0) {
         return SERVICE_NONE;
     }
--- a/core/state.h
+++ b/core/state.h
@@ -258,9 +258,10 @@
 
     service_t *services;
     uint32_t n_services; /* indices used so far */
-    uint32_t cap_services;
+    size_t cap_services;
     up_t *ups;
-    uint32_t n_ups, cap_ups;
+    uint32_t n_ups;
+    size_t cap_ups;
 
     flow_t *flows;
     uint32_t *flow_heads, flow_mask, flow_free, flow_used, sweep;
--- a/core/upstreams.c
+++ b/core/upstreams.c
@@ -38,21 +38,12 @@
 int
 ups_reserve(core_t *c, size_t more)
 {
-    size_t cap = c->cap_ups == 0 ? 64 : c->cap_ups;
-    up_t *ups;
+    up_t *ups = array_grow(c->ups, &c->cap_ups, c->n_ups + more, sizeof(*ups));
 
-    while (cap < c->n_ups + more) {
-        cap *= 2;
-    }
-    if (cap == c->cap_ups) {
-        return map_reserve(&c->up_map, more);
-    }
-    ups = realloc(c->ups, cap * sizeof(*ups));
     if (ups == NULL) {
         return -ENOMEM;
     }
     c->ups = ups;
-    c->cap_ups = (uint32_t)cap;
     return map_reserve(&c->up_map, more);
 }
 
--- a/flow/directory.c
+++ b/flow/directory.c
@@ -5,8 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define LIST_MIN 8
-
 void
 flow_conf_free(flow_conf_t *c)
 {
@@ -142,19 +140,14 @@
 }
 
 static int
-list_add(upstream_t ***list, uint32_t *n, uint32_t *cap, upstream_t *u)
+list_add(upstream_t ***list, uint32_t *n, size_t *cap, upstream_t *u)
 {
-    uint32_t more = *cap == 0 ? LIST_MIN : 2 * *cap;
-    upstream_t **grown;
+    upstream_t **grown = array_grow(*list, cap, *n + 1, sizeof(*grown));
 
-    if (*n == *cap) {
-        grown = realloc(*list, more * sizeof(*grown));
-        if (grown == NULL) {
-            return -ENOMEM;
-        }
-        *list = grown;
-        *cap = more;
+    if (grown == NULL) {
+        return -ENOMEM;
     }
+    *list = grown;
     (*list)[(*n)++] = u;
     return 0;
 }
--- a/flow/state.h
+++ b/flow/state.h
@@ -66,7 +66,8 @@
     entry_t by_name;
     link_t link;              /* flowset_t.services */
     upstream_t **near, **far; /* in this data centre; in others */
-    uint32_t n_near, n_far, cap_near, cap_far;
+    uint32_t n_near, n_far;
+    size_t cap_near, cap_far;
     double answer_ms; /* median of its upstreams' averages; 0: none.  A mean
                        * would follow the one that is odd */
 };
--- a/siskinctl/logs.c
+++ b/siskinctl/logs.c
@@ -134,15 +134,13 @@
 static int
 add(logs_t *l, const log_entry_t *x)
 {
-    if (l->n == l->cap) {
-        size_t cap = l->cap == 0 ? 1024 : 2 * l->cap;
-        log_entry_t *grown = realloc(l->entry, cap * sizeof(*grown));
-        if (grown == NULL) {
-            return -ENOMEM;
-        }
-        l->entry = grown;
-        l->cap = cap;
+    log_entry_t *grown =
+        array_grow(l->entry, &l->cap, l->n + 1, sizeof(*grown));
+
+    if (grown == NULL) {
+        return -ENOMEM;
     }
+    l->entry = grown;
     l->entry[l->n] = *x;
     l->entry[l->n].read_as = l->n;
     l->n++;
