core: an upload whose block was taken is never called "not run"

Cause: upload_open() refused a first block with "not run" (5.03) whenever no upstream could be used, also when this home, or one that died before it, had passed that block on already; and the pin that tells so was dropped as soon as the upstream fell silent.

Change: such a block is answered 4.08, start again; a silent upstream keeps the pins of uploads until they are idle. An upstream that restarted or whose address serves something else still loses them: the block went with it.

--- a/core/flows.c
+++ b/core/flows.c
@@ -271,17 +271,24 @@
     flow_remove(c, f);
 }
 
-void
-feeds_lost(core_t *c, up_ix_t up)
+/* Ends the flows at UP that have none of the flags of KEPT. */
+static void
+end_flows_of(core_t *c, up_ix_t up, unsigned kept)
 {
     for (uint32_t i = 0; i < c->flow_top; i++) {
         flow_t *f = &c->flows[i];
-        if ((f->flags & FLOW_USED) && f->up == up && !(f->flags & FLOW_HELD)) {
+        if ((f->flags & FLOW_USED) && f->up == up && !(f->flags & kept)) {
             end_flow(c, f);
         }
     }
 }
 
+void
+feeds_lost(core_t *c, up_ix_t up)
+{
+    end_flows_of(c, up, FLOW_HELD);
+}
+
 /* Asks the upstream, as the client, for a sign of life (a CoAP ping, RFC 7252
  * 4.3).  Only that flow is given up when none comes.  An upstream that isn't
  * trusted gets none: its address may have another service by now. */
@@ -390,9 +397,10 @@
     for (up_ix_t u = 0; u < c->n_ups; u++) {
         const up_t *up = &c->ups[u];
 
-        if (up->flows + up->uploads > 0 && up_lost(c, u) &&
-            !up_trusted(c, u)) {
-            feeds_lost(c, u);
+        if (up->flows > 0 && up_lost(c, u) && !up_trusted(c, u)) {
+            /* The pin of an upload outlives its upstream's silence: it is all
+             * that tells that a block is there, and "not run" is false. */
+            end_flows_of(c, u, FLOW_HELD | FLOW_UPLOAD);
         }
     }
 }
--- a/core/request.c
+++ b/core/request.c
@@ -396,26 +396,42 @@
 
 /* ---- Uploads ---- */
 
-/* Opens an upload.  NULL: it was refused. */
+/* Refuses an upload.  A first block that an upstream may have taken, from this
+ * home or from one that died, must not be called "not run": the caller is told
+ * to start again. */
+static void
+upload_refuse(core_t *c, const dgram_t *d, refuse_t why, bool taken)
+{
+    if (taken) {
+        answer_now(c, d, COAP_INCOMPLETE, COAP_NONE, REFUSE_UPLOAD);
+        return;
+    }
+    answer_now(c, d, COAP_UNAVAILABLE, come_back(c, &c->services[d->service]),
+               why);
+}
+
+/* Opens an upload.  PASSED_ON: its first block was sent to an upstream before.
+ * NULL: it was refused. */
 static flow_t *
-upload_open(core_t *c, const dgram_t *d)
+upload_open(core_t *c, const dgram_t *d, bool passed_on)
 {
     service_t *s = &c->services[d->service];
     up_ix_t first = bucket_of(s, d->key)->choice[0];
     up_ix_t up = first;
+    bool sure = home_sure(c, work_key(s, d->key));
     flow_t *f;
 
     s->stats.requests[CLASS_BULK]++;
-    if (home_sure(c, work_key(s, d->key))) {
+    if (sure) {
         up = least_loaded(c, s->ups, s->n_ups, first, CLASS_BULK);
     }
     if (!up_eligible(c, up)) {
-        answer_now(c, d, COAP_UNAVAILABLE, come_back(c, s), REFUSE_FULL);
+        upload_refuse(c, d, REFUSE_FULL, !sure || passed_on);
         return NULL;
     }
     f = flow_add(c, d->key, d->service, up, FLOW_UPLOAD);
     if (f == NULL) {
-        answer_now(c, d, COAP_UNAVAILABLE, come_back(c, s), REFUSE_TABLE);
+        upload_refuse(c, d, REFUSE_TABLE, !sure || passed_on);
         return NULL;
     }
     sync_flow(c, f);
@@ -430,6 +446,7 @@
     up_ix_t first = bucket_of(s, d->key)->choice[0];
     flow_t *f = flow_own(c, d->key);
     bool first_block = d->m->block1 >> 4 == 0;
+    bool passed_on = f != NULL && !(f->flags & FLOW_ENDED);
 
     if (f != NULL && (up_lost(c, f->up) || !(f->flags & FLOW_UPLOAD) ||
                       (first_block && (f->flags & FLOW_ENDED)))) {
@@ -437,7 +454,7 @@
         f = NULL;
     }
     if (f == NULL && first_block) {
-        f = upload_open(c, d);
+        f = upload_open(c, d, passed_on);
         if (f == NULL) {
             return;
         }
--- a/test/core_test.cc
+++ b/test/core_test.cc
@@ -132,6 +132,61 @@
               });
 }
 
+/* Has an upstream taken a block of upload ID? */
+static bool
+block_taken(const fleet_t &f, const std::string &id)
+{
+    for (const upstream_t &u : f.up) {
+        for (const auto &it : u.uploads) {
+            if (it.second.first == id) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+static void
+no_taken_block_is_not_run(fleet_t &f)
+{
+    for (const call_t &c : f.calls) {
+        if (c.kind == CALL_UPLOAD && block_taken(f, c.id)) {
+            EXPECT_NE("not run", c.outcome) << c.id;
+        }
+    }
+}
+
+/* 2, uploads.  An upstream has the first block, and the home that passed it on
+ * dies before the answer.  The block comes again to the next home, which can't
+ * use that upstream: "not run" would be false, since a block is there.  The
+ * caller is told to start again. */
+TEST(Hazard2, NewHomeDoesNotSayNotRunOfATakenBlock)
+{
+    each_seed(fleet_options_t(), 10, R"(
+        4000 run-ms 6000
+        5000 upload archive blocks=6
+        5100 kill home:U1
+        5100 cut-all 4
+        5100 cut-all 5
+        5100 cut-all 6
+        60000 end)",
+              no_taken_block_is_not_run);
+}
+
+/* 2, uploads.  The same at the home itself: the upstream that has the block is
+ * given up, and no other may be chosen. */
+TEST(Hazard2, AHomeDoesNotSayNotRunOfABlockThatItPassedOn)
+{
+    each_seed(fleet_options_t(), 10, R"(
+        4000 run-ms 6000
+        5000 upload archive blocks=6
+        5100 cut-all 4
+        5100 cut-all 5
+        5100 cut-all 6
+        60000 end)",
+              no_taken_block_is_not_run);
+}
+
 /* 2, short pause.  The home sleeps 1.7 s, longer than its peers' patience.
  * They forward copy 1 at the next home; the sleeper, sure that nothing has
  * happened, reads copy 2 and has no room for it. */
