A probe that was accepted and reset ends no flow; trial entries kept

A server over its limit of connections accepts and resets. probes.c had called both a refusal.

Change: PROBE_RESET, which proves neither; asked again after 50 ms. Tests failed first: Probes.AnAcceptedConnectionThatIsResetIsNoRefusal, Flow.AnOverloadedUpstreamThatResetsProbesKeepsItsFlows, Flow.AnUpstreamThatEndsAfterItResetAProbeIsFoundByTheNext.

--- a/flow/flow.h
+++ b/flow/flow.h
@@ -164,7 +164,8 @@
 /* How a probe ended. */
 typedef enum {
     PROBE_ANSWERED,
-    PROBE_REFUSED,
+    PROBE_REFUSED, /* nothing listens there */
+    PROBE_RESET,   /* accepted, then reset */
     PROBE_SILENT,
     PROBE_NONE, /* it could not be made: nothing is known */
     PROBE_RESULTS
--- a/flow/reach.c
+++ b/flow/reach.c
@@ -11,6 +11,8 @@
  *   accepted   it lives, however slow it is
  *   refused    the process has ended, and its flows with it; of one that is
  *              leaving, when it is refused again
+ *   reset      it was accepted first, so a process listened: one that has too
+ *              many connections, or that ended just then
  *   silent     three times in a row, while another upstream answers: it can't
  *              be reached from here
  */
@@ -34,6 +36,8 @@
 /* A probe that was answered settles doubts for so long: the packets that are
  * repeated meanwhile were sent before it. */
 #define TRUST_MS 400
+/* Until the next probe after one that was reset. */
+#define RESET_AGAIN_MS 50
 /* Between probes of an upstream that is out, doubling. */
 #define RETRY_MIN_MS 400
 #define RETRY_MAX_MS 1600
@@ -298,6 +302,12 @@
     case PROBE_REFUSED:
         probe_refused(f, now, u);
         break;
+    case PROBE_RESET:
+        /* An overloaded upstream does so while it serves.  Its flows must not
+         * be ended; if its process has, the next probe is refused. */
+        u->silent = 0;
+        schedule(f, u, now + RESET_AGAIN_MS);
+        break;
     case PROBE_SILENT:
         probe_silent(f, now, u);
         break;
--- a/tagged/probes.c
+++ b/tagged/probes.c
@@ -80,8 +80,9 @@
     case 0:
         return PROBE_ANSWERED;
     case ECONNREFUSED:
-    case ECONNRESET:
         return PROBE_REFUSED;
+    case ECONNRESET:
+        return PROBE_RESET;
     case EMFILE:
     case ENFILE:
     case ENOBUFS:
--- a/test/flow_prop_test.cc
+++ b/test/flow_prop_test.cc
@@ -81,6 +81,7 @@
         }
         silent[id] = result == PROBE_SILENT     ? silent[id] + 1
                      : result == PROBE_ANSWERED ? 0
+                     : result == PROBE_RESET    ? 0
                                                 : silent[id];
         if (result == PROBE_ANSWERED) {
             refused.erase(id);
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -221,6 +221,45 @@
     EXPECT_FALSE(bed.resets.empty());
 }
 
+/* A server whose connections are over its limit accepts a probe and resets it.
+ * It lives and answers its callers, 200 ms late; a caller repeats its request
+ * in between and starts the probe.  None of its flows may be ended, at the
+ * first such probe or the tenth. */
+TEST_F(Flow, AnOverloadedUpstreamThatResetsProbesKeepsItsFlows)
+{
+    uint32_t caller = open_at(0x11, 1);
+
+    bed.resets.clear();
+    doubt((int)caller, 0x11);
+    ASSERT_FALSE(bed.probes.empty());
+    for (int i = 0; i < 10; i++) {
+        bed.probes.clear();
+        bed.probed(0x11, PROBE_RESET);
+        bed.advance(60);
+        ASSERT_EQ(bed.probes.size(), 1u); /* asked again soon */
+    }
+    EXPECT_TRUE(bed.resets.empty());
+    EXPECT_EQ(
+        bed.packet(FlowBed::data((int)caller, FEED, 0x11, 1101, 10)).verb,
+        FLOW_FORWARD);
+}
+
+/* The same reset comes when a process ends with a connection in its queue: the
+ * next probe is refused, and then its callers are told. */
+TEST_F(Flow, AnUpstreamThatEndsAfterItResetAProbeIsFoundByTheNext)
+{
+    uint32_t caller = open_at(0x11, 1);
+
+    bed.resets.clear();
+    doubt((int)caller, 0x11);
+    bed.probed(0x11, PROBE_RESET);
+    bed.probes.clear();
+    bed.advance(60);
+    ASSERT_EQ(bed.probes.size(), 1u);
+    bed.probed(0x11, PROBE_REFUSED);
+    EXPECT_FALSE(bed.resets.empty());
+}
+
 /* An address is given to a server of another service only after its former
  * holder has ended.  Packets of the former's flows must not be carried to the
  * new one, and their callers needn't wait. */
--- a/test/probes_test.cc
+++ b/test/probes_test.cc
@@ -92,6 +92,25 @@
     EXPECT_EQ(done[1], PROBE_REFUSED);
 }
 
+/* A server with too many connections accepts one more and resets it.  Its
+ * process lives, and so do its flows: taken for a refusal, the reset would end
+ * them all. */
+TEST_F(Probes, AnAcceptedConnectionThatIsResetIsNoRefusal)
+{
+    addr_t a;
+    int fd = listener(&a, 16), taken;
+    struct linger at_once = {1, 0};
+
+    EXPECT_EQ(start(1, a, 5000), 0);
+    taken = accept(fd, NULL, NULL);
+    ASSERT_GE(taken, 0);
+    setsockopt(taken, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    close(taken);
+    finish();
+    EXPECT_EQ(done[1], PROBE_RESET);
+    close(fd);
+}
+
 /* A listener whose queue is full drops what comes further, as a host that
  * can't be reached would. */
 TEST_F(Probes, AFullQueueIsSilent)
