--- a/tagged/report.c
+++ b/tagged/report.c
@@ -13,10 +13,8 @@
 }
 
 static const char *const probe_names[PROBE_RESULTS] = {
-    [PROBE_ANSWERED] = "answered",
-    [PROBE_REFUSED] = "refused",
-    [PROBE_RESET] = "reset",
-    [PROBE_SILENT] = "silent",
+    [PROBE_ANSWERED] = "answered", [PROBE_REFUSED] = "refused",
+    [PROBE_RESET] = "reset",       [PROBE_SILENT] = "silent",
     [PROBE_NONE] = "not-made",
 };
 
