platform: downloads may be repeated as reads may

Cause: the new customer's contract calls requests of download routes idempotent; the adapter knew only reads, so a download at an upstream that can't be reached waited for its timeout, and its answer times were not used.

Items.TheKindOfARouteTellsWhetherItsRequestsAreIdempotent failed first.

--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -223,6 +223,28 @@
     flow_conf_free(c);
 }
 
+/* Downloads may be repeated as reads may; a kind that nobody knows may not. */
+TEST(Items, TheKindOfARouteTellsWhetherItsRequestsAreIdempotent)
+{
+    static const std::pair<const char *, bool> kinds[] = {
+        {R"("kind":"safe",)", true},     {R"("kind":"download",)", true},
+        {R"("kind":"unsafe",)", false},  {R"("kind":"upload",)", false},
+        {R"("kind":"unheard",)", false}, {R"("kind":7,)", false},
+        {"", false},
+    };
+
+    for (const auto &k : kinds) {
+        store_event_t ev;
+        err_t e = {};
+        std::string text = std::string(R"({"version":1,"routes":[{)") +
+                           k.first + R"("host":"1.2.3.4","prefix":"/1/",)" +
+                           R"("service":"a"}]})";
+        ASSERT_EQ(event(&ev, "op/config", text.c_str(), &e), 0);
+        EXPECT_EQ(ev.routes->routes[0].repeatable, k.second) << k.first;
+        flow_conf_free(ev.routes);
+    }
+}
+
 TEST(Items, RoutesThatCannotBeReadAreRefusedWhole)
 {
     static const char *const bad[] = {
