flow: a limit of requests in progress, by answer time and goal

Hypothesis: refused at once, the excess leaves the rest in goal. Change: limit.c; choice.c asks it and tries the other data centres before it refuses; the reset of an opening packet (reason overload) is a true not-run. Openings that nobody answered in time no longer count as in progress: servers reset connections over their limit, which is not seen here, and 500 such openings an instance had stood for load that was not there.

--- a/flow/choice.c
+++ b/flow/choice.c
@@ -112,18 +112,18 @@
     return a->tier != b->tier ? a->tier < b->tier : a->cost < b->cost;
 }
 
-/* The best of LIST; ties go to the first from a random start, so that
+/* The best of GROUP; ties go to the first from a random start, so that
  * instances that know the same don't all take the same. */
 static pick_t
-best_of(flowset_t *f, ms_t now, upstream_t *const *list, uint32_t n,
-        const upstream_t * not )
+best_of(flowset_t *f, ms_t now, const group_t *group, const upstream_t * not )
 {
     pick_t best = {.tier = TIER_NONE};
+    uint32_t n = group->n;
     uint32_t tries = n > SCAN_MAX ? SAMPLES : n;
     uint32_t at = n > 0 ? rng_below(&f->rng, n) : 0;
 
     for (uint32_t i = 0; i < tries; i++) {
-        upstream_t *u = list[at];
+        upstream_t *u = group->up[at];
         pick_t p = {.up = u, .tier = tier_of(u, now, not )};
         p.cost = cost_of(u, now);
         if (p.tier != TIER_NONE && (best.up == NULL || better(&p, &best))) {
@@ -139,14 +139,14 @@
 static upstream_t *
 choose_of(flowset_t *f, ms_t now, const service_t *s, const upstream_t * not )
 {
-    pick_t near = best_of(f, now, s->near, s->n_near, not );
+    pick_t near = best_of(f, now, &s->near, not );
     pick_t far;
 
     if (near.up != NULL && near.tier == TIER_GOOD &&
         busy_share(near.up) < SPILL_BUSY) {
         return near.up;
     }
-    far = best_of(f, now, s->far, s->n_far, not );
+    far = best_of(f, now, &s->far, not );
     if (near.up == NULL || far.up == NULL) {
         return near.up != NULL ? near.up : far.up;
     }
@@ -157,6 +157,24 @@
                                                                   : near.up;
 }
 
+/* U, or where its group is full one of the other group that is not. */
+static choice_t
+within_limits(flowset_t *f, ms_t now, service_t *s, upstream_t *u,
+              uint32_t priority)
+{
+    group_t *other = u->local ? &s->far : &s->near;
+    pick_t pick;
+
+    if (limit_admits(&u->group->limit, priority)) {
+        return (choice_t){.up = u};
+    }
+    pick = best_of(f, now, other, NULL);
+    if (pick.tier == TIER_GOOD && limit_admits(&other->limit, priority)) {
+        return (choice_t){.up = pick.up};
+    }
+    return (choice_t){.full = u->group};
+}
+
 static int
 cmp_double(const void *a, const void *b)
 {
@@ -165,13 +183,12 @@
     return (x > y) - (x < y);
 }
 
-/* Adds the averages of LIST that are fresh to MS, from place N on. */
+/* Adds the averages of GROUP that are fresh to MS, from place N on. */
 static size_t
-gather(upstream_t *const *list, uint32_t n_list, ms_t now, double *ms,
-       size_t n)
+gather(const group_t *group, ms_t now, double *ms, size_t n)
 {
-    for (uint32_t i = 0; i < n_list && n < MEDIAN_MAX; i++) {
-        const upstream_t *u = list[i];
+    for (uint32_t i = 0; i < group->n && n < MEDIAN_MAX; i++) {
+        const upstream_t *u = group->up[i];
         if (u->answer_ms > 0 && now - u->answered_at <= ANSWER_FRESH_MS) {
             ms[n++] = u->answer_ms;
         }
@@ -183,9 +200,9 @@
 choice_sweep(service_t *s, ms_t now)
 {
     double ms[MEDIAN_MAX];
-    size_t n = gather(s->near, s->n_near, now, ms, 0);
+    size_t n = gather(&s->near, now, ms, 0);
 
-    n = gather(s->far, s->n_far, now, ms, n);
+    n = gather(&s->far, now, ms, n);
     qsort(ms, n, sizeof(*ms), cmp_double);
     s->answer_ms = n > 0 ? ms[n / 2] : 0;
 }
@@ -211,11 +228,16 @@
     return t;
 }
 
-upstream_t *
-choose(flowset_t *f, ms_t now, const flow_route_t *r, const upstream_t * not )
+choice_t
+choose(flowset_t *f, ms_t now, const flow_route_t *r, const upstream_t * not,
+       admit_t admit)
 {
     const flow_target_t *t = draw_target(f, r);
-    const service_t *s = t != NULL ? service_named(f, t->service) : NULL;
+    service_t *s = t != NULL ? service_named(f, t->service) : NULL;
+    upstream_t *u = s != NULL ? choose_of(f, now, s, not ) : NULL;
 
-    return s != NULL ? choose_of(f, now, s, not ) : NULL;
+    if (u == NULL || admit == ADMIT_ALL || r->goal_ms == 0) {
+        return (choice_t){.up = u};
+    }
+    return within_limits(f, now, s, u, r->priority);
 }
--- a/flow/directory.c
+++ b/flow/directory.c
@@ -105,6 +105,7 @@
         return NULL;
     }
     u->local = strcmp(a->data_centre, f->data_centre) == 0;
+    u->group = u->local ? &u->service->near : &u->service->far;
     /* Tags are 32 bits of an id: two upstreams may share one.  Packets could
      * then reach the wrong one and be reset, so the later one gets no flow. */
     u->tag_taken =
@@ -139,48 +140,34 @@
     free(u);
 }
 
-static int
-list_add(upstream_t ***list, uint32_t *n, size_t *cap, upstream_t *u)
-{
-    upstream_t **grown = array_grow(*list, cap, *n + 1, sizeof(*grown));
-
-    if (grown == NULL) {
-        return -ENOMEM;
-    }
-    *list = grown;
-    (*list)[(*n)++] = u;
-    return 0;
-}
-
-static void
-list_take(upstream_t **list, uint32_t *n, const upstream_t *u)
-{
-    for (uint32_t i = 0; i < *n; i++) {
-        if (list[i] == u) {
-            list[i] = list[--(*n)];
-            return;
-        }
-    }
-}
-
 int
 upstream_offer(upstream_t *u)
 {
-    service_t *s = u->service;
+    group_t *g = u->group;
+    upstream_t **grown;
 
     upstream_withdraw(u);
     if (u->tag_taken || u->a.draining) {
         return 0;
     }
-    return u->local ? list_add(&s->near, &s->n_near, &s->cap_near, u)
-                    : list_add(&s->far, &s->n_far, &s->cap_far, u);
+    grown = array_grow(g->up, &g->cap, g->n + 1, sizeof(*grown));
+    if (grown == NULL) {
+        return -ENOMEM;
+    }
+    g->up = grown;
+    g->up[g->n++] = u;
+    return 0;
 }
 
 void
 upstream_withdraw(upstream_t *u)
 {
-    service_t *s = u->service;
+    group_t *g = u->group;
 
-    list_take(s->near, &s->n_near, u);
-    list_take(s->far, &s->n_far, u);
+    for (uint32_t i = 0; i < g->n; i++) {
+        if (g->up[i] == u) {
+            g->up[i] = g->up[--g->n];
+            return;
+        }
+    }
 }
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -12,8 +12,8 @@
  *
  * The files call downwards only: flows.c (entry points), reach.c (which
  * upstream answers), choice.c (which takes a new flow), records.c (what is
- * remembered of a flow), directory.c (routes and upstreams), index.c (a hash
- * table).
+ * remembered of a flow), limit.c (how many requests may be in progress),
+ * directory.c (routes and upstreams), index.c (a hash table).
  */
 #ifndef SISKIN_FLOW_H
 #define SISKIN_FLOW_H
@@ -39,7 +39,9 @@
     addr_t addr;
     char name[FLOW_NAME_LEN];
     bool repeatable; /* its requests are idempotent: callers may retry them */
-    uint32_t first;  /* index of its first target */
+    uint32_t priority; /* 0: the most urgent */
+    ms_t goal_ms;      /* an answer is worth less after it; 0: not told */
+    uint32_t first;    /* index of its first target */
     uint32_t n_targets;
 } flow_route_t;
 
@@ -95,6 +97,7 @@
     FLOW_NO_UPSTREAM,   /* reset: no upstream of the service can take it.
                          * Both dropped where another opening packet of the
                          * caller may have opened the flow */
+    FLOW_OVERLOAD,      /* reset: it would not be answered within its goal */
     FLOW_UPSTREAM_DEAD, /* reset: its upstream has ended */
     FLOW_UPSTREAM_OUT,  /* reset: its upstream can't be reached, and its
                          * requests may be repeated */
@@ -113,7 +116,9 @@
     addr_t to;
     uint32_t tag;        /* to be put into an opening packet */
     const char *service; /* chosen; NULL where none was */
-    uint32_t busy, open; /* the upstream's requests and flows seen here */
+    uint32_t busy, open; /* the upstream's requests and flows seen here; of a
+                          * refused opening, its data centre's requests */
+    uint32_t limit;      /* of those; 0: none in force */
     uint64_t version;    /* of the routes that decided */
     bool asks;           /* a request begins with this packet */
 } flow_decision_t;
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -34,6 +34,7 @@
     [FLOW_COPY_MOVED] = "copy-moved",
     [FLOW_NO_ROUTE] = "no-route",
     [FLOW_NO_UPSTREAM] = "no-upstream",
+    [FLOW_OVERLOAD] = "overload",
     [FLOW_UPSTREAM_DEAD] = "upstream-dead",
     [FLOW_UPSTREAM_OUT] = "upstream-unreachable",
     [FLOW_TAG_UNKNOWN] = "tag-unknown",
@@ -102,8 +103,8 @@
     }
     LIST_EACH (it, &f->services) {
         service_t *s = LIST_OWNER(it, service_t, link);
-        free(s->near);
-        free(s->far);
+        free(s->near.up);
+        free(s->far.up);
         free(s);
     }
     index_free(&f->by_id);
@@ -262,6 +263,10 @@
     if (r->repeatable) { /* uploads take as long as the caller sends */
         sample(&r->up->answer_ms, SAMPLE_WEIGHT, ms + 1);
         r->up->answered_at = now;
+        if (r->goal_ms > 0) {
+            limit_answered(&r->up->group->limit, &r->up->service->alone,
+                           ms / (double)r->goal_ms, r->busy_then);
+        }
     }
     record_answered(r);
 }
@@ -325,7 +330,6 @@
 {
     upstream_t *u = upstream_by_tag(f, p->tag);
     record_t *r;
-    const flow_route_t *route;
 
     if (u == NULL) {
         decide(d, FLOW_DROP, p->tag == 0 ? FLOW_TAG_NONE : FLOW_TAG_UNKNOWN);
@@ -354,8 +358,7 @@
         return;
     }
     if (r == NULL) {
-        route = route_find(f, &p->service);
-        r = record_new(f, now, p, u, route != NULL && route->repeatable);
+        r = record_new(f, now, p, u, route_find(f, &p->service));
         d->asks = p->len > 0;
     }
     else {
@@ -394,7 +397,7 @@
     upstream_t *u;
 
     reach_doubt(f, now, r->up, r->sent_at, "an opening packet is repeated");
-    u = choose(f, now, route, r->up);
+    u = choose(f, now, route, r->up, ADMIT_ALL).up;
     if (u == NULL) {
         decide(d, FLOW_DROP, FLOW_NO_UPSTREAM); /* as refuse_opening() */
         record_free(f, r);
@@ -415,7 +418,7 @@
 {
     const flow_route_t *route = route_find(f, &p->service);
     record_t *r = record_find(f, &p->caller, &p->service);
-    upstream_t *u;
+    choice_t c;
 
     if (route == NULL) {
         refuse_opening(p, FLOW_NO_ROUTE, d);
@@ -428,13 +431,19 @@
     if (r != NULL) { /* the caller's port is used again */
         record_free(f, r);
     }
-    u = choose(f, now, route, NULL);
-    if (u == NULL) {
-        refuse_opening(p, FLOW_NO_UPSTREAM, d);
+    c = choose(f, now, route, NULL,
+               opened_elsewhere(p) ? ADMIT_ALL : ADMIT_IN_GOAL);
+    if (c.up == NULL) {
+        refuse_opening(p, c.full != NULL ? FLOW_OVERLOAD : FLOW_NO_UPSTREAM,
+                       d);
+        if (c.full != NULL) {
+            d->busy = c.full->limit.busy;
+            d->limit = (uint32_t)c.full->limit.most;
+        }
         return;
     }
-    forward(d, FLOW_CHOSEN, u);
-    r = record_new(f, now, p, u, route->repeatable);
+    forward(d, FLOW_CHOSEN, c.up);
+    r = record_new(f, now, p, c.up, route);
     if (r != NULL) {
         r->copied = opened_elsewhere(p);
     }
@@ -486,7 +495,7 @@
         if (now - r->sent_at < OPENING_MS) {
             return r->sent_at + OPENING_MS;
         }
-        list_remove(it);
+        record_unheard(r);
         r->up->unanswered++;
         reach_doubt(f, now, r->up, r->sent_at,
                     "an opening packet was not answered");
--- a/flow/records.c
+++ b/flow/records.c
@@ -32,7 +32,10 @@
         return;
     }
     r->up->open += r->open ? sign : 0;
-    r->up->busy += !r->open || r->asked_at != 0 ? sign : 0;
+    if (r->open ? r->asked_at != 0 : !r->unheard) {
+        r->up->busy += sign;
+        r->up->group->limit.busy += sign;
+    }
 }
 
 static void
@@ -52,7 +55,7 @@
 
 record_t *
 record_new(flowset_t *f, ms_t now, const flow_packet_t *p, upstream_t *u,
-           bool repeatable)
+           const flow_route_t *route)
 {
     record_t *r;
 
@@ -66,7 +69,8 @@
     }
     r->caller = p->caller;
     r->service = p->service;
-    r->repeatable = repeatable;
+    r->repeatable = route != NULL && route->repeatable;
+    r->goal_ms = route != NULL ? route->goal_ms : 0;
     r->open = !p->opens;
     r->seq_end = p->seq + p->len;
     r->ack = p->ack;
@@ -106,6 +110,7 @@
     weigh(r, (uint32_t)-1);
     r->asked_at = now;
     weigh(r, 1);
+    r->busy_then = r->up->group->limit.busy;
     list_remove(&r->waiting);
     list_append(&f->asking, &r->waiting);
 }
@@ -128,6 +133,15 @@
     list_remove(&r->waiting);
 }
 
+void
+record_unheard(record_t *r)
+{
+    weigh(r, (uint32_t)-1);
+    r->unheard = true;
+    weigh(r, 1);
+    list_remove(&r->waiting);
+}
+
 void
 record_ended(record_t *r)
 {
--- a/flow/state.h
+++ b/flow/state.h
@@ -26,17 +26,45 @@
 
 #define INDEX_EACH(it, ix, hash) LIST_EACH (it, index_bucket(ix, hash))
 
+/* ---- limit.c: how many requests may be in progress ---- */
+
+typedef struct {
+    uint32_t busy;      /* requests in progress */
+    double most;        /* as many may be; 0: no limit */
+    double usual;       /* running median of the time to an answer, as a share
+                         * of the goal; 0: none */
+    uint32_t unrefused; /* answers since the last refusal */
+    double priority;    /* moving average of what is asked for */
+} limit_t;
+
+/* An answer took SHARE of its request's goal, with BUSY in progress when the
+ * request began.  *ALONE is kept up to date: the least median of the service,
+ * near what an answer takes that waits for nobody. */
+void limit_answered(limit_t *l, double *alone, double share, uint32_t busy);
+/* May a request of PRIORITY begin? */
+bool limit_admits(limit_t *l, uint32_t priority);
+
 /* ---- Upstreams ---- */
 
 typedef struct service service_t;
 
+/* The upstreams of a service in this data centre, or those in others: queues
+ * build up in one without the other. */
 typedef struct {
+    struct upstream **up; /* those that may be chosen */
+    uint32_t n;
+    size_t cap;
+    limit_t limit;
+} group_t;
+
+typedef struct upstream {
     flow_upstream_t a; /* as announced */
     entry_t by_id, by_tag, by_addr;
     link_t all;     /* flowset_t.upstreams */
     link_t records; /* of the flows it holds, as seen here */
     link_t due;     /* flowset_t.doubted: those with a probe or a wait */
     service_t *service;
+    group_t *group; /* of the service */
     bool local;     /* in this instance's data centre */
     bool listed;    /* announced now */
     bool tag_taken; /* an older upstream has its tag: no new flow */
@@ -64,12 +92,11 @@
 struct service {
     char name[FLOW_NAME_LEN];
     entry_t by_name;
-    link_t link;              /* flowset_t.services */
-    upstream_t **near, **far; /* in this data centre; in others */
-    uint32_t n_near, n_far;
-    size_t cap_near, cap_far;
-    double answer_ms; /* median of its upstreams' averages; 0: none.  A mean
-                       * would follow the one that is odd */
+    link_t link;       /* flowset_t.services */
+    group_t near, far; /* in this data centre; in others */
+    double alone;      /* see limit_answered(); 0: none */
+    double answer_ms;  /* median of its upstreams' averages; 0: none.  A mean
+                        * would follow the one that is odd */
 };
 
 /* ---- Records of flows ---- */
@@ -86,8 +113,11 @@
     link_t of;      /* upstream_t.records */
     addr_t caller, service;
     upstream_t *up;
+    ms_t goal_ms;       /* of its route; 0: not told */
+    uint32_t busy_then; /* requests of the group when this one began */
     bool repeatable;
     bool open;        /* a packet came after the opening one */
+    bool unheard;     /* none came in time: it takes no slot, as far as seen */
     bool copied;      /* another opening packet may have opened the flow */
     bool ended;       /* the caller has closed it: no load any more */
     uint32_t seq_end; /* behind the last byte that the caller sent */
@@ -131,9 +161,10 @@
 
 record_t *record_find(const flowset_t *f, const addr_t *caller,
                       const addr_t *service);
-/* NULL without memory: the flow is served, and not remembered. */
+/* ROUTE may be NULL.  NULL without memory: the flow is served, and not
+ * remembered. */
 record_t *record_new(flowset_t *f, ms_t now, const flow_packet_t *p,
-                     upstream_t *u, bool repeatable);
+                     upstream_t *u, const flow_route_t *route);
 void record_free(flowset_t *f, record_t *r);
 /* Moves it to another upstream. */
 void record_move(record_t *r, upstream_t *u);
@@ -142,16 +173,28 @@
 /* A request of R begins, or is no longer waited for. */
 void record_asked(flowset_t *f, record_t *r, ms_t now);
 void record_answered(record_t *r);
-/* The first packet after the opening one; the caller's last. */
+/* The first packet after the opening one; none in time; the caller's last. */
 void record_opened(record_t *r);
+void record_unheard(record_t *r);
 void record_ended(record_t *r);
 
 /* ---- choice.c ---- */
 
-/* The upstream for a new flow of route R, or NULL.  NOT (may be NULL) is
- * taken only if there is no other. */
-upstream_t *choose(flowset_t *f, ms_t now, const flow_route_t *r,
-                   const upstream_t * not );
+/* Which opening packets may be refused for load. */
+typedef enum {
+    ADMIT_ALL,
+    ADMIT_IN_GOAL /* only those that can be answered within their goal */
+} admit_t;
+
+typedef struct {
+    upstream_t *up;      /* NULL: none */
+    const group_t *full; /* the group whose limit refused it, or NULL */
+} choice_t;
+
+/* The upstream for a new flow of route R.  NOT (may be NULL) is taken only if
+ * there is no other. */
+choice_t choose(flowset_t *f, ms_t now, const flow_route_t *r,
+                const upstream_t * not, admit_t admit);
 
 /* Brings the service's usual answer time up to date. */
 void choice_sweep(service_t *s, ms_t now);
--- a/test/flow_bed.h
+++ b/test/flow_bed.h
@@ -58,6 +58,8 @@
     struct Route {
         std::string addr, service;
         bool repeatable;
+        ms_t goal_ms = 0;
+        uint32_t priority = 0;
     };
 
     /* "198.18.0.1:443" to "feed", and the like. */
@@ -77,6 +79,8 @@
             flow_target_t *t = &c->targets[c->n_targets];
             to->addr = address(r.addr);
             to->repeatable = r.repeatable;
+            to->goal_ms = r.goal_ms;
+            to->priority = r.priority;
             to->first = c->n_targets++;
             to->n_targets = 1;
             strcpy(t->service, r.service.c_str());
--- a/test/flow_load_test.cc
+++ b/test/flow_load_test.cc
@@ -13,6 +13,7 @@
 namespace {
 
 const char *const ROUTE = "198.18.0.1:443";
+const char *const URGENT = "198.18.0.1:444";
 
 struct Upstream {
     flow_upstream_t a;
@@ -44,8 +45,14 @@
     uint64_t upstream = 0;
     ms_t done = -1;
     bool refused = false;
+    const char *route = ROUTE;
+    int tries = 1;
 };
 
+/* A caller that is refused comes back twice, after some 10 ms. */
+const int TRIES = 3;
+const ms_t COME_BACK_MS = 10;
+
 /* How upstreams are chosen. */
 enum class Policy { FLOWS, RANDOM };
 
@@ -59,11 +66,12 @@
     uint64_t order = 0;
     Policy policy = Policy::FLOWS;
 
-    explicit Load(int n_instances)
+    explicit Load(int n_instances, ms_t goal_ms = 0)
     {
         for (int i = 0; i < n_instances; i++) {
             instances.emplace_back(new FlowBed());
-            instances.back()->routes(1, {{ROUTE, "svc", true}});
+            instances.back()->routes(1, {{ROUTE, "svc", true, goal_ms, 2},
+                                         {URGENT, "svc", true, goal_ms, 1}});
         }
     }
 
@@ -90,11 +98,12 @@
 
     /* Requests, each on a flow of its own, at so many a second. */
     void
-    offer(ms_t from, ms_t to, double per_s)
+    offer(ms_t from, ms_t to, double per_s, const char *route = ROUTE)
     {
         for (double t = (double)from; t < (double)to;) {
             requests.push_back(
                 {(int)rng_below(&rng, (uint32_t)instances.size()), (ms_t)t});
+            requests.back().route = route;
             at((ms_t)t, What::OPEN, (int)requests.size() - 1);
             t += -std::log(1 - rng_below(&rng, 1000000) / 1e6) * 1000 / per_s;
         }
@@ -119,7 +128,13 @@
     void
     send_opening(int i, uint32_t copy)
     {
-        flow_decision_t d = bed(i).packet(FlowBed::syn(1 + i, ROUTE, copy));
+        Request &r = requests[i];
+        flow_decision_t d = bed(i).packet(FlowBed::syn(1 + i, r.route, copy));
+        if (d.verb == FLOW_RESET && r.tries < TRIES) {
+            r.tries++;
+            r.instance = (int)rng_below(&rng, (uint32_t)instances.size());
+            at(now + COME_BACK_MS, What::OPEN, i);
+        }
         if (d.verb != FLOW_FORWARD) {
             return;
         }
@@ -167,7 +182,7 @@
         case What::OPENED:
             if (!up[r.upstream].deaf) {
                 bed(e.request).packet(
-                    FlowBed::data(1 + e.request, ROUTE, tag, 1001, 100, 1));
+                    FlowBed::data(1 + e.request, r.route, tag, 1001, 100, 1));
                 at(now + 1, What::ARRIVED, e.request);
             }
             break;
@@ -183,7 +198,7 @@
             break;
         case What::DONE: {
             flow_packet_t p =
-                FlowBed::data(1 + e.request, ROUTE, tag, 1101, 0, 400);
+                FlowBed::data(1 + e.request, r.route, tag, 1101, 0, 400);
             up[r.upstream].running--;
             start(up[r.upstream]);
             r.done = now + 3;
@@ -234,6 +249,29 @@
         return (double)bad / all;
     }
 
+    uint64_t
+    refusals() const
+    {
+        uint64_t n = 0;
+        for (const auto &i : instances) {
+            n += flowset_stats(i->flows)->packets[FLOW_OVERLOAD];
+        }
+        return n;
+    }
+
+    /* Answers in time to requests of that time, a second. */
+    double
+    in_time(ms_t from, ms_t to, ms_t ms, const char *route = nullptr) const
+    {
+        int good = 0;
+        for (const Request &r : requests) {
+            good += r.began >= from && r.began < to && r.done >= 0 &&
+                    !r.refused && r.done - r.began <= ms &&
+                    (route == nullptr || route == r.route);
+        }
+        return good * 1000.0 / (double)(to - from);
+    }
+
     double
     share(uint64_t id) const
     {
@@ -394,3 +432,132 @@
     EXPECT_EQ(held.size(), 5u);
     EXPECT_LE(most - least, 2);
 }
+
+/* ---- More than the slots can run ---- */
+
+namespace {
+
+const ms_t GOAL_MS = 200;
+
+/* 10 upstreams of 2 slots run some 500 requests of 40 ms a second. */
+const double CAPACITY = 500;
+
+void
+ten_upstreams(Load &l)
+{
+    for (uint64_t id = 1; id <= 10; id++) {
+        l.add(id, "dc-a", 40);
+    }
+}
+
+} // namespace
+
+/* Twice what the slots can run, for eight seconds.  Every queue grows and all
+ * answers are late, though all slots are busy.  What can't be served is
+ * refused at once; of what the slots can run, 0.85 is answered in time in each
+ * second.
+ */
+TEST(Overload, WhatTheSlotsCanRunIsAnsweredInTime)
+{
+    for (int n_instances : {2, 8}) {
+        for (ms_t goal : {(ms_t)0, GOAL_MS}) {
+            Load l(n_instances, goal);
+            ten_upstreams(l);
+            l.offer(0, 3000, 200);
+            l.offer(3000, 11000, 2 * CAPACITY);
+            l.run(15000);
+            for (ms_t t = 5000; t < 11000; t += 1000) {
+                double served = l.in_time(t, t + 1000, GOAL_MS);
+                if (goal == 0) { /* without the limit */
+                    EXPECT_LT(served, 0.2 * CAPACITY);
+                }
+                else {
+                    EXPECT_GE(served, 0.85 * CAPACITY) << t;
+                }
+            }
+        }
+    }
+}
+
+/* Up to four fifths of what the slots can run, with the chance bursts of
+ * independent callers: no request is refused for load. */
+TEST(Overload, NothingIsRefusedWhileSlotsAreFree)
+{
+    for (double load : {0.1, 0.5, 0.8}) {
+        Load l(4, GOAL_MS);
+        ten_upstreams(l);
+        l.offer(0, 20000, load * CAPACITY);
+        l.run(22000);
+        EXPECT_EQ(l.refusals(), 0u) << load;
+    }
+}
+
+/* A service that takes most of the goal by itself: its answers are slow with
+ * free slots, and refusing would serve nobody. */
+TEST(Overload, ASlowServiceWithoutQueuesRefusesNothing)
+{
+    Load l(4, 60);
+
+    ten_upstreams(l);
+    l.offer(0, 20000, 0.5 * CAPACITY);
+    l.run(22000);
+    EXPECT_EQ(l.refusals(), 0u);
+}
+
+/* Some upstreams become five times as slow.  The others have free slots. */
+TEST(Overload, SlowUpstreamsAmongOthersRefuseNothing)
+{
+    Load l(4, GOAL_MS);
+
+    for (uint64_t id = 1; id <= 10; id++) {
+        l.add(id, "dc-a", id <= 2 ? 200 : 40);
+    }
+    l.offer(0, 10000, 0.4 * CAPACITY);
+    l.run(12000);
+    EXPECT_EQ(l.refusals(), 0u);
+}
+
+/* After the load has gone, nothing is refused any more. */
+TEST(Overload, TheLimitEndsWithTheLoad)
+{
+    Load l(4, GOAL_MS);
+    uint64_t then;
+
+    ten_upstreams(l);
+    l.offer(0, 4000, 2 * CAPACITY);
+    l.offer(5000, 15000, 0.5 * CAPACITY);
+    l.run(5000);
+    then = l.refusals();
+    EXPECT_GT(then, 0u);
+    l.run(16000);
+    EXPECT_EQ(l.refusals(), then);
+}
+
+/* The callers of one data centre ask for twice what its upstreams can run,
+ * with as many idle next door: the excess goes there. */
+TEST(Overload, AFullDataCentreSendsTheExcessToAnother)
+{
+    Load l(4, GOAL_MS);
+
+    ten_upstreams(l);
+    for (uint64_t id = 11; id <= 20; id++) {
+        l.add(id, "dc-b", 40);
+    }
+    l.offer(0, 8000, 1.6 * CAPACITY);
+    l.run(10000);
+    EXPECT_LT(l.late(1000, 8000, GOAL_MS), 0.05);
+}
+
+/* One request in five is urgent.  At twice what the slots can run, those are
+ * refused last. */
+TEST(Overload, UrgentRequestsAreRefusedLast)
+{
+    Load l(4, GOAL_MS);
+
+    ten_upstreams(l);
+    l.offer(0, 8000, 1.6 * CAPACITY);
+    l.offer(0, 8000, 0.4 * CAPACITY, URGENT);
+    l.run(10000);
+    EXPECT_GE(l.in_time(2000, 8000, GOAL_MS, URGENT), 0.85 * 0.4 * CAPACITY);
+    EXPECT_GE(l.in_time(2000, 8000, GOAL_MS), 0.85 * CAPACITY);
+}
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -227,9 +227,12 @@
 TEST(Items, TheKindOfARouteTellsWhetherItsRequestsAreIdempotent)
 {
     static const std::pair<const char *, bool> kinds[] = {
-        {R"("kind":"safe",)", true},     {R"("kind":"download",)", true},
-        {R"("kind":"unsafe",)", false},  {R"("kind":"upload",)", false},
-        {R"("kind":"unheard",)", false}, {R"("kind":7,)", false},
+        {R"("kind":"safe",)", true},
+        {R"("kind":"download",)", true},
+        {R"("kind":"unsafe",)", false},
+        {R"("kind":"upload",)", false},
+        {R"("kind":"unheard",)", false},
+        {R"("kind":7,)", false},
         {"", false},
     };
 
