A full link's chance finds no upstream unreachable

A trial that logs each probe's end: 18,000 probes without an answer in 13 s, on small instances whose 10 Mbit/s links five times the uploads had filled, at any upstream; so many that three silent ones with two answers beside come by chance.

Ruled out: that the servers' queues of connections were full (the silence goes by instance, not by upstream: 753 at the worst of 58, 164 at the worst upstream).

Change: the share of probes beside that go unanswered is kept; above 0.05 a silence proves nothing. Flow.ChanceOnAFullLinkFindsNoUpstreamUnreachable failed first.

--- a/flow/reach.c
+++ b/flow/reach.c
@@ -13,8 +13,9 @@
  *              leaving, when it is refused again
  *   reset      it was accepted first, so a process listened: one that has too
  *              many connections, or that ended just then
- *   silent     three times in a row, while another upstream answers: it can't
- *              be reached from here
+ *   silent     three times in a row, while another upstream answers, and
+ *              hardly any probe of those in no doubt was lost of late: it
+ *              can't be reached from here
  */
 #include "flow/state.h"
 
@@ -29,6 +30,12 @@
  * packets at random: two of them lost and another's passed is still likely
  * there, three lost and two passed is not. */
 #define PROBES_SILENT 3
+/* Of the probes beside, the share without an answer up to which silence proves
+ * anything: on a full link thousands of probes are under way, and three of one
+ * upstream are lost by chance, with an answer beside, again and again. */
+#define SILENCE_MAX 0.05
+/* Weight of a probe in that share. */
+#define SILENCE_WEIGHT 0.05
 /* Refused probes in a row that prove the end of an upstream that is leaving:
  * it may close its port a little before its last flows end.  A crash ends both
  * at once, and one refusal proves it. */
@@ -232,6 +239,7 @@
     start_probe(f, now, u);
     if (control != NULL) {
         start_probe(f, now, control);
+        control->beside = true;
     }
 }
 
@@ -249,7 +257,8 @@
 static void
 probe_silent(flowset_t *f, ms_t now, upstream_t *u)
 {
-    bool beside = f->answered_from >= u->probed_at;
+    bool beside =
+        f->answered_from >= u->probed_at && f->silence <= SILENCE_MAX;
 
     u->silent++;
     if (u->reach == REACH_DOUBTED) {
@@ -281,11 +290,21 @@
     schedule(f, u, next_retry(u, now));
 }
 
+static void
+note_silence(flowset_t *f, upstream_t *u, flow_probe_t result)
+{
+    if (u->beside && result != PROBE_NONE) {
+        f->silence += SILENCE_WEIGHT * ((result == PROBE_SILENT) - f->silence);
+    }
+    u->beside = false;
+}
+
 void
 reach_probed(flowset_t *f, ms_t now, upstream_t *u, flow_probe_t result)
 {
     u->probing = false;
     schedule(f, u, MS_NEVER);
+    note_silence(f, u, result);
     switch (result) {
     case PROBE_ANSWERED:
         if (u->probed_at > f->answered_from) {
--- a/flow/state.h
+++ b/flow/state.h
@@ -78,6 +78,7 @@
     /* Reach */
     flow_reach_t reach;
     bool probing;
+    bool beside;     /* that probe is only to compare another's with */
     int silent;      /* probes in a row without an answer */
     int refused;     /* probes in a row that were refused */
     ms_t refused_at; /* the last of them */
@@ -137,6 +138,8 @@
     link_t opening, asking; /* records: see record_t.waiting */
     uint32_t n_upstreams, n_records;
     ms_t answered_from; /* the latest start of a probe that was answered */
+    double silence;     /* moving average of the share of probes to upstreams
+                         * in no doubt that were not answered */
     ms_t sweep_at;      /* when all records are looked through next */
     flow_stats_t stats;
 };
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -615,6 +615,48 @@
     one_answer_beside(PROBE_SILENT, PROBE_ANSWERED);
 }
 
+/* A burst of uploads fills a small instance's link for a minute: a third of
+ * its probes get no answer in time, whomever they ask.  Among thousands, three
+ * in a row are silent by chance again and again, with an answer beside each.
+ * No upstream may be found unreachable by that. */
+TEST_F(Flow, ChanceOnAFullLinkFindsNoUpstreamUnreachable)
+{
+    rng_t rng = {11, 0};
+    const int n = 20;
+    std::map<uint64_t, int> caller_of;
+
+    for (uint64_t id = 0x31; id < 0x31 + n; id++) {
+        bed.announce(FlowBed::upstream(id, "svc", "dc-a"));
+    }
+    for (int caller = 1; caller <= 200; caller++) {
+        caller_of[bed.open(caller, FEED)] = caller;
+    }
+    for (uint32_t round = 0; round < 100; round++) {
+        bed.now += 500;
+        for (ms_t wait : {200, 0}) { /* each sends a request, and again */
+            for (const auto &c : caller_of) {
+                bed.packet(FlowBed::data(c.second, FEED, (uint32_t)c.first,
+                                         1001 + 100 * round, 100));
+            }
+            bed.now += wait;
+        }
+        for (int i = 0; i < 6; i++) {
+            std::vector<flow_out_t> asked;
+            asked.swap(bed.probes);
+            bed.now += 100;
+            for (const flow_out_t &p : asked) {
+                bed.probed(p.upstream, rng_below(&rng, 3) == 0
+                                           ? PROBE_SILENT
+                                           : PROBE_ANSWERED);
+            }
+        }
+    }
+    for (const flow_out_t &r : bed.reaches) {
+        EXPECT_NE(r.reach.to, REACH_OUT);
+    }
+    EXPECT_TRUE(bed.resets.empty());
+}
+
 /* It comes back by proof: it is probed now and then, and the first answer
  * makes it good. */
 TEST_F(Flow, AnUnreachableUpstreamReturnsWithItsFirstAnswer)
