flow: a pause before the next request is no part of an answer

Cause: an answer of one packet is acknowledged only with the caller's next request on the flow. On long flows the pause between them was sampled as the time to that answer; under overload, where short refusals of servers are common, it made services look full and upstreams slow. Ruled out: that long answers are concerned (their second packet is acknowledged at once).

Flow.ThePauseBeforeTheNextRequestIsNoPartOfAnAnswer failed first.

--- a/flow/flows.c
+++ b/flow/flows.c
@@ -254,6 +254,7 @@
     *average = *average == 0 ? value : *average + weight * (value - *average);
 }
 
+/* An answer's first acknowledgement. */
 static void
 answer_seen(flowset_t *f, ms_t now, record_t *r)
 {
@@ -290,7 +291,10 @@
     else if ((int32_t)(p->ack - r->ack) > 0) {
         r->ack = p->ack;
         reach_alive(f, now - p->age_ms, u);
-        if (r->asked_at != 0) {
+        if (r->asked_at != 0 && fresh) {
+            record_answered(r); /* some time before the caller asked again */
+        }
+        else if (r->asked_at != 0) {
             answer_seen(f, now, r);
         }
     }
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -133,6 +133,23 @@
               0x11u);
 }
 
+/* A short answer is acknowledged only with the caller's next request, which
+ * comes after a pause.  Taken for the time to an answer, the pause would make
+ * its upstream look slow and the service full. */
+TEST_F(Flow, ThePauseBeforeTheNextRequestIsNoPartOfAnAnswer)
+{
+    uint32_t tag = bed.open(1, FEED);
+
+    bed.packet(FlowBed::data(1, FEED, tag, 1001, 100));
+    bed.now += 4000;
+    bed.packet(FlowBed::data(1, FEED, tag, 1101, 100, 5200));
+    EXPECT_EQ(bed.stats()->answer_ms.count, 0u);
+    bed.now += 40;
+    bed.packet(FlowBed::data(1, FEED, tag, 1201, 0, 5400));
+    EXPECT_EQ(bed.stats()->answer_ms.count, 1u);
+    EXPECT_LE(bed.stats()->answer_ms.sum, 40u);
+}
+
 /* ---- Leaving and returning ---- */
 
 TEST_F(Flow, ADrainingUpstreamKeepsItsFlowsAndGetsNoNewOne)
