flow: a limit that begins or ends is told; flows.c split by duty

The log gets a line when a limit begins or ends (service, whose data centres, in progress, limit, what slow answers take, refused in all); a refusal names service, requests in progress and limit; siskin_limits_in_force counts.

--- a/flow/choice.c
+++ b/flow/choice.c
@@ -172,7 +172,7 @@
     if (pick.tier == TIER_GOOD && limit_admits(&other->limit, now, priority)) {
         return (choice_t){.up = pick.up};
     }
-    return (choice_t){.full = u->group};
+    return (choice_t){.full = u->group, .service = s->name};
 }
 
 static int
--- /dev/null
+++ b/flow/decide.c
@@ -0,0 +1,283 @@
+/* What becomes of a packet. */
+#include "flow/state.h"
+
+/* Weight of a new sample in the moving averages of the time to an answer: the
+ * last five or so count. */
+#define SAMPLE_WEIGHT 0.2
+
+static const char *const reasons[FLOW_REASONS] = {
+    [FLOW_BY_TAG] = "tag",
+    [FLOW_CHOSEN] = "chosen",
+    [FLOW_COPY] = "copy",
+    [FLOW_COPY_MOVED] = "copy-moved",
+    [FLOW_NO_ROUTE] = "no-route",
+    [FLOW_NO_UPSTREAM] = "no-upstream",
+    [FLOW_OVERLOAD] = "overload",
+    [FLOW_UPSTREAM_DEAD] = "upstream-dead",
+    [FLOW_UPSTREAM_OUT] = "upstream-unreachable",
+    [FLOW_TAG_UNKNOWN] = "tag-unknown",
+    [FLOW_TAG_NONE] = "tag-none",
+};
+
+const char *
+flow_reason_name(flow_reason_t r)
+{
+    return r < FLOW_REASONS ? reasons[r] : "?";
+}
+
+static void
+decide(flow_decision_t *d, flow_verb_t verb, flow_reason_t reason)
+{
+    d->verb = verb;
+    d->reason = reason;
+}
+
+static void
+forward(flow_decision_t *d, flow_reason_t reason, const upstream_t *u)
+{
+    decide(d, FLOW_FORWARD, reason);
+    d->upstream = u->a.id;
+    d->to = u->a.addr;
+    d->tag = (uint32_t)u->a.id;
+    d->service = u->a.service;
+    d->busy = u->busy;
+    d->open = u->open;
+}
+
+static void
+sample(double *average, double weight, double value)
+{
+    *average = *average == 0 ? value : *average + weight * (value - *average);
+}
+
+static void
+tell_limit(flowset_t *f, const upstream_t *u)
+{
+    const limit_t *l = &u->group->limit;
+    flow_out_t out = {.kind = FLOW_OUT_LIMIT};
+
+    out.limit.service = u->service->name;
+    out.limit.local = u->local;
+    out.limit.in_force = l->most > 0;
+    out.limit.busy = l->busy;
+    out.limit.most = (uint32_t)l->most;
+    out.limit.slow = l->slow;
+    out.limit.target = limit_target(&u->service->alone);
+    out.limit.refused = l->refused;
+    f->spec.emit(f->spec.arg, &out);
+}
+
+/* An answer's first acknowledgement. */
+static void
+answer_seen(flowset_t *f, ms_t now, record_t *r)
+{
+    double ms = (double)(now - r->asked_at);
+
+    hist_add(&f->stats.answer_ms, (uint64_t)ms);
+    if (r->repeatable) { /* uploads take as long as the caller sends */
+        sample(&r->up->answer_ms, SAMPLE_WEIGHT, ms + 1);
+        r->up->answered_at = now;
+        if (r->goal_ms > 0 &&
+            limit_answered(&r->up->group->limit, now, &r->up->service->alone,
+                           ms / (double)r->goal_ms, r->busy_then)) {
+            tell_limit(f, r->up);
+        }
+    }
+    record_answered(r);
+}
+
+/* A packet of a flow whose upstream is known. */
+static void
+follow(flowset_t *f, ms_t now, const flow_packet_t *p, record_t *r)
+{
+    uint32_t end = p->seq + p->len;
+    bool fresh = (int32_t)(end - r->seq_end) > 0;
+    upstream_t *u = r->up;
+
+    if (!r->open) {
+        record_opened(r);
+        hist_add(&f->stats.open_ms, (uint64_t)(now - r->sent_at));
+        r->seq_end = end - p->len;
+        r->ack = p->ack;
+        fresh = p->len > 0;
+        reach_alive(f, now - p->age_ms, u);
+    }
+    else if ((int32_t)(p->ack - r->ack) > 0) {
+        r->ack = p->ack;
+        reach_alive(f, now - p->age_ms, u);
+        if (r->asked_at != 0 && fresh) {
+            record_answered(r); /* some time before the caller asked again */
+        }
+        else if (r->asked_at != 0) {
+            answer_seen(f, now, r);
+        }
+    }
+    else if (p->len > 0 && !fresh && now - r->sent_at >= REPEAT_MIN_MS) {
+        reach_doubt(f, now, u, r->sent_at, "a caller repeats itself");
+    }
+    if (fresh) {
+        r->seq_end = end;
+        r->sent_at = now;
+        if (r->asked_at == 0 && p->len > 0) {
+            record_asked(f, r, now);
+        }
+    }
+}
+
+static void
+touch(flowset_t *f, ms_t now, record_t *r)
+{
+    r->last_at = now;
+    list_remove(&r->recent);
+    list_append(&f->recent, &r->recent);
+}
+
+/* May a flow be ended that its upstream can't be told of?  Only if the caller
+ * may repeat what it asked for, and asks for something now. */
+static bool
+may_give_up(const flowset_t *f, const flow_packet_t *p, const upstream_t *u)
+{
+    const flow_route_t *route = route_find(f, &p->service);
+
+    return u->reach == REACH_OUT && p->len > 0 && route != NULL &&
+           route->repeatable;
+}
+
+static void
+take_later(flowset_t *f, ms_t now, const flow_packet_t *p, flow_decision_t *d)
+{
+    upstream_t *u = upstream_by_tag(f, p->tag);
+    record_t *r;
+
+    if (u == NULL) {
+        decide(d, FLOW_DROP, p->tag == 0 ? FLOW_TAG_NONE : FLOW_TAG_UNKNOWN);
+        return;
+    }
+    r = record_find(f, &p->caller, &p->service);
+    if (u->reach == REACH_DEAD || may_give_up(f, p, u)) {
+        decide(d, FLOW_RESET,
+               u->reach == REACH_DEAD ? FLOW_UPSTREAM_DEAD
+                                      : FLOW_UPSTREAM_OUT);
+        d->upstream = u->a.id;
+        d->service = u->a.service;
+        if (r != NULL) {
+            record_free(f, r);
+        }
+        return;
+    }
+    forward(d, FLOW_BY_TAG, u);
+    if (r != NULL && r->up != u) {
+        record_move(r, u);
+    }
+    if (p->resets) {
+        if (r != NULL) {
+            record_free(f, r);
+        }
+        return;
+    }
+    if (r == NULL) {
+        r = record_new(f, now, p, u, route_find(f, &p->service));
+        d->asks = p->len > 0;
+    }
+    else {
+        bool asked = r->asked_at != 0;
+        follow(f, now, p, r);
+        touch(f, now, r);
+        d->asks = !asked && r->asked_at != 0;
+    }
+    if (r != NULL && p->ends) {
+        record_ended(r); /* kept: the last packets must not look like a flow */
+    }
+}
+
+/* May another opening packet of the same caller have opened the flow, through
+ * another instance or before an upstream died?  Then the caller must not be
+ * told that it failed. */
+static bool
+opened_elsewhere(const flow_packet_t *p)
+{
+    return p->ack > 0 || p->age_ms >= REPEAT_MIN_MS;
+}
+
+static void
+refuse_opening(const flow_packet_t *p, flow_reason_t reason,
+               flow_decision_t *d)
+{
+    decide(d, opened_elsewhere(p) ? FLOW_DROP : FLOW_RESET, reason);
+}
+
+/* A copy of an opening packet that nobody answered: another upstream takes it,
+ * or the same if it is the only one. */
+static void
+take_copy(flowset_t *f, ms_t now, record_t *r, const flow_route_t *route,
+          flow_decision_t *d)
+{
+    upstream_t *u;
+
+    reach_doubt(f, now, r->up, r->sent_at, "an opening packet is repeated");
+    u = choose(f, now, route, r->up, ADMIT_ALL).up;
+    if (u == NULL) {
+        decide(d, FLOW_DROP, FLOW_NO_UPSTREAM); /* as refuse_opening() */
+        record_free(f, r);
+        return;
+    }
+    r->copied = true;
+    forward(d, u == r->up ? FLOW_COPY : FLOW_COPY_MOVED, u);
+    if (u != r->up) {
+        record_move(r, u);
+    }
+    r->sent_at = now;
+    touch(f, now, r);
+}
+
+static void
+take_opening(flowset_t *f, ms_t now, const flow_packet_t *p,
+             flow_decision_t *d)
+{
+    const flow_route_t *route = route_find(f, &p->service);
+    record_t *r = record_find(f, &p->caller, &p->service);
+    choice_t c;
+
+    if (route == NULL) {
+        refuse_opening(p, FLOW_NO_ROUTE, d);
+        return;
+    }
+    if (r != NULL && !r->open && p->ack > 0) {
+        take_copy(f, now, r, route, d);
+        return;
+    }
+    if (r != NULL) { /* the caller's port is used again */
+        record_free(f, r);
+    }
+    c = choose(f, now, route, NULL,
+               opened_elsewhere(p) ? ADMIT_ALL : ADMIT_IN_GOAL);
+    if (c.up == NULL) {
+        refuse_opening(p, c.full != NULL ? FLOW_OVERLOAD : FLOW_NO_UPSTREAM,
+                       d);
+        if (c.full != NULL) {
+            d->service = c.service;
+            d->busy = c.full->limit.busy;
+            d->limit = (uint32_t)c.full->limit.most;
+        }
+        return;
+    }
+    forward(d, FLOW_CHOSEN, c.up);
+    r = record_new(f, now, p, c.up, route);
+    if (r != NULL) {
+        r->copied = opened_elsewhere(p);
+    }
+}
+
+void
+flowset_packet(flowset_t *f, ms_t now, const flow_packet_t *p,
+               flow_decision_t *d)
+{
+    *d = (flow_decision_t){.version = f->conf ? f->conf->version : 0};
+    if (p->opens) {
+        take_opening(f, now, p, d);
+    }
+    else {
+        take_later(f, now, p, d);
+    }
+    f->stats.packets[d->reason]++;
+}
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -10,7 +10,8 @@
  * what is to be done goes out through a callback.  What an instance remembers
  * of a flow serves only to judge upstreams: losing it breaks nothing.
  *
- * The files call downwards only: flows.c (entry points), reach.c (which
+ * The files call downwards only: flows.c (entry points), decide.c (what
+ * becomes of a packet), waits.c (what goes unanswered), reach.c (which
  * upstream answers), choice.c (which takes a new flow), records.c (what is
  * remembered of a flow), limit.c (how many requests may be in progress),
  * directory.c (routes and upstreams), index.c (a hash table).
@@ -128,7 +129,8 @@
 typedef enum {
     FLOW_OUT_RESET, /* tell a caller that its flow has ended */
     FLOW_OUT_PROBE, /* try to connect to an upstream */
-    FLOW_OUT_REACH  /* for the log: an upstream's reach has changed */
+    FLOW_OUT_REACH, /* for the log: an upstream's reach has changed */
+    FLOW_OUT_LIMIT  /* for the log: a limit begins or ends */
 } flow_out_kind_t;
 
 /* Whether an upstream answers. */
@@ -161,6 +163,17 @@
             const char *service, *data_centre;
             uint32_t open; /* flows seen here */
         } reach;
+        struct {
+            const char *service;
+            bool local;       /* of its upstreams in this data centre, or of
+                               * those in others */
+            bool in_force;    /* it begins */
+            uint32_t busy;    /* requests in progress */
+            uint32_t most;    /* as many may be */
+            double slow;      /* what slow answers take, as a share of goals */
+            double target;    /* what they should take */
+            uint64_t refused; /* since it began */
+        } limit;
     };
 } flow_out_t;
 
@@ -213,6 +226,7 @@
 typedef struct {
     uint64_t version; /* 0: none yet */
     uint32_t routes, upstreams, usable, records;
+    uint32_t limits; /* in force: two at most for a service */
     uint64_t packets[FLOW_REASONS];
     uint64_t probes[PROBE_RESULTS];
     uint64_t resets;    /* of flows, not asked for by a packet */
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -5,47 +5,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* An upstream answers an opening packet at once, and the caller's next packet
- * is here a round trip later: some 10 ms.  So long without it, something is
- * wrong with the upstream or the way to it. */
-#define OPENING_MS 80
-/* A request unanswered for so long is no longer counted as in progress: it was
- * given up, or its flow goes on through another instance. */
-#define ASKED_MAX_MS 3000
 /* An upstream that has left is remembered so long for flows that it may still
  * hold; flows are no older on the sites served so far. */
 #define FORGET_MS 90000
-/* A request of a repeatable route that stays unanswered for so many times the
- * service's average raises a doubt, within these bounds: well before its
- * caller sends again.  Others' answers since then refute it. */
-#define ASKING_FACTOR 4
-#define ASKING_MIN_MS 60
-#define ASKING_MAX_MS 200
 /* Between two looks through all records. */
 #define SWEEP_MS 500
-/* Weight of a new sample in the moving averages of the time to an answer: the
- * last five or so count. */
-#define SAMPLE_WEIGHT 0.2
-
-static const char *const reasons[FLOW_REASONS] = {
-    [FLOW_BY_TAG] = "tag",
-    [FLOW_CHOSEN] = "chosen",
-    [FLOW_COPY] = "copy",
-    [FLOW_COPY_MOVED] = "copy-moved",
-    [FLOW_NO_ROUTE] = "no-route",
-    [FLOW_NO_UPSTREAM] = "no-upstream",
-    [FLOW_OVERLOAD] = "overload",
-    [FLOW_UPSTREAM_DEAD] = "upstream-dead",
-    [FLOW_UPSTREAM_OUT] = "upstream-unreachable",
-    [FLOW_TAG_UNKNOWN] = "tag-unknown",
-    [FLOW_TAG_NONE] = "tag-none",
-};
-
-const char *
-flow_reason_name(flow_reason_t r)
-{
-    return r < FLOW_REASONS ? reasons[r] : "?";
-}
 
 flowset_t *
 flowset_new(const flow_spec_t *spec)
@@ -228,246 +192,6 @@
     }
 }
 
-/* ---- Packets ---- */
-
-static void
-decide(flow_decision_t *d, flow_verb_t verb, flow_reason_t reason)
-{
-    d->verb = verb;
-    d->reason = reason;
-}
-
-static void
-forward(flow_decision_t *d, flow_reason_t reason, const upstream_t *u)
-{
-    decide(d, FLOW_FORWARD, reason);
-    d->upstream = u->a.id;
-    d->to = u->a.addr;
-    d->tag = (uint32_t)u->a.id;
-    d->service = u->a.service;
-    d->busy = u->busy;
-    d->open = u->open;
-}
-
-static void
-sample(double *average, double weight, double value)
-{
-    *average = *average == 0 ? value : *average + weight * (value - *average);
-}
-
-/* An answer's first acknowledgement. */
-static void
-answer_seen(flowset_t *f, ms_t now, record_t *r)
-{
-    double ms = (double)(now - r->asked_at);
-
-    hist_add(&f->stats.answer_ms, (uint64_t)ms);
-    if (r->repeatable) { /* uploads take as long as the caller sends */
-        sample(&r->up->answer_ms, SAMPLE_WEIGHT, ms + 1);
-        r->up->answered_at = now;
-        if (r->goal_ms > 0) {
-            limit_answered(&r->up->group->limit, now, &r->up->service->alone,
-                           ms / (double)r->goal_ms, r->busy_then);
-        }
-    }
-    record_answered(r);
-}
-
-/* A packet of a flow whose upstream is known. */
-static void
-follow(flowset_t *f, ms_t now, const flow_packet_t *p, record_t *r)
-{
-    uint32_t end = p->seq + p->len;
-    bool fresh = (int32_t)(end - r->seq_end) > 0;
-    upstream_t *u = r->up;
-
-    if (!r->open) {
-        record_opened(r);
-        hist_add(&f->stats.open_ms, (uint64_t)(now - r->sent_at));
-        r->seq_end = end - p->len;
-        r->ack = p->ack;
-        fresh = p->len > 0;
-        reach_alive(f, now - p->age_ms, u);
-    }
-    else if ((int32_t)(p->ack - r->ack) > 0) {
-        r->ack = p->ack;
-        reach_alive(f, now - p->age_ms, u);
-        if (r->asked_at != 0 && fresh) {
-            record_answered(r); /* some time before the caller asked again */
-        }
-        else if (r->asked_at != 0) {
-            answer_seen(f, now, r);
-        }
-    }
-    else if (p->len > 0 && !fresh && now - r->sent_at >= REPEAT_MIN_MS) {
-        reach_doubt(f, now, u, r->sent_at, "a caller repeats itself");
-    }
-    if (fresh) {
-        r->seq_end = end;
-        r->sent_at = now;
-        if (r->asked_at == 0 && p->len > 0) {
-            record_asked(f, r, now);
-        }
-    }
-}
-
-static void
-touch(flowset_t *f, ms_t now, record_t *r)
-{
-    r->last_at = now;
-    list_remove(&r->recent);
-    list_append(&f->recent, &r->recent);
-}
-
-/* May a flow be ended that its upstream can't be told of?  Only if the caller
- * may repeat what it asked for, and asks for something now. */
-static bool
-may_give_up(const flowset_t *f, const flow_packet_t *p, const upstream_t *u)
-{
-    const flow_route_t *route = route_find(f, &p->service);
-
-    return u->reach == REACH_OUT && p->len > 0 && route != NULL &&
-           route->repeatable;
-}
-
-static void
-take_later(flowset_t *f, ms_t now, const flow_packet_t *p, flow_decision_t *d)
-{
-    upstream_t *u = upstream_by_tag(f, p->tag);
-    record_t *r;
-
-    if (u == NULL) {
-        decide(d, FLOW_DROP, p->tag == 0 ? FLOW_TAG_NONE : FLOW_TAG_UNKNOWN);
-        return;
-    }
-    r = record_find(f, &p->caller, &p->service);
-    if (u->reach == REACH_DEAD || may_give_up(f, p, u)) {
-        decide(d, FLOW_RESET,
-               u->reach == REACH_DEAD ? FLOW_UPSTREAM_DEAD
-                                      : FLOW_UPSTREAM_OUT);
-        d->upstream = u->a.id;
-        d->service = u->a.service;
-        if (r != NULL) {
-            record_free(f, r);
-        }
-        return;
-    }
-    forward(d, FLOW_BY_TAG, u);
-    if (r != NULL && r->up != u) {
-        record_move(r, u);
-    }
-    if (p->resets) {
-        if (r != NULL) {
-            record_free(f, r);
-        }
-        return;
-    }
-    if (r == NULL) {
-        r = record_new(f, now, p, u, route_find(f, &p->service));
-        d->asks = p->len > 0;
-    }
-    else {
-        bool asked = r->asked_at != 0;
-        follow(f, now, p, r);
-        touch(f, now, r);
-        d->asks = !asked && r->asked_at != 0;
-    }
-    if (r != NULL && p->ends) {
-        record_ended(r); /* kept: the last packets must not look like a flow */
-    }
-}
-
-/* May another opening packet of the same caller have opened the flow, through
- * another instance or before an upstream died?  Then the caller must not be
- * told that it failed. */
-static bool
-opened_elsewhere(const flow_packet_t *p)
-{
-    return p->ack > 0 || p->age_ms >= REPEAT_MIN_MS;
-}
-
-static void
-refuse_opening(const flow_packet_t *p, flow_reason_t reason,
-               flow_decision_t *d)
-{
-    decide(d, opened_elsewhere(p) ? FLOW_DROP : FLOW_RESET, reason);
-}
-
-/* A copy of an opening packet that nobody answered: another upstream takes it,
- * or the same if it is the only one. */
-static void
-take_copy(flowset_t *f, ms_t now, record_t *r, const flow_route_t *route,
-          flow_decision_t *d)
-{
-    upstream_t *u;
-
-    reach_doubt(f, now, r->up, r->sent_at, "an opening packet is repeated");
-    u = choose(f, now, route, r->up, ADMIT_ALL).up;
-    if (u == NULL) {
-        decide(d, FLOW_DROP, FLOW_NO_UPSTREAM); /* as refuse_opening() */
-        record_free(f, r);
-        return;
-    }
-    r->copied = true;
-    forward(d, u == r->up ? FLOW_COPY : FLOW_COPY_MOVED, u);
-    if (u != r->up) {
-        record_move(r, u);
-    }
-    r->sent_at = now;
-    touch(f, now, r);
-}
-
-static void
-take_opening(flowset_t *f, ms_t now, const flow_packet_t *p,
-             flow_decision_t *d)
-{
-    const flow_route_t *route = route_find(f, &p->service);
-    record_t *r = record_find(f, &p->caller, &p->service);
-    choice_t c;
-
-    if (route == NULL) {
-        refuse_opening(p, FLOW_NO_ROUTE, d);
-        return;
-    }
-    if (r != NULL && !r->open && p->ack > 0) {
-        take_copy(f, now, r, route, d);
-        return;
-    }
-    if (r != NULL) { /* the caller's port is used again */
-        record_free(f, r);
-    }
-    c = choose(f, now, route, NULL,
-               opened_elsewhere(p) ? ADMIT_ALL : ADMIT_IN_GOAL);
-    if (c.up == NULL) {
-        refuse_opening(p, c.full != NULL ? FLOW_OVERLOAD : FLOW_NO_UPSTREAM,
-                       d);
-        if (c.full != NULL) {
-            d->busy = c.full->limit.busy;
-            d->limit = (uint32_t)c.full->limit.most;
-        }
-        return;
-    }
-    forward(d, FLOW_CHOSEN, c.up);
-    r = record_new(f, now, p, c.up, route);
-    if (r != NULL) {
-        r->copied = opened_elsewhere(p);
-    }
-}
-
-void
-flowset_packet(flowset_t *f, ms_t now, const flow_packet_t *p,
-               flow_decision_t *d)
-{
-    *d = (flow_decision_t){.version = f->conf ? f->conf->version : 0};
-    if (p->opens) {
-        take_opening(f, now, p, d);
-    }
-    else {
-        take_later(f, now, p, d);
-    }
-    f->stats.packets[d->reason]++;
-}
-
 /* ---- Time ---- */
 
 void
@@ -491,92 +215,6 @@
     }
 }
 
-/* Opening packets that went unanswered; returns when the next would be. */
-static ms_t
-check_opening(flowset_t *f, ms_t now)
-{
-    LIST_EACH (it, &f->opening) {
-        record_t *r = LIST_OWNER(it, record_t, waiting);
-        if (now - r->sent_at < OPENING_MS) {
-            return r->sent_at + OPENING_MS;
-        }
-        record_unheard(r);
-        r->up->unanswered++;
-        reach_doubt(f, now, r->up, r->sent_at,
-                    "an opening packet was not answered");
-    }
-    return MS_NEVER;
-}
-
-static ms_t
-asking_ms(const service_t *s)
-{
-    ms_t ms = (ms_t)(ASKING_FACTOR * s->answer_ms);
-
-    return ms == 0 || ms > ASKING_MAX_MS ? ASKING_MAX_MS
-           : ms < ASKING_MIN_MS          ? ASKING_MIN_MS
-                                         : ms;
-}
-
-/* Requests that wait unusually long; returns when the next one would.  They
- * are in the order of their beginning, and services differ by little: one that
- * stands behind another of a slower service is found a little late. */
-static ms_t
-check_asking(flowset_t *f, ms_t now)
-{
-    LIST_EACH (it, &f->asking) {
-        record_t *r = LIST_OWNER(it, record_t, waiting);
-        ms_t due = r->asked_at + asking_ms(r->up->service);
-        if (now < due) {
-            return due;
-        }
-        list_remove(it);
-        if (r->goal_ms > 0) {
-            list_append(&f->late, it);
-        }
-        if (r->repeatable) { /* an upload is answered when it has ended */
-            reach_doubt(f, now, r->up, r->asked_at,
-                        "a request is not answered");
-        }
-    }
-    return MS_NEVER;
-}
-
-/* An answer may go unseen: one of a single packet is acknowledged with the
- * caller's next request, or never.  Under overload, servers refuse many that
- * way; counted as in progress they would keep out new ones while slots are
- * free.  Goals differ: one that stands behind a longer is found a little late.
- */
-static void
-check_late(flowset_t *f, ms_t now)
-{
-    LIST_EACH (it, &f->late) {
-        record_t *r = LIST_OWNER(it, record_t, waiting);
-        if (now < r->asked_at + r->goal_ms) {
-            return;
-        }
-        record_overdue(r);
-    }
-}
-
-/* Requests whose answer won't be seen here no longer count as in progress. */
-static void
-check_asked(flowset_t *f, ms_t now)
-{
-    LIST_EACH (it, &f->recent) {
-        record_t *r = LIST_OWNER(it, record_t, recent);
-        if (now - r->last_at < ASKED_MAX_MS) {
-            return;
-        }
-        if (!r->open || r->ended) {
-            record_free(f, r);
-        }
-        else if (r->asked_at != 0) {
-            record_answered(r);
-        }
-    }
-}
-
 static void
 forget_upstreams(flowset_t *f, ms_t now)
 {
@@ -591,15 +229,12 @@
 ms_t
 flowset_tick(flowset_t *f, ms_t now)
 {
-    ms_t opening = check_opening(f, now);
-    ms_t asking = check_asking(f, now);
+    ms_t waits = waits_check(f, now);
     ms_t probe = reach_tick(f, now);
-    ms_t next = opening < probe ? opening : probe;
+    ms_t next = waits < probe ? waits : probe;
 
-    next = asking < next ? asking : next;
-    check_late(f, now);
     if (now >= f->sweep_at) {
-        check_asked(f, now);
+        waits_sweep(f, now);
         records_expire(f, now);
         forget_upstreams(f, now);
         LIST_EACH (it, &f->services) {
@@ -621,7 +256,11 @@
     s->routes = f->conf != NULL ? f->conf->n_routes : 0;
     s->upstreams = f->n_upstreams;
     s->records = f->n_records;
-    s->usable = 0;
+    s->usable = s->limits = 0;
+    LIST_EACH (it, &f->services) {
+        const service_t *v = LIST_OWNER(it, service_t, link);
+        s->limits += (v->near.limit.most > 0) + (v->far.limit.most > 0);
+    }
     LIST_EACH (it, &f->upstreams) {
         const upstream_t *u = LIST_OWNER(it, upstream_t, all);
         s->usable += u->listed && !u->a.draining && u->reach == REACH_GOOD;
--- a/flow/limit.c
+++ b/flow/limit.c
@@ -5,18 +5,18 @@
  * slots can't be served in time by anybody; refused at once, it leaves the
  * rest in time.
  *
- * Queues show in the time to an answer.  No limit is in force until the median
- * of that time is beyond a share of callers' goals, and beyond a multiple of
- * what an answer takes that waits for nobody: a service that is slow by itself
- * has no queue to shorten.
+ * Queues show in the time to an answer.  No limit is in force until slow
+ * answers take more than a share of callers' goals, and more than a multiple
+ * of what an answer takes that waits for nobody: a service that is slow by
+ * itself has no queue to shorten.
  *
  * Once slots are full, an answer takes in proportion to what was in progress
  * when its request began.  Each answer so tells with how many in progress it
- * would have taken as long as it should; the limit is their moving average.
- * It doesn't matter that answers come late, with queues long gone: a limit
- * that shrank for each late one would fall until slots idle.  It is a little
- * above that average, so that an instance whose limit is low among its peers
- * comes up again.
+ * would have taken as long as it should, and the limit follows the slow of
+ * them.  It doesn't matter that answers come late, with queues long gone: a
+ * limit that shrank for each late one would fall until slots idle.  It stays a
+ * little above, so that an instance whose limit is low among its peers comes
+ * up again.
  */
 #include "flow/state.h"
 
@@ -83,9 +83,8 @@
     }
 }
 
-/* The share of the goal that answers should take. */
-static double
-target_of(const alone_t *a)
+double
+limit_target(const alone_t *a)
 {
     double queued = QUEUE_FACTOR * a->share;
 
@@ -104,27 +103,41 @@
     note_quantile(&l->most, 1 - SLOW_QUANTILE, step, most);
 }
 
-void
+static void
+begin(limit_t *l, ms_t now, double target)
+{
+    l->most = l->busy * target / l->slow;
+    l->refused = 0;
+    l->refused_at = now;
+}
+
+static void
+end(limit_t *l, double target)
+{
+    l->most = 0;
+    l->slow = RELEASED * target;
+}
+
+bool
 limit_answered(limit_t *l, ms_t now, alone_t *a, double share, uint32_t busy)
 {
     double target;
 
     note_quantile(&l->slow, SLOW_QUANTILE, STEP, share);
     note_alone(a, share);
-    target = target_of(a);
-    if (l->most == 0) {
-        if (l->slow > target) {
-            l->most = l->busy * target / l->slow;
-            l->refused_at = now;
-        }
+    target = limit_target(a);
+    if (l->most == 0 && l->slow > target) {
+        begin(l, now, target);
+        return true;
     }
-    else if (now - l->refused_at >= RELEASE_MS) {
-        l->most = 0;
-        l->slow = RELEASED * target;
+    if (l->most > 0 && now - l->refused_at >= RELEASE_MS) {
+        end(l, target);
+        return true;
     }
-    else if (share > target || busy > IN_USE * l->most) {
+    if (l->most > 0 && (share > target || busy > IN_USE * l->most)) {
         adapt(l, target, busy * target / share + ROOM);
     }
+    return false;
 }
 
 /* The limit for requests of PRIORITY. */
@@ -147,6 +160,7 @@
         now - l->refused_at >= RELEASE_MS) {
         return true;
     }
+    l->refused++;
     l->refused_at = now;
     return false;
 }
--- a/flow/state.h
+++ b/flow/state.h
@@ -29,12 +29,13 @@
 /* ---- limit.c: how many requests may be in progress ---- */
 
 typedef struct {
-    uint32_t busy;   /* requests in progress */
-    double most;     /* as many may be; 0: no limit */
-    double slow;     /* running upper quantile of the time to an answer, as a
-                      * share of the goal; 0: none */
-    ms_t refused_at; /* the last request, or when the limit began */
-    double priority; /* moving average of what is asked for */
+    uint32_t busy;    /* requests in progress */
+    double most;      /* as many may be; 0: no limit */
+    double slow;      /* running upper quantile of the time to an answer, as a
+                       * share of the goal; 0: none */
+    uint64_t refused; /* requests, since the limit began */
+    ms_t refused_at;  /* the last request, or when the limit began */
+    double priority;  /* moving average of what is asked for */
 } limit_t;
 
 /* What an answer of a service takes that waits for nobody. */
@@ -44,9 +45,11 @@
     uint32_t answers; /* that made it */
 } alone_t;
 
+/* The share of the goal that answers should take. */
+double limit_target(const alone_t *a);
 /* An answer took SHARE of its request's goal, with BUSY in progress when the
- * request began. */
-void limit_answered(limit_t *l, ms_t now, alone_t *a, double share,
+ * request began.  True when a limit begins or ends. */
+bool limit_answered(limit_t *l, ms_t now, alone_t *a, double share,
                     uint32_t busy);
 /* May a request of PRIORITY begin? */
 bool limit_admits(limit_t *l, ms_t now, uint32_t priority);
@@ -203,6 +206,7 @@
 typedef struct {
     upstream_t *up;      /* NULL: none */
     const group_t *full; /* the group whose limit refused it, or NULL */
+    const char *service; /* of that group */
 } choice_t;
 
 /* The upstream for a new flow of route R.  NOT (may be NULL) is taken only if
@@ -230,4 +234,13 @@
 /* Starts the probes that are due; returns when the next one is. */
 ms_t reach_tick(flowset_t *f, ms_t now);
 
+/* ---- waits.c ---- */
+
+/* Openings and requests that go unanswered for unusually long: doubts are
+ * raised, and what is overdue no longer counts as in progress.  Returns when
+ * the next would be. */
+ms_t waits_check(flowset_t *f, ms_t now);
+/* Requests whose answer won't be seen here no longer count as in progress. */
+void waits_sweep(flowset_t *f, ms_t now);
+
 #endif
--- a/tagged/packets.c
+++ b/tagged/packets.c
@@ -84,6 +84,14 @@
         return;
     case FLOW_RESET:
     case FLOW_DROP:
+        if (d->reason == FLOW_OVERLOAD) {
+            log_line(LVL_INFO, "flow",
+                     "Reset. flow=%s>%s reason=%s service=%s busy=%u limit=%u "
+                     "version=%llu",
+                     caller, service, flow_reason_name(d->reason), d->service,
+                     d->busy, d->limit, (unsigned long long)d->version);
+            return;
+        }
         log_line(LVL_INFO, "flow",
                  "%s. flow=%s>%s reason=%s tag=%x upstream=%llx seq=%u "
                  "len=%u waited_ms=%lld version=%llu replica_age_ms=%lld",
@@ -125,6 +133,18 @@
              flow_reach_name(out->reach.to), out->reach.why, out->reach.open);
 }
 
+static void
+log_limit(const flow_out_t *out)
+{
+    log_line(out->limit.in_force ? LVL_WARN : LVL_INFO, "limit",
+             "%s. service=%s data_centres=%s busy=%u limit=%u "
+             "slow_share=%.2f target_share=%.2f refused=%llu",
+             out->limit.in_force ? "In force" : "Ended", out->limit.service,
+             out->limit.local ? "own" : "others", out->limit.busy,
+             out->limit.most, out->limit.slow, out->limit.target,
+             (unsigned long long)out->limit.refused);
+}
+
 /* ---- Sending ---- */
 
 static void
@@ -226,6 +246,9 @@
     case FLOW_OUT_REACH:
         log_reach(out);
         return;
+    case FLOW_OUT_LIMIT:
+        log_limit(out);
+        return;
     }
 }
 
--- a/tagged/report.c
+++ b/tagged/report.c
@@ -26,6 +26,7 @@
     metric_print(f, "gauge", "siskin_upstreams", s->upstreams);
     metric_print(f, "gauge", "siskin_upstreams_usable", s->usable);
     metric_print(f, "gauge", "siskin_flows", s->records);
+    metric_print(f, "gauge", "siskin_limits_in_force", s->limits);
     metric_print(f, "counter", "siskin_flows_reset_total", s->resets);
     metric_print(f, "counter", "siskin_flows_forgotten_total", s->forgotten);
     fprintf(f, "# TYPE siskin_packets_total counter\n");
--- a/test/ctl_logs.sh
+++ b/test/ctl_logs.sh
@@ -28,6 +28,12 @@
    6.6 machine-b $t:07.041Z INFO  try-b upstreams: Its announcement is gone. upstream=5a0001 revision=10
 END
 
+cat >c.log <<END
+$t:08.000Z WARN  try-c limit: In force. service=feed data_centres=own busy=21 limit=13 slow_share=0.81 target_share=0.55 refused=0
+$t:08.120Z INFO  try-c flow: Reset. flow=10.1.0.2:1030>198.18.0.1:443 reason=overload service=feed busy=14 limit=13 version=2
+$t:08.900Z INFO  try-c limit: Ended. service=feed data_centres=own busy=3 limit=0 slow_share=0.28 target_share=0.55 refused=40
+END
+
 run() {
     echo "## A request: both of its flows, and what was believed meanwhile"
     ctl explain aa01 a.log b.log
@@ -35,6 +41,8 @@
     ctl explain '10.1.0.1:1025>198.18.0.1:443' <b.log
     echo "## An upstream"
     ctl explain 5a0001 a.log b.log
+    echo "## An opening that was refused for load"
+    ctl explain '10.1.0.2:1030>198.18.0.1:443' c.log
     echo "## What nobody names; a file that isn't there"
     ctl explain bb02 a.log b.log
     ctl explain aa01 none.log
--- a/test/flow_bed.h
+++ b/test/flow_bed.h
@@ -19,7 +19,7 @@
 struct FlowBed {
     ms_t now = 1000;
     flowset_t *flows;
-    std::vector<flow_out_t> resets, probes, reaches;
+    std::vector<flow_out_t> resets, probes, reaches, limits;
 
     explicit FlowBed(const char *data_centre = "dc-a", uint32_t records = 4096)
     {
@@ -52,6 +52,9 @@
         case FLOW_OUT_REACH:
             b->reaches.push_back(*out);
             break;
+        case FLOW_OUT_LIMIT:
+            b->limits.push_back(*out);
+            break;
         }
     }
 
--- a/test/flow_load_test.cc
+++ b/test/flow_load_test.cc
@@ -457,8 +457,8 @@
 
 /* Four instances that have seen their service in calm, until 3,000 ms. */
 struct Overload : Load {
-    explicit Overload(uint64_t seed, ms_t goal_ms = GOAL_MS, int instances = 4)
-        : Load(instances, goal_ms)
+    explicit Overload(uint64_t seed, ms_t goal_ms = GOAL_MS, int n = 4)
+        : Load(n, goal_ms)
     {
         rng.seed = seed;
     }
@@ -590,6 +590,11 @@
             l.run(28000);
             EXPECT_EQ(l.refusals(), then)
                 << "seed " << seed << " work " << work_ms;
+            for (const auto &i : l.instances) { /* told for the log */
+                ASSERT_GE(i->limits.size(), 2u);
+                EXPECT_TRUE(i->limits.front().limit.in_force);
+                EXPECT_FALSE(i->limits.back().limit.in_force);
+            }
         }
     }
 }
