--- a/conf/tagged.c
+++ b/conf/tagged.c
@@ -15,7 +15,7 @@
 #define RECORDS_MIN 256
 #define RECORDS_MAX 4000000
 
-/* Each asks some twice a second and costs some 50 us: 0.3 % of a core. */
+/* Each asks some twice a second: together a small part of a core. */
 #define FOLLOWERS_DEFAULT 32
 #define FOLLOWERS_MIN 2
 
--- a/flow/decide.c
+++ b/flow/decide.c
@@ -106,7 +106,8 @@
         r->ack = p->ack;
         reach_alive(f, now - p->age_ms, u);
         if (r->asked_at != 0 && fresh) {
-            record_answered(r); /* some time before the caller asked again */
+            /* It was answered at a time not known: the caller has paused. */
+            record_answered(r);
         }
         else if (r->asked_at != 0) {
             answer_seen(f, now, r);
--- a/tagged/answers.c
+++ b/tagged/answers.c
@@ -1,10 +1,10 @@
 /* Answers with the replica, for peers.
  *
  * Peers that start together, or hear of a change together, ask the same
- * question within moments.  Written for each of them, a list of 3,000
- * upstreams (633 KB) fills a link of 10 Mbit/s for half a second a peer; of
- * 300 instances that start together the last ones know nothing for 30 s.  So a
- * long answer is written and packed once for all of them (67 KB; random ids).
+ * question within moments.  Written for each of them, a list of thousands of
+ * upstreams fills a small instance's link for half a second a peer, and of
+ * hundreds of instances that start together the last ones know nothing for
+ * many seconds.  So a long answer is written and packed once for all of them.
  */
 #include "tagged/tagged.h"
 
