A leaving upstream that is announced keeps its flows

A server of the archive was told to leave at 25.7 s, closed its port, and went on with an upload that came through a full link; callers' repetitions started probes, two were refused 3.5 s apart, and between them no answer showed that it served: of an upload there is none until its end. The flow was reset at 32.05 s; the announcement was there until 41.1 s.

Change: while a leaving upstream is announced, refusals prove nothing. It gets no new flow anyway; when it crashes, its announcement lapses, and then two do.

--- a/flow/reach.c
+++ b/flow/reach.c
@@ -10,7 +10,7 @@
  *
  *   accepted   it lives, however slow it is
  *   refused    the process has ended, and its flows with it; of one that is
- *              leaving, when it is refused again
+ *              leaving, when it is refused again after it has left
  *   reset      it was accepted first, so a process listened: one that has too
  *              many connections, or that ended just then
  *   silent     three times in a row, while another upstream answers, and
@@ -36,9 +36,10 @@
 #define SILENCE_MAX 0.05
 /* Weight of a probe in that share. */
 #define SILENCE_WEIGHT 0.05
-/* Refused probes in a row that prove the end of an upstream that is leaving:
- * it may close its port a little before its last flows end.  A crash ends both
- * at once, and one refusal proves it. */
+/* Refused probes in a row that prove the end of an upstream that is leaving,
+ * once its announcement is gone: it may close its port many seconds before its
+ * last flows end, and of an upload no instance sees an answer until the end.
+ * A crash ends both at once, and one refusal proves it. */
 #define REFUSED_LEAVING 2
 /* A probe that was answered settles doubts for so long: the packets that are
  * repeated meanwhile were sent before it. */
@@ -281,10 +282,14 @@
 probe_refused(flowset_t *f, ms_t now, upstream_t *u)
 {
     bool served_since = u->alive_at > u->refused_at;
+    bool proved = true;
 
     u->refused++;
     u->refused_at = now;
-    if (!u->a.draining || (u->refused >= REFUSED_LEAVING && !served_since)) {
+    if (u->a.draining) {
+        proved = !u->listed && u->refused >= REFUSED_LEAVING && !served_since;
+    }
+    if (proved) {
         reach_dead(f, now, u, "its host refused a probe");
     }
     schedule(f, u, next_retry(u, now));
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -238,6 +238,34 @@
     EXPECT_FALSE(bed.resets.empty());
 }
 
+/* A leaving server has closed its port, and a caller still sends it an upload
+ * through a full link: for seconds no instance sees an answer, and each
+ * repetition starts a probe, which is refused.  It is announced all the while
+ * and serves to the end; its flow must not be cut by a planned change. */
+TEST_F(Flow, ALeavingUpstreamThatIsAnnouncedKeepsItsFlows)
+{
+    uint32_t caller = open_at(0x11, 1, COMMAND);
+    flow_upstream_t u = FlowBed::upstream(0x11, "svc", "dc-a");
+
+    u.draining = true;
+    bed.announce(u);
+    bed.resets.clear();
+    for (uint32_t i = 0; i < 5; i++) {
+        for (ms_t wait : {400, 0}) { /* new bytes, and again */
+            bed.packet(FlowBed::data((int)caller, COMMAND, 0x11,
+                                     1001 + 1200 * i, 1200));
+            bed.now += wait;
+        }
+        bed.advance(1000);
+        bed.probed(0x11, PROBE_REFUSED);
+        EXPECT_TRUE(bed.resets.empty()) << i;
+    }
+    flowset_remove_upstream(bed.flows, bed.now, 0x11);
+    bed.advance(2000);
+    bed.probed(0x11, PROBE_REFUSED);
+    EXPECT_FALSE(bed.resets.empty()); /* now it has left */
+}
+
 /* A server whose connections are over its limit accepts a probe and resets it.
  * It lives and answers its callers, 200 ms late; a caller repeats its request
  * in between and starts the probe.  None of its flows may be ended, at the
