plat/http: let a long answer go on while it makes progress

After the configuration has grown to 1,650 routes (260 kB, 346 kB from the store) its way to an instance over 2 Mbit/s takes 1.5 s.

Change. http_call_t.stall_ms: an answer that has begun may go on while no pause is longer, 5 s in all; until its first bytes the timeout holds as before. What the transfer took is added to the age of what it tells, and a list is as old as its first page.

http_test fails without it (AnAnswerThatGoesOnIsWaitedFor).

--- a/plat/http.c
+++ b/plat/http.c
@@ -12,6 +12,7 @@
 #define REPLY_MAX (8 * 1024 * 1024)
 
 struct http {
+    CURLM *multi; /* drives CURL, and keeps its connection */
     CURL *curl;
     char url[128];
     char *body;
@@ -38,8 +39,9 @@
     }
     snprintf(h->url, sizeof(h->url), "%s", url);
     h->curl = curl_easy_init();
-    if (h->curl == NULL) {
-        free(h);
+    h->multi = curl_multi_init();
+    if (h->curl == NULL || h->multi == NULL) {
+        http_free(h);
         return NULL;
     }
     return h;
@@ -52,6 +54,7 @@
         return;
     }
     curl_easy_cleanup(h->curl);
+    curl_multi_cleanup(h->multi);
     free(h->body);
     free(h);
 }
@@ -110,7 +113,6 @@
     curl_easy_setopt(
         c, CURLOPT_CONNECTTIMEOUT_MS,
         (long)(call->connect_ms > 0 ? call->connect_ms : CONNECT_MS));
-    curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
     curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, take);
     curl_easy_setopt(c, CURLOPT_WRITEDATA, h);
     if (call->packed) {
@@ -150,6 +152,78 @@
     }
 }
 
+/* How far an answer has come. */
+typedef struct {
+    curl_off_t bytes; /* of its body, as sent */
+    ms_t first;       /* when its first bytes came; MS_NEVER: none did */
+    ms_t until;       /* the call fails then */
+} progress_t;
+
+/* A long answer over a slow link may take several times as long as its first
+ * bytes.  Cut off in the middle and asked for again, it would load the link
+ * with what was sent already. */
+static void
+note_progress(const http_t *h, const http_call_t *call, ms_t now,
+              progress_t *p)
+{
+    curl_off_t bytes = 0;
+    ms_t last, stalled = now + call->stall_ms;
+
+    if (call->stall_ms == 0 ||
+        curl_easy_getinfo(h->curl, CURLINFO_SIZE_DOWNLOAD_T, &bytes) !=
+            CURLE_OK ||
+        bytes == p->bytes) {
+        return;
+    }
+    p->bytes = bytes;
+    p->first = p->first == MS_NEVER ? now : p->first;
+    last = p->first + HTTP_TRANSFER_MAX_MS;
+    p->until = stalled < last ? stalled : last;
+}
+
+/* The result of the transfer that has ended. */
+static CURLcode
+result(http_t *h)
+{
+    int left;
+    CURLMsg *m = curl_multi_info_read(h->multi, &left);
+
+    return m != NULL && m->msg == CURLMSG_DONE ? m->data.result
+                                               : CURLE_RECV_ERROR;
+}
+
+static CURLcode
+perform(http_t *h, const http_call_t *call, ms_t *transfer_ms)
+{
+    ms_t now = clock_now();
+    progress_t p = {.first = MS_NEVER, .until = now + call->timeout_ms};
+    CURLcode rc = CURLE_OPERATION_TIMEDOUT;
+    int running = 1;
+
+    if (curl_multi_add_handle(h->multi, h->curl) != CURLM_OK) {
+        return CURLE_OUT_OF_MEMORY;
+    }
+    while (now < p.until) {
+        if (curl_multi_perform(h->multi, &running) != CURLM_OK) {
+            rc = CURLE_OUT_OF_MEMORY;
+            break;
+        }
+        now = clock_now();
+        note_progress(h, call, now, &p);
+        if (running == 0) {
+            rc = result(h);
+            break;
+        }
+        if (now < p.until) {
+            curl_multi_poll(h->multi, NULL, 0, (int)(p.until - now), NULL);
+            now = clock_now();
+        }
+    }
+    *transfer_ms = p.first == MS_NEVER ? 0 : now - p.first;
+    curl_multi_remove_handle(h->multi, h->curl);
+    return rc;
+}
+
 int
 http_call(http_t *h, const http_call_t *call, http_reply_t *r, err_t *e)
 {
@@ -167,7 +241,7 @@
                        "the name is too long; expected a shorter one");
     }
     set_options(h, url, call);
-    rc = curl_easy_perform(h->curl);
+    rc = perform(h, call, &r->transfer_ms);
     if (rc != CURLE_OK) {
         return err_set(e, error_number(rc), call->step, h->url, "%s",
                        curl_easy_strerror(rc));
--- a/plat/http.h
+++ b/plat/http.h
@@ -18,15 +18,21 @@
     http_method_t method;
     const char *path; /* behind the server's URL, escaped */
     const char *body; /* NULL: none */
-    ms_t timeout_ms;
+    ms_t timeout_ms;  /* until the answer's first bytes, or with STALL_MS 0
+                       * until its end */
     const char *step; /* for errors */
     bool packed;      /* the answer may come packed (zstd) */
     ms_t connect_ms;  /* of TIMEOUT_MS for the connection; 0: up to 1,000 */
+    ms_t stall_ms;    /* an answer that has begun may go on while no pause is
+                       * longer, HTTP_TRANSFER_MAX_MS in all */
 } http_call_t;
 
+#define HTTP_TRANSFER_MAX_MS 5000
+
 typedef struct {
     long status;
-    char *body; /* ends in a NUL; valid until the next call */
+    char *body;       /* ends in a NUL; valid until the next call */
+    ms_t transfer_ms; /* from its first bytes to its end */
 } http_reply_t;
 
 /* URL as "http://127.0.0.1:8500", shorter than 128; for one thread.  NULL
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -104,6 +104,7 @@
 list(follow_t *f, err_t *e)
 {
     store_items_t items = {.whole = true};
+    ms_t begun = clock_now();
     bool more = true;
 
     while (more) {
@@ -115,6 +116,7 @@
             return rc;
         }
     }
+    items.age = clock_now() - begun; /* it is complete as of its first page */
     return take(f, &items);
 }
 
--- a/tagged/news.c
+++ b/tagged/news.c
@@ -9,6 +9,8 @@
 /* What a peer's answer may take beyond the wait: it is a few milliseconds
  * away; one that takes longer is down, or no better than the store. */
 #define PEER_SLACK_MS 400
+/* Without a further byte of an answer that has begun. */
+#define PEER_STALL_MS 600
 /* All that is known may take longer: it shares its sender's link with what
  * others ask for, and asking anew only sends it again.  Each time it comes too
  * late it is given twice as long, so often at most. */
@@ -197,6 +199,7 @@
     http_call_t call = {.path = path,
                         .timeout_ms = wait_ms + slack,
                         .connect_ms = PEER_SLACK_MS,
+                        .stall_ms = PEER_STALL_MS,
                         .step = "peer",
                         .packed = true};
     int rc = open_client(c, a);
@@ -232,6 +235,7 @@
         __atomic_add_fetch(&t->count.peer_failures, 1, __ATOMIC_RELAXED);
         return rc;
     }
+    items.age += r->transfer_ms; /* told as of its first bytes */
     rc = items.revision > 0 ? news_take(t, &items) : -ENODATA;
     store_items_free(&items);
     return rc;
--- /dev/null
+++ b/test/http_test.cc
@@ -0,0 +1,134 @@
+/* HTTP calls whose answers come slowly, against a server that sends its answer
+ * in pieces. */
+#include "plat/http.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <string>
+#include <thread>
+#include <unistd.h>
+
+namespace {
+
+const int PIECES = 40;
+const std::string PIECE(100, 'x');
+
+/* Answers one request: SEND pieces of PIECES, GAP apart, then waits until the
+ * caller closes. */
+class Server {
+  public:
+    Server(int send_pieces, int gap_ms) : pieces(send_pieces), gap(gap_ms)
+    {
+        struct sockaddr_in a = {};
+        socklen_t len = sizeof(a);
+        fd = socket(AF_INET, SOCK_STREAM, 0);
+        a.sin_family = AF_INET;
+        a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(0, bind(fd, (struct sockaddr *)&a, sizeof(a)));
+        EXPECT_EQ(0, listen(fd, 4));
+        getsockname(fd, (struct sockaddr *)&a, &len);
+        url = "http://127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+        thread = std::thread([this] { serve(); });
+    }
+    ~Server()
+    {
+        thread.join();
+        close(fd);
+    }
+
+    std::string url;
+
+  private:
+    void
+    put(int c, const std::string &s)
+    {
+        (void)!send(c, s.data(), s.size(), MSG_NOSIGNAL);
+    }
+
+    void
+    serve()
+    {
+        char buf[1024];
+        int c = accept(fd, NULL, NULL);
+        EXPECT_GT(recv(c, buf, sizeof(buf), 0), 0);
+        if (pieces > 0) {
+            put(c, "HTTP/1.1 200 OK\r\nContent-Length: " +
+                       std::to_string(PIECES * PIECE.size()) + "\r\n\r\n");
+        }
+        for (int i = 0; i < pieces; i++) {
+            put(c, PIECE);
+            usleep((useconds_t)gap * 1000);
+        }
+        struct pollfd p = {c, POLLIN, 0};
+        poll(&p, 1, 20000); /* until the caller closes */
+        close(c);
+    }
+
+    int pieces, gap, fd;
+    std::thread thread;
+};
+
+int
+call(const std::string &url, ms_t timeout_ms, ms_t stall_ms,
+     std::string *body = nullptr)
+{
+    http_t *h = http_new(url.c_str());
+    http_call_t c = {};
+    http_reply_t r;
+    c.path = "/";
+    c.timeout_ms = timeout_ms;
+    c.stall_ms = stall_ms;
+    c.step = "read";
+    int rc = http_call(h, &c, &r, NULL);
+    if (rc == 0 && body != nullptr) {
+        *body = r.body;
+    }
+    http_free(h);
+    return rc;
+}
+
+/* Guards against: a long answer over a full link, cut off and asked for again
+ * without end. */
+TEST(Http, AnAnswerThatGoesOnIsWaitedFor)
+{
+    Server s(PIECES, 50); /* 2 s */
+    std::string body;
+
+    EXPECT_EQ(0, call(s.url, 1000, 3000, &body));
+    EXPECT_EQ(PIECES * PIECE.size(), body.size());
+}
+
+TEST(Http, WithoutAStallItMustEndInTime)
+{
+    Server s(PIECES, 50);
+
+    EXPECT_EQ(-ETIMEDOUT, call(s.url, 1000, 0));
+}
+
+/* Guards against: a connection that falls silent in the middle of an answer.
+ */
+TEST(Http, AnAnswerThatStopsFails)
+{
+    Server s(PIECES / 2, 0);
+
+    EXPECT_EQ(-ETIMEDOUT, call(s.url, 1000, 500));
+}
+
+TEST(Http, NoAnswerFails)
+{
+    Server s(0, 0);
+
+    EXPECT_EQ(-ETIMEDOUT, call(s.url, 300, 10000));
+}
+
+/* Guards against: a server that sends a byte now and then for ever. */
+TEST(Http, AnAnswerWithoutEndFails)
+{
+    Server s(PIECES - 1, 200); /* 7.8 s of HTTP_TRANSFER_MAX_MS */
+
+    EXPECT_EQ(-ETIMEDOUT, call(s.url, 1000, 1000));
+}
+
+} // namespace
