flow/limit: find the unloaded latency when requests queue from the start

The baseline was the median of the first 32 answers. Instances that start into twice the load see queues in nearly all of these, and take 0.5 to 1.0 of the goal for the service's own time; one of four then takes all requests.

When the median is doubtful (its target beyond 0.9 of the goal) and latency correlates with the requests in flight when the request began (r^2 above 0.25), the fastest of the first answers is the baseline. While a limit is in force the baseline rises at a fifth of the rate: an instance that takes most requests raised its own target by 27 % in 8 s.

Names: baseline, max_in_flight, in_flight, limit_on_response and the like.

--- a/flow/decide.c
+++ b/flow/decide.c
@@ -58,11 +58,11 @@
 
     out.limit.service = u->service->name;
     out.limit.local = u->local;
-    out.limit.in_force = l->most > 0;
-    out.limit.busy = l->busy;
-    out.limit.most = (uint32_t)l->most;
+    out.limit.in_force = l->max_in_flight > 0;
+    out.limit.busy = l->in_flight;
+    out.limit.most = (uint32_t)l->max_in_flight;
     out.limit.slow = l->slow;
-    out.limit.target = limit_target(&u->service->alone);
+    out.limit.target = limit_target(&u->service->baseline);
     out.limit.refused = l->refused;
     f->spec.emit(f->spec.arg, &out);
 }
@@ -77,9 +77,10 @@
     if (r->repeatable) { /* uploads take as long as the caller sends */
         sample(&r->up->answer_ms, SAMPLE_WEIGHT, ms + 1);
         r->up->answered_at = now;
-        if (r->goal_ms > 0 &&
-            limit_answered(&r->up->group->limit, now, &r->up->service->alone,
-                           ms / (double)r->goal_ms, r->busy_then)) {
+        if (r->goal_ms > 0 && limit_on_response(&r->up->group->limit, now,
+                                                &r->up->service->baseline,
+                                                ms / (double)r->goal_ms,
+                                                r->in_flight_at_start)) {
             tell_limit(f, r->up);
         }
     }
@@ -257,8 +258,8 @@
                        d);
         if (c.full != NULL) {
             d->service = c.service;
-            d->busy = c.full->limit.busy;
-            d->limit = (uint32_t)c.full->limit.most;
+            d->busy = c.full->limit.in_flight;
+            d->limit = (uint32_t)c.full->limit.max_in_flight;
         }
         return;
     }
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -259,7 +259,8 @@
     s->usable = s->limits = 0;
     LIST_EACH (it, &f->services) {
         const service_t *v = LIST_OWNER(it, service_t, link);
-        s->limits += (v->near.limit.most > 0) + (v->far.limit.most > 0);
+        s->limits += (v->near.limit.max_in_flight > 0) +
+                     (v->far.limit.max_in_flight > 0);
     }
     LIST_EACH (it, &f->upstreams) {
         const upstream_t *u = LIST_OWNER(it, upstream_t, all);
--- a/flow/limit.c
+++ b/flow/limit.c
@@ -1,57 +1,58 @@
-/* How many requests of a group of upstreams may be in progress, as seen here.
+/* Adaptive concurrency limit per group of upstreams, as seen by one instance.
  *
- * Load: callers ask for more than the upstreams can run.  Their queues fill,
- * and nearly every answer is late though all slots are busy.  What exceeds the
- * slots can't be served in time by anybody; refused at once, it leaves the
- * rest in time.
+ * Load: callers ask for more than the upstreams can run, and queues make
+ * nearly every answer late.  Rejecting the excess early keeps the queueing
+ * delay of the rest below the latency objective.
  *
- * Queues show in the time to an answer.  No limit is in force until slow
- * answers take more than a share of callers' goals, and more than a multiple
- * of what an answer takes that waits for nobody: a service that is slow by
- * itself has no queue to shorten.
+ * Queueing delay shows in the time to an answer.  A limit begins when slow
+ * answers exceed both a share of the goal and a multiple of the unloaded
+ * latency: a service that is slow by itself has no queue to shorten.
  *
- * Once slots are full, an answer takes in proportion to what was in progress
- * when its request began.  Each answer so tells with how many in progress it
- * would have taken as long as it should, and the limit follows the slow of
- * them.  It doesn't matter that answers come late, with queues long gone: a
- * limit that shrank for each late one would fall until slots idle.  It stays a
- * little above, so that an instance whose limit is low among its peers comes
- * up again.
+ * With all slots full, latency is proportional to the requests in flight when
+ * a request begins (Little's law).  Each answer tells at how many it would
+ * have met the target, and the limit follows a low quantile of them.  Unlike
+ * a limit that shrinks with each late answer, answers from a queue that is
+ * gone don't lower it further.
  */
 #include "flow/state.h"
 
-/* Answers should take this share of the goal: with the spread of work and of
- * queues, and what a caller lost on earlier tries, nearly all are in time. */
+/* Target of slow answers, as a share of the goal. */
 #define TARGET 0.55
-/* Times what an answer takes alone: those that take longer have queued. */
+/* Multiple of the unloaded latency beyond which answers have queued. */
 #define QUEUE_FACTOR 2.75
-/* The quantile of times that is looked at.  Above the median: a full upstream
- * refuses many requests at once, which look like quick answers. */
+/* Above the median: fast rejections by a full upstream look like answers. */
 #define SLOW_QUANTILE 0.8
-/* Steps of running quantiles, as a share of them: of the limit and of slow
- * answers; of the limit, upwards, while answers are in time; of what an answer
- * takes alone. */
+/* Steps of running quantiles, relative: of the limit and of slow answers; of
+ * the limit, upwards, while answers meet the target; of the median. */
 #define STEP 0.15
 #define GROW_STEP 0.2
 #define MEDIAN_STEP 0.02
-/* Answers until their median is sure, and the target until then. */
-#define ALONE_ANSWERS 32
+/* Answers until the baseline is known, and the target until then. */
+#define BASELINE_ANSWERS 32
 #define UNSURE_TARGET 1.5
-/* What an answer lets the least median rise by, as a share of it: it follows a
- * service that has become slower, and hardly rises during a burst. */
-#define ALONE_RISE 0.0001
-/* Requests in progress beyond what an answer justifies: one may always be. */
-#define ROOM 1.0
-/* A limit that has refused nothing for so long ends.  Under overload there are
- * several refusals in the time of an answer. */
+/* Answers, while the baseline is doubtful, that are still looked at. */
+#define DOUBTFUL_ANSWERS 48
+/* A baseline is doubtful when its target would exceed this share of the goal:
+ * the service is slow, or has queued from the first request on. */
+#define DOUBTFUL_TARGET 0.9
+/* Squared correlation above which the first answers have queued. */
+#define CORRELATION_MIN 0.25
+/* Rise of the baseline with each answer, relative: follows a service that has
+ * become slower. */
+#define BASELINE_RISE 0.0001
+/* The same while a limit is in force, when answers hardly show the unloaded
+ * latency. */
+#define BASELINE_RISE_LIMITED 0.00002
+/* Requests beyond what an answer justifies: lets a low limit grow. */
+#define HEADROOM 1.0
+/* A limit that has refused nothing for so long ends. */
 #define RELEASE_MS 500
-/* Slow answers are then taken to be at this share of the target: some more are
- * needed for a new limit. */
+/* Slow answers are then assumed at this share of the target. */
 #define RELEASED 0.5
 /* Room beyond the limit, as a share of it, for requests that are a step of
- * priority or more above the average: what is refused is the less urgent. */
+ * priority or more above the average. */
 #define PRIORITY_ROOM 0.5
-/* Weight of a request in the average of priorities. */
+/* Smoothing factor of the average priority (EWMA). */
 #define PRIORITY_WEIGHT 0.02
 
 /* A step of *RUNNING towards quantile Q of what VALUE is one of. */
@@ -66,92 +67,141 @@
 }
 
 static void
-note_alone(alone_t *a, double share)
+correlation_add(correlation_t *c, double x, double y)
 {
-    double step = 2.0 / ++a->answers;
+    c->least = c->n == 0 || y < c->least ? y : c->least;
+    c->n++;
+    c->x += x;
+    c->y += y;
+    c->xx += x * x;
+    c->xy += x * y;
+    c->yy += y * y;
+}
+
+static bool
+is_correlated(const correlation_t *c)
+{
+    double xx = c->n * c->xx - c->x * c->x;
+    double yy = c->n * c->yy - c->y * c->y;
+    double xy = c->n * c->xy - c->x * c->y;
+
+    return xy > 0 && xy * xy > CORRELATION_MIN * xx * yy;
+}
+
+static bool
+is_doubtful(const baseline_t *b)
+{
+    return QUEUE_FACTOR * b->median > DOUBTFUL_TARGET;
+}
+
+/* Instances that start into overload see queues from their first request on.
+ * Latency then grows with the requests in flight, and only the fastest answer
+ * is near the unloaded latency. */
+static void
+learn_baseline(baseline_t *b, double share, uint32_t in_flight)
+{
+    correlation_add(&b->first, in_flight, share);
+    b->share = is_doubtful(b) && is_correlated(&b->first) ? b->first.least
+                                                          : b->median;
+}
+
+static void
+note_baseline(baseline_t *b, double share, uint32_t in_flight, double rise)
+{
+    double step = 2.0 / ++b->answers;
 
     step = step < MEDIAN_STEP ? MEDIAN_STEP : step > 1 ? 1 : step;
-    note_quantile(&a->median, 0.5, step, share);
-    a->share *= 1 + ALONE_RISE;
-    if (a->answers <= ALONE_ANSWERS || a->median < a->share) {
-        a->share = a->median;
+    note_quantile(&b->median, 0.5, step, share);
+    b->share *= 1 + rise;
+    if (b->answers <= BASELINE_ANSWERS ||
+        (b->answers <= DOUBTFUL_ANSWERS && is_doubtful(b))) {
+        learn_baseline(b, share, in_flight);
+    }
+    else if (b->median < b->share) {
+        b->share = b->median;
     }
 }
 
 double
-limit_target(const alone_t *a)
+limit_target(const baseline_t *b)
 {
-    double queued = QUEUE_FACTOR * a->share;
+    double queued = QUEUE_FACTOR * b->share;
 
-    if (a->answers < ALONE_ANSWERS) {
+    if (b->answers < BASELINE_ANSWERS) {
         return UNSURE_TARGET;
     }
     return queued > TARGET ? queued : TARGET;
 }
 
-/* MOST would have been right for one answer. */
+/* MAX_IN_FLIGHT would have been right for one answer. */
 static void
-adapt(limit_t *l, double target, double most)
+adapt(limit_t *l, double target, double max_in_flight)
 {
-    double step = l->slow < target && most > l->most ? GROW_STEP : STEP;
+    double step = l->slow < target && max_in_flight > l->max_in_flight
+                      ? GROW_STEP
+                      : STEP;
 
-    note_quantile(&l->most, 1 - SLOW_QUANTILE, step, most);
+    note_quantile(&l->max_in_flight, 1 - SLOW_QUANTILE, step, max_in_flight);
 }
 
 static void
-begin(limit_t *l, ms_t now, double target)
+limit_enable(limit_t *l, ms_t now, double target)
 {
-    l->most = l->busy * target / l->slow;
+    l->max_in_flight = l->in_flight * target / l->slow;
     l->refused = 0;
     l->refused_at = now;
 }
 
 static void
-end(limit_t *l, double target)
+limit_disable(limit_t *l, double target)
 {
-    l->most = 0;
+    l->max_in_flight = 0;
     l->slow = RELEASED * target;
 }
 
 bool
-limit_answered(limit_t *l, ms_t now, alone_t *a, double share, uint32_t busy)
+limit_on_response(limit_t *l, ms_t now, baseline_t *b, double share,
+                  uint32_t in_flight)
 {
+    bool limited = l->max_in_flight > 0;
     double target;
 
     note_quantile(&l->slow, SLOW_QUANTILE, STEP, share);
-    note_alone(a, share);
-    target = limit_target(a);
-    if (l->most == 0 && l->slow > target) {
-        begin(l, now, target);
+    note_baseline(b, share, in_flight,
+                  limited ? BASELINE_RISE_LIMITED : BASELINE_RISE);
+    target = limit_target(b);
+    if (!limited && l->slow > target) {
+        limit_enable(l, now, target);
         return true;
     }
-    if (l->most > 0 && now - l->refused_at >= RELEASE_MS) {
-        end(l, target);
+    if (limited && now - l->refused_at >= RELEASE_MS) {
+        limit_disable(l, target);
         return true;
     }
-    if (l->most > 0) {
-        adapt(l, target, busy * target / share + ROOM);
+    if (limited) {
+        adapt(l, target, in_flight * target / share + HEADROOM);
     }
     return false;
 }
 
 /* The limit for requests of PRIORITY. */
 static double
-most_for(const limit_t *l, uint32_t priority)
+limit_for(const limit_t *l, uint32_t priority)
 {
     double ahead = l->priority - priority;
 
     ahead = ahead > 1 ? 1 : ahead < -1 ? -1 : ahead;
-    return l->most * (1 + PRIORITY_ROOM * ahead);
+    return l->max_in_flight * (1 + PRIORITY_ROOM * ahead);
 }
 
 bool
 limit_admits(limit_t *l, ms_t now, uint32_t priority)
 {
-    double most = most_for(l, priority);
+    double max_in_flight = limit_for(l, priority);
 
     l->priority += PRIORITY_WEIGHT * (priority - l->priority);
-    if (l->most == 0 || l->busy < most || now - l->refused_at >= RELEASE_MS) {
+    if (l->max_in_flight == 0 || l->in_flight < max_in_flight ||
+        now - l->refused_at >= RELEASE_MS) {
         return true;
     }
     l->refused++;
--- a/flow/records.c
+++ b/flow/records.c
@@ -34,7 +34,7 @@
     r->up->open += r->open ? sign : 0;
     if (!r->open || r->asked_at != 0) {
         r->up->busy += sign;
-        r->up->group->limit.busy += r->overdue ? 0 : sign;
+        r->up->group->limit.in_flight += r->overdue ? 0 : sign;
     }
 }
 
@@ -110,7 +110,7 @@
     weigh(r, (uint32_t)-1);
     r->asked_at = now;
     weigh(r, 1);
-    r->busy_then = r->up->group->limit.busy;
+    r->in_flight_at_start = r->up->group->limit.in_flight;
     list_remove(&r->waiting);
     list_append(&f->asking, &r->waiting);
 }
--- a/flow/state.h
+++ b/flow/state.h
@@ -26,31 +26,38 @@
 
 #define INDEX_EACH(it, ix, hash) LIST_EACH (it, index_bucket(ix, hash))
 
-/* ---- limit.c: how many requests may be in progress ---- */
+/* ---- limit.c: adaptive concurrency limit ---- */
 
 typedef struct {
-    uint32_t busy;    /* requests in progress */
-    double most;      /* as many may be; 0: no limit */
-    double slow;      /* running upper quantile of the time to an answer, as a
-                       * share of the goal; 0: none */
-    uint64_t refused; /* requests, since the limit began */
-    ms_t refused_at;  /* the last request, or when the limit began */
-    double priority;  /* moving average of what is asked for */
+    uint32_t in_flight;   /* requests in progress */
+    double max_in_flight; /* 0: no limit in force */
+    double slow;          /* running upper quantile of the time to an answer,
+                           * as a share of the goal; 0: none */
+    uint64_t refused;     /* requests, since the limit began */
+    ms_t refused_at;      /* the last request, or when the limit began */
+    double priority;      /* moving average of what is asked for */
 } limit_t;
 
-/* What an answer of a service takes that waits for nobody. */
+/* Correlation of answer times with the requests in progress at their start. */
 typedef struct {
-    double share;     /* of the goal */
-    double median;    /* running, of all answers; 0: none */
-    uint32_t answers; /* that made it */
-} alone_t;
+    double n, x, y, xx, xy, yy; /* sums; x: requests, y: time */
+    double least;               /* y */
+} correlation_t;
+
+/* Unloaded latency of a service. */
+typedef struct {
+    double share;        /* of the goal */
+    double median;       /* running, of all answers; 0: none */
+    uint32_t answers;    /* that made it */
+    correlation_t first; /* of the first answers */
+} baseline_t;
 
 /* The share of the goal that answers should take. */
-double limit_target(const alone_t *a);
-/* An answer took SHARE of its request's goal, with BUSY in progress when the
- * request began.  True when a limit begins or ends. */
-bool limit_answered(limit_t *l, ms_t now, alone_t *a, double share,
-                    uint32_t busy);
+double limit_target(const baseline_t *b);
+/* An answer took SHARE of its request's goal, with IN_FLIGHT when the request
+ * began.  True when a limit begins or ends. */
+bool limit_on_response(limit_t *l, ms_t now, baseline_t *b, double share,
+                       uint32_t in_flight);
 /* May a request of PRIORITY begin? */
 bool limit_admits(limit_t *l, ms_t now, uint32_t priority);
 
@@ -105,7 +112,7 @@
     entry_t by_name;
     link_t link;       /* flowset_t.services */
     group_t near, far; /* in this data centre; in others */
-    alone_t alone;
+    baseline_t baseline;
     double answer_ms; /* median of its upstreams' averages; 0: none.  A mean
                        * would follow the one that is odd */
 };
@@ -125,8 +132,8 @@
     link_t of;      /* upstream_t.records */
     addr_t caller, service;
     upstream_t *up;
-    ms_t goal_ms;       /* of its route; 0: not told */
-    uint32_t busy_then; /* requests of the group when this one began */
+    ms_t goal_ms;                /* of its route; 0: not told */
+    uint32_t in_flight_at_start; /* requests of the group */
     bool repeatable;
     bool open;        /* a packet came after the opening one */
     bool copied;      /* another opening packet may have opened the flow */
