tagged/replica: send long values to peers as differences

Each version of a configuration of 1,650 routes went to each follower whole: 260 kB, 21 kB packed, 84 ms of a link of 2 Mbit/s a follower. At the size designed for (18,000 routes, a version each 7 s) it is 3 MB, some 230 kB packed.

The replica keeps the last three long values that were replaced (4 MB in all). A peer that asks with differences=1 gets the difference to the value that it has by its revision (plat/delta.c, checked by hashes), 72 bytes for a line. One that does not fit takes nothing and asks again for values at once. Peers that don't ask for differences get values.

--- a/tagged/answers.c
+++ b/tagged/answers.c
@@ -87,7 +87,9 @@
 bool
 answer_serves(const question_t *kept, ms_t age, const question_t *asked)
 {
-    if (kept->packed != asked->packed || kept->whole != asked->whole) {
+    if (kept->packed != asked->packed ||
+        kept->differences != asked->differences ||
+        kept->whole != asked->whole) {
         return false;
     }
     return asked->whole ? age <= WHOLE_MS && kept->revision > asked->after
@@ -110,7 +112,7 @@
     if (w->response != NULL) {
         MHD_destroy_response(w->response);
     }
-    text = replica_text(r, now, asked->after, given_ms);
+    text = replica_text(r, now, asked->after, given_ms, asked->differences);
     *w =
         (answer_t){.response = text != NULL ? make(text, asked->packed) : NULL,
                    .question = *asked,
@@ -129,9 +131,10 @@
 
 enum MHD_Result
 answers_reply(answers_t *a, replica_t *r, struct MHD_Connection *c,
-              uint64_t after)
+              uint64_t after, bool differences)
 {
     question_t asked = {.packed = takes_packed(c),
+                        .differences = differences,
                         .whole = replica_is_behind(r, after),
                         .after = after,
                         .revision = replica_revision(r)};
--- /dev/null
+++ b/tagged/former.c
@@ -0,0 +1,128 @@
+/* Former values of long items, and differences to them.
+ *
+ * The configuration may be hundreds of kilobytes and change by a line.  A peer
+ * that has the value before gets the difference: whole, it would fill a slow
+ * link for seconds with each version. */
+#include "tagged/tagged.h"
+#include "plat/plat.h"
+
+#include <errno.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Shorter values are sent whole. */
+#define LONG_BYTES 4096
+/* Former values together; one is kept however long it is. */
+#define FORMER_BYTES (4u * 1024 * 1024)
+#define VALUE_MAX (8u * 1024 * 1024)
+
+static void
+drop_oldest(former_t *f)
+{
+    free(f->value[0].key);
+    free(f->value[0].value);
+    f->n--;
+    memmove(&f->value[0], &f->value[1], f->n * sizeof(f->value[0]));
+}
+
+void
+former_free(former_t *f)
+{
+    while (f->n > 0) {
+        drop_oldest(f);
+    }
+}
+
+static size_t
+bytes_of(const former_t *f)
+{
+    size_t bytes = 0;
+
+    for (uint32_t i = 0; i < f->n; i++) {
+        bytes += strlen(f->value[i].value);
+    }
+    return bytes;
+}
+
+void
+former_keep(former_t *f, const store_item_t *item)
+{
+    store_item_t copy = {.revision = item->revision};
+
+    if (item->value == NULL || strlen(item->value) < LONG_BYTES) {
+        return;
+    }
+    if (f->n == FORMER_MAX) {
+        drop_oldest(f);
+    }
+    copy.key = strdup(item->key);
+    copy.value = strdup(item->value);
+    if (copy.key == NULL || copy.value == NULL) { /* it is sent whole then */
+        free(copy.key);
+        free(copy.value);
+        return;
+    }
+    f->value[f->n++] = copy;
+    while (f->n > 1 && bytes_of(f) > FORMER_BYTES) {
+        drop_oldest(f);
+    }
+}
+
+const store_item_t *
+former_find(const former_t *f, const char *key, uint64_t after)
+{
+    for (uint32_t i = f->n; i-- > 0;) {
+        const store_item_t *it = &f->value[i];
+        if (it->revision <= after && strcmp(it->key, key) == 0) {
+            return it;
+        }
+    }
+    return NULL;
+}
+
+static blob_t
+blob_of(const char *text)
+{
+    return (blob_t){.data = (uint8_t *)text, .len = strlen(text)};
+}
+
+char *
+difference_make(const char *from, const char *to)
+{
+    blob_t old = blob_of(from), new_ = blob_of(to), delta;
+    size_t room;
+    char *text;
+
+    if (delta_make(&old, &new_, &delta) < 0) {
+        return NULL;
+    }
+    room =
+        sodium_base64_encoded_len(delta.len, sodium_base64_VARIANT_ORIGINAL);
+    text = malloc(room);
+    if (text != NULL) {
+        sodium_bin2base64(text, room, delta.data, delta.len,
+                          sodium_base64_VARIANT_ORIGINAL);
+    }
+    blob_free(&delta);
+    return text;
+}
+
+int
+difference_apply(const char *from, const char *difference, char **to)
+{
+    size_t len = strlen(difference);
+    blob_t old = blob_of(from), delta = {.data = malloc(len + 1)}, new_;
+    int rc = -EBADMSG;
+
+    if (delta.data == NULL) {
+        return -ENOMEM;
+    }
+    if (sodium_base642bin(delta.data, len, difference, len, NULL, &delta.len,
+                          NULL, sodium_base64_VARIANT_ORIGINAL) == 0) {
+        rc = delta_apply(&old, &delta, VALUE_MAX, &new_);
+    }
+    blob_free(&delta);
+    *to = rc == 0 ? (char *)new_.data : NULL;
+    return rc;
+}
--- a/tagged/news.c
+++ b/tagged/news.c
@@ -112,7 +112,7 @@
 }
 
 int
-news_take(tagged_t *t, const store_items_t *items)
+news_take(tagged_t *t, store_items_t *items)
 {
     store_items_t changed;
     bool first;
@@ -193,7 +193,7 @@
 ask(tagged_t *t, peer_client_t *c, const addr_t *a, const char *from,
     ms_t wait_ms, http_reply_t *r, err_t *e)
 {
-    char path[96 + ADDR_STRLEN];
+    char path[112 + ADDR_STRLEN];
     uint64_t after = replica_revision(t->replica);
     ms_t slack = after > 0 ? PEER_SLACK_MS : PEER_SLACK_MS << c->late;
     http_call_t call = {.path = path,
@@ -207,8 +207,9 @@
     if (rc < 0) {
         return err_set(e, rc, call.step, "memory", "out of memory");
     }
-    snprintf(path, sizeof(path), "/replica?after=%llu&wait_ms=%lld%s%s",
-             (unsigned long long)after, (long long)wait_ms,
+    snprintf(path, sizeof(path),
+             "/replica?after=%llu&wait_ms=%lld&differences=%d%s%s",
+             (unsigned long long)after, (long long)wait_ms, !c->values,
              from[0] != '\0' ? "&from=" : "", from);
     __atomic_add_fetch(&t->count.peer_calls, 1, __ATOMIC_RELAXED);
     rc = http_call(c->http, &call, r, e);
@@ -223,7 +224,7 @@
 
 /* Takes the answer R, if RC says that there is one. */
 static int
-take_answer(tagged_t *t, int rc, const http_reply_t *r)
+take_answer(tagged_t *t, peer_client_t *c, int rc, const http_reply_t *r)
 {
     store_items_t items;
 
@@ -237,6 +238,7 @@
     }
     items.age += r->transfer_ms; /* told as of its first bytes */
     rc = items.revision > 0 ? news_take(t, &items) : -ENODATA;
+    c->values = rc == -ESTALE;
     store_items_free(&items);
     return rc;
 }
@@ -248,7 +250,12 @@
     http_reply_t r;
     int rc = ask(t, c, a, "", wait_ms, &r, e);
 
-    return take_answer(t, rc, &r);
+    rc = take_answer(t, c, rc, &r);
+    if (rc == -ESTALE) {
+        rc = ask(t, c, a, "", 0, &r, e);
+        rc = take_answer(t, c, rc, &r);
+    }
+    return rc;
 }
 
 int
@@ -264,5 +271,6 @@
         addr_parse(instead, r.body) == 0) {
         return -EREMOTE;
     }
-    return take_answer(t, rc, &r);
+    rc = take_answer(t, c, rc, &r);
+    return rc == -ESTALE ? news_ask(t, c, a, 0, e) : rc;
 }
--- a/tagged/replica.c
+++ b/tagged/replica.c
@@ -16,6 +16,7 @@
     store_items_t items; /* sorted by key; a removed one has no value */
     size_t n_removed;
     uint64_t floor; /* changes after it are complete */
+    former_t former;
     ms_t current_at;
 };
 
@@ -36,6 +37,7 @@
 {
     if (r != NULL) {
         store_items_free(&r->items);
+        former_free(&r->former);
         pthread_mutex_destroy(&r->lock);
         free(r);
     }
@@ -111,6 +113,7 @@
         return 0;
     }
     if (found) {
+        former_keep(&r->former, &r->items.item[at]);
         take_out(r, at);
     }
     rc = put_in(r, at, new_);
@@ -184,8 +187,35 @@
     return rc;
 }
 
+/* Makes a value of ITEM's difference, unless what is here is as new. */
+static int
+expand(const replica_t *r, store_item_t *item)
+{
+    bool found;
+    size_t at = place(&r->items, item->key, &found);
+    const store_item_t *own = found ? &r->items.item[at] : NULL;
+    char *value;
+    int rc;
+
+    if (item->difference_to == 0 || item->value == NULL ||
+        (found && own->revision >= item->revision)) {
+        return 0;
+    }
+    if (!found || own->value == NULL || own->revision != item->difference_to) {
+        return -ESTALE;
+    }
+    rc = difference_apply(own->value, item->value, &value);
+    if (rc < 0) {
+        return rc == -EBADMSG ? -ESTALE : rc;
+    }
+    free(item->value);
+    item->value = value;
+    item->difference_to = 0;
+    return 0;
+}
+
 int
-replica_merge(replica_t *r, ms_t now, const store_items_t *items,
+replica_merge(replica_t *r, ms_t now, store_items_t *items,
               store_items_t *changed)
 {
     uint64_t known;
@@ -194,6 +224,13 @@
     *changed = (store_items_t){.revision = items->revision};
     pthread_mutex_lock(&r->lock);
     known = r->items.revision;
+    for (size_t i = 0; i < items->n && rc == 0; i++) {
+        rc = expand(r, &items->item[i]);
+    }
+    if (rc < 0) {
+        pthread_mutex_unlock(&r->lock);
+        return rc;
+    }
     if (items->whole) {
         rc = remove_missing(r, items, changed);
     }
@@ -250,6 +287,34 @@
     }
 }
 
+/* Replaces values in OUT by differences (heap) to what a peer has that knows
+ * all up to AFTER. */
+static void
+select_differences(const replica_t *r, uint64_t after, store_items_t *out)
+{
+    for (size_t i = 0; i < out->n; i++) {
+        store_item_t *it = &out->item[i];
+        const store_item_t *had = former_find(&r->former, it->key, after);
+        char *difference = had != NULL && it->value != NULL
+                               ? difference_make(had->value, it->value)
+                               : NULL;
+        if (difference != NULL) {
+            it->value = difference;
+            it->difference_to = had->revision;
+        }
+    }
+}
+
+static void
+free_differences(store_items_t *out)
+{
+    for (size_t i = 0; i < out->n; i++) {
+        if (out->item[i].difference_to != 0) {
+            free(out->item[i].value);
+        }
+    }
+}
+
 bool
 replica_is_behind(replica_t *r, uint64_t after)
 {
@@ -262,7 +327,8 @@
 }
 
 char *
-replica_text(replica_t *r, ms_t now, uint64_t after, ms_t given_ms)
+replica_text(replica_t *r, ms_t now, uint64_t after, ms_t given_ms,
+             bool differences)
 {
     store_items_t out = {0};
     char *text = NULL;
@@ -274,9 +340,13 @@
     out.item = calloc(r->items.n + 1, sizeof(*out.item));
     if (out.item != NULL) {
         select_items(r, after, &out);
+        if (differences && !out.whole) {
+            select_differences(r, after, &out);
+        }
         text = store_items_write(&out);
     }
     pthread_mutex_unlock(&r->lock);
+    free_differences(&out);
     free(out.item);
     return text;
 }
--- a/tagged/serve.c
+++ b/tagged/serve.c
@@ -163,7 +163,8 @@
         duty_wake(kern_find(t->kern, "serve"));
         return MHD_YES;
     }
-    return answers_reply(t->answers, t->replica, c, after);
+    return answers_reply(t->answers, t->replica, c, after,
+                         number(c, "differences") > 0);
 }
 
 static enum MHD_Result
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -30,6 +30,29 @@
 extern "C" {
 #endif
 
+/* ---- former.c: differences to long values ---- */
+
+#define FORMER_MAX 3
+
+/* The last values that were replaced, oldest first. */
+typedef struct {
+    store_item_t value[FORMER_MAX];
+    uint32_t n;
+} former_t;
+
+void former_free(former_t *f);
+/* Keeps a copy of ITEM, if it is long. */
+void former_keep(former_t *f, const store_item_t *item);
+/* The value of KEY that a peer has which knows all up to AFTER, as far as is
+ * known here; NULL: it isn't kept. */
+const store_item_t *former_find(const former_t *f, const char *key,
+                                uint64_t after);
+/* What makes TO of FROM, as text on the heap; NULL without memory. */
+char *difference_make(const char *from, const char *to);
+/* *TO receives the text on the heap.  -EBADMSG: it is a difference to another
+ * text. */
+int difference_apply(const char *from, const char *difference, char **to);
+
 /* ---- The replica: what the store holds, as it was last seen ---- */
 
 typedef struct replica replica_t;
@@ -37,8 +60,9 @@
 replica_t *replica_new(ms_t now);
 void replica_free(replica_t *r);
 /* Takes what is newer in ITEMS; CHANGED (freed by the caller) receives it.
- * What a whole list lacks counts as removed. */
-int replica_merge(replica_t *r, ms_t now, const store_items_t *items,
+ * What a whole list lacks counts as removed.  Differences in ITEMS become
+ * values; -ESTALE: one is to a value that isn't here, and nothing is taken. */
+int replica_merge(replica_t *r, ms_t now, store_items_t *items,
                   store_items_t *changed);
 /* 0: nothing has been seen yet. */
 uint64_t replica_revision(replica_t *r);
@@ -48,16 +72,19 @@
  * the whole helps. */
 bool replica_is_behind(replica_t *r, uint64_t after);
 /* What is newer than revision AFTER, as text for a peer, which gets it at most
- * GIVEN_MS later; NULL without memory. */
-char *replica_text(replica_t *r, ms_t now, uint64_t after, ms_t given_ms);
+ * GIVEN_MS later; long values as DIFFERENCES, where the former one is known.
+ * NULL without memory. */
+char *replica_text(replica_t *r, ms_t now, uint64_t after, ms_t given_ms,
+                   bool differences);
 
 /* ---- Answers to peers, packed and kept for those that ask the same ---- */
 
 typedef struct answers answers_t;
 
 typedef struct {
-    bool packed; /* the asker takes packed answers */
-    bool whole;  /* it needs all there is */
+    bool packed;      /* the asker takes packed answers */
+    bool differences; /* and differences to long values */
+    bool whole;       /* it needs all there is */
     uint64_t after;
     uint64_t revision; /* of the replica then */
 } question_t;
@@ -70,7 +97,8 @@
 /* Answers C with what is newer than revision AFTER.  MHD_NO, which ends the
  * connection, without memory. */
 enum MHD_Result answers_reply(answers_t *a, replica_t *r,
-                              struct MHD_Connection *c, uint64_t after);
+                              struct MHD_Connection *c, uint64_t after,
+                              bool differences);
 
 /* ---- Messages to packets ---- */
 
@@ -141,14 +169,16 @@
 
 /* Takes ITEMS into the replica and passes on what is new, in one order
  * whoever brings it.  The number of new items, or -ENOMEM.  -ENOBUFS: packets'
- * inbox is full, and nothing was taken. */
-int news_take(tagged_t *t, const store_items_t *items);
+ * inbox is full, and nothing was taken; -ESTALE: nor was it, as in
+ * replica_merge(). */
+int news_take(tagged_t *t, store_items_t *items);
 /* Takes only what ITEMS tell of peers. */
 void news_take_peers(tagged_t *t, const store_items_t *items);
 typedef struct {
     addr_t addr;
     void *http;
     unsigned late; /* answers with everything that came too late, in a row */
+    bool values;   /* a difference did not fit: the values are needed */
 } peer_client_t;
 
 /* Asks the peer at A for what is newer, by the client C, which is made anew
--- a/test/replica_test.cc
+++ b/test/replica_test.cc
@@ -1,6 +1,8 @@
 /* The replica: what the store holds, merged from the store and from peers. */
 #include "tagged/tagged.h"
 
+#include <cstring>
+#include <errno.h>
 #include <gtest/gtest.h>
 #include <map>
 #include <string>
@@ -41,9 +43,10 @@
     std::string
     merge(const Items &items)
     {
+        store_items_t *s = const_cast<store_items_t *>(&items.s);
         store_items_t changed;
         std::string out;
-        EXPECT_EQ(replica_merge(r, now, &items.s, &changed), 0);
+        EXPECT_EQ(replica_merge(r, now, s, &changed), 0);
         for (size_t i = 0; i < changed.n; i++) {
             out += std::string(changed.item[i].value ? "" : "-") +
                    changed.item[i].key + " ";
@@ -56,7 +59,7 @@
     store_items_t
     text(uint64_t after)
     {
-        char *t = replica_text(r, now, after, 0);
+        char *t = replica_text(r, now, after, 0, false);
         store_items_t out;
         EXPECT_EQ(store_items_parse(&out, t), 0);
         free(t);
@@ -181,7 +184,7 @@
     store_items_t out;
 
     merge(Items(10, true));
-    t = replica_text(r, now + 200, 0, 1000);
+    t = replica_text(r, now + 200, 0, 1000, false);
     ASSERT_EQ(store_items_parse(&out, t), 0);
     EXPECT_EQ(out.age, 1200);
     free(t);
@@ -250,6 +253,95 @@
     }
 }
 
+namespace {
+
+/* A configuration of some 30 kB, of which a line changes with each version. */
+std::string
+long_value(int version)
+{
+    std::string s = "version " + std::to_string(version) + ": ";
+    for (int i = 0; i < 1000; i++) {
+        s += "route " + std::to_string(i * 7919 % 100003) + " to a service, ";
+    }
+    return s;
+}
+
+/* A peer of R that has everything up to REVISION. */
+struct Peer {
+    replica_t *r = replica_new(1000);
+
+    Peer(int version, uint64_t revision)
+    {
+        Items items(revision, true);
+        items.add("conf", long_value(version).c_str(), revision);
+        items.add("a", "1", 3);
+        store_items_t changed;
+        EXPECT_EQ(replica_merge(r, 1000, &items.s, &changed), 0);
+        store_items_free(&changed);
+    }
+    ~Peer()
+    {
+        replica_free(r);
+    }
+
+    /* Takes what FROM tells it; the length of the text, or the error. */
+    int
+    ask(replica_t *from, bool differences,
+        std::map<std::string, std::string> *got)
+    {
+        char *t =
+            replica_text(from, 1000, replica_revision(r), 0, differences);
+        store_items_t items, changed;
+        EXPECT_EQ(store_items_parse(&items, t), 0);
+        int rc = replica_merge(r, 1000, &items, &changed);
+        for (size_t i = 0; rc == 0 && i < changed.n; i++) {
+            (*got)[changed.item[i].key] = changed.item[i].value;
+        }
+        rc = rc < 0 ? rc : (int)strlen(t);
+        store_items_free(&items);
+        store_items_free(&changed);
+        free(t);
+        return rc;
+    }
+};
+
+} // namespace
+
+/* Guards against: a large configuration sent whole with each version, which
+ * fills a slow link for seconds. */
+TEST_F(Replica, ALongValueIsSentAsADifference)
+{
+    std::map<std::string, std::string> got;
+
+    merge(Items(10, true).add("conf", long_value(1).c_str(), 10));
+    merge(Items(12).add("conf", long_value(2).c_str(), 12));
+    merge(Items(14).add("conf", long_value(3).c_str(), 14));
+    for (int version : {1, 2}) {
+        Peer peer(version, 8 + 2 * (uint64_t)version);
+        got.clear();
+        int len = peer.ask(r, true, &got);
+        EXPECT_GT(len, 0);
+        EXPECT_LT(len, 1000);
+        EXPECT_EQ(got["conf"], long_value(3));
+    }
+}
+
+/* Guards against: a difference to a version that the asker doesn't have, since
+ * this instance has never seen the asker's. */
+TEST_F(Replica, ADifferenceThatDoesNotFitTakesNothing)
+{
+    std::map<std::string, std::string> got;
+    Peer peer(2, 12);
+
+    merge(Items(10, true).add("conf", long_value(1).c_str(), 10));
+    merge(Items(14).add("conf", long_value(3).c_str(), 14).add("b", "1", 13));
+    EXPECT_EQ(peer.ask(r, true, &got), -ESTALE);
+    EXPECT_EQ(replica_revision(peer.r), 12u);
+    EXPECT_GT(peer.ask(r, false, &got), 0);
+    EXPECT_EQ(got["conf"], long_value(3));
+    EXPECT_EQ(got["b"], "1");
+}
+
 /* Dozens of peers ask the same at the same moment.  One answer serves them all
  * as long as nothing in it is wrong for the asker. */
 TEST(Answers, OneServesThoseThatAskTheSameAtOnce)
@@ -270,6 +362,9 @@
     asked.packed = false;
     EXPECT_FALSE(answer_serves(&kept, 0, &asked));
     asked = kept;
+    asked.differences = true;
+    EXPECT_FALSE(answer_serves(&kept, 0, &asked));
+    asked = kept;
     asked.whole = true;
     EXPECT_FALSE(answer_serves(&kept, 0, &asked));
 }
