tagged/follow: read who is announced before the list

Each read the first page of the store's list to learn who is announced: the configuration and 470 upstreams, some 400 kB, 351 times: 1.1 s of the store's link. The few that read on, and whom the others ask, waited among them.

Ruled out: processor time at the start (small sites serve after 75 ms with the same code), the packed answers of peers (40 kB).

An instance that knows nothing asks for announcements alone (a few kB) and leaves the list to its peers; seeds and announced instances read it. TLS is no longer set up at the start: only http is spoken.

tagged_herd counts lists of everything; before, 24 where 3 and 11 are allowed.

--- a/plat/http.c
+++ b/plat/http.c
@@ -24,7 +24,7 @@
 static void
 init_curl(void)
 {
-    curl_global_init(CURL_GLOBAL_DEFAULT);
+    curl_global_init(CURL_GLOBAL_NOTHING); /* only http: no TLS to set up */
 }
 
 http_t *
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -81,14 +81,14 @@
     return rc;
 }
 
-/* A list of several pages: an instance that knows nothing leaves it to its
- * peers, which have it packed.  True: one of them told. */
+/* An instance that knows nothing leaves the list to its peers, which have it
+ * packed.  When hundreds start together, even a page of it for each takes the
+ * store's link for a second.  True: one of them told. */
 static bool
-leave_list(follow_t *f, const store_items_t *first_page)
+leave_list(follow_t *f)
 {
     ms_t until, now = clock_now();
 
-    news_take_peers(f->t, first_page);
     pthread_mutex_lock(&f->t->follow_lock);
     until = now + sources_leave_list_ms(&f->t->sources);
     pthread_mutex_unlock(&f->t->follow_lock);
@@ -100,18 +100,47 @@
     return replica_revision(f->t->replica) > 0;
 }
 
+/* Who is announced, for the choice of a peer to ask; a seed reads the list
+ * anyway. */
+static int
+list_peers(follow_t *f, err_t *e)
+{
+    store_items_t items;
+    bool seed;
+    int rc;
+
+    pthread_mutex_lock(&f->t->follow_lock);
+    seed = f->t->sources.seed;
+    pthread_mutex_unlock(&f->t->follow_lock);
+    if (seed) {
+        return 0;
+    }
+    rc = store_list_peers(f->t->store, LIST_MS, &items, e);
+    if (rc == 0) {
+        news_take_peers(f->t, &items);
+    }
+    store_items_free(&items);
+    return rc;
+}
+
 static int
 list(follow_t *f, err_t *e)
 {
     store_items_t items = {.whole = true};
-    ms_t begun = clock_now();
+    ms_t begun;
     bool more = true;
+    int rc;
 
+    if (!f->must_list) {
+        rc = list_peers(f, e);
+        if (rc < 0 || leave_list(f)) {
+            return rc;
+        }
+    }
+    begun = clock_now();
     while (more) {
-        bool first = items.n == 0;
-        int rc = store_list_page(f->t->store, LIST_MS, &items, &more, e);
-        if (rc < 0 ||
-            (more && first && !f->must_list && leave_list(f, &items))) {
+        rc = store_list_page(f->t->store, LIST_MS, &items, &more, e);
+        if (rc < 0) {
             store_items_free(&items);
             return rc;
         }
--- a/test/tagged_bed.bash
+++ b/test/tagged_bed.bash
@@ -57,6 +57,10 @@
     curl -s -m 3 "$store/calls" | tr -dc 0-9
 }
 
+lists() {               # of all that the store holds
+    curl -s -m 3 "$store/lists" | tr -dc 0-9
+}
+
 pages() {               # behind the first of each list
     curl -s -m 3 "$store/pages" | tr -dc 0-9
 }
--- a/test/tagged_herd.sh
+++ b/test/tagged_herd.sh
@@ -9,6 +9,7 @@
 instances=24
 upstreams=1200          # three pages of the store
 read_before=0
+listed_before=0
 
 # Instances that the store has: four of each data centre at least.
 announced_are() {       # NUMBER
@@ -28,10 +29,14 @@
     done
 }
 
-# READERS read two pages behind the first each; one more may find its peers
-# late on a busy machine.  Each for itself: 48.
+# READERS list everything, two pages behind the first each; one more may find
+# its peers late on a busy machine.  Each for itself: 24 and 48.
 few_pages() {           # READERS
     local n most=$((2 * ($1 + 1)))
+    n=$(lists)
+    [ $((n - listed_before)) -le $(($1 + 1)) ] && echo "few lists" ||
+        echo "lists: $((n - listed_before)), expected at most $(($1 + 1))"
+    listed_before=$n
     n=$(pages)
     [ $((n - read_before)) -le $most ] && echo "few pages" ||
         echo "pages: $((n - read_before)), expected at most $most"
@@ -61,6 +66,7 @@
     signal i1 TERM
     ended i1
     read_before=$(pages)
+    listed_before=$(lists)
 
     echo "## All start: the seeds read on"
     all_start
