source: let two leaders watch the store, the others follow them

Of all data centres' leaders the two that rank first watch the store. Another leader follows one of them, asks the other each 700 ms, and watches the store itself for 6 s when its watcher fails it: who is cut off pays one timeout (1 s), not one for each leader. A leader follows only lower ranks, so no circle arises; a property test tries 2,000 rounds of failures. Instances with fast links announce themselves before slow ones, in the first half of the spread: after the loss of all, the announced ones hand the list to all others.

What is left is the start: all watch the store until somebody is announced.

--- a/source/source.c
+++ b/source/source.c
@@ -14,10 +14,24 @@
 #define LEAVE_MIN_MS 800
 #define LEAVE_SPREAD_MS 800
 
+/* Instances that start together wait for times that differ before they
+ * announce themselves: by then they see that enough others are announced. */
+#define ANNOUNCE_SPREAD_MS 8000
+/* Those with slower links wait longer, by a part of the spread: the announced
+ * ones hand the list to all others when all start together. */
+#define FAST_LINK_MBPS 100
+#define SLOW_LINK_WAIT_MS (ANNOUNCE_SPREAD_MS / 2)
+
 /* Sent on so often, it goes round in circles, which may arise while leaders
  * change.  With places for 32 a tree of three levels holds 32,768. */
 #define SENT_ON_MAX 8
 
+/* Leaders that follow the store.  Two: one that is cut off or turned away is
+ * found out by those that ask the other. */
+#define WATCHERS 2
+/* A leader that a watcher has failed follows the store for so long. */
+#define WATCH_MS 6000
+
 /* Between two questions to others than the followed one.  A change must be in
  * force within 3 s: this leaves room for one peer that doesn't answer and a
  * second question. */
@@ -79,11 +93,111 @@
     }
 }
 
+static uint64_t
+rank(const addr_t *a)
+{
+    return hash64(a->ip, sizeof(a->ip), a->port);
+}
+
+static bool
+is_local(const sources_t *s, const source_peer_t *p)
+{
+    return strcmp(p->data_centre, s->data_centre) == 0;
+}
+
+/* The answering instance of this data centre that ranks first; NULL: it is
+ * this one, or there is none. */
+static const source_peer_t *
+local_leader(const sources_t *s, ms_t now)
+{
+    const source_peer_t *first = NULL;
+    uint64_t lowest = s->announced ? rank(&s->self) : UINT64_MAX;
+
+    for (uint32_t i = 0; i < s->n; i++) {
+        const source_peer_t *p = &s->peer[i];
+        if (is_local(s, p) && now >= p->failed_until &&
+            rank(&p->addr) < lowest) {
+            lowest = rank(&p->addr);
+            first = p;
+        }
+    }
+    return first;
+}
+
+/* The first rank of P's data centre, among those that answer: the others
+ * there have what they know from it. */
+static bool
+leads(const sources_t *s, ms_t now, const source_peer_t *p)
+{
+    for (uint32_t i = 0; i < s->n; i++) {
+        const source_peer_t *q = &s->peer[i];
+        if (strcmp(q->data_centre, p->data_centre) == 0 &&
+            now >= q->failed_until && rank(&q->addr) < rank(&p->addr)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+is_other_leader(const sources_t *s, ms_t now, const source_peer_t *p)
+{
+    return p->data_centre[0] != '\0' && !is_local(s, p) &&
+           now >= p->failed_until && leads(s, now, p);
+}
+
+/* The other data centres' leaders that rank first; returns how many. */
+static uint32_t
+find_watchers(const sources_t *s, ms_t now,
+              const source_peer_t *watcher[WATCHERS])
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < s->n; i++) {
+        const source_peer_t *p = &s->peer[i];
+        uint32_t at = n;
+        if (!is_other_leader(s, now, p)) {
+            continue;
+        }
+        while (at > 0 && rank(&p->addr) < rank(&watcher[at - 1]->addr)) {
+            at--;
+        }
+        if (at == WATCHERS) {
+            continue;
+        }
+        n += n < WATCHERS;
+        for (uint32_t k = n - 1; k > at; k--) {
+            watcher[k] = watcher[k - 1];
+        }
+        watcher[at] = p;
+    }
+    return n;
+}
+
+/* The watcher that this instance, a leader, follows; NULL: it is one itself,
+ * or no leader. */
+static const source_peer_t *
+followed_watcher(const sources_t *s, ms_t now)
+{
+    const source_peer_t *watcher[WATCHERS];
+
+    if (!s->announced || local_leader(s, now) != NULL ||
+        find_watchers(s, now, watcher) < WATCHERS ||
+        rank(&s->self) < rank(&watcher[WATCHERS - 1]->addr)) {
+        return NULL;
+    }
+    return watcher[rank(&s->self) % WATCHERS];
+}
+
 void
 sources_failed(sources_t *s, ms_t now, const addr_t *a)
 {
+    const source_peer_t *watcher = followed_watcher(s, now);
     source_peer_t *p = find(s, a);
 
+    if (watcher != NULL && addr_eq(a, &watcher->addr)) {
+        s->watch_until = now + WATCH_MS;
+    }
     if (s->relayed && addr_eq(a, &s->relay.addr)) {
         s->relayed = false;
     }
@@ -124,43 +238,15 @@
     }
 }
 
-static uint64_t
-rank(const addr_t *a)
-{
-    return hash64(a->ip, sizeof(a->ip), a->port);
-}
-
-static bool
-is_local(const sources_t *s, const source_peer_t *p)
-{
-    return strcmp(p->data_centre, s->data_centre) == 0;
-}
-
-/* The answering instance of this data centre that ranks first; NULL: it is
- * this one, or there is none. */
-static const source_peer_t *
-local_leader(const sources_t *s, ms_t now)
-{
-    const source_peer_t *first = NULL;
-    uint64_t lowest = s->announced ? rank(&s->self) : UINT64_MAX;
-
-    for (uint32_t i = 0; i < s->n; i++) {
-        const source_peer_t *p = &s->peer[i];
-        if (is_local(s, p) && now >= p->failed_until &&
-            rank(&p->addr) < lowest) {
-            lowest = rank(&p->addr);
-            first = p;
-        }
-    }
-    return first;
-}
-
 const source_peer_t *
 sources_lead(const sources_t *s, ms_t now)
 {
     const source_peer_t *leader = local_leader(s, now);
 
-    return leader != NULL && s->relayed ? &s->relay : leader;
+    if (leader != NULL) {
+        return s->relayed ? &s->relay : leader;
+    }
+    return now < s->watch_until ? NULL : followed_watcher(s, now);
 }
 
 int
@@ -182,21 +268,6 @@
     return s->relayed ? CHECK_RELAYED_MS : CHECK_MS;
 }
 
-/* The first rank of P's data centre, among those that answer: the others
- * there have what they know from it. */
-static bool
-leads(const sources_t *s, ms_t now, const source_peer_t *p)
-{
-    for (uint32_t i = 0; i < s->n; i++) {
-        const source_peer_t *q = &s->peer[i];
-        if (strcmp(q->data_centre, p->data_centre) == 0 &&
-            now >= q->failed_until && rank(&q->addr) < rank(&p->addr)) {
-            return false;
-        }
-    }
-    return true;
-}
-
 typedef enum { ANY, NEIGHBOUR, SEED, OTHER_LEADER } kind_t;
 
 static bool
@@ -210,8 +281,7 @@
     case SEED:
         return p->data_centre[0] == '\0';
     case OTHER_LEADER:
-        return p->data_centre[0] != '\0' && !is_local(s, p) &&
-               leads(s, now, p);
+        return is_other_leader(s, now, p);
     }
     return false;
 }
@@ -236,14 +306,32 @@
     return one;
 }
 
+/* A leader asks a watcher that it doesn't follow; NULL: it is no leader, or
+ * there is none. */
+static const source_peer_t *
+other_watcher(const sources_t *s, ms_t now)
+{
+    const source_peer_t *watcher[WATCHERS];
+    const source_peer_t *followed = followed_watcher(s, now);
+    uint32_t n = find_watchers(s, now, watcher);
+
+    if (!s->announced || local_leader(s, now) != NULL || n == 0) {
+        return NULL;
+    }
+    return watcher[0] != followed ? watcher[0] : n > 1 ? watcher[1] : NULL;
+}
+
 const source_peer_t *
 sources_check(sources_t *s, ms_t now)
 {
     const source_peer_t *leader = local_leader(s, now);
     kind_t first = s->announced ? OTHER_LEADER : NEIGHBOUR;
     kind_t second = s->announced ? NEIGHBOUR : OTHER_LEADER;
-    const source_peer_t *p = one_of(s, now, first, leader);
+    const source_peer_t *p = other_watcher(s, now);
 
+    if (p == NULL) {
+        p = one_of(s, now, first, leader);
+    }
     if (p == NULL) {
         p = one_of(s, now, second, leader);
     }
@@ -285,3 +373,12 @@
     }
     return !s->announced && n < SOURCE_ANNOUNCED;
 }
+
+ms_t
+sources_announce_wait_ms(sources_t *s, double link_mbps)
+{
+    bool slow = link_mbps > 0 && link_mbps < FAST_LINK_MBPS;
+
+    return (slow ? SLOW_LINK_WAIT_MS : 0) +
+           rng_below(&s->rng, ANNOUNCE_SPREAD_MS - SLOW_LINK_WAIT_MS);
+}
--- a/source/source.h
+++ b/source/source.h
@@ -1,10 +1,15 @@
 /* source: whom an instance follows to know what the store holds.
  *
  * Each waiting call to the store is paid for, so of each data centre one
- * instance, its leader, follows the store, and the others follow the leader.
- * There is no election: all rank the announced instances alike, and one that
- * does not answer is passed over by those that it failed.  Two leaders for a
- * while cost a few calls and do no harm, since revisions tell what is newer.
+ * instance, its leader, follows the store or another data centre's leader that
+ * does, and the others follow the leader.  There is no election: all rank the
+ * announced instances alike, and one that does not answer is passed over by
+ * those that it failed.  Two leaders for a while cost a few calls and do no
+ * harm, since revisions tell what is newer.
+ *
+ * The two leaders that rank first, the watchers, follow the store.  Another
+ * leader follows one of them and asks the other now and then; when the one
+ * fails it, it follows the store itself for a while.
  *
  * A leader may be cut off, frozen or turned away by the store and not know it.
  * So each announced instance also asks another data centre's leader, now and
@@ -52,6 +57,7 @@
     bool seed;      /* the settings name this instance itself */
     bool relayed;   /* it follows RELAY, not the leader */
     source_peer_t relay;
+    ms_t watch_until; /* as a leader it follows the store: a watcher failed */
     uint32_t sent_on; /* times in a row, without an answer */
     rng_t rng;
     uint32_t n;
@@ -79,7 +85,8 @@
 /* The followed peer has no place and names TO.  -ELOOP: it was sent on too
  * often; the leader is followed again, after a pause. */
 int sources_sent_on(sources_t *s, const addr_t *to);
-/* The peer to follow, or NULL: follow the store itself. */
+/* The peer to follow, or NULL: follow the store itself.  One of another data
+ * centre is a watcher, and gives leaders no place as followers. */
 const source_peer_t *sources_lead(const sources_t *s, ms_t now);
 /* A peer to ask for anything newer, other than the one that is followed; NULL:
  * there is none. */
@@ -97,6 +104,9 @@
 /* True while too few instances of the data centre are announced and this one
  * isn't. */
 bool sources_should_announce(const sources_t *s);
+/* How long an instance whose link carries LINK_MBPS (0: not told) waits before
+ * it looks whether it should. */
+ms_t sources_announce_wait_ms(sources_t *s, double link_mbps);
 
 /* ---- Those that follow this instance ---- */
 
--- a/tagged/announce.c
+++ b/tagged/announce.c
@@ -6,26 +6,32 @@
 #include "tagged/tagged.h"
 
 #include <errno.h>
-#include <string.h>
 
 /* An announcement lapses so long after its instance died.  Until then peers
  * pass it over as one that doesn't answer. */
 #define LEASE_MS 60000
 #define RENEW_MS 20000
-/* Instances that start together wait a random time first: by then they see
- * that enough others are announced. */
-#define SPREAD_MS 8000
 /* After a call that failed. */
 #define RETRY_MS 3000
 
 typedef struct {
     tagged_t *t;
-    rng_t rng;
     uint64_t lease; /* 0: none of its own */
 } announce_t;
 
+static ms_t
+next_look(announce_t *a)
+{
+    ms_t wait;
+
+    pthread_mutex_lock(&a->t->follow_lock);
+    wait = sources_announce_wait_ms(&a->t->sources, a->t->settings.link_mbps);
+    pthread_mutex_unlock(&a->t->follow_lock);
+    return wait;
+}
+
 static bool
-needed(announce_t *a)
+should_register(announce_t *a)
 {
     bool yes;
 
@@ -47,7 +53,7 @@
 }
 
 static int
-announce_anew(announce_t *a, err_t *e)
+register_instance(announce_t *a, err_t *e)
 {
     char key[128];
 
@@ -66,8 +72,8 @@
     if (a->lease != 0) {
         rc = renew(a, &e);
     }
-    else if (needed(a)) {
-        rc = announce_anew(a, &e);
+    else if (should_register(a)) {
+        rc = register_instance(a, &e);
     }
     if (rc < 0) {
         log_line(LVL_WARN, "announce",
@@ -75,7 +81,7 @@
                  e.step, e.text);
         return RETRY_MS;
     }
-    return a->lease != 0 ? RENEW_MS : SPREAD_MS;
+    return a->lease != 0 ? RENEW_MS : next_look(a);
 }
 
 void
@@ -84,9 +90,7 @@
     announce_t a = {.t = tagged};
     ms_t wait;
 
-    a.rng.seed = hash64(a.t->settings.name, strlen(a.t->settings.name),
-                        (uint64_t)a.t->started + 3);
-    wait = rng_below(&a.rng, SPREAD_MS);
+    wait = next_look(&a);
     while (!duty_stopping(self)) {
         duty_wait(self, NULL, 0, wait);
         if (!duty_stopping(self)) {
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -227,13 +227,14 @@
 /* One question to the peer at A.  One that doesn't answer, or leaves what is
  * known here old, is passed over. */
 static ms_t
-follow_peer(follow_t *f, const addr_t *a)
+follow_peer(follow_t *f, const addr_t *a, bool local)
 {
     ms_t wait = is_stale(f) ? 0 : PEER_WAIT_MS;
     char text[ADDR_STRLEN];
     err_t e = {0};
     addr_t instead;
-    int rc = news_follow(f->t, &f->peer, a, wait, &instead, &e);
+    int rc = local ? news_follow(f->t, &f->peer, a, wait, &instead, &e)
+                   : news_ask(f->t, &f->peer, a, wait, &e);
     bool old = rc >= 0 && is_stale(f);
 
     f->store_failed = false;
@@ -261,7 +262,7 @@
  * from here.  Walking through peers first takes seconds when many are cut off.
  */
 static bool
-pick_peer(follow_t *f, addr_t *a)
+pick_peer(follow_t *f, addr_t *a, bool *local)
 {
     const source_peer_t *p;
 
@@ -272,6 +273,7 @@
     p = sources_lead(&f->t->sources, clock_now());
     if (p != NULL) {
         *a = p->addr;
+        *local = strcmp(p->data_centre, f->t->settings.data_centre) == 0;
     }
     pthread_mutex_unlock(&f->t->follow_lock);
     return p != NULL;
@@ -281,7 +283,8 @@
 follow_once(follow_t *f, bool *leading)
 {
     addr_t a = {0};
-    bool peer = pick_peer(f, &a);
+    bool local = true;
+    bool peer = pick_peer(f, &a, &local);
     char text[ADDR_STRLEN];
 
     if (peer == *leading) {
@@ -291,7 +294,7 @@
                  peer ? addr_text(&a, text) : "store",
                  (long long)(clock_now() - replica_current_at(f->t->replica)));
     }
-    return peer ? follow_peer(f, &a) : follow_store(f);
+    return peer ? follow_peer(f, &a, local) : follow_store(f);
 }
 
 /* The settings file has changed.  What a running process can't change is
--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -229,6 +229,24 @@
     EXPECT_EQ(s.n, (uint32_t)SOURCE_PEERS_MAX);
 }
 
+/* Guards against: slow links that hand the list to hundreds of others after
+ * the loss of all, with fast ones beside them. */
+TEST_F(Sources, SlowLinksAnnounceLater)
+{
+    ms_t fast_last = 0, slow_first = 1000000, slow_last = 0;
+
+    for (int i = 0; i < 1000; i++) {
+        ms_t fast = sources_announce_wait_ms(&s, i % 2 == 0 ? 0 : 1000);
+        ms_t slow = sources_announce_wait_ms(&s, 20);
+        fast_last = std::max(fast_last, fast);
+        slow_first = std::min(slow_first, slow);
+        slow_last = std::max(slow_last, slow);
+    }
+    EXPECT_LE(fast_last, slow_first);
+    EXPECT_GT(fast_last, 3000);
+    EXPECT_GT(slow_last - slow_first, 3000);
+}
+
 /* All instances start at once and know nothing.  Whoever has a peer to ask
  * leaves a long list to it; a seed is the peer that the others ask. */
 TEST_F(Sources, OnlyASeedReadsALongListAtOnce)
@@ -327,6 +345,138 @@
     EXPECT_STREQ(sources_start(&s, now)->data_centre, "dc-b");
 }
 
+/* ---- Watchers ---- */
+
+/* Six data centres of three announced instances; as each of them sees it. */
+class Watchers : public ::testing::Test {
+  protected:
+    static constexpr int CENTRES = 6;
+    static constexpr int ANNOUNCED = 3;
+    std::vector<sources_t> s{CENTRES * ANNOUNCED};
+    ms_t now = 100000;
+
+    static addr_t
+    at(int i)
+    {
+        return address("10." + std::to_string(i / ANNOUNCED + 1) + ".0." +
+                       std::to_string(i % ANNOUNCED + 1) + ":8000");
+    }
+    static std::string
+    centre(int i)
+    {
+        return "dc-" + std::to_string(i / ANNOUNCED);
+    }
+    static int
+    number(const addr_t &a)
+    {
+        return (a.ip[13] - 1) * ANNOUNCED + a.ip[15] - 1;
+    }
+
+    void
+    SetUp() override
+    {
+        for (size_t i = 0; i < s.size(); i++) {
+            addr_t self = at((int)i);
+            sources_init(&s[i], &self, centre((int)i).c_str(), i);
+            for (size_t k = 0; k < s.size(); k++) {
+                addr_t a = at((int)k);
+                sources_add(&s[i], &a, centre((int)k).c_str());
+            }
+        }
+    }
+
+    /* Whom I follows; -1: the store. */
+    int
+    lead(int i)
+    {
+        const source_peer_t *p = sources_lead(&s[(size_t)i], now);
+        return p != nullptr ? number(p->addr) : -1;
+    }
+
+    /* Leaders that follow a watcher. */
+    std::vector<int>
+    other_leaders()
+    {
+        std::vector<int> out;
+        for (int i = 0; i < CENTRES * ANNOUNCED; i++) {
+            int to = lead(i);
+            if (to >= 0 && centre(to) != centre(i)) {
+                out.push_back(i);
+            }
+        }
+        return out;
+    }
+};
+
+/* Guards against: a watch of the store for each data centre, each answer of
+ * which is paid for. */
+TEST_F(Watchers, TwoInstancesFollowTheStore)
+{
+    std::set<int> watchers;
+
+    for (int i = 0; i < CENTRES * ANNOUNCED; i++) {
+        if (lead(i) < 0) {
+            watchers.insert(i);
+        }
+    }
+    EXPECT_EQ(watchers.size(), 2u);
+    EXPECT_EQ(other_leaders().size(), (size_t)CENTRES - 2);
+    for (int i : other_leaders()) {
+        EXPECT_EQ(watchers.count(lead(i)), 1u);
+    }
+}
+
+/* Guards against: a watcher that is blind and doesn't know it, and all who
+ * follow it. */
+TEST_F(Watchers, ALeaderAsksTheWatcherThatItDoesNotFollow)
+{
+    for (int i : other_leaders()) {
+        const source_peer_t *p = sources_check(&s[(size_t)i], now);
+        ASSERT_NE(p, nullptr);
+        EXPECT_NE(number(p->addr), lead(i));
+        EXPECT_EQ(lead(number(p->addr)), -1);
+    }
+}
+
+/* Guards against: a walk through all leaders when data centres lose each
+ * other. */
+TEST_F(Watchers, ALeaderThatAWatcherFailsFollowsTheStore)
+{
+    int i = other_leaders()[0];
+    addr_t watcher = at(lead(i));
+
+    sources_checked(&s[(size_t)i], now, &watcher, SOURCE_SILENT);
+    EXPECT_EQ(lead(i), -1);
+    now += 5000;
+    EXPECT_EQ(lead(i), -1);
+    sources_answered(&s[(size_t)i], &watcher);
+    now += 2000;
+    EXPECT_EQ(lead(i), number(watcher));
+}
+
+/* Guards against: a circle of leaders that follow each other, none of which
+ * hears of the store, whichever peers have failed whom. */
+TEST_F(Watchers, NoCircleArises)
+{
+    rng_t rng = {5, 0};
+
+    for (int round = 0; round < 2000; round++) {
+        int i = (int)rng_below(&rng, CENTRES * ANNOUNCED);
+        addr_t a = at((int)rng_below(&rng, CENTRES * ANNOUNCED));
+        sources_checked(&s[(size_t)i], now, &a,
+                        rng_below(&rng, 2) == 0 ? SOURCE_SILENT : SOURCE_TOLD);
+        now += 100;
+        for (int k = 0; k < CENTRES * ANNOUNCED; k++) {
+            int to = k, steps = 0;
+            while (to >= 0 && steps <= CENTRES * ANNOUNCED) {
+                to = lead(to);
+                steps++;
+            }
+            ASSERT_LE(steps, CENTRES * ANNOUNCED);
+        }
+    }
+}
+
 /* ---- A tree of followers ---- */
 
 /* The leader has no place: it names a relay, which is followed until it fails.
