source, tagged/follow: fewer watches at the start and in calm

In calm a watch ended each 1.5 s, whatever time a change may take there.

Seeds announce themselves within 0.5 s. An instance whose data centre has no announced one follows a watcher of another, with a place in its tree. Watch, gathering and the age at which news count as old are shares of the time that a change may take, which the settings tell (apply_ms, drain_ms; 3 s as before unless told: 1.5 s, 0.2 s, 2.5 s).

--- a/conf/tagged.c
+++ b/conf/tagged.c
@@ -21,6 +21,11 @@
 
 #define LINK_MBPS_MAX 400000
 
+/* A shorter time leaves no room for a peer that fails and another question. */
+#define CHANGE_MIN_MS 2000
+#define CHANGE_MAX_MS 600000
+#define CHANGE_DEFAULT_MS 3000
+
 static const char *const kinds[] = {"tagged", NULL};
 /* In the order of log_level_t. */
 static const char *const levels[] = {"error", "warn", "info", "debug", NULL};
@@ -47,6 +52,10 @@
               FOLLOWERS_MIN, FOLLOWERS_MAX, "instances"),
     REAL_FIELD("link_mbps", OPTIONAL, draft_settings_t, s.link_mbps, 0,
                LINK_MBPS_MAX, "megabits a second"),
+    U32_FIELD("apply_ms", OPTIONAL, draft_settings_t, s.apply_ms,
+              CHANGE_MIN_MS, CHANGE_MAX_MS, "milliseconds"),
+    U32_FIELD("drain_ms", OPTIONAL, draft_settings_t, s.drain_ms,
+              CHANGE_MIN_MS, CHANGE_MAX_MS, "milliseconds"),
     CHOICE_FIELD("log_level", OPTIONAL, draft_settings_t, s.log_level, levels),
 };
 
@@ -103,7 +112,9 @@
     draft_settings_t d = {.s = {.log_level = LVL_INFO,
                                 .stop_ms = STOP_DEFAULT_MS,
                                 .records = RECORDS_DEFAULT,
-                                .followers = FOLLOWERS_DEFAULT}};
+                                .followers = FOLLOWERS_DEFAULT,
+                                .apply_ms = CHANGE_DEFAULT_MS,
+                                .drain_ms = CHANGE_DEFAULT_MS}};
     const field_set_t set = {tagged_fields, FIELD_COUNT(tagged_fields), &d};
     toml_doc_t *doc = toml_doc_parse(file, text, e);
     int rc;
--- a/conf/tagged.h
+++ b/conf/tagged.h
@@ -22,6 +22,9 @@
     uint32_t records;   /* flows remembered */
     uint32_t followers; /* instances that may follow this one */
     double link_mbps;   /* of its outgoing link; 0: not told */
+    /* After the store has it, so long until */
+    uint32_t apply_ms; /* a version is in force */
+    uint32_t drain_ms; /* an upstream that leaves gets no new flow */
     log_level_t log_level;
     uint32_t n_seeds;
     addr_t seed[TAGGED_SEEDS]; /* admin addresses of some instances */
--- a/source/source.c
+++ b/source/source.c
@@ -22,6 +22,9 @@
 #define FAST_LINK_MBPS 100
 #define SLOW_LINK_WAIT_MS (ANNOUNCE_SPREAD_MS / 2)
 
+/* Seeds are known to all from the start, and are the first. */
+#define SEED_SPREAD_MS 500
+
 /* Sent on so often, it goes round in circles, which may arise while leaders
  * change.  With places for 32 a tree of three levels holds 32,768. */
 #define SENT_ON_MAX 8
@@ -59,6 +62,23 @@
     return NULL;
 }
 
+static bool
+is_local(const sources_t *s, const source_peer_t *p)
+{
+    return strcmp(p->data_centre, s->data_centre) == 0;
+}
+
+static uint32_t
+count_local(const sources_t *s)
+{
+    uint32_t n = 0;
+
+    for (uint32_t i = 0; i < s->n; i++) {
+        n += is_local(s, &s->peer[i]);
+    }
+    return n;
+}
+
 void
 sources_add(sources_t *s, const addr_t *a, const char *data_centre)
 {
@@ -69,6 +89,9 @@
         s->seed = s->seed || data_centre[0] == '\0';
         return;
     }
+    if (strcmp(data_centre, s->data_centre) == 0 && count_local(s) == 0) {
+        s->relayed = false; /* of another data centre */
+    }
     if (p == NULL) { /* where there is no room, chance says who goes */
         p = s->n < SOURCE_PEERS_MAX
                 ? &s->peer[s->n++]
@@ -99,12 +122,6 @@
     return hash64(a->ip, sizeof(a->ip), a->port);
 }
 
-static bool
-is_local(const sources_t *s, const source_peer_t *p)
-{
-    return strcmp(p->data_centre, s->data_centre) == 0;
-}
-
 /* The answering instance of this data centre that ranks first; NULL: it is
  * this one, or there is none. */
 static const source_peer_t *
@@ -174,15 +191,18 @@
     return n;
 }
 
-/* The watcher that this instance, a leader, follows; NULL: it is one itself,
- * or no leader. */
+/* The watcher that this instance follows, as a leader or because its data
+ * centre has no announced instance; NULL: none. */
 static const source_peer_t *
 followed_watcher(const sources_t *s, ms_t now)
 {
     const source_peer_t *watcher[WATCHERS];
+    uint32_t n = find_watchers(s, now, watcher);
 
-    if (!s->announced || local_leader(s, now) != NULL ||
-        find_watchers(s, now, watcher) < WATCHERS ||
+    if (!s->announced) {
+        return n > 0 && count_local(s) == 0 ? watcher[0] : NULL;
+    }
+    if (local_leader(s, now) != NULL || n < WATCHERS ||
         rank(&s->self) < rank(&watcher[WATCHERS - 1]->addr)) {
         return NULL;
     }
@@ -241,12 +261,18 @@
 const source_peer_t *
 sources_lead(const sources_t *s, ms_t now)
 {
-    const source_peer_t *leader = local_leader(s, now);
+    const source_peer_t *p = local_leader(s, now);
 
-    if (leader != NULL) {
-        return s->relayed ? &s->relay : leader;
+    if (p == NULL && now >= s->watch_until) {
+        p = followed_watcher(s, now);
     }
-    return now < s->watch_until ? NULL : followed_watcher(s, now);
+    return p != NULL && s->relayed ? &s->relay : p;
+}
+
+bool
+sources_takes_place(const sources_t *s, ms_t now)
+{
+    return !s->announced || local_leader(s, now) != NULL;
 }
 
 int
@@ -366,12 +392,7 @@
 bool
 sources_should_announce(const sources_t *s)
 {
-    uint32_t n = 0;
-
-    for (uint32_t i = 0; i < s->n; i++) {
-        n += is_local(s, &s->peer[i]);
-    }
-    return !s->announced && n < SOURCE_ANNOUNCED;
+    return !s->announced && count_local(s) < SOURCE_ANNOUNCED;
 }
 
 ms_t
@@ -379,6 +400,9 @@
 {
     bool slow = link_mbps > 0 && link_mbps < FAST_LINK_MBPS;
 
+    if (s->seed) {
+        return rng_below(&s->rng, SEED_SPREAD_MS);
+    }
     return (slow ? SLOW_LINK_WAIT_MS : 0) +
            rng_below(&s->rng, ANNOUNCE_SPREAD_MS - SLOW_LINK_WAIT_MS);
 }
--- a/source/source.h
+++ b/source/source.h
@@ -9,7 +9,8 @@
  *
  * The two leaders that rank first, the watchers, follow the store.  Another
  * leader follows one of them and asks the other now and then; when the one
- * fails it, it follows the store itself for a while.
+ * fails it, it follows the store itself for a while.  So does an instance of
+ * a data centre where nobody is announced yet.
  *
  * A leader may be cut off, frozen or turned away by the store and not know it.
  * So each announced instance also asks another data centre's leader, now and
@@ -85,9 +86,11 @@
 /* The followed peer has no place and names TO.  -ELOOP: it was sent on too
  * often; the leader is followed again, after a pause. */
 int sources_sent_on(sources_t *s, const addr_t *to);
-/* The peer to follow, or NULL: follow the store itself.  One of another data
- * centre is a watcher, and gives leaders no place as followers. */
+/* The peer to follow, or NULL: follow the store itself. */
 const source_peer_t *sources_lead(const sources_t *s, ms_t now);
+/* Does it take a place with the peer that it follows?  Not as a leader that
+ * follows a watcher: there are few. */
+bool sources_takes_place(const sources_t *s, ms_t now);
 /* A peer to ask for anything newer, other than the one that is followed; NULL:
  * there is none. */
 const source_peer_t *sources_check(sources_t *s, ms_t now);
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -8,21 +8,22 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A watch waits so long: its end confirms that nothing has changed, and shows
- * a watch that the store has forgotten. */
-#define WATCH_MS 1500
 /* A peer answers at once when there is something new, and at the latest after
  * so long, which shows that it lives. */
 #define PEER_WAIT_MS 600
+/* Shares of the time that a change may take.  A watch waits so long: its end
+ * confirms that nothing has changed, and shows a watch that the store has
+ * forgotten. */
+#define WATCH_SHARE 0.5
 /* What nobody has confirmed for so long may be old: the leaders may all be
- * blind.  Above a watch and a wait in calm; a change is due 3 s after it was
- * accepted, also when the last confirmation was just before it. */
-#define STALE_MS 2500
-_Static_assert(WATCH_MS + PEER_WAIT_MS + 300 <= STALE_MS,
-               "in calm nothing may look old");
-/* After a change, before the next watch: changes come in series, each answer
- * is a call that is paid for, and a change may take 3 s. */
-#define GATHER_MS 200
+ * blind.  The rest is for asking the store, also when the last confirmation
+ * was just before the change. */
+#define STALE_SHARE 0.83
+/* After a change, before the next watch: changes come in series, and each
+ * answer is a call that is paid for. */
+#define GATHER_SHARE 0.067
+_Static_assert(WATCH_SHARE * 2000 + PEER_WAIT_MS < STALE_SHARE * 2000,
+               "in calm nothing may look old, however soon changes are due");
 /* A page of the list, with the store slow by a factor of 60. */
 #define LIST_MS 1200
 /* Between calls that fail: doubling, with jitter, so that instances do not
@@ -38,6 +39,7 @@
      * news was lost on the way: only a list tells what there is. */
     bool must_list;
     bool store_failed; /* the last try was the store's, and failed */
+    ms_t watch_ms, stale_ms, gather_ms;
     ms_t backoff;
     peer_client_t peer;
 } follow_t;
@@ -152,7 +154,7 @@
 static bool
 is_stale(const follow_t *f)
 {
-    return clock_now() - replica_current_at(f->t->replica) > STALE_MS;
+    return clock_now() - replica_current_at(f->t->replica) > f->stale_ms;
 }
 
 static int
@@ -160,7 +162,7 @@
 {
     uint64_t after = replica_revision(f->t->replica);
     /* Old news are confirmed or replaced at once, without a wait. */
-    ms_t wait = is_stale(f) ? 0 : WATCH_MS;
+    ms_t wait = is_stale(f) ? 0 : f->watch_ms;
     store_items_t items;
     int rc = store_watch(f->t->store, after, wait, &items, e);
 
@@ -204,7 +206,7 @@
         return next_backoff(f);
     }
     f->backoff = 0;
-    return rc > 0 ? GATHER_MS : 0;
+    return rc > 0 ? f->gather_ms : 0;
 }
 
 /* The peer has no place: another is to be asked. */
@@ -227,13 +229,13 @@
 /* One question to the peer at A.  One that doesn't answer, or leaves what is
  * known here old, is passed over. */
 static ms_t
-follow_peer(follow_t *f, const addr_t *a, bool local)
+follow_peer(follow_t *f, const addr_t *a, bool place)
 {
     ms_t wait = is_stale(f) ? 0 : PEER_WAIT_MS;
     char text[ADDR_STRLEN];
     err_t e = {0};
     addr_t instead;
-    int rc = local ? news_follow(f->t, &f->peer, a, wait, &instead, &e)
+    int rc = place ? news_follow(f->t, &f->peer, a, wait, &instead, &e)
                    : news_ask(f->t, &f->peer, a, wait, &e);
     bool old = rc >= 0 && is_stale(f);
 
@@ -262,7 +264,7 @@
  * from here.  Walking through peers first takes seconds when many are cut off.
  */
 static bool
-pick_peer(follow_t *f, addr_t *a, bool *local)
+pick_peer(follow_t *f, addr_t *a, bool *place)
 {
     const source_peer_t *p;
 
@@ -273,7 +275,7 @@
     p = sources_lead(&f->t->sources, clock_now());
     if (p != NULL) {
         *a = p->addr;
-        *local = strcmp(p->data_centre, f->t->settings.data_centre) == 0;
+        *place = sources_takes_place(&f->t->sources, clock_now());
     }
     pthread_mutex_unlock(&f->t->follow_lock);
     return p != NULL;
@@ -283,8 +285,8 @@
 follow_once(follow_t *f, bool *leading)
 {
     addr_t a = {0};
-    bool local = true;
-    bool peer = pick_peer(f, &a, &local);
+    bool place = true;
+    bool peer = pick_peer(f, &a, &place);
     char text[ADDR_STRLEN];
 
     if (peer == *leading) {
@@ -294,7 +296,7 @@
                  peer ? addr_text(&a, text) : "store",
                  (long long)(clock_now() - replica_current_at(f->t->replica)));
     }
-    return peer ? follow_peer(f, &a, local) : follow_store(f);
+    return peer ? follow_peer(f, &a, place) : follow_store(f);
 }
 
 /* The settings file has changed.  What a running process can't change is
@@ -332,12 +334,24 @@
                  : "yes");
 }
 
+static void
+set_pace(follow_t *f, const tagged_settings_t *s)
+{
+    double change_ms = s->apply_ms < s->drain_ms ? s->apply_ms : s->drain_ms;
+
+    f->watch_ms = (ms_t)(WATCH_SHARE * change_ms);
+    f->stale_ms = (ms_t)(STALE_SHARE * change_ms);
+    f->gather_ms = (ms_t)(GATHER_SHARE * change_ms);
+}
+
 void
 follow_run(duty_t *self, void *tagged)
 {
     follow_t f = {.t = tagged, .self = self};
     bool leading = true;
 
+    set_pace(&f, &f.t->settings);
+
     f.rng.seed = hash64(f.t->settings.name, strlen(f.t->settings.name),
                         (uint64_t)f.t->started + 1);
     while (!duty_stopping(self)) {
--- a/test/conf_test.cc
+++ b/test/conf_test.cc
@@ -473,6 +473,23 @@
     EXPECT_EQ(0, s.link_mbps);
 }
 
+TEST(TaggedSettings, TellHowSoonAChangeIsDue)
+{
+    tagged_settings_t s;
+    err_t e = {};
+    std::string late = tagged + "apply_ms = 6000\ndrain_ms = 5000\n";
+    std::string soon = tagged + "drain_ms = 100\n";
+
+    ASSERT_EQ(0, tagged_settings_parse(&s, "i.toml", tagged.c_str(), &e));
+    EXPECT_EQ(3000u, s.apply_ms);
+    EXPECT_EQ(3000u, s.drain_ms);
+    ASSERT_EQ(0, tagged_settings_parse(&s, "i.toml", late.c_str(), &e));
+    EXPECT_EQ(6000u, s.apply_ms);
+    EXPECT_EQ(5000u, s.drain_ms);
+    EXPECT_EQ(-EINVAL, tagged_settings_parse(&s, "i.toml", soon.c_str(), &e));
+    EXPECT_TRUE(strstr(e.text, "expected a whole number of milliseconds"));
+}
+
 TEST(TaggedSettings, ABadLinkIsToldWithItsPlace)
 {
     for (const char *bad : {"-1", "1e9", "nan", "\"2\"", "true"}) {
--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -242,6 +242,10 @@
         slow_first = std::min(slow_first, slow);
         slow_last = std::max(slow_last, slow);
     }
+    sources_t seed = s;
+    addr_t self = at(1, 9);
+    sources_add(&seed, &self, "");
+    EXPECT_LT(sources_announce_wait_ms(&seed, 20), slow_first);
     EXPECT_LE(fast_last, slow_first);
     EXPECT_GT(fast_last, 3000);
     EXPECT_GT(slow_last - slow_first, 3000);
@@ -435,6 +439,7 @@
         ASSERT_NE(p, nullptr);
         EXPECT_NE(number(p->addr), lead(i));
         EXPECT_EQ(lead(number(p->addr)), -1);
+        EXPECT_FALSE(sources_takes_place(&s[(size_t)i], now));
     }
 }
 
@@ -454,6 +459,30 @@
     EXPECT_EQ(lead(i), number(watcher));
 }
 
+/* Guards against: hundreds that watch the store after the first start, until
+ * somebody of their data centre is announced. */
+TEST_F(Watchers, WithoutALocalPeerItFollowsAWatcher)
+{
+    sources_t mine;
+    addr_t self = address("10.9.0.1:8000"), first = address("10.9.0.2:8000");
+    addr_t relay = address("10.9.0.3:8000");
+
+    sources_init(&mine, &self, "dc-new", 1);
+    for (int k = 0; k < CENTRES * ANNOUNCED; k++) {
+        addr_t a = at(k);
+        sources_add(&mine, &a, centre(k).c_str());
+    }
+    const source_peer_t *p = sources_lead(&mine, now);
+    ASSERT_NE(p, nullptr);
+    EXPECT_EQ(lead(number(p->addr)), -1);
+    EXPECT_TRUE(sources_takes_place(&mine, now));
+    EXPECT_EQ(sources_sent_on(&mine, &relay), 0);
+    EXPECT_TRUE(addr_eq(&sources_lead(&mine, now)->addr, &relay));
+    /* One of its own is announced. */
+    sources_add(&mine, &first, "dc-new");
+    EXPECT_TRUE(addr_eq(&sources_lead(&mine, now)->addr, &first));
+}
+
 /* Guards against: a circle of leaders that follow each other, none of which
  * hears of the store, whichever peers have failed whom. */
 TEST_F(Watchers, NoCircleArises)
