flow, tagged: the field's names, and log texts that say what happened

No change of behaviour. suspect and unreachable for doubted and out, idempotent for repeatable, exclude for a parameter named not, latency_penalty for oddness, queue_is_full, apply_peer and forward in news.c. Comments on constants say what they are, not how they were chosen.

--- a/bench/flow_bench.c
+++ b/bench/flow_bench.c
@@ -53,7 +53,7 @@
     for (uint32_t i = 0; i < n; i++) {
         flow_route_t *r = &c->routes[c->n_routes++];
         r->addr = address(i, 443);
-        r->repeatable = true;
+        r->idempotent = true;
         r->first = c->n_targets;
         r->n_targets = 1;
         c->targets[c->n_targets].weight = 1;
--- a/bench/herd.sh
+++ b/bench/herd.sh
@@ -12,7 +12,7 @@
 
 all_serve() {
     for n in $(seq "$instances"); do
-        until_quietly grep -q 'It serves' "i$n.log"
+        until_quietly grep -q 'Serving' "i$n.log"
     done
 }
 
@@ -25,7 +25,7 @@
         instance "$n"
     done
     all_serve
-    grep -h 'It serves' i*.log | sed 's/.*since_start_ms=\([0-9]*\).*/\1/' |
+    grep -h 'Serving' i*.log | sed 's/.*since_start_ms=\([0-9]*\).*/\1/' |
         sort -n >took
     echo "$1: instances=$instances upstreams=$upstreams serve=$(wc -l <took)" \
         "ms: median=$(sed -n "$((instances / 2 + 1))p" took)" \
--- a/flow/choice.c
+++ b/flow/choice.c
@@ -9,31 +9,24 @@
 
 #include <stdlib.h>
 
-/* Requests in progress that one open flow stands for.  Long flows ask now and
- * then: as many of them as come to one request in progress make it likely.
- * Large enough that flows are spread evenly when nothing is in progress. */
+/* Requests in progress that one open flow counts as. */
 #define FLOW_SHARE (1.0 / 16)
-/* An upstream that still warms up is taken for so many times as slow. */
+/* Load factor of an upstream that warms up. */
 #define WARM_UP_FACTOR 2.0
-/* The most that a slow upstream is held back, as a factor of its load.  Above
- * it the average says little, and a few flows must go on measuring. */
+/* Largest load factor of a slow upstream: a few flows go on measuring it. */
 #define SLOW_FACTOR_MAX 8.0
-/* An upstream that answers in less than this share of the service's usual time
- * is taken to refuse requests, and counts so many times its load: four idle
- * ones go before it, and it still gets a flow now and then to prove itself. */
+/* Below this share of the service's usual latency an upstream is taken to fail
+ * requests fast; its load factor then. */
 #define FAST_SHARE 0.4
-#define FAST_FACTOR 4.0
-/* An average that no answer has renewed for so long tells nothing. */
+#define FAST_FAIL_PENALTY 4.0
+/* Age at which a latency average expires. */
 #define ANSWER_FRESH_MS 3000
-/* Requests in progress per slot, seen here, at which an upstream of another
- * data centre may be taken.  With two instances a data centre, each sees about
- * half of the requests: at 0.75 here, local upstreams are queueing. */
+/* In-flight requests per slot above which remote upstreams are eligible. */
 #define SPILL_BUSY 0.75
-/* How much less busy the other one must be: below it the longer way and the
- * risk of a cut between data centres outweigh the shorter queue. */
+/* How much less busy a remote one must be, in the same unit: flows that cross
+ * are lost when data centres lose each other. */
 #define SPILL_GAIN 0.5
-/* A service with more upstreams is sampled: the best of so many at random is
- * near the best of all, at a cost that does not grow with the service. */
+/* A service with more upstreams is sampled. */
 #define SCAN_MAX 24
 #define SAMPLES 12
 /* An upstream whose announcement is gone may still be alive: announcements
@@ -47,7 +40,7 @@
 typedef enum {
     TIER_GOOD,
     TIER_LAPSED, /* not announced for a moment */
-    TIER_DOUBTED,
+    TIER_SUSPECT,
     TIER_NONE /* must not be taken */
 } tier_t;
 
@@ -58,25 +51,25 @@
 } pick_t;
 
 static tier_t
-tier_of(const upstream_t *u, ms_t now, const upstream_t * not )
+tier_of(const upstream_t *u, ms_t now, const upstream_t *exclude)
 {
-    if (u->reach == REACH_DEAD || u->reach == REACH_OUT || u->refused > 0) {
+    if (u->reach == REACH_DEAD || u->reach == REACH_UNREACHABLE ||
+        u->refused > 0) {
         return TIER_NONE;
     }
     if (!u->listed && now - u->unlisted_at >= LAPSE_MS) {
         return TIER_NONE;
     }
-    if (u->reach == REACH_DOUBTED || u == not ) {
-        return TIER_DOUBTED;
+    if (u->reach == REACH_SUSPECT || u == exclude) {
+        return TIER_SUSPECT;
     }
     return u->listed ? TIER_GOOD : TIER_LAPSED;
 }
 
-/* What U's answer time says against it, as a factor of its load.  Slower than
- * the service's usual: its requests will wait.  Much faster: it refuses them
- * at once, and as it then looks idle, it would draw most new flows. */
+/* Load factor by latency.  An upstream that fails requests fast looks idle and
+ * would draw most new flows. */
 static double
-oddness(const upstream_t *u, ms_t now)
+latency_penalty(const upstream_t *u, ms_t now)
 {
     double x;
 
@@ -86,7 +79,7 @@
     }
     x = u->answer_ms / u->service->answer_ms;
     if (x < FAST_SHARE) {
-        return FAST_FACTOR;
+        return FAST_FAIL_PENALTY;
     }
     return x < 1 ? 1 : x > SLOW_FACTOR_MAX ? SLOW_FACTOR_MAX : x;
 }
@@ -103,7 +96,7 @@
     double load = 1 + u->busy + u->open * FLOW_SHARE + u->unanswered;
     double factor = now < u->warm_at ? WARM_UP_FACTOR : 1;
 
-    return load / u->a.slots * factor * oddness(u, now);
+    return load / u->a.slots * factor * latency_penalty(u, now);
 }
 
 static bool
@@ -115,7 +108,8 @@
 /* The best of GROUP; ties go to the first from a random start, so that
  * instances that know the same don't all take the same. */
 static pick_t
-best_of(flowset_t *f, ms_t now, const group_t *group, const upstream_t * not )
+best_of(flowset_t *f, ms_t now, const group_t *group,
+        const upstream_t *exclude)
 {
     pick_t best = {.tier = TIER_NONE};
     uint32_t n = group->n;
@@ -124,7 +118,7 @@
 
     for (uint32_t i = 0; i < tries; i++) {
         upstream_t *u = group->up[at];
-        pick_t p = {.up = u, .tier = tier_of(u, now, not )};
+        pick_t p = {.up = u, .tier = tier_of(u, now, exclude)};
         p.cost = cost_of(u, now);
         if (p.tier != TIER_NONE && (best.up == NULL || better(&p, &best))) {
             best = p;
@@ -137,16 +131,17 @@
 /* The own data centre first: a flow that crosses is lost when data centres
  * lose each other.  Another only when it is clearly better for the caller. */
 static upstream_t *
-choose_of(flowset_t *f, ms_t now, const service_t *s, const upstream_t * not )
+choose_of(flowset_t *f, ms_t now, const service_t *s,
+          const upstream_t *exclude)
 {
-    pick_t near = best_of(f, now, &s->near, not );
+    pick_t near = best_of(f, now, &s->near, exclude);
     pick_t far;
 
     if (near.up != NULL && near.tier == TIER_GOOD &&
         busy_share(near.up) < SPILL_BUSY) {
         return near.up;
     }
-    far = best_of(f, now, &s->far, not );
+    far = best_of(f, now, &s->far, exclude);
     if (near.up == NULL || far.up == NULL) {
         return near.up != NULL ? near.up : far.up;
     }
@@ -229,12 +224,12 @@
 }
 
 choice_t
-choose(flowset_t *f, ms_t now, const flow_route_t *r, const upstream_t * not,
-       admit_t admit)
+choose(flowset_t *f, ms_t now, const flow_route_t *r,
+       const upstream_t *exclude, admit_t admit)
 {
     const flow_target_t *t = draw_target(f, r);
     service_t *s = t != NULL ? service_named(f, t->service) : NULL;
-    upstream_t *u = s != NULL ? choose_of(f, now, s, not ) : NULL;
+    upstream_t *u = s != NULL ? choose_of(f, now, s, exclude) : NULL;
 
     if (u == NULL || admit == ADMIT_ALL || r->goal_ms == 0) {
         return (choice_t){.up = u};
--- a/flow/decide.c
+++ b/flow/decide.c
@@ -74,7 +74,7 @@
     double ms = (double)(now - r->asked_at);
 
     hist_add(&f->stats.answer_ms, (uint64_t)ms);
-    if (r->repeatable) { /* uploads take as long as the caller sends */
+    if (r->idempotent) { /* uploads take as long as the caller sends */
         sample(&r->up->answer_ms, SAMPLE_WEIGHT, ms + 1);
         r->up->answered_at = now;
         if (r->goal_ms > 0 && limit_on_response(&r->up->group->limit, now,
@@ -115,7 +115,7 @@
         }
     }
     else if (p->len > 0 && !fresh && now - r->sent_at >= REPEAT_MIN_MS) {
-        reach_doubt(f, now, u, r->sent_at, "a caller repeats itself");
+        reach_suspect(f, now, u, r->sent_at, "a caller repeats itself");
     }
     if (fresh) {
         r->seq_end = end;
@@ -141,8 +141,8 @@
 {
     const flow_route_t *route = route_find(f, &p->service);
 
-    return u->reach == REACH_OUT && p->len > 0 && route != NULL &&
-           route->repeatable;
+    return u->reach == REACH_UNREACHABLE && p->len > 0 && route != NULL &&
+           route->idempotent;
 }
 
 static void
@@ -216,14 +216,14 @@
 {
     upstream_t *u;
 
-    reach_doubt(f, now, r->up, r->sent_at, "an opening packet is repeated");
+    reach_suspect(f, now, r->up, r->sent_at, "an opening packet is repeated");
     u = choose(f, now, route, r->up, ADMIT_ALL).up;
     if (u == NULL) {
         decide(d, FLOW_DROP, FLOW_NO_UPSTREAM); /* as refuse_opening() */
         record_free(f, r);
         return;
     }
-    r->copied = true;
+    r->retransmitted = true;
     forward(d, u == r->up ? FLOW_COPY : FLOW_COPY_MOVED, u);
     if (u != r->up) {
         record_move(r, u);
@@ -266,7 +266,7 @@
     forward(d, FLOW_CHOSEN, c.up);
     r = record_new(f, now, p, c.up, route);
     if (r != NULL) {
-        r->copied = opened_elsewhere(p);
+        r->retransmitted = opened_elsewhere(p);
     }
 }
 
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -40,7 +40,7 @@
 typedef struct {
     addr_t addr;
     char name[FLOW_NAME_LEN];
-    bool repeatable; /* its requests are idempotent: callers may retry them */
+    bool idempotent; /* its requests are idempotent: callers may retry them */
     uint32_t priority; /* 0: the most urgent */
     ms_t goal_ms;      /* an answer is worth less after it; 0: not told */
     uint32_t first;    /* index of its first target */
@@ -137,9 +137,9 @@
 /* Whether an upstream answers. */
 typedef enum {
     REACH_GOOD,
-    REACH_DOUBTED, /* callers' packets go unanswered: a probe is under way */
-    REACH_OUT,     /* it did not answer probes */
-    REACH_DEAD     /* its host refused a probe: the process has ended */
+    REACH_SUSPECT, /* callers' packets go unanswered: a probe is under way */
+    REACH_UNREACHABLE, /* it did not answer probes */
+    REACH_DEAD         /* its host refused a probe: the process has ended */
 } flow_reach_t;
 
 const char *flow_reach_name(flow_reach_t r);
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -28,7 +28,7 @@
     list_init(&f->opening);
     list_init(&f->asking);
     list_init(&f->late);
-    list_init(&f->doubted);
+    list_init(&f->suspects);
     if (index_init(&f->by_id) < 0 || index_init(&f->by_tag) < 0 ||
         index_init(&f->by_addr) < 0 || index_init(&f->by_key) < 0 ||
         index_init(&f->by_name) < 0) {
--- a/flow/reach.c
+++ b/flow/reach.c
@@ -30,11 +30,9 @@
  * packets at random: two of them lost and another's passed is still likely
  * there, three lost and two passed is not. */
 #define PROBES_SILENT 3
-/* Of the probes beside, the share without an answer up to which silence proves
- * anything: on a full link thousands of probes are under way, and three of one
- * upstream are lost by chance, with an answer beside, again and again. */
+/* Probe loss above which silence proves nothing. */
 #define SILENCE_MAX 0.05
-/* Weight of a probe in that share. */
+/* Smoothing factor of the loss estimate (EWMA). */
 #define SILENCE_WEIGHT 0.05
 /* Refused probes in a row that prove the end of an upstream that is leaving,
  * once its announcement is gone: it may close its port many seconds before its
@@ -46,7 +44,7 @@
 #define TRUST_MS 400
 /* Until the next probe after one that was reset. */
 #define RESET_AGAIN_MS 50
-/* Between probes of an upstream that is out, doubling. */
+/* Backoff between probes of an unreachable upstream. */
 #define RETRY_MIN_MS 400
 #define RETRY_MAX_MS 1600
 
@@ -56,9 +54,9 @@
     switch (r) {
     case REACH_GOOD:
         return "good";
-    case REACH_DOUBTED:
-        return "doubted";
-    case REACH_OUT:
+    case REACH_SUSPECT:
+        return "suspect";
+    case REACH_UNREACHABLE:
         return "unreachable";
     case REACH_DEAD:
         return "dead";
@@ -91,7 +89,7 @@
     u->probe_at = at;
     list_remove(&u->due);
     if (at != MS_NEVER) {
-        list_append(&f->doubted, &u->due);
+        list_append(&f->suspects, &u->due);
     }
 }
 
@@ -116,7 +114,7 @@
 {
     u->alive_at = at > u->alive_at ? at : u->alive_at;
     u->unanswered = 0;
-    if (u->reach == REACH_DOUBTED && at >= u->probed_at) {
+    if (u->reach == REACH_SUSPECT && at >= u->probed_at) {
         set_reach(f, u, REACH_GOOD, "a caller's flow goes on");
     }
 }
@@ -125,9 +123,9 @@
 reach_ask(flowset_t *f, ms_t now, upstream_t *u, const char *why)
 {
     if (u->reach == REACH_GOOD) {
-        set_reach(f, u, REACH_DOUBTED, why);
+        set_reach(f, u, REACH_SUSPECT, why);
     }
-    if (u->reach == REACH_DOUBTED) {
+    if (u->reach == REACH_SUSPECT) {
         start_probe(f, now, u);
     }
 }
@@ -138,13 +136,15 @@
 void
 reach_announced(flowset_t *f, ms_t now, upstream_t *u)
 {
-    if (u->reach == REACH_DEAD || u->reach == REACH_OUT || u->refused > 0) {
+    if (u->reach == REACH_DEAD || u->reach == REACH_UNREACHABLE ||
+        u->refused > 0) {
         start_probe(f, now, u);
     }
 }
 
 void
-reach_doubt(flowset_t *f, ms_t now, upstream_t *u, ms_t since, const char *why)
+reach_suspect(flowset_t *f, ms_t now, upstream_t *u, ms_t since,
+              const char *why)
 {
     if (u->alive_at > since || now < u->trusted_to || u->reach != REACH_GOOD) {
         return;
@@ -178,7 +178,8 @@
 {
     LIST_EACH (it, &u->records) {
         record_t *r = LIST_OWNER(it, record_t, of);
-        if (!r->open && (r->copied || now - r->last_at >= REPEAT_MIN_MS)) {
+        if (!r->open &&
+            (r->retransmitted || now - r->last_at >= REPEAT_MIN_MS)) {
             record_free(f, r);
         }
         else if (!r->ended) {
@@ -195,7 +196,7 @@
 {
     LIST_EACH (it, &u->records) {
         record_t *r = LIST_OWNER(it, record_t, of);
-        if (r->open && !r->ended && r->repeatable && r->asked_at != 0) {
+        if (r->open && !r->ended && r->idempotent && r->asked_at != 0) {
             reset(f, r, FLOW_UPSTREAM_OUT);
         }
     }
@@ -262,13 +263,14 @@
         f->answered_from >= u->probed_at && f->silence <= SILENCE_MAX;
 
     u->silent++;
-    if (u->reach == REACH_DOUBTED) {
+    if (u->reach == REACH_SUSPECT) {
         if (u->silent == 1 || (beside && u->silent < PROBES_SILENT)) {
             probe_beside(f, now, u);
             return;
         }
         if (beside) {
-            set_reach(f, u, REACH_OUT, "it alone did not answer three probes");
+            set_reach(f, u, REACH_UNREACHABLE,
+                      "it alone did not answer three probes");
             reset_waiting(f, u);
         }
         else {
@@ -347,7 +349,7 @@
 {
     ms_t next = MS_NEVER;
 
-    LIST_EACH (it, &f->doubted) {
+    LIST_EACH (it, &f->suspects) {
         upstream_t *u = LIST_OWNER(it, upstream_t, due);
         if (!u->listed && u->open == 0) {
             schedule(f, u, MS_NEVER);
--- a/flow/records.c
+++ b/flow/records.c
@@ -69,7 +69,7 @@
     }
     r->caller = p->caller;
     r->service = p->service;
-    r->repeatable = route != NULL && route->repeatable;
+    r->idempotent = route != NULL && route->idempotent;
     r->goal_ms = route != NULL ? route->goal_ms : 0;
     r->open = !p->opens;
     r->seq_end = p->seq + p->len;
--- a/flow/state.h
+++ b/flow/state.h
@@ -79,7 +79,7 @@
     entry_t by_id, by_tag, by_addr;
     link_t all;     /* flowset_t.upstreams */
     link_t records; /* of the flows it holds, as seen here */
-    link_t due;     /* flowset_t.doubted: those with a probe or a wait */
+    link_t due;     /* flowset_t.suspects: those with a probe or a wait */
     service_t *service;
     group_t *group; /* of the service */
     bool local;     /* in this instance's data centre */
@@ -134,15 +134,15 @@
     upstream_t *up;
     ms_t goal_ms;                /* of its route; 0: not told */
     uint32_t in_flight_at_start; /* requests of the group */
-    bool repeatable;
-    bool open;        /* a packet came after the opening one */
-    bool copied;      /* another opening packet may have opened the flow */
-    bool ended;       /* the caller has closed it: no load any more */
-    bool overdue;     /* its request is older than its goal */
-    uint32_t seq_end; /* behind the last byte that the caller sent */
-    uint32_t ack;     /* the caller's last */
-    ms_t sent_at;     /* the caller's last new bytes, or opening packet */
-    ms_t asked_at;    /* first bytes of an unanswered request; 0: none */
+    bool idempotent;
+    bool open;          /* a packet came after the opening one */
+    bool retransmitted; /* another opening packet may have opened the flow */
+    bool ended;         /* the caller has closed it: no load any more */
+    bool overdue;       /* its request is older than its goal */
+    uint32_t seq_end;   /* behind the last byte that the caller sent */
+    uint32_t ack;       /* the caller's last */
+    ms_t sent_at;       /* the caller's last new bytes, or opening packet */
+    ms_t asked_at;      /* first bytes of an unanswered request; 0: none */
     ms_t last_at;
 } record_t;
 
@@ -152,7 +152,7 @@
     rng_t rng;
     flow_conf_t *conf; /* NULL: none yet; routes sorted by address */
     index_t by_id, by_tag, by_addr, by_key, by_name;
-    link_t upstreams, services, recent, doubted;
+    link_t upstreams, services, recent, suspects;
     link_t opening, asking, late; /* records: see record_t.waiting */
     uint32_t n_upstreams, n_records;
     ms_t answered_from; /* the latest start of a probe that was answered */
@@ -214,10 +214,10 @@
     const char *service; /* of that group */
 } choice_t;
 
-/* The upstream for a new flow of route R.  NOT (may be NULL) is taken only if
- * there is no other. */
+/* The upstream for a new flow of route R.  EXCLUDE (may be NULL) is taken only
+ * if there is no other. */
 choice_t choose(flowset_t *f, ms_t now, const flow_route_t *r,
-                const upstream_t * not, admit_t admit);
+                const upstream_t *exclude, admit_t admit);
 
 /* Brings the service's usual answer time up to date. */
 void choice_sweep(service_t *s, ms_t now);
@@ -227,8 +227,8 @@
 /* A packet of a caller that came at AT proves that U answered. */
 void reach_alive(flowset_t *f, ms_t at, upstream_t *u);
 /* Packets to U since SINCE went unanswered. */
-void reach_doubt(flowset_t *f, ms_t now, upstream_t *u, ms_t since,
-                 const char *why);
+void reach_suspect(flowset_t *f, ms_t now, upstream_t *u, ms_t since,
+                   const char *why);
 /* U has ended for sure. */
 void reach_dead(flowset_t *f, ms_t now, upstream_t *u, const char *why);
 /* A probe of U, whatever callers' packets say. */
--- a/flow/waits.c
+++ b/flow/waits.c
@@ -1,14 +1,12 @@
 /* What is waited for: answers to opening packets and to requests. */
 #include "flow/state.h"
 
-/* An upstream answers an opening packet at once, and the caller's next packet
- * is here a round trip later: some 10 ms.  So long without it, something is
- * wrong with the upstream or the way to it. */
+/* Timeout of an opening packet, until the caller's next packet. */
 #define OPENING_MS 80
 /* A request unanswered for so long is no longer counted as in progress: it was
  * given up, or its flow goes on through another instance. */
 #define ASKED_MAX_MS 3000
-/* A request of a repeatable route that stays unanswered for so many times the
+/* A request of a idempotent route that stays unanswered for so many times the
  * service's average raises a doubt, within these bounds: well before its
  * caller sends again.  Others' answers since then refute it. */
 #define ASKING_FACTOR 4
@@ -26,8 +24,8 @@
         }
         list_remove(it);
         r->up->unanswered++;
-        reach_doubt(f, now, r->up, r->sent_at,
-                    "an opening packet was not answered");
+        reach_suspect(f, now, r->up, r->sent_at,
+                      "an opening packet was not answered");
     }
     return MS_NEVER;
 }
@@ -58,9 +56,9 @@
         if (r->goal_ms > 0) {
             list_append(&f->late, it);
         }
-        if (r->repeatable) { /* an upload is answered when it has ended */
-            reach_doubt(f, now, r->up, r->asked_at,
-                        "a request is not answered");
+        if (r->idempotent) { /* an upload is answered when it has ended */
+            reach_suspect(f, now, r->up, r->asked_at,
+                          "a request is not answered");
         }
     }
     return MS_NEVER;
--- a/siskinctl/report.c
+++ b/siskinctl/report.c
@@ -141,10 +141,10 @@
     else if (log_says(x, "routes", "In force")) {
         count_version(r, x);
     }
-    else if (log_says(x, "main", "It runs")) {
+    else if (log_says(x, "main", "Started")) {
         json_object_set_new(r->starting, x->instance, json_true());
     }
-    else if (log_says(x, "packets", "It serves")) {
+    else if (log_says(x, "packets", "Serving")) {
         count_serving(r, x);
     }
 }
--- a/siskind/main.c
+++ b/siskind/main.c
@@ -132,7 +132,7 @@
                      info.ssi_signo);
             return;
         }
-        log_line(LVL_INFO, "main", "It leaves. signal=%u", info.ssi_signo);
+        log_line(LVL_INFO, "main", "Draining. signal=%u", info.ssi_signo);
         note_post(kern_find(d->kern, "decide"), note_new(MSG_LEAVE));
     }
 }
@@ -174,7 +174,7 @@
         log_line(LVL_ERROR, "main", "No threads. error=\"%s\"", strerror(-rc));
         return EXIT_FAILED;
     }
-    log_line(LVL_INFO, "main", "It runs. data_centre=%s",
+    log_line(LVL_INFO, "main", "Started. data_centre=%s",
              d->settings.data_centre);
     wait_for_end(d, signals);
     rc = kern_stop(d->kern, STOP_MS);
--- a/tagged/announce.c
+++ b/tagged/announce.c
@@ -77,8 +77,8 @@
     }
     if (rc < 0) {
         log_line(LVL_WARN, "announce",
-                 "The instance is not announced. step=\"%s\" error=\"%s\"",
-                 e.step, e.text);
+                 "Announcement failed. step=\"%s\" error=\"%s\"", e.step,
+                 e.text);
         return RETRY_MS;
     }
     return a->lease != 0 ? RENEW_MS : next_look(a);
--- a/tagged/check.c
+++ b/tagged/check.c
@@ -56,7 +56,7 @@
     if (rc > 0) {
         counter_add(&t->count.news_from_check, 1);
         log_line(LVL_INFO, "check",
-                 "A peer knew more. peer=%s items=%d revision=%llu was=%llu",
+                 "News from a peer. peer=%s items=%d revision=%llu was=%llu",
                  addr_text(&a, text), rc,
                  (unsigned long long)replica_revision(t->replica),
                  (unsigned long long)before);
--- a/tagged/daemon.c
+++ b/tagged/daemon.c
@@ -89,7 +89,7 @@
         duty_wait(self, NULL, 0, LEAVE_CHECK_MS);
         now = clock_now();
     }
-    log_line(LVL_INFO, "main", "It has left. ms=%lld last_packet_ms=%lld",
+    log_line(LVL_INFO, "main", "Drained. ms=%lld last_packet_ms=%lld",
              (long long)(now - begin),
              (long long)(now - SHARED(t, packet_at)));
 }
@@ -109,12 +109,12 @@
         if (info.ssi_signo != SIGHUP) {
             break;
         }
-        log_line(LVL_INFO, "main", "It reads its settings again. signal=%u",
+        log_line(LVL_INFO, "main", "Reloading settings. signal=%u",
                  info.ssi_signo);
         SHARE(t, reload, true);
         duty_wake(kern_find(t->kern, "follow"));
     }
-    log_line(LVL_INFO, "main", "It leaves. signal=%u", info.ssi_signo);
+    log_line(LVL_INFO, "main", "Draining. signal=%u", info.ssi_signo);
     leave(t, self);
 }
 
@@ -149,13 +149,13 @@
         log_close();
         return EXIT_FAILURE;
     }
-    log_line(LVL_INFO, "main", "It runs. data_centre=%s store=%s records=%u",
+    log_line(LVL_INFO, "main", "Started. data_centre=%s store=%s records=%u",
              s->data_centre, s->store_url, s->records);
     wait_for_end(&t, signals);
     /* The duties are not joined: a call to the store may block for a second,
      * in which the routers may still send packets here and get no other
      * process in its place.  Packets are forwarded to the last moment. */
-    log_line(LVL_INFO, "main", "It stops.");
+    log_line(LVL_INFO, "main", "Stopped.");
     log_close();
     _exit(EXIT_SUCCESS);
 }
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -59,12 +59,12 @@
     }
     SHARE(f->t, store_up, up);
     if (up) {
-        log_line(LVL_INFO, "follow", "The store answers. revision=%llu",
+        log_line(LVL_INFO, "follow", "Store available. revision=%llu",
                  (unsigned long long)replica_revision(f->t->replica));
     }
     else {
         log_line(LVL_WARN, "follow",
-                 "The store can't be used. step=\"%s\" peer=%s error=\"%s\" "
+                 "Store unavailable. step=\"%s\" peer=%s error=\"%s\" "
                  "revision=%llu",
                  e->step, e->peer, e->text,
                  (unsigned long long)replica_revision(f->t->replica));
@@ -168,7 +168,7 @@
 
     if (rc == -ESTALE) {
         log_line(LVL_WARN, "follow",
-                 "The store has forgotten its history: it is listed anew. "
+                 "Store history lost, listing anew. "
                  "revision=%llu",
                  (unsigned long long)after);
         f->must_list = true;
@@ -220,8 +220,7 @@
     rc = sources_sent_on(&f->t->sources, instead);
     pthread_mutex_unlock(&f->t->follow_lock);
     log_line(rc < 0 ? LVL_WARN : LVL_INFO, "follow", "%s peer=%s instead=%s",
-             rc < 0 ? "It was sent on too often, and waits."
-                    : "It is sent on.",
+             rc < 0 ? "Redirected too often, waiting." : "Redirected.",
              addr_text(a, from), addr_text(instead, to));
     return rc < 0 ? next_backoff(f) : 0;
 }
@@ -249,7 +248,7 @@
     news_note(f->t, a, rc < 0 || old ? SOURCE_SILENT : SOURCE_TOLD);
     if (rc < 0 || old) {
         log_line(LVL_WARN, "follow",
-                 "The followed peer is passed over. peer=%s error=\"%s\" "
+                 "Peer failed. peer=%s error=\"%s\" "
                  "age_ms=%lld",
                  addr_text(a, text), rc < 0 ? e.text : "what it knows is old",
                  (long long)(clock_now() - replica_current_at(f->t->replica)));
@@ -291,8 +290,7 @@
 
     if (peer == *leading) {
         *leading = !peer;
-        log_line(LVL_INFO, "follow",
-                 "It follows another source. source=%s age_ms=%lld",
+        log_line(LVL_INFO, "follow", "Source changed. source=%s age_ms=%lld",
                  peer ? addr_text(&a, text) : "store",
                  (long long)(clock_now() - replica_current_at(f->t->replica)));
     }
--- a/tagged/news.c
+++ b/tagged/news.c
@@ -33,7 +33,7 @@
 }
 
 static void
-take_peer(tagged_t *t, const store_event_t *ev)
+apply_peer(tagged_t *t, const store_event_t *ev)
 {
     if (ev->kind == STORE_PEER) {
         sources_add(&t->sources, &ev->peer.addr, ev->peer.data_centre);
@@ -52,13 +52,13 @@
     if (store_event(ev, item, &e) < 0) {
         counter_add(&t->count.refused_items, 1);
         log_line(LVL_WARN, "news",
-                 "An item is not used. key=%s revision=%llu error=\"%s\"",
-                 e.peer, (unsigned long long)item->revision, e.text);
+                 "Item refused. key=%s revision=%llu error=\"%s\"", e.peer,
+                 (unsigned long long)item->revision, e.text);
     }
     switch (ev->kind) {
     case STORE_PEER:
     case STORE_PEER_GONE:
-        take_peer(t, ev);
+        apply_peer(t, ev);
         return;
     case STORE_OTHER:
         return;
@@ -70,7 +70,7 @@
 }
 
 static int
-pass_on(tagged_t *t, const store_items_t *items, bool first)
+forward(tagged_t *t, const store_items_t *items, bool first)
 {
     changes_t *c = calloc(1, sizeof(*c) + (items->n + 1) * sizeof(*c->event));
     int rc;
@@ -97,7 +97,7 @@
  * holds is told by nobody again.  Only news_take() sends to packets, one
  * thread at a time, so that room that is there now stays. */
 static bool
-must_wait(tagged_t *t, const store_items_t *items)
+queue_is_full(tagged_t *t, const store_items_t *items)
 {
     const duty_t *packets = kern_find(t->kern, "packets");
 
@@ -107,7 +107,7 @@
     }
     counter_add(&t->count.news_put_off, 1);
     log_line(LVL_WARN, "news",
-             "Packets takes nothing now: it is taken later. revision=%llu "
+             "Packet queue full, update deferred. revision=%llu "
              "was=%llu items=%zu",
              (unsigned long long)items->revision,
              (unsigned long long)replica_revision(t->replica), items->n);
@@ -122,7 +122,7 @@
     int n, rc;
 
     pthread_mutex_lock(&t->follow_lock);
-    if (must_wait(t, items)) {
+    if (queue_is_full(t, items)) {
         pthread_mutex_unlock(&t->follow_lock);
         return -ENOBUFS;
     }
@@ -130,7 +130,7 @@
     rc = replica_merge(t->replica, clock_now(), items, &changed);
     n = (int)changed.n;
     if (rc == 0 && n > 0) {
-        rc = pass_on(t, &changed, first);
+        rc = forward(t, &changed, first);
     }
     pthread_mutex_unlock(&t->follow_lock);
     store_items_free(&changed);
@@ -154,7 +154,7 @@
         /* An unreadable one is reported when the whole list is taken. */
         if (store_is_peer(&items->item[i]) &&
             store_event(&ev, &items->item[i], &e) == 0) {
-            take_peer(t, &ev);
+            apply_peer(t, &ev);
         }
     }
     pthread_mutex_unlock(&t->follow_lock);
--- a/tagged/packets.c
+++ b/tagged/packets.c
@@ -234,7 +234,7 @@
         return;
     case STORE_UPSTREAM_GONE:
         log_line(LVL_INFO, "upstreams",
-                 "Its announcement is gone. upstream=%llx revision=%llu",
+                 "Withdrawn. upstream=%llx revision=%llu",
                  (unsigned long long)ev->id, (unsigned long long)ev->revision);
         flowset_remove_upstream(p->flows, p->now, ev->id);
         return;
@@ -260,9 +260,8 @@
     }
     p->serving = true;
     SHARE(p->t, ready, true);
-    log_line(LVL_INFO, "packets",
-             "It serves. since_start_ms=%lld dropped=%llu", (long long)since,
-             (unsigned long long)dropped);
+    log_line(LVL_INFO, "packets", "Serving. since_start_ms=%lld dropped=%llu",
+             (long long)since, (unsigned long long)dropped);
 }
 
 static void
--- a/test/ctl_logs.sh
+++ b/test/ctl_logs.sh
@@ -7,25 +7,25 @@
 
 t=2026-01-02T03:04
 cat >a.log <<END
-$t:05.000Z INFO  try-a main: It runs. data_centre=dc-0 store=http://10.0.0.1:1 records=65536
+$t:05.000Z INFO  try-a main: Started. data_centre=dc-0 store=http://10.0.0.1:1 records=65536
 $t:05.030Z INFO  try-a routes: In force. version=1 routes=3 revision=7
-$t:05.030Z INFO  try-a packets: It serves. since_start_ms=30 dropped=0
+$t:05.030Z INFO  try-a packets: Serving. since_start_ms=30 dropped=0
 $t:06.000Z INFO  try-a flow: Opening. flow=10.1.0.1:1024>198.18.0.1:443 copy=0 reason=chosen upstream=5a0001 to=10.2.0.1:7100 service=feed busy=0 open=0 version=1 replica_age_ms=40
 $t:06.004Z INFO  try-a request: Begins. request=aa01 flow=10.1.0.1:1024>198.18.0.1:443 upstream=5a0001 busy=1
-$t:06.300Z WARN  try-a reach: Upstream. upstream=5a0001 addr=10.2.0.1:7100 service=feed data_centre=dc-0 was=good is=doubted why="a request is not answered" open=1
-$t:06.500Z WARN  try-a reach: Upstream. upstream=5a0001 addr=10.2.0.1:7100 service=feed data_centre=dc-0 was=doubted is=unreachable why="it alone did not answer three probes" open=1
+$t:06.300Z WARN  try-a reach: Upstream. upstream=5a0001 addr=10.2.0.1:7100 service=feed data_centre=dc-0 was=good is=suspect why="a request is not answered" open=1
+$t:06.500Z WARN  try-a reach: Upstream. upstream=5a0001 addr=10.2.0.1:7100 service=feed data_centre=dc-0 was=suspect is=unreachable why="it alone did not answer three probes" open=1
 $t:06.500Z INFO  try-a flow: Reset. flow=10.1.0.1:1024>198.18.0.1:443 reason=upstream-unreachable upstream=5a0001 seq=7
 $t:07.000Z INFO  try-a routes: In force. version=2 routes=4 revision=9
 END
 cat >b.log <<END
 not a line of an instance
-   6.6 machine-b $t:05.100Z INFO  try-b main: It runs. data_centre=dc-1 store=http://10.0.0.1:1 records=65536
+   6.6 machine-b $t:05.100Z INFO  try-b main: Started. data_centre=dc-1 store=http://10.0.0.1:1 records=65536
    6.6 machine-b $t:05.140Z INFO  try-b routes: In force. version=1 routes=3 revision=7
-   6.6 machine-b $t:05.140Z INFO  try-b packets: It serves. since_start_ms=40 dropped=0
+   6.6 machine-b $t:05.140Z INFO  try-b packets: Serving. since_start_ms=40 dropped=0
    6.6 machine-b $t:06.510Z INFO  try-b flow: Opening. flow=10.1.0.1:1025>198.18.0.1:443 copy=0 reason=chosen upstream=5a0002 to=10.2.0.2:7100 service=feed busy=0 open=0 version=1 replica_age_ms=40
    6.6 machine-b $t:06.512Z INFO  try-b request: Begins. request=aa01 flow=10.1.0.1:1025>198.18.0.1:443 upstream=5a0002 busy=1
    6.6 machine-b $t:07.040Z INFO  try-b routes: In force. version=2 routes=4 revision=9
-   6.6 machine-b $t:07.041Z INFO  try-b upstreams: Its announcement is gone. upstream=5a0001 revision=10
+   6.6 machine-b $t:07.041Z INFO  try-b upstreams: Withdrawn. upstream=5a0001 revision=10
 END
 
 cat >c.log <<END
--- a/test/flow_bed.h
+++ b/test/flow_bed.h
@@ -60,7 +60,7 @@
 
     struct Route {
         std::string addr, service;
-        bool repeatable;
+        bool idempotent;
         ms_t goal_ms = 0;
         uint32_t priority = 0;
     };
@@ -81,7 +81,7 @@
             flow_route_t *to = &c->routes[c->n_routes++];
             flow_target_t *t = &c->targets[c->n_targets];
             to->addr = address(r.addr);
-            to->repeatable = r.repeatable;
+            to->idempotent = r.idempotent;
             to->goal_ms = r.goal_ms;
             to->priority = r.priority;
             to->first = c->n_targets++;
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -5,7 +5,7 @@
 #include <map>
 #include <set>
 
-static const char FEED[] = "198.18.0.1:443";    /* repeatable */
+static const char FEED[] = "198.18.0.1:443";    /* idempotent */
 static const char COMMAND[] = "198.18.0.1:444"; /* once at most */
 
 /* Two local upstreams and one in another data centre. */
@@ -45,7 +45,7 @@
         }
         EXPECT_TRUE(bed.resets.empty());
         for (const flow_out_t &r : bed.reaches) {
-            EXPECT_NE(r.reach.to, REACH_OUT);
+            EXPECT_NE(r.reach.to, REACH_UNREACHABLE);
         }
     }
 
@@ -641,7 +641,7 @@
     }
     EXPECT_TRUE(bed.resets.empty());
     for (const flow_out_t &r : bed.reaches) {
-        EXPECT_NE(r.reach.to, REACH_OUT);
+        EXPECT_NE(r.reach.to, REACH_UNREACHABLE);
     }
     EXPECT_EQ(bed.packet(FlowBed::data(a, FEED, 0x11, 1001, 100)).verb,
               FLOW_FORWARD);
@@ -697,7 +697,7 @@
         }
     }
     for (const flow_out_t &r : bed.reaches) {
-        EXPECT_NE(r.reach.to, REACH_OUT);
+        EXPECT_NE(r.reach.to, REACH_UNREACHABLE);
     }
     EXPECT_TRUE(bed.resets.empty());
 }
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -216,8 +216,8 @@
     EXPECT_EQ(c->version, 7u);
     EXPECT_EQ(c->idle_ms, 9000);
     ASSERT_EQ(c->n_routes, 2u);
-    EXPECT_FALSE(c->routes[0].repeatable);
-    EXPECT_TRUE(c->routes[1].repeatable);
+    EXPECT_FALSE(c->routes[0].idempotent);
+    EXPECT_TRUE(c->routes[1].idempotent);
     EXPECT_EQ(c->routes[1].n_targets, 2u);
     EXPECT_STREQ(c->targets[c->routes[1].first + 1].service, "b");
     flow_conf_free(c);
@@ -243,7 +243,7 @@
                            k.first + R"("host":"1.2.3.4","prefix":"/1/",)" +
                            R"("service":"a"}]})";
         ASSERT_EQ(event(&ev, "op/config", text.c_str(), &e), 0);
-        EXPECT_EQ(ev.routes->routes[0].repeatable, k.second) << k.first;
+        EXPECT_EQ(ev.routes->routes[0].idempotent, k.second) << k.first;
         flow_conf_free(ev.routes);
     }
 }
