test: tagged_tree reads the new text of a changed source

Cause. renamed the log line "It follows another source."; tagged_tree looks for it to find who follows the store.

Ruled out: a fault of the tree; the script passes with the text mended.

--- a/test/tagged_tree.sh
+++ b/test/tagged_tree.sh
@@ -27,7 +27,7 @@
 look() {                # store|relay
     local n last
     for n in $live; do
-        last=$(grep 'follows another source' "i$n.log" | tail -n 1)
+        last=$(grep 'Source changed' "i$n.log" | tail -n 1)
         case $1,$last in
         store,*source=store*) echo "$n" && return ;;
         store,) echo "$n" && return ;;
