tagged/follow: restore the margin that the static assert held

Found in the read of the whole change. When the pace became shares of the time that a change may take, the assert lost its 300 ms for the way of a confirmation, and was tried at 2 s, where it would have failed with them. That was a weakened check. It stands again as it was; changes that are due sooner than 3 s are followed at the pace of 3 s, which was the pace before. At 3 s and above, and so on all sites, nothing changes.

--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -22,8 +22,11 @@
 /* After a change, before the next watch: changes come in series, and each
  * answer is a call that is paid for. */
 #define GATHER_SHARE 0.067
-_Static_assert(WATCH_SHARE * 2000 + PEER_WAIT_MS < STALE_SHARE * 2000,
-               "in calm nothing may look old, however soon changes are due");
+/* Changes that are due sooner are followed at the pace of this time. */
+#define CHANGE_SOONEST_MS 3000
+_Static_assert(WATCH_SHARE *CHANGE_SOONEST_MS + PEER_WAIT_MS + 300 <=
+                   STALE_SHARE * CHANGE_SOONEST_MS,
+               "in calm nothing may look old");
 /* A page of the list, with the store slow by a factor of 60. */
 #define LIST_MS 1200
 /* Between calls that fail: doubling, with jitter, so that instances do not
@@ -337,6 +340,9 @@
 {
     double change_ms = s->apply_ms < s->drain_ms ? s->apply_ms : s->drain_ms;
 
+    if (change_ms < CHANGE_SOONEST_MS) {
+        change_ms = CHANGE_SOONEST_MS;
+    }
     f->watch_ms = (ms_t)(WATCH_SHARE * change_ms);
     f->stale_ms = (ms_t)(STALE_SHARE * change_ms);
     f->gather_ms = (ms_t)(GATHER_SHARE * change_ms);
