flow, platform: evacuate data centres

It is decoded at the edge now, carried by the replica like any item, and decided in flow/: upstreams of an evacuated data centre leave the choice, open flows go on, a copy of an opening packet moves, and a caller whom no other upstream can serve is reset at once with a reason of its own.

Ruled out: treating the upstreams as draining (an announcement in between would end it, and the end could not be told from a drain); a tier in the choice (large services are sampled, and a sample may hold evacuated ones only).

--- a/flow/choice.c
+++ b/flow/choice.c
@@ -231,7 +231,10 @@
     service_t *s = t != NULL ? service_named(f, t->service) : NULL;
     upstream_t *u = s != NULL ? choose_of(f, now, s, exclude) : NULL;
 
-    if (u == NULL || admit == ADMIT_ALL || r->goal_ms == 0) {
+    if (u == NULL) {
+        return (choice_t){.evacuated = s != NULL && s->n_evacuated > 0};
+    }
+    if (admit == ADMIT_ALL || r->goal_ms == 0) {
         return (choice_t){.up = u};
     }
     return within_limits(f, now, s, u, r->priority);
--- a/flow/decide.c
+++ b/flow/decide.c
@@ -12,6 +12,7 @@
     [FLOW_COPY_MOVED] = "copy-moved",
     [FLOW_NO_ROUTE] = "no-route",
     [FLOW_NO_UPSTREAM] = "no-upstream",
+    [FLOW_EVACUATED] = "evacuated",
     [FLOW_OVERLOAD] = "overload",
     [FLOW_UPSTREAM_DEAD] = "upstream-dead",
     [FLOW_UPSTREAM_OUT] = "upstream-unreachable",
@@ -208,6 +209,14 @@
     decide(d, opened_elsewhere(p) ? FLOW_DROP : FLOW_RESET, reason);
 }
 
+static flow_reason_t
+why_refused(const choice_t *c)
+{
+    return c->full != NULL ? FLOW_OVERLOAD
+           : c->evacuated  ? FLOW_EVACUATED
+                           : FLOW_NO_UPSTREAM;
+}
+
 /* A copy of an opening packet that nobody answered: another upstream takes it,
  * or the same if it is the only one. */
 static void
@@ -215,11 +224,13 @@
           flow_decision_t *d)
 {
     upstream_t *u;
+    choice_t c;
 
     reach_suspect(f, now, r->up, r->sent_at, "an opening packet is repeated");
-    u = choose(f, now, route, r->up, ADMIT_ALL).up;
+    c = choose(f, now, route, r->up, ADMIT_ALL);
+    u = c.up;
     if (u == NULL) {
-        decide(d, FLOW_DROP, FLOW_NO_UPSTREAM); /* as refuse_opening() */
+        decide(d, FLOW_DROP, why_refused(&c)); /* as refuse_opening() */
         record_free(f, r);
         return;
     }
@@ -254,8 +265,7 @@
     c = choose(f, now, route, NULL,
                opened_elsewhere(p) ? ADMIT_ALL : ADMIT_IN_GOAL);
     if (c.up == NULL) {
-        refuse_opening(p, c.full != NULL ? FLOW_OVERLOAD : FLOW_NO_UPSTREAM,
-                       d);
+        refuse_opening(p, why_refused(&c), d);
         if (c.full != NULL) {
             d->service = c.service;
             d->busy = c.full->limit.in_flight;
--- a/flow/directory.c
+++ b/flow/directory.c
@@ -110,6 +110,8 @@
      * then reach the wrong one and be reset, so the later one gets no flow. */
     u->tag_taken =
         (uint32_t)a->id == 0 || upstream_by_tag(f, (uint32_t)a->id) != NULL;
+    u->evacuated = flowset_is_evacuated(f, a->data_centre);
+    u->service->n_evacuated += u->evacuated;
     u->probe_at = MS_NEVER;
     u->alive_at = u->refused_at = u->trusted_to = -MS_NEVER;
     list_init(&u->records);
@@ -129,6 +131,7 @@
 upstream_free(flowset_t *f, upstream_t *u)
 {
     upstream_withdraw(u);
+    u->service->n_evacuated -= u->evacuated;
     list_remove(&u->all);
     list_remove(&u->due);
     index_remove(&f->by_id, &u->by_id);
@@ -147,7 +150,7 @@
     upstream_t **grown;
 
     upstream_withdraw(u);
-    if (u->tag_taken || u->a.draining) {
+    if (u->tag_taken || u->a.draining || u->evacuated) {
         return 0;
     }
     grown = array_grow(g->up, &g->cap, g->n + 1, sizeof(*grown));
@@ -171,3 +174,19 @@
         }
     }
 }
+
+int
+upstream_evacuate(upstream_t *u, bool evacuated)
+{
+    if (u->evacuated == evacuated) {
+        return 0;
+    }
+    u->evacuated = evacuated;
+    if (evacuated) {
+        u->service->n_evacuated++;
+        upstream_withdraw(u);
+        return 0;
+    }
+    u->service->n_evacuated--;
+    return u->listed ? upstream_offer(u) : 0;
+}
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -97,8 +97,10 @@
     FLOW_COPY_MOVED,    /* forwarded: a copy, to another upstream */
     FLOW_NO_ROUTE,      /* reset: nothing is configured at that address */
     FLOW_NO_UPSTREAM,   /* reset: no upstream of the service can take it.
-                         * Both dropped where another opening packet of the
-                         * caller may have opened the flow */
+                         * These three are dropped where another opening
+                         * packet of the caller may have opened the flow */
+    FLOW_EVACUATED,     /* the same: the data centres of those that could are
+                         * evacuated */
     FLOW_OVERLOAD,      /* reset: it would not be answered within its goal */
     FLOW_UPSTREAM_DEAD, /* reset: its upstream has ended */
     FLOW_UPSTREAM_OUT,  /* reset: its upstream can't be reached, and its
@@ -213,6 +215,13 @@
 /* An upstream's announcement is gone.  Its flows are left alone until a probe
  * shows that it has ended. */
 void flowset_remove_upstream(flowset_t *f, ms_t now, uint64_t id);
+/* The operator evacuates a data centre: its upstreams get no new flow until
+ * the evacuation ends, and open flows go on.  The number of upstreams there.
+ * -ENOSPC: EVACUATIONS_MAX are under way; -ENOMEM: some upstreams are not
+ * offered again. */
+#define EVACUATIONS_MAX 64
+int flowset_evacuate(flowset_t *f, const char *data_centre, bool evacuated);
+bool flowset_is_evacuated(const flowset_t *f, const char *data_centre);
 void flowset_packet(flowset_t *f, ms_t now, const flow_packet_t *p,
                     flow_decision_t *d);
 void flowset_probed(flowset_t *f, ms_t now, uint64_t id, flow_probe_t result);
@@ -227,7 +236,8 @@
 typedef struct {
     uint64_t version; /* 0: none yet */
     uint32_t routes, upstreams, usable, records;
-    uint32_t limits; /* in force: two at most for a service */
+    uint32_t limits;    /* in force: two at most for a service */
+    uint32_t evacuated; /* data centres */
     uint64_t packets[FLOW_REASONS];
     uint64_t probes[PROBE_RESULTS];
     uint64_t resets;    /* of flows, not asked for by a packet */
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -145,6 +145,7 @@
     bool former = end_former(f, now, a);
 
     if (u != NULL && (strcmp(u->a.service, a->service) != 0 ||
+                      strcmp(u->a.data_centre, a->data_centre) != 0 ||
                       !addr_eq(&u->a.addr, &a->addr))) {
         drop_upstream(f, u); /* the id now stands for something else */
         u = NULL;
@@ -192,6 +193,67 @@
     }
 }
 
+/* ---- Evacuations ---- */
+
+/* The place of DATA_CENTRE among the evacuated ones, or their number. */
+static uint32_t
+find_evacuated(const flowset_t *f, const char *data_centre)
+{
+    uint32_t i = 0;
+
+    while (i < f->n_evacuated && strcmp(f->evacuated[i], data_centre) != 0) {
+        i++;
+    }
+    return i;
+}
+
+bool
+flowset_is_evacuated(const flowset_t *f, const char *data_centre)
+{
+    return find_evacuated(f, data_centre) < f->n_evacuated;
+}
+
+static int
+note_evacuated(flowset_t *f, const char *data_centre, bool evacuated)
+{
+    uint32_t at = find_evacuated(f, data_centre);
+
+    if (evacuated == (at < f->n_evacuated)) {
+        return 0;
+    }
+    if (!evacuated) {
+        f->n_evacuated--;
+        memmove(f->evacuated[at], f->evacuated[f->n_evacuated], FLOW_NAME_LEN);
+        return 0;
+    }
+    if (at == EVACUATIONS_MAX) {
+        return -ENOSPC;
+    }
+    strncpy(f->evacuated[at], data_centre, FLOW_NAME_LEN - 1);
+    f->n_evacuated++;
+    return 0;
+}
+
+int
+flowset_evacuate(flowset_t *f, const char *data_centre, bool evacuated)
+{
+    int rc = note_evacuated(f, data_centre, evacuated);
+    int n = 0;
+
+    if (rc < 0) {
+        return rc;
+    }
+    LIST_EACH (it, &f->upstreams) {
+        upstream_t *u = LIST_OWNER(it, upstream_t, all);
+        if (strcmp(u->a.data_centre, data_centre) == 0) {
+            int failed = upstream_evacuate(u, evacuated);
+            rc = failed < 0 ? failed : rc;
+            n++;
+        }
+    }
+    return rc < 0 ? rc : n;
+}
+
 /* ---- Time ---- */
 
 void
@@ -256,6 +318,7 @@
     s->routes = f->conf != NULL ? f->conf->n_routes : 0;
     s->upstreams = f->n_upstreams;
     s->records = f->n_records;
+    s->evacuated = f->n_evacuated;
     s->usable = s->limits = 0;
     LIST_EACH (it, &f->services) {
         const service_t *v = LIST_OWNER(it, service_t, link);
@@ -264,7 +327,8 @@
     }
     LIST_EACH (it, &f->upstreams) {
         const upstream_t *u = LIST_OWNER(it, upstream_t, all);
-        s->usable += u->listed && !u->a.draining && u->reach == REACH_GOOD;
+        s->usable += u->listed && !u->a.draining && !u->evacuated &&
+                     u->reach == REACH_GOOD;
     }
     return s;
 }
--- a/flow/state.h
+++ b/flow/state.h
@@ -84,6 +84,7 @@
     group_t *group; /* of the service */
     bool local;     /* in this instance's data centre */
     bool listed;    /* announced now */
+    bool evacuated; /* its data centre is: no new flow */
     bool tag_taken; /* an older upstream has its tag: no new flow */
     ms_t unlisted_at;
     ms_t warm_at;        /* warmed up from then on */
@@ -109,6 +110,7 @@
 /* A service and those of its upstreams that may be chosen. */
 struct service {
     char name[FLOW_NAME_LEN];
+    uint32_t n_evacuated; /* upstreams */
     entry_t by_name;
     link_t link;       /* flowset_t.services */
     group_t near, far; /* in this data centre; in others */
@@ -155,6 +157,8 @@
     link_t upstreams, services, recent, suspects;
     link_t opening, asking, late; /* records: see record_t.waiting */
     uint32_t n_upstreams, n_records;
+    uint32_t n_evacuated;                           /* names in EVACUATED */
+    char evacuated[EVACUATIONS_MAX][FLOW_NAME_LEN]; /* data centres */
     ms_t answered_from; /* the latest start of a probe that was answered */
     double silence;     /* moving average of the share of probes to upstreams
                          * in no doubt that were not answered */
@@ -177,6 +181,8 @@
 /* Puts U into its service's list, if it may be chosen at all. */
 int upstream_offer(upstream_t *u);
 void upstream_withdraw(upstream_t *u);
+/* Evacuates U, or offers it again. */
+int upstream_evacuate(upstream_t *u, bool evacuated);
 
 /* ---- records.c ---- */
 
@@ -212,6 +218,7 @@
     upstream_t *up;      /* NULL: none */
     const group_t *full; /* the group whose limit refused it, or NULL */
     const char *service; /* of that group */
+    bool evacuated;      /* there is none, but in evacuated data centres */
 } choice_t;
 
 /* The upstream for a new flow of route R.  EXCLUDE (may be NULL) is taken only
--- a/tagged/news.c
+++ b/tagged/news.c
@@ -65,6 +65,7 @@
     case STORE_ROUTES:
     case STORE_UPSTREAM:
     case STORE_UPSTREAM_GONE:
+    case STORE_EVACUATION:
         c->n++;
     }
 }
--- a/tagged/packets.c
+++ b/tagged/packets.c
@@ -222,6 +222,27 @@
              rc < 0 ? " error=\"out of memory: it isn't used\"" : "");
 }
 
+static void
+take_evacuation(packets_t *p, const store_event_t *ev)
+{
+    const char *data_centre = ev->evacuation.data_centre;
+    bool evacuated = ev->evacuation.evacuated;
+    int rc = flowset_evacuate(p->flows, data_centre, evacuated);
+
+    if (rc < 0) {
+        log_line(LVL_ERROR, "evacuation",
+                 "Not %s. data_centre=%s revision=%llu error=\"%s\"",
+                 evacuated ? "begun" : "ended", data_centre,
+                 (unsigned long long)ev->revision,
+                 rc == -ENOSPC ? "too many are under way" : "out of memory");
+        return;
+    }
+    log_line(LVL_INFO, "evacuation",
+             "%s. data_centre=%s upstreams=%d revision=%llu",
+             evacuated ? "Begun" : "Ended", data_centre, rc,
+             (unsigned long long)ev->revision);
+}
+
 static void
 take_event(packets_t *p, store_event_t *ev, bool first)
 {
@@ -238,6 +259,9 @@
                  (unsigned long long)ev->id, (unsigned long long)ev->revision);
         flowset_remove_upstream(p->flows, p->now, ev->id);
         return;
+    case STORE_EVACUATION:
+        take_evacuation(p, ev);
+        return;
     case STORE_PEER:
     case STORE_PEER_GONE:
     case STORE_OTHER:
--- a/tagged/report.c
+++ b/tagged/report.c
@@ -25,6 +25,7 @@
     metric_print(f, "gauge", "siskin_routes", s->routes);
     metric_print(f, "gauge", "siskin_upstreams", s->upstreams);
     metric_print(f, "gauge", "siskin_upstreams_usable", s->usable);
+    metric_print(f, "gauge", "siskin_data_centres_evacuated", s->evacuated);
     metric_print(f, "gauge", "siskin_flows", s->records);
     metric_print(f, "gauge", "siskin_limits_in_force", s->limits);
     metric_print(f, "counter", "siskin_flows_reset_total", s->resets);
@@ -117,14 +118,15 @@
 {
     const flow_stats_t s = copy_stats(t);
     json_t *o = json_pack(
-        "{ss ss sb sb sb sI sI sI sI sI sI}", "instance", t->settings.name,
+        "{ss ss sb sb sb sI sI sI sI sI sI sI}", "instance", t->settings.name,
         "data_centre", t->settings.data_centre, "ready", SHARED(t, ready),
         "leaving", SHARED(t, leaving), "store_up", SHARED(t, store_up),
         "version", (json_int_t)s.version, "revision",
         (json_int_t)replica_revision(t->replica), "replica_age_ms",
         (json_int_t)(clock_now() - replica_current_at(t->replica)),
         "upstreams", (json_int_t)s.upstreams, "usable", (json_int_t)s.usable,
-        "flows", (json_int_t)s.records);
+        "data_centres_evacuated", (json_int_t)s.evacuated, "flows",
+        (json_int_t)s.records);
     char *text = json_dumps(o, JSON_INDENT(2));
 
     json_decref(o);
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -858,3 +858,109 @@
     bed.advance(20000);
     EXPECT_EQ(bed.stats()->upstreams, 0u);
 }
+
+/* ---- Evacuations ---- */
+
+/* An evacuation applied late or in part would go on sending flows to upstreams
+ * that the operator is about to take away. */
+TEST_F(Flow, AnEvacuatedDataCentreGetsNoNewFlow)
+{
+    EXPECT_EQ(flowset_evacuate(bed.flows, "dc-a", true), 2);
+    for (int caller = 1; caller < 100; caller++) {
+        EXPECT_EQ(bed.packet(FlowBed::syn(caller, FEED)).upstream, 0x21u);
+    }
+    EXPECT_EQ(bed.stats()->evacuated, 1u);
+    EXPECT_EQ(bed.stats()->usable, 1u);
+}
+
+/* A reset would break a feed that the evacuation is meant to spare. */
+TEST_F(Flow, AnEvacuationLeavesOpenFlowsAlone)
+{
+    int caller = (int)open_at(0x11, 1);
+
+    flowset_evacuate(bed.flows, "dc-a", true);
+    bed.advance(1000);
+    flow_decision_t d =
+        bed.packet(FlowBed::data(caller, FEED, 0x11, 1001, 100));
+    EXPECT_EQ(d.verb, FLOW_FORWARD);
+    EXPECT_EQ(d.upstream, 0x11u);
+    EXPECT_TRUE(bed.resets.empty());
+    /* The same at an instance that has never seen the flow. */
+    EXPECT_EQ(bed.packet(FlowBed::data(900, FEED, 0x12, 1, 1)).upstream,
+              0x12u);
+}
+
+/* A retransmitted opening packet would open a flow in the evacuated data
+ * centre long after the evacuation began. */
+TEST_F(Flow, ARetransmittedOpeningPacketLeavesAnEvacuatedDataCentre)
+{
+    ASSERT_NE(bed.packet(FlowBed::syn(1, FEED)).upstream, 0x21u);
+    flowset_evacuate(bed.flows, "dc-a", true);
+    bed.now += 200;
+    flow_decision_t d = bed.packet(FlowBed::syn(1, FEED, 1));
+    EXPECT_EQ(d.reason, FLOW_COPY_MOVED);
+    EXPECT_EQ(d.upstream, 0x21u);
+}
+
+/* Callers would wait for an answer that nobody may give. */
+TEST_F(Flow, WithAllDataCentresEvacuatedCallersAreResetAtOnce)
+{
+    flowset_evacuate(bed.flows, "dc-a", true);
+    flowset_evacuate(bed.flows, "dc-b", true);
+    flow_decision_t d = bed.packet(FlowBed::syn(1, FEED));
+    EXPECT_EQ(d.verb, FLOW_RESET);
+    EXPECT_EQ(d.reason, FLOW_EVACUATED);
+    /* Another instance may have opened the flow before. */
+    d = bed.packet(FlowBed::syn(2, FEED, 1));
+    EXPECT_EQ(d.verb, FLOW_DROP);
+    EXPECT_EQ(d.reason, FLOW_EVACUATED);
+}
+
+/* An instance that starts late hears of the evacuation before it hears of
+ * upstreams, and of upstreams that start meanwhile. */
+TEST_F(Flow, UpstreamsAnnouncedDuringAnEvacuationGetNoFlow)
+{
+    flowset_evacuate(bed.flows, "dc-c", true);
+    bed.announce(FlowBed::upstream(0x31, "svc", "dc-c"));
+    bed.announce(FlowBed::upstream(0x31, "svc", "dc-c")); /* anew */
+    for (int caller = 1; caller < 100; caller++) {
+        EXPECT_NE(bed.packet(FlowBed::syn(caller, FEED)).upstream, 0x31u);
+    }
+}
+
+/* After the end of an evacuation its upstreams would stay idle for ever; those
+ * that have left or drain meanwhile must stay out. */
+TEST_F(Flow, TheEndOfAnEvacuationBringsBackThoseThatMayBeChosen)
+{
+    std::set<uint64_t> chosen;
+
+    bed.announce(FlowBed::upstream(0x13, "svc", "dc-a"));
+    bed.announce(FlowBed::upstream(0x14, "svc", "dc-a"));
+    flowset_evacuate(bed.flows, "dc-a", true);
+    flow_upstream_t leaving = FlowBed::upstream(0x12, "svc", "dc-a");
+    leaving.draining = true;
+    bed.announce(leaving);
+    flowset_remove_upstream(bed.flows, bed.now, 0x13);
+    flowset_evacuate(bed.flows, "dc-a", false);
+    flowset_evacuate(bed.flows, "dc-a", true); /* within a second */
+    flowset_evacuate(bed.flows, "dc-a", false);
+    EXPECT_EQ(flowset_evacuate(bed.flows, "dc-a", false), 4);
+    for (int caller = 1; caller < 100; caller++) {
+        chosen.insert(bed.packet(FlowBed::syn(caller, FEED)).upstream);
+    }
+    chosen.erase(0x21); /* the others' queues spill over */
+    EXPECT_EQ(chosen, (std::set<uint64_t>{0x11, 0x14}));
+    EXPECT_EQ(bed.stats()->evacuated, 0u);
+}
+
+/* Names come from outside: they must not fill the memory. */
+TEST_F(Flow, EvacuationsAreBounded)
+{
+    for (int i = 0; i < EVACUATIONS_MAX; i++) {
+        std::string name = "dc-x" + std::to_string(i);
+        EXPECT_EQ(flowset_evacuate(bed.flows, name.c_str(), true), 0);
+    }
+    EXPECT_EQ(flowset_evacuate(bed.flows, "dc-a", true), -ENOSPC);
+    EXPECT_EQ(flowset_evacuate(bed.flows, "dc-x7", false), 0);
+    EXPECT_EQ(flowset_evacuate(bed.flows, "dc-a", true), 2);
+}
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -274,6 +274,41 @@
     }
 }
 
+TEST(Items, AnEvacuationIsReadWhateverItsValueSays)
+{
+    for (const char *value : {"{}", "", "not JSON"}) {
+        store_event_t ev;
+        err_t e = {};
+        ASSERT_EQ(event(&ev, "op/evacuate/dc-a", value, &e), 0) << value;
+        EXPECT_EQ(ev.kind, STORE_EVACUATION);
+        EXPECT_STREQ(ev.evacuation.data_centre, "dc-a");
+        EXPECT_TRUE(ev.evacuation.evacuated);
+    }
+}
+
+TEST(Items, TheEndOfAnEvacuationIsRead)
+{
+    store_event_t ev;
+    err_t e = {};
+
+    ASSERT_EQ(event(&ev, "op/evacuate/dc-a", nullptr, &e), 0);
+    EXPECT_EQ(ev.kind, STORE_EVACUATION);
+    EXPECT_FALSE(ev.evacuation.evacuated);
+}
+
+TEST(Items, AnEvacuationWithoutAUsableNameIsRefused)
+{
+    std::string names[] = {"", std::string(FLOW_NAME_LEN, 'x')};
+
+    for (const std::string &name : names) {
+        store_event_t ev;
+        err_t e = {};
+        EXPECT_EQ(event(&ev, ("op/evacuate/" + name).c_str(), "{}", &e),
+                  -EINVAL);
+        EXPECT_EQ(ev.kind, STORE_OTHER);
+    }
+}
+
 TEST(Items, APeerIsRead)
 {
     addr_t a = address("10.1.0.10:8166");
--- a/test/tagged_bed.bash
+++ b/test/tagged_bed.bash
@@ -136,6 +136,17 @@
     done
 }
 
+evacuate() {            # DATA-CENTRE: its evacuation begins
+    curl -s -m 3 -o /dev/null -X POST --data-binary "{\"precondition\":[],\
+\"puts\":[{\"key\":\"op/evacuate/$1\",\"value\":\"e30=\",\"lease\":0}],\
+\"remove\":[]}" "$store/api/kv-txn?as=platform"
+}
+
+readmit() {             # DATA-CENTRE: its evacuation ends
+    curl -s -m 3 -o /dev/null -X POST --data-binary "{\"precondition\":[],\
+\"puts\":[],\"remove\":[\"op/evacuate/$1\"]}" "$store/api/kv-txn?as=platform"
+}
+
 until_quietly() {       # COMMAND...: each 50 ms, 30 s at most
     for _ in $(seq 600); do
         "$@" >/dev/null 2>&1 && return 0
