source, tagged: follow the operator's wishes apart from the upstreams

Cause: one watch told of everything.

Now there are two topics with a replica, a revision and a watch each: upstreams and instances, and what the operator wrote. Peers tell both in one answer. After an answer of the operator's topic that took long, or a failure, the topic is listed instead of watched: a list holds the newest version alone. The instances' announcements share their first letter with the upstreams', so that one watch follows both. tagged/watch.c holds the calls to the store, follow.c the choice.

Ways weighed: a watch of everything (as before); three watches by prefix (announcements apart: one more waiting call at each watcher); reading serially, upstreams before the configuration (a drain still waits 1.9 s for a version under way). The conditional read by a transaction without puts is a write call.

--- a/tagged/announce.c
+++ b/tagged/announce.c
@@ -38,7 +38,7 @@
     pthread_mutex_lock(&a->t->follow_lock);
     yes = sources_should_announce(&a->t->sources);
     pthread_mutex_unlock(&a->t->follow_lock);
-    return yes && replica_revision(a->t->replica) > 0;
+    return yes && tagged_has_replicas(a->t);
 }
 
 static int
--- a/tagged/answers.c
+++ b/tagged/answers.c
@@ -25,7 +25,7 @@
 
 typedef struct {
     struct MHD_Response *response; /* NULL: none */
-    question_t question;
+    question_t question[TOPICS];
     ms_t made_at;
 } answer_t;
 
@@ -97,26 +97,60 @@
                               kept->revision == asked->revision;
 }
 
+/* What is asked of each topic, as text.  NULL without memory. */
+static char *
+write_topics(replica_t *const r[TOPICS], ms_t now, ms_t given_ms,
+             const question_t asked[TOPICS])
+{
+    char *text[TOPICS], *out = NULL;
+    bool all = true;
+
+    for (int i = 0; i < TOPICS; i++) {
+        text[i] = replica_text(r[i], now, asked[i].after, given_ms,
+                               asked[i].differences);
+        all = all && text[i] != NULL;
+    }
+    if (all) {
+        out = store_topics_write(text);
+    }
+    for (int i = 0; i < TOPICS; i++) {
+        free(text[i]);
+    }
+    return out;
+}
+
+static bool
+serves(const answer_t *kept, ms_t now, const question_t asked[TOPICS])
+{
+    bool all = kept->response != NULL;
+
+    for (int i = 0; i < TOPICS && all; i++) {
+        all =
+            answer_serves(&kept->question[i], now - kept->made_at, &asked[i]);
+    }
+    return all;
+}
+
 /* The answer to what was ASKED; under LOCK. */
 static struct MHD_Response *
-get(answers_t *a, replica_t *r, ms_t now, const question_t *asked)
+get(answers_t *a, replica_t *const r[TOPICS], ms_t now,
+    const question_t asked[TOPICS])
 {
-    answer_t *w = asked->whole ? &a->whole : &a->changes;
-    ms_t given_ms = asked->whole ? WHOLE_MS : CHANGES_MS;
+    bool whole = asked[TOPIC_UPSTREAMS].whole && asked[TOPIC_OPERATOR].whole;
+    answer_t *w = whole ? &a->whole : &a->changes;
     char *text;
 
-    if (w->response != NULL &&
-        answer_serves(&w->question, now - w->made_at, asked)) {
+    if (serves(w, now, asked)) {
         return w->response;
     }
     if (w->response != NULL) {
         MHD_destroy_response(w->response);
     }
-    text = replica_text(r, now, asked->after, given_ms, asked->differences);
+    text = write_topics(r, now, whole ? WHOLE_MS : CHANGES_MS, asked);
     *w =
         (answer_t){.response = text != NULL ? make(text, asked->packed) : NULL,
-                   .question = *asked,
                    .made_at = now};
+    memcpy(w->question, asked, sizeof(w->question));
     return w->response;
 }
 
@@ -130,19 +164,23 @@
 }
 
 enum MHD_Result
-answers_reply(answers_t *a, replica_t *r, struct MHD_Connection *c,
-              uint64_t after, bool differences)
+answers_reply(answers_t *a, replica_t *const r[TOPICS],
+              struct MHD_Connection *c, const uint64_t after[TOPICS],
+              bool differences)
 {
-    question_t asked = {.packed = takes_packed(c),
-                        .differences = differences,
-                        .whole = replica_is_behind(r, after),
-                        .after = after,
-                        .revision = replica_revision(r)};
+    question_t asked[TOPICS];
     struct MHD_Response *response;
     enum MHD_Result rc = MHD_NO;
 
+    for (int i = 0; i < TOPICS; i++) {
+        asked[i] = (question_t){.packed = takes_packed(c),
+                                .differences = differences,
+                                .whole = replica_is_behind(r[i], after[i]),
+                                .after = after[i],
+                                .revision = replica_revision(r[i])};
+    }
     pthread_mutex_lock(&a->lock);
-    response = get(a, r, clock_now(), &asked);
+    response = get(a, r, clock_now(), asked);
     if (response != NULL) {
         rc = MHD_queue_response(c, MHD_HTTP_OK, response);
     }
--- a/tagged/check.c
+++ b/tagged/check.c
@@ -42,24 +42,26 @@
 static void
 check_once(tagged_t *t, peer_client_t *c)
 {
-    uint64_t before = replica_revision(t->replica);
+    bool known = tagged_has_replicas(t);
     char text[ADDR_STRLEN];
     err_t e = {0};
     addr_t a;
     int rc;
 
-    if (pick(t, before == 0, &a) == NULL) {
+    if (pick(t, !known, &a) == NULL) {
         return;
     }
-    rc = news_ask(t, c, &a, before == 0 ? START_WAIT_MS : 0, &e);
-    news_note(t, &a, answer_of(rc, before == 0));
+    rc = news_ask(t, c, &a, !known ? START_WAIT_MS : 0, &e);
+    news_note(t, &a, answer_of(rc, !known));
     if (rc > 0) {
         counter_add(&t->count.news_from_check, 1);
-        log_line(LVL_INFO, "check",
-                 "News from a peer. peer=%s items=%d revision=%llu was=%llu",
-                 addr_text(&a, text), rc,
-                 (unsigned long long)replica_revision(t->replica),
-                 (unsigned long long)before);
+        log_line(
+            LVL_INFO, "check",
+            "News from a peer. peer=%s items=%d upstreams=%llu "
+            "operator=%llu",
+            addr_text(&a, text), rc,
+            (unsigned long long)replica_revision(t->replica[TOPIC_UPSTREAMS]),
+            (unsigned long long)replica_revision(t->replica[TOPIC_OPERATOR]));
     }
 }
 
@@ -71,7 +73,7 @@
     pthread_mutex_lock(&t->follow_lock);
     ms = sources_check_ms(&t->sources);
     pthread_mutex_unlock(&t->follow_lock);
-    return replica_revision(t->replica) == 0 ? START_MS : ms;
+    return tagged_has_replicas(t) ? ms : START_MS;
 }
 
 void
--- a/tagged/daemon.c
+++ b/tagged/daemon.c
@@ -26,6 +26,7 @@
      .drop = changes_free},
     {.name = "serve", .run = serve_run, .inbox = 4},
     {.name = "follow", .run = follow_run, .inbox = 4},
+    {.name = "operator", .run = operator_run, .inbox = 4},
     {.name = "check", .run = check_run, .inbox = 4},
     {.name = "announce", .run = announce_run, .inbox = 4},
 };
@@ -44,16 +45,50 @@
     return signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
 }
 
-static int
-start(tagged_t *t, err_t *e)
+ms_t
+tagged_current_at(const tagged_t *t)
+{
+    ms_t at = MS_NEVER;
+
+    for (int i = 0; i < TOPICS; i++) {
+        ms_t topic_at = replica_current_at(t->replica[i]);
+        at = topic_at < at ? topic_at : at;
+    }
+    return at;
+}
+
+bool
+tagged_has_replicas(const tagged_t *t)
 {
-    t->replica = replica_new(t->started);
+    bool all = true;
+
+    for (int i = 0; i < TOPICS; i++) {
+        all = all && replica_revision(t->replica[i]) > 0;
+    }
+    return all;
+}
+
+static bool
+open_parts(tagged_t *t)
+{
+    bool opened;
+
     t->answers = answers_new();
-    t->store = store_new(t->settings.store_url);
     t->writer = store_new(t->settings.store_url);
     t->kern = kern_new();
-    if (t->replica == NULL || t->answers == NULL || t->store == NULL ||
-        t->writer == NULL || t->kern == NULL) {
+    opened = t->answers != NULL && t->writer != NULL && t->kern != NULL;
+    for (int i = 0; i < TOPICS; i++) {
+        t->replica[i] = replica_new(t->started);
+        t->store[i] = store_new(t->settings.store_url);
+        opened = opened && t->replica[i] != NULL && t->store[i] != NULL;
+    }
+    return opened;
+}
+
+static int
+start(tagged_t *t, err_t *e)
+{
+    if (!open_parts(t)) {
         return err_set(e, -ENOMEM, "start", t->settings.name, "out of memory");
     }
     t->flow_fd = udp_open(&t->settings.flow_addr, e);
--- a/tagged/news.c
+++ b/tagged/news.c
@@ -102,22 +102,25 @@
 {
     const duty_t *packets = kern_find(t->kern, "packets");
 
-    if (items->revision <= replica_revision(t->replica) ||
+    if (items->revision <= replica_revision(t->replica[items->topic]) ||
         duty_depth(packets) < duty_capacity(packets)) {
         return false;
     }
     counter_add(&t->count.news_put_off, 1);
     log_line(LVL_WARN, "news",
-             "Packet queue full, update deferred. revision=%llu "
+             "Packet queue full, update deferred. topic=%s revision=%llu "
              "was=%llu items=%zu",
+             store_topic_name(items->topic),
              (unsigned long long)items->revision,
-             (unsigned long long)replica_revision(t->replica), items->n);
+             (unsigned long long)replica_revision(t->replica[items->topic]),
+             items->n);
     return true;
 }
 
 int
 news_take(tagged_t *t, store_items_t *items)
 {
+    replica_t *r = t->replica[items->topic];
     store_items_t changed;
     bool first;
     int n, rc;
@@ -127,8 +130,8 @@
         pthread_mutex_unlock(&t->follow_lock);
         return -ENOBUFS;
     }
-    first = replica_revision(t->replica) == 0;
-    rc = replica_merge(t->replica, clock_now(), items, &changed);
+    first = replica_revision(r) == 0;
+    rc = replica_merge(r, clock_now(), items, &changed);
     n = (int)changed.n;
     if (rc == 0 && n > 0) {
         rc = forward(t, &changed, first);
@@ -139,8 +142,9 @@
                                             * are none */
         duty_wake(kern_find(t->kern, "serve"));
     }
-    if (first && n > 0) { /* follow may have left the list to peers */
+    if (first && n > 0) { /* the list may have been left to peers */
         duty_wake(kern_find(t->kern, "follow"));
+        duty_wake(kern_find(t->kern, "operator"));
     }
     return rc < 0 ? rc : n;
 }
@@ -197,13 +201,12 @@
 ask(tagged_t *t, peer_client_t *c, const addr_t *a, const char *from,
     ms_t wait_ms, http_reply_t *r, err_t *e)
 {
-    char path[112 + ADDR_STRLEN];
-    uint64_t after = replica_revision(t->replica);
-    ms_t slack = after > 0 ? PEER_SLACK_MS : PEER_SLACK_MS << c->late;
+    char path[160 + ADDR_STRLEN];
+    bool known = tagged_has_replicas(t);
+    ms_t slack = known ? PEER_SLACK_MS : PEER_SLACK_MS << c->late;
     http_call_t call = {.path = path,
                         .timeout_ms = wait_ms + slack,
-                        .connect_ms =
-                            after > 0 ? PEER_SLACK_MS : START_CONNECT_MS,
+                        .connect_ms = known ? PEER_SLACK_MS : START_CONNECT_MS,
                         .stall_ms = PEER_STALL_MS,
                         .step = "peer",
                         .packed = true};
@@ -213,9 +216,12 @@
         return err_set(e, rc, call.step, "memory", "out of memory");
     }
     snprintf(path, sizeof(path),
-             "/replica?after=%llu&wait_ms=%lld&differences=%d%s%s",
-             (unsigned long long)after, (long long)wait_ms, !c->values,
-             from[0] != '\0' ? "&from=" : "", from);
+             "/replica?upstreams=%llu&operator=%llu&wait_ms=%lld"
+             "&differences=%d%s%s",
+             (unsigned long long)replica_revision(t->replica[TOPIC_UPSTREAMS]),
+             (unsigned long long)replica_revision(t->replica[TOPIC_OPERATOR]),
+             (long long)wait_ms, !c->values, from[0] != '\0' ? "&from=" : "",
+             from);
     __atomic_add_fetch(&t->count.peer_calls, 1, __ATOMIC_RELAXED);
     rc = http_call(c->http, &call, r, e);
     if (rc == -ETIMEDOUT) {
@@ -227,24 +233,46 @@
     return rc;
 }
 
-/* Takes the answer R, if RC says that there is one. */
+/* Takes what a peer told of each topic; as news_take(), of the first topic
+ * that fails, else the number of new items. */
+static int
+take_topics(tagged_t *t, store_items_t items[TOPICS], ms_t transfer_ms)
+{
+    int n = 0, rc = 0;
+
+    for (int i = 0; i < TOPICS; i++) {
+        int taken = 0;
+        items[i].age += transfer_ms; /* told as of its first bytes */
+        if (items[i].revision > 0) {
+            taken = news_take(t, &items[i]);
+        }
+        n += taken > 0 ? taken : 0;
+        rc = rc < 0 ? rc : taken;
+    }
+    return rc < 0 ? rc : n;
+}
+
+/* Takes the answer R, if RC says that there is one.  -ENODATA: the peer knows
+ * nothing itself yet. */
 static int
 take_answer(tagged_t *t, peer_client_t *c, int rc, const http_reply_t *r)
 {
-    store_items_t items;
+    store_items_t items[TOPICS];
+    bool empty;
 
     if (rc == 0) {
-        rc = r->status == MHD_HTTP_OK ? store_items_parse(&items, r->body)
+        rc = r->status == MHD_HTTP_OK ? store_topics_parse(items, r->body)
                                       : -EPROTO;
     }
     if (rc < 0) {
         __atomic_add_fetch(&t->count.peer_failures, 1, __ATOMIC_RELAXED);
         return rc;
     }
-    items.age += r->transfer_ms; /* told as of its first bytes */
-    rc = items.revision > 0 ? news_take(t, &items) : -ENODATA;
+    empty = items[TOPIC_UPSTREAMS].revision == 0 &&
+            items[TOPIC_OPERATOR].revision == 0;
+    rc = empty ? -ENODATA : take_topics(t, items, r->transfer_ms);
     c->values = rc == -ESTALE;
-    store_items_free(&items);
+    store_topics_free(items);
     return rc;
 }
 
--- a/tagged/packets.c
+++ b/tagged/packets.c
@@ -368,7 +368,7 @@
     pthread_mutex_lock(&p->t->stats_lock);
     p->t->stats = *flowset_stats(p->flows);
     pthread_mutex_unlock(&p->t->stats_lock);
-    p->current_at = replica_current_at(p->t->replica);
+    p->current_at = tagged_current_at(p->t);
     p->publish_at = p->now + PUBLISH_MS;
 }
 
--- a/tagged/report.c
+++ b/tagged/report.c
@@ -56,6 +56,25 @@
     return s;
 }
 
+static void
+replica_metrics(FILE *f, const tagged_t *t)
+{
+    ms_t now = clock_now();
+
+    fprintf(f, "# TYPE siskin_store_revision gauge\n");
+    for (int i = 0; i < TOPICS; i++) {
+        fprintf(f, "siskin_store_revision{topic=\"%s\"} %llu\n",
+                store_topic_name((store_topic_t)i),
+                (unsigned long long)replica_revision(t->replica[i]));
+    }
+    fprintf(f, "# TYPE siskin_replica_age_milliseconds gauge\n");
+    for (int i = 0; i < TOPICS; i++) {
+        fprintf(f, "siskin_replica_age_milliseconds{topic=\"%s\"} %lld\n",
+                store_topic_name((store_topic_t)i),
+                (long long)(now - replica_current_at(t->replica[i])));
+    }
+}
+
 char *
 tagged_metrics(tagged_t *t, uint32_t followers)
 {
@@ -84,12 +103,11 @@
     metric_print(f, "counter", "siskin_pauses_total",
                  counter_read(&c->pauses));
     metric_print(f, "gauge", "siskin_store_up", SHARED(t, store_up));
-    metric_print(f, "gauge", "siskin_store_revision",
-                 replica_revision(t->replica));
-    metric_print(f, "gauge", "siskin_replica_age_milliseconds",
-                 (uint64_t)(clock_now() - replica_current_at(t->replica)));
+    replica_metrics(f, t);
     metric_print(f, "counter", "siskin_store_calls_total",
-                 store_calls(t->store) + store_calls(t->writer));
+                 store_calls(t->store[TOPIC_UPSTREAMS]) +
+                     store_calls(t->store[TOPIC_OPERATOR]) +
+                     store_calls(t->writer));
     metric_print(f, "counter", "siskin_store_failures_total",
                  counter_read(&c->store_failures));
     metric_print(f, "counter", "siskin_store_items_refused_total",
@@ -122,8 +140,8 @@
         "data_centre", t->settings.data_centre, "ready", SHARED(t, ready),
         "leaving", SHARED(t, leaving), "store_up", SHARED(t, store_up),
         "version", (json_int_t)s.version, "revision",
-        (json_int_t)replica_revision(t->replica), "replica_age_ms",
-        (json_int_t)(clock_now() - replica_current_at(t->replica)),
+        (json_int_t)replica_revision(t->replica[TOPIC_UPSTREAMS]),
+        "replica_age_ms", (json_int_t)(clock_now() - tagged_current_at(t)),
         "upstreams", (json_int_t)s.upstreams, "usable", (json_int_t)s.usable,
         "data_centres_evacuated", (json_int_t)s.evacuated, "flows",
         (json_int_t)s.records);
--- a/tagged/serve.c
+++ b/tagged/serve.c
@@ -36,8 +36,8 @@
 
 typedef struct {
     struct MHD_Connection *c; /* NULL: a free place */
-    uint64_t after;
-    ms_t current_at; /* of the replica, as it began to wait */
+    uint64_t after[TOPICS];
+    ms_t current_at[TOPICS]; /* of the replicas, as it began to wait */
     ms_t until;
 } waiting_t;
 
@@ -50,15 +50,20 @@
 } waiting = {.lock = PTHREAD_MUTEX_INITIALIZER};
 
 static bool
-park(struct MHD_Connection *c, tagged_t *t, uint64_t after, ms_t until)
+park(struct MHD_Connection *c, tagged_t *t, const uint64_t after[TOPICS],
+     ms_t until)
 {
+    waiting_t w = {.c = c, .until = until};
     bool parked = false;
-    ms_t current_at = replica_current_at(t->replica);
 
+    for (int i = 0; i < TOPICS; i++) {
+        w.after[i] = after[i];
+        w.current_at[i] = replica_current_at(t->replica[i]);
+    }
     pthread_mutex_lock(&waiting.lock);
     for (size_t i = 0; i < WAITING_MAX && !parked; i++) {
         if (waiting.place[i].c == NULL) {
-            waiting.place[i] = (waiting_t){c, after, current_at, until};
+            waiting.place[i] = w;
             SHARE(t, waiting, SHARED(t, waiting) + 1);
             MHD_suspend_connection(c);
             parked = true;
@@ -68,22 +73,39 @@
     return parked;
 }
 
+/* There is news of a topic, or a confirmation that there is none. */
+static bool
+has_heard(const waiting_t *w, const uint64_t revision[TOPICS],
+          const ms_t current_at[TOPICS])
+{
+    for (int i = 0; i < TOPICS; i++) {
+        if (revision[i] > w->after[i] ||
+            current_at[i] - w->current_at[i] >= CONFIRM_MS) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Lets go on whose wait is over; returns how long until the next is. */
 static ms_t
 release(tagged_t *t, bool all)
 {
-    uint64_t revision = replica_revision(t->replica);
-    ms_t current_at = replica_current_at(t->replica);
+    uint64_t revision[TOPICS];
+    ms_t current_at[TOPICS];
     ms_t now = clock_now(), next = -1;
 
+    for (int i = 0; i < TOPICS; i++) {
+        revision[i] = replica_revision(t->replica[i]);
+        current_at[i] = replica_current_at(t->replica[i]);
+    }
     pthread_mutex_lock(&waiting.lock);
     for (size_t i = 0; i < WAITING_MAX; i++) {
         waiting_t *w = &waiting.place[i];
         if (w->c == NULL) {
             continue;
         }
-        if (all || revision > w->after || now >= w->until ||
-            current_at - w->current_at >= CONFIRM_MS) {
+        if (all || now >= w->until || has_heard(w, revision, current_at)) {
             MHD_resume_connection(w->c);
             w->c = NULL;
             SHARE(t, waiting, SHARED(t, waiting) - 1);
@@ -145,10 +167,25 @@
     return s != NULL && addr_parse(from, s) == 0;
 }
 
+/* The revisions that the asker has; "after" stands for all topics. */
+static bool
+read_after(struct MHD_Connection *c, const tagged_t *t, uint64_t after[TOPICS])
+{
+    bool news = false;
+
+    for (int i = 0; i < TOPICS; i++) {
+        const char *name = store_topic_name((store_topic_t)i);
+        after[i] = number(c, argument(c, name) != NULL ? name : "after");
+        news = news || replica_revision(t->replica[i]) > after[i];
+    }
+    return news;
+}
+
 static enum MHD_Result
 reply_replica(struct MHD_Connection *c, tagged_t *t, bool waited)
 {
-    uint64_t after = number(c, "after"), wait = number(c, "wait_ms");
+    uint64_t after[TOPICS], wait = number(c, "wait_ms");
+    bool news = read_after(c, t, after);
     ms_t now = clock_now();
     addr_t from, instead;
     char text[ADDR_STRLEN];
@@ -157,7 +194,7 @@
         return http_reply(c, MHD_HTTP_TEMPORARY_REDIRECT, TEXT,
                           strdup(addr_text(&instead, text)));
     }
-    if (!waited && wait > 0 && replica_revision(t->replica) <= after &&
+    if (!waited && wait > 0 && !news &&
         park(c, t, after,
              now + (ms_t)(wait < WAIT_MAX_MS ? wait : WAIT_MAX_MS))) {
         duty_wake(kern_find(t->kern, "serve"));
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -4,6 +4,7 @@
  *   packets   callers' packets: received, decided (flow/), sent and paced;
  *             probes
  *   follow    follows the store, or the peer that does (source/)
+ *   operator  follows the operator's topic of the store beside it
  *   check     asks another peer for anything newer
  *   announce  keeps the instance's own announcement in the store
  *   serve     HTTP: readiness, metrics, status, the replica for peers
@@ -53,7 +54,8 @@
  * text. */
 int difference_apply(const char *from, const char *difference, char **to);
 
-/* ---- The replica: what the store holds, as it was last seen ---- */
+/* ---- The replica: what the store holds of a topic, as it was last seen ----
+ */
 
 typedef struct replica replica_t;
 
@@ -81,6 +83,7 @@
 
 typedef struct answers answers_t;
 
+/* One topic's part of a question. */
 typedef struct {
     bool packed;      /* the asker takes packed answers */
     bool differences; /* and differences to long values */
@@ -94,11 +97,11 @@
 
 /* NULL without memory. */
 answers_t *answers_new(void);
-/* Answers C with what is newer than revision AFTER.  MHD_NO, which ends the
- * connection, without memory. */
-enum MHD_Result answers_reply(answers_t *a, replica_t *r,
-                              struct MHD_Connection *c, uint64_t after,
-                              bool differences);
+/* Answers C with what is newer than revision AFTER of each topic.  MHD_NO,
+ * which ends the connection, without memory. */
+enum MHD_Result answers_reply(answers_t *a, replica_t *const r[TOPICS],
+                              struct MHD_Connection *c,
+                              const uint64_t after[TOPICS], bool differences);
 
 /* ---- Messages to packets ---- */
 
@@ -132,21 +135,22 @@
     tagged_settings_t settings; /* as at the start */
     char settings_file[256];
     kern_t *kern;
-    replica_t *replica;
+    replica_t *replica[TOPICS];
     answers_t *answers;
-    store_t *store;              /* follow's client */
+    store_t *store[TOPICS];      /* follow's client, and operator's */
     store_t *writer;             /* announce's */
     pthread_mutex_t follow_lock; /* sources, and the order of changes */
     sources_t sources;
     int flow_fd;
     ms_t started;
     /* Atomic facts */
-    bool ready;       /* there are routes and upstreams */
-    bool leaving;     /* SIGTERM came */
-    bool reload;      /* SIGHUP came: follow reads the settings again */
-    bool store_up;    /* the last call to the store succeeded */
-    uint32_t waiting; /* peers that wait for an answer */
-    ms_t packet_at;   /* when the last packet came */
+    bool ready;         /* there are routes and upstreams */
+    bool leaving;       /* SIGTERM came */
+    bool reload;        /* SIGHUP came: follow reads the settings again */
+    bool store_up;      /* the last call to the store succeeded */
+    bool follows_store; /* this instance reads the store, not a peer */
+    uint32_t waiting;   /* peers that wait for an answer */
+    ms_t packet_at;     /* when the last packet came */
     tagged_counters_t count;
     /* A copy of packets' statistics. */
     pthread_mutex_t stats_lock;
@@ -157,14 +161,51 @@
 #define SHARE(t, name, value)                                                 \
     __atomic_store_n(&(t)->name, value, __ATOMIC_RELAXED)
 
+/* When the replicas were last known to be current: the older of them. */
+ms_t tagged_current_at(const tagged_t *t);
+/* There is something of each topic. */
+bool tagged_has_replicas(const tagged_t *t);
+
 /* ---- Duties ---- */
 
 void packets_run(duty_t *self, void *tagged);
 void follow_run(duty_t *self, void *tagged);
+void operator_run(duty_t *self, void *tagged);
 void check_run(duty_t *self, void *tagged);
 void announce_run(duty_t *self, void *tagged);
 void serve_run(duty_t *self, void *tagged);
 
+/* ---- watch.c: a topic of the store ---- */
+
+typedef struct {
+    tagged_t *t;
+    duty_t *self;
+    store_t *store;
+    store_topic_t topic;
+    rng_t rng;
+    /* The store's history doesn't reach back to the replica's revision, news
+     * was lost on the way, or a watch would bring versions that no longer
+     * matter: a list tells what there is. */
+    bool must_list;
+    bool failed; /* the last call did */
+    ms_t wait_ms, stale_ms, gather_ms;
+    ms_t backoff;
+} watch_t;
+
+/* CHANGE_MS: a change of the topic may take so long. */
+void watch_init(watch_t *w, tagged_t *t, duty_t *self, store_topic_t topic,
+                ms_t change_ms);
+/* What is known of the topic may be old: nobody has confirmed it in time. */
+bool watch_is_stale(const watch_t *w);
+/* Until it is, if nobody confirms it meanwhile. */
+ms_t watch_fresh_ms(const watch_t *w);
+/* One call; returns how long to pause before the next. */
+ms_t watch_once(watch_t *w);
+/* A call to the store failed; returns how long to pause. */
+ms_t watch_failed(watch_t *w, int rc, const err_t *e);
+/* How long to pause after one more failure, not of the store's. */
+ms_t watch_back_off(watch_t *w);
+
 /* ---- news.c: how what is new gets from a source to packets ---- */
 
 /* Takes ITEMS into the replica and passes on what is new, in one order
--- /dev/null
+++ b/tagged/watch.c
@@ -0,0 +1,223 @@
+/* A topic of the store, followed by its calls: a list at first, then watches.
+ * Revisions are the store's and only grow, so a replica never goes back,
+ * whoever tells what is new. */
+#include "tagged/tagged.h"
+
+#include <errno.h>
+#include <string.h>
+
+/* Shares of the time that a change may take.  Long-poll timeout of a watch:
+ * its end confirms that nothing has changed, and shows a watch that the store
+ * has forgotten. */
+#define WATCH_SHARE 0.5
+/* Age at which what is known counts as old: the leaders may all be cut off
+ * from the store.  The rest is for asking it, also when the last confirmation
+ * was just before the change. */
+#define STALE_SHARE 0.83
+/* Pause after a change, before the next watch: changes come in series, and
+ * each answer is a call that is paid for. */
+#define GATHER_SHARE 0.067
+/* Changes that are due sooner are followed at the pace of this time. */
+#define CHANGE_SOONEST_MS 3000
+/* Between a peer's answers, at the most (follow.c), and what one may take. */
+#define PEER_MS 900
+_Static_assert(WATCH_SHARE *CHANGE_SOONEST_MS + PEER_MS <=
+                   STALE_SHARE * CHANGE_SOONEST_MS,
+               "in calm nothing may look old");
+/* A page of the list, with the store slow by a factor of 60. */
+#define LIST_MS 1200
+/* Transfer time of an answer above which further versions may have come
+ * meanwhile: a watch would bring each of them, a list only the newest. */
+#define SLOW_ANSWER_MS 150
+/* Backoff between calls that fail: exponential with jitter, so that instances
+ * do not return all at once.  The upper bound is short of what a change may
+ * take. */
+#define BACKOFF_MIN_MS 150
+#define BACKOFF_MAX_MS 1200
+
+void
+watch_init(watch_t *w, tagged_t *t, duty_t *self, store_topic_t topic,
+           ms_t change_ms)
+{
+    double ms = (double)(change_ms < CHANGE_SOONEST_MS ? CHANGE_SOONEST_MS
+                                                       : change_ms);
+
+    *w = (watch_t){.t = t,
+                   .self = self,
+                   .store = t->store[topic],
+                   .topic = topic,
+                   .wait_ms = (ms_t)(WATCH_SHARE * ms),
+                   .stale_ms = (ms_t)(STALE_SHARE * ms),
+                   .gather_ms = (ms_t)(GATHER_SHARE * ms)};
+    w->rng.seed = hash64(t->settings.name, strlen(t->settings.name),
+                         (uint64_t)t->started + 1 + topic);
+}
+
+static uint64_t
+revision(const watch_t *w)
+{
+    return replica_revision(w->t->replica[w->topic]);
+}
+
+ms_t
+watch_fresh_ms(const watch_t *w)
+{
+    ms_t age = clock_now() - replica_current_at(w->t->replica[w->topic]);
+
+    return age > w->stale_ms ? 0 : w->stale_ms - age + 1;
+}
+
+bool
+watch_is_stale(const watch_t *w)
+{
+    return watch_fresh_ms(w) == 0;
+}
+
+ms_t
+watch_back_off(watch_t *w)
+{
+    w->backoff = w->backoff == 0 ? BACKOFF_MIN_MS : 2 * w->backoff;
+    if (w->backoff > BACKOFF_MAX_MS) {
+        w->backoff = BACKOFF_MAX_MS;
+    }
+    return w->backoff / 2 + rng_below(&w->rng, (uint32_t)(w->backoff / 2) + 1);
+}
+
+/* Logs when the store stops or starts to answer. */
+static void
+note_store(watch_t *w, int rc, const err_t *e)
+{
+    bool up = rc >= 0;
+
+    if (!up) {
+        counter_add(&w->t->count.store_failures, 1);
+    }
+    if (up == __atomic_exchange_n(&w->t->store_up, up, __ATOMIC_RELAXED)) {
+        return;
+    }
+    if (up) {
+        log_line(LVL_INFO, "follow", "Store available. topic=%s revision=%llu",
+                 store_topic_name(w->topic), (unsigned long long)revision(w));
+    }
+    else {
+        log_line(LVL_WARN, "follow",
+                 "Store unavailable. topic=%s step=\"%s\" peer=%s "
+                 "error=\"%s\" revision=%llu",
+                 store_topic_name(w->topic), e->step, e->peer, e->text,
+                 (unsigned long long)revision(w));
+    }
+}
+
+static int
+apply_items(watch_t *w, store_items_t *items)
+{
+    int rc = news_take(w->t, items);
+
+    if (rc != -ENOBUFS) { /* else nothing was taken, and nothing lost */
+        w->must_list = rc < 0;
+    }
+    store_items_free(items);
+    return rc;
+}
+
+static int
+list(watch_t *w, err_t *e)
+{
+    store_items_t items = {.topic = w->topic, .whole = true};
+    ms_t begun = clock_now();
+    bool more = true;
+
+    while (more) {
+        int rc = store_list_page(w->store, LIST_MS, &items, &more, e);
+        if (rc < 0) {
+            store_items_free(&items);
+            return rc;
+        }
+    }
+    items.age = clock_now() - begun; /* it is complete as of its first page */
+    return apply_items(w, &items);
+}
+
+/* The operator's topic has few keys and long values: a list is shorter than a
+ * watch that brings several versions of one. */
+static bool
+lists_when_behind(const watch_t *w)
+{
+    return w->topic == TOPIC_OPERATOR;
+}
+
+static int
+watch(watch_t *w, err_t *e)
+{
+    uint64_t after = revision(w);
+    /* What is old is confirmed or replaced at once, without a wait. */
+    ms_t wait = watch_is_stale(w) ? 0 : w->wait_ms;
+    store_items_t items;
+    ms_t transfer_ms;
+    int rc = store_watch(w->store, w->topic, after, wait, &items, e);
+
+    if (rc == -ESTALE) {
+        log_line(LVL_WARN, "follow",
+                 "Store history lost, listing anew. topic=%s revision=%llu",
+                 store_topic_name(w->topic), (unsigned long long)after);
+        w->must_list = true;
+        return 1; /* a change: the list can wait as long as any other */
+    }
+    if (rc < 0) {
+        return rc;
+    }
+    transfer_ms = items.age;
+    rc = apply_items(w, &items);
+    if (transfer_ms > SLOW_ANSWER_MS && lists_when_behind(w)) {
+        w->must_list = true;
+    }
+    return rc;
+}
+
+ms_t
+watch_failed(watch_t *w, int rc, const err_t *e)
+{
+    note_store(w, rc, e);
+    w->failed = true;
+    w->must_list = w->must_list || lists_when_behind(w);
+    return watch_back_off(w);
+}
+
+ms_t
+watch_once(watch_t *w)
+{
+    err_t e = {0};
+    bool lists = w->must_list || revision(w) == 0;
+    int rc = lists ? list(w, &e) : watch(w, &e);
+
+    if (rc == -ENOBUFS) { /* not the store's fault */
+        return watch_back_off(w);
+    }
+    if (rc < 0) {
+        return watch_failed(w, rc, &e);
+    }
+    note_store(w, rc, &e);
+    w->failed = false;
+    w->backoff = 0;
+    return rc > 0 ? w->gather_ms : 0;
+}
+
+/* The operator duty: follows the operator's topic at the store while this
+ * instance reads the store, or when the followed peers leave the topic old. */
+void
+operator_run(duty_t *self, void *tagged)
+{
+    tagged_t *t = tagged;
+    watch_t w;
+
+    watch_init(&w, t, self, TOPIC_OPERATOR, t->settings.apply_ms);
+    while (!duty_stopping(self)) {
+        ms_t pause = watch_fresh_ms(&w);
+        if (SHARED(t, follows_store) || pause == 0) {
+            pause = watch_once(&w);
+        }
+        if (pause > 0) {
+            duty_wait(self, NULL, 0, pause);
+        }
+    }
+}
--- a/test/news_test.cc
+++ b/test/news_test.cc
@@ -17,9 +17,11 @@
     SetUp() override
     {
         t->kern = kern_new();
-        t->replica = replica_new(1000);
+        for (replica_t *&r : t->replica) {
+            r = replica_new(1000);
+        }
         pthread_mutex_init(&t->follow_lock, NULL);
-        for (const char *name : {"packets", "serve", "follow"}) {
+        for (const char *name : {"packets", "serve", "follow", "operator"}) {
             duty_spec_t s = {name, NULL, NULL, 4, false, changes_free};
             ASSERT_EQ(kern_add(t->kern, &s), 0);
         }
@@ -29,7 +31,9 @@
     TearDown() override
     {
         kern_free(t->kern);
-        replica_free(t->replica);
+        for (replica_t *r : t->replica) {
+            replica_free(r);
+        }
         free(t);
     }
 
@@ -82,9 +86,9 @@
         ASSERT_EQ(told(id, id), 1);
         id++;
     }
-    revision = replica_revision(t->replica);
+    revision = replica_revision(t->replica[TOPIC_UPSTREAMS]);
     EXPECT_EQ(told(id, id), -ENOBUFS);
-    EXPECT_EQ(replica_revision(t->replica), revision);
+    EXPECT_EQ(replica_revision(t->replica[TOPIC_UPSTREAMS]), revision);
     for (uint64_t i = 1; i < id; i++) {
         EXPECT_EQ(taken(), i);
     }
--- a/test/tagged_herd.sh
+++ b/test/tagged_herd.sh
@@ -13,7 +13,7 @@
 
 # Instances that the store has: four of each data centre at least.
 announced_are() {       # NUMBER
-    [ "$(curl -s -m 3 "$store/api/kv-range?prefix=instances/" |
+    [ "$(curl -s -m 3 "$store/api/kv-range?prefix=s-instances/" |
         grep -o '"key"' | wc -l)" -ge "$1" ]
 }
 
--- a/test/tagged_store.sh
+++ b/test/tagged_store.sh
@@ -26,7 +26,8 @@
 
 # The instance's statistics are from after what the store has now.
 heard() {               # NUMBER
-    metric_is "$1" store_revision -ge "$(revision)" && sleep 0.6
+    metric_is "$1" 'store_revision{topic="upstreams"}' -ge "$(revision)" &&
+        sleep 0.6
 }
 
 run() {
--- a/test/tagged_tree.sh
+++ b/test/tagged_tree.sh
@@ -68,13 +68,17 @@
 
 # False where there was news meanwhile: some are still being announced.
 waits_in_calm() {
-    local one before revision
+    local one before revision operator
     one=$(find store)
     before=$(metric "$one" store_calls_total)
-    revision=$(metric "$one" store_revision)
+    revision=$(metric "$one" 'store_revision{topic="upstreams"}')
+    operator=$(metric "$one" 'store_revision{topic="operator"}')
     curl -s -m 30 -o /dev/null \
-        "http://$net.$one:7002/replica?after=$revision&wait_ms=10000"
-    metric_is "$one" store_revision -eq "$revision" || return 1
+        "http://$net.$one:7002/replica?upstreams=$revision&operator=$operator&wait_ms=10000"
+    metric_is "$one" 'store_revision{topic="upstreams"}' -eq "$revision" ||
+        return 1
+    metric_is "$one" 'store_revision{topic="operator"}' -eq "$operator" ||
+        return 1
     # The store is asked every 1.5 s, and the announcement renewed.
     before=$(($(metric "$one" store_calls_total) - before))
     [ $before -le 4 ] && echo "it did not wait for the end" >heard ||
