tagged/watch: leave time to read a long configuration

The age at which the operator's topic counts as old leaves the time to read 512 kB over the instance's own link; its watch lasts 0.3 of apply_ms, so that in calm nothing looks old at any link.

--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -180,6 +180,16 @@
 
 /* ---- watch.c: a topic of the store ---- */
 
+typedef struct {
+    ms_t wait_ms;   /* long-poll timeout */
+    ms_t stale_ms;  /* age at which what is known counts as old */
+    ms_t gather_ms; /* pause after a change */
+} watch_pace_t;
+
+/* For a topic of which a change may take CHANGE_MS, at an instance whose link
+ * carries LINK_MBPS (0: not told). */
+watch_pace_t watch_pace(store_topic_t topic, ms_t change_ms, double link_mbps);
+
 typedef struct {
     tagged_t *t;
     duty_t *self;
@@ -193,7 +203,7 @@
     bool failed; /* the last call did */
     bool slow;   /* the last answer brought a change, and took long */
     ms_t progress_at;
-    ms_t wait_ms, stale_ms, gather_ms;
+    watch_pace_t pace;
     ms_t backoff;
 } watch_t;
 
--- a/tagged/watch.c
+++ b/tagged/watch.c
@@ -10,10 +10,16 @@
  * its end confirms that nothing has changed, and shows a watch that the store
  * has forgotten. */
 #define WATCH_SHARE 0.5
+/* The same for the operator's topic, of which more time is needed to read. */
+#define WATCH_OPERATOR_SHARE 0.3
 /* Age at which what is known counts as old: the leaders may all be cut off
  * from the store.  The rest is for asking it, also when the last confirmation
  * was just before the change. */
 #define STALE_SHARE 0.83
+/* A long configuration, as it is read: that also takes of the rest. */
+#define READ_BYTES (512 * 1024)
+#define READ_LINK_MBPS 10.0 /* of a link whose rate isn't told */
+#define READ_MARGIN_MS 500
 /* Pause after a change, before the next watch: changes come in series, and
  * each answer is a call that is paid for. */
 #define GATHER_SHARE 0.067
@@ -54,20 +60,43 @@
     }
 }
 
+watch_pace_t
+watch_pace(store_topic_t topic, ms_t change_ms, double link_mbps)
+{
+    ms_t ms = change_ms < CHANGE_SOONEST_MS ? CHANGE_SOONEST_MS : change_ms;
+    double mbps = link_mbps > 0 ? link_mbps : READ_LINK_MBPS;
+    ms_t read_ms = (ms_t)(READ_BYTES * 8 / (mbps * 1000)) + READ_MARGIN_MS;
+    watch_pace_t p = {.wait_ms = (ms_t)(WATCH_SHARE * (double)ms),
+                      .stale_ms = (ms_t)(STALE_SHARE * (double)ms),
+                      .gather_ms = (ms_t)(GATHER_SHARE * (double)ms)};
+
+    if (topic != TOPIC_OPERATOR) {
+        return p;
+    }
+    p.wait_ms = (ms_t)(WATCH_OPERATOR_SHARE * (double)ms);
+    if (p.wait_ms < (ms_t)(WATCH_SHARE * CHANGE_SOONEST_MS)) {
+        p.wait_ms = (ms_t)(WATCH_SHARE * CHANGE_SOONEST_MS);
+    }
+    if (p.stale_ms > ms - read_ms) {
+        p.stale_ms = ms - read_ms;
+    }
+    /* Whatever an instance's own link: its source's watch may last so long. */
+    if (p.stale_ms < p.wait_ms + PEER_MS) {
+        p.stale_ms = p.wait_ms + PEER_MS;
+    }
+    return p;
+}
+
 void
 watch_init(watch_t *w, tagged_t *t, duty_t *self, store_topic_t topic,
            ms_t change_ms)
 {
-    double ms = (double)(change_ms < CHANGE_SOONEST_MS ? CHANGE_SOONEST_MS
-                                                       : change_ms);
-
-    *w = (watch_t){.t = t,
-                   .self = self,
-                   .store = t->store[topic],
-                   .topic = topic,
-                   .wait_ms = (ms_t)(WATCH_SHARE * ms),
-                   .stale_ms = (ms_t)(STALE_SHARE * ms),
-                   .gather_ms = (ms_t)(GATHER_SHARE * ms)};
+    *w =
+        (watch_t){.t = t,
+                  .self = self,
+                  .store = t->store[topic],
+                  .topic = topic,
+                  .pace = watch_pace(topic, change_ms, t->settings.link_mbps)};
     w->rng.seed = hash64(t->settings.name, strlen(t->settings.name),
                          (uint64_t)t->started + 1 + topic);
     store_on_progress(w->store, note_progress, w);
@@ -84,7 +113,7 @@
 {
     ms_t age = clock_now() - replica_current_at(w->t->replica[w->topic]);
 
-    return age > w->stale_ms ? 0 : w->stale_ms - age + 1;
+    return age > w->pace.stale_ms ? 0 : w->pace.stale_ms - age + 1;
 }
 
 bool
@@ -186,7 +215,7 @@
 {
     uint64_t after = revision(w);
     /* What is old is confirmed or replaced at once, without a wait. */
-    ms_t wait = watch_is_stale(w) ? 0 : w->wait_ms;
+    ms_t wait = watch_is_stale(w) ? 0 : w->pace.wait_ms;
     store_items_t items;
     int rc = store_watch(w->store, w->topic, after, wait, &items, e);
 
@@ -225,7 +254,7 @@
     note_store(w, rc, &e);
     w->failed = false;
     w->backoff = 0;
-    return rc > 0 && !w->slow ? w->gather_ms : 0;
+    return rc > 0 && !w->slow ? w->pace.gather_ms : 0;
 }
 
 /* The operator duty: follows the operator's topic at the store while this
