flow: bound the new flows at upstreams that warm up

Cause: an upstream that has started during traffic, or comes back from an evacuation, bears a rate of requests that its service tells; the sum of all instances is bounded.

The sum is within the bound for 1 to 300 instances and where they know only themselves; each of N taking 1/N, and a probability that is the same everywhere, were ruled out (docs/TAGGED.md). An evacuation ends once the announcements up to its end are known, since the two topics are read apart. A sample of a large service that holds no usable upstream is followed by a look at all.

The replica's revision and age are read without its lock, which is held while long values are compared, and packets never waits for the lock of the follow duty, under which a configuration is decoded.

--- a/conf/tagged.h
+++ b/conf/tagged.h
@@ -25,6 +25,8 @@
     /* After the store has it, so long until */
     uint32_t apply_ms; /* a version is in force */
     uint32_t drain_ms; /* an upstream that leaves gets no new flow */
+    /* Bound of new flows at an upstream that warms up: see flow_spec_t. */
+    double warm_up_over, warm_up_slack;
     log_level_t log_level;
     uint32_t n_seeds;
     addr_t seed[TAGGED_SEEDS]; /* admin addresses of some instances */
--- a/flow/choice.c
+++ b/flow/choice.c
@@ -51,7 +51,8 @@
 } pick_t;
 
 static tier_t
-tier_of(const upstream_t *u, ms_t now, const upstream_t *exclude)
+tier_of(const flowset_t *f, const upstream_t *u, ms_t now,
+        const upstream_t *exclude)
 {
     if (u->reach == REACH_DEAD || u->reach == REACH_UNREACHABLE ||
         u->refused > 0) {
@@ -60,6 +61,9 @@
     if (!u->listed && now - u->unlisted_at >= LAPSE_MS) {
         return TIER_NONE;
     }
+    if (!warm_up_admits(f, now, u)) {
+        return TIER_NONE;
+    }
     if (u->reach == REACH_SUSPECT || u == exclude) {
         return TIER_SUSPECT;
     }
@@ -105,29 +109,43 @@
     return a->tier != b->tier ? a->tier < b->tier : a->cost < b->cost;
 }
 
-/* The best of GROUP; ties go to the first from a random start, so that
- * instances that know the same don't all take the same. */
+/* The best of N upstreams of GROUP, in a row or drawn at random. */
 static pick_t
-best_of(flowset_t *f, ms_t now, const group_t *group,
-        const upstream_t *exclude)
+best_among(flowset_t *f, ms_t now, const group_t *group, uint32_t n,
+           bool sampled, const upstream_t *exclude)
 {
     pick_t best = {.tier = TIER_NONE};
-    uint32_t n = group->n;
-    uint32_t tries = n > SCAN_MAX ? SAMPLES : n;
-    uint32_t at = n > 0 ? rng_below(&f->rng, n) : 0;
+    uint32_t at = n > 0 ? rng_below(&f->rng, group->n) : 0;
 
-    for (uint32_t i = 0; i < tries; i++) {
+    for (uint32_t i = 0; i < n; i++) {
         upstream_t *u = group->up[at];
-        pick_t p = {.up = u, .tier = tier_of(u, now, exclude)};
+        pick_t p = {.up = u, .tier = tier_of(f, u, now, exclude)};
         p.cost = cost_of(u, now);
         if (p.tier != TIER_NONE && (best.up == NULL || better(&p, &best))) {
             best = p;
         }
-        at = n > SCAN_MAX ? rng_below(&f->rng, n) : (at + 1) % n;
+        at = sampled ? rng_below(&f->rng, group->n) : (at + 1) % group->n;
     }
     return best;
 }
 
+/* The best of GROUP; ties go to the first from a random start, so that
+ * instances that know the same don't all take the same. */
+static pick_t
+best_of(flowset_t *f, ms_t now, const group_t *group,
+        const upstream_t *exclude)
+{
+    pick_t best = {.tier = TIER_NONE};
+
+    if (group->n > SCAN_MAX) {
+        best = best_among(f, now, group, SAMPLES, true, exclude);
+    }
+    /* A sample may hold none that may be taken although there are some. */
+    return best.up != NULL
+               ? best
+               : best_among(f, now, group, group->n, false, exclude);
+}
+
 /* The own data centre first: a flow that crosses is lost when data centres
  * lose each other.  Another only when it is clearly better for the caller. */
 static upstream_t *
@@ -223,6 +241,22 @@
     return t;
 }
 
+/* An upstream of S warms up. */
+static bool
+warms_up(const service_t *s, ms_t now)
+{
+    const group_t *groups[] = {&s->near, &s->far};
+
+    for (size_t k = 0; k < 2; k++) {
+        for (uint32_t i = 0; i < groups[k]->n; i++) {
+            if (now < groups[k]->up[i]->warm_at) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 choice_t
 choose(flowset_t *f, ms_t now, const flow_route_t *r,
        const upstream_t *exclude, admit_t admit)
@@ -232,7 +266,8 @@
     upstream_t *u = s != NULL ? choose_of(f, now, s, exclude) : NULL;
 
     if (u == NULL) {
-        return (choice_t){.evacuated = s != NULL && s->n_evacuated > 0};
+        return (choice_t){.evacuated = s != NULL && s->n_evacuated > 0,
+                          .warm_up = s != NULL && warms_up(s, now)};
     }
     if (admit == ADMIT_ALL || r->goal_ms == 0) {
         return (choice_t){.up = u};
--- a/flow/decide.c
+++ b/flow/decide.c
@@ -12,6 +12,7 @@
     [FLOW_COPY_MOVED] = "copy-moved",
     [FLOW_NO_ROUTE] = "no-route",
     [FLOW_NO_UPSTREAM] = "no-upstream",
+    [FLOW_WARM_UP] = "warm-up",
     [FLOW_EVACUATED] = "evacuated",
     [FLOW_OVERLOAD] = "overload",
     [FLOW_UPSTREAM_DEAD] = "upstream-dead",
@@ -213,6 +214,7 @@
 why_refused(const choice_t *c)
 {
     return c->full != NULL ? FLOW_OVERLOAD
+           : c->warm_up    ? FLOW_WARM_UP
            : c->evacuated  ? FLOW_EVACUATED
                            : FLOW_NO_UPSTREAM;
 }
@@ -235,6 +237,7 @@
         return;
     }
     r->retransmitted = true;
+    warm_up_opened(f, now, u);
     forward(d, u == r->up ? FLOW_COPY : FLOW_COPY_MOVED, u);
     if (u != r->up) {
         record_move(r, u);
@@ -273,6 +276,7 @@
         }
         return;
     }
+    warm_up_opened(f, now, c.up);
     forward(d, FLOW_CHOSEN, c.up);
     r = record_new(f, now, p, c.up, route);
     if (r != NULL) {
--- a/flow/directory.c
+++ b/flow/directory.c
@@ -11,6 +11,7 @@
     if (c != NULL) {
         free(c->routes);
         free(c->targets);
+        free(c->services);
         free(c);
     }
 }
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -47,13 +47,21 @@
     uint32_t n_targets;
 } flow_route_t;
 
-/* One version of the routes.  Both arrays are on the heap. */
+/* What a service's upstreams bear while they warm up. */
+typedef struct {
+    char service[FLOW_NAME_LEN];
+    double warm_up_per_s; /* new flows a second, from all instances; 0: not
+                           * told */
+} flow_service_t;
+
+/* One version of the routes.  The arrays are on the heap. */
 typedef struct {
     uint64_t version;
     ms_t idle_ms; /* a flow silent for so long may be forgotten */
-    uint32_t n_routes, n_targets;
+    uint32_t n_routes, n_targets, n_services;
     flow_route_t *routes;
     flow_target_t *targets;
+    flow_service_t *services;
 } flow_conf_t;
 
 void flow_conf_free(flow_conf_t *c);
@@ -97,8 +105,10 @@
     FLOW_COPY_MOVED,    /* forwarded: a copy, to another upstream */
     FLOW_NO_ROUTE,      /* reset: nothing is configured at that address */
     FLOW_NO_UPSTREAM,   /* reset: no upstream of the service can take it.
-                         * These three are dropped where another opening
+                         * These four are dropped where another opening
                          * packet of the caller may have opened the flow */
+    FLOW_WARM_UP,       /* the same: those that could warm up, and have their
+                         * share of new flows */
     FLOW_EVACUATED,     /* the same: the data centres of those that could are
                          * evacuated */
     FLOW_OVERLOAD,      /* reset: it would not be answered within its goal */
@@ -200,6 +210,9 @@
     const char *data_centre; /* the instance's own */
     uint64_t seed;           /* of its choices */
     uint32_t records_max;    /* flows remembered; older ones are forgotten */
+    /* Bound of new flows at an upstream that warms up, in a second: what it
+     * bears times WARM_UP_OVER, and WARM_UP_SLACK more. */
+    double warm_up_over, warm_up_slack;
     flow_emit_t *emit;
     void *arg;
 } flow_spec_t;
@@ -215,13 +228,28 @@
 /* An upstream's announcement is gone.  Its flows are left alone until a probe
  * shows that it has ended. */
 void flowset_remove_upstream(flowset_t *f, ms_t now, uint64_t id);
-/* The operator evacuates a data centre: its upstreams get no new flow until
- * the evacuation ends, and open flows go on.  The number of upstreams there.
- * -ENOSPC: EVACUATIONS_MAX are under way; -ENOMEM: some upstreams are not
- * offered again. */
+/* The operator, at revision REVISION of the store, evacuates a data centre:
+ * its upstreams get no new flow until the evacuation ends, and open flows go
+ * on. It ends once all announcements up to then are known: upstreams may have
+ * become cold shortly before.  The number of upstreams there.  -ENOSPC:
+ * EVACUATIONS_MAX are under way; -ENOMEM: some upstreams are not offered
+ * again.
+ */
 #define EVACUATIONS_MAX 64
-int flowset_evacuate(flowset_t *f, const char *data_centre, bool evacuated);
+int flowset_evacuate(flowset_t *f, const char *data_centre, bool evacuated,
+                     uint64_t revision);
+/* An evacuation waits for announcements to end. */
+bool flowset_evacuation_ends(const flowset_t *f);
+/* All announcements up to REVISION have been given. */
+void flowset_upstreams_known(flowset_t *f, uint64_t revision);
 bool flowset_is_evacuated(const flowset_t *f, const char *data_centre);
+/* The instances that open flows at this data centre's upstreams while those
+ * warm up, named by numbers: the same list at all of them, so that the sum of
+ * their shares is within the bound although none counts the others' flows.
+ * SELF is in it, or opens none. */
+#define WARMERS_MAX 16
+void flowset_set_warmers(flowset_t *f, uint64_t self, const uint64_t *warmer,
+                         uint32_t n);
 void flowset_packet(flowset_t *f, ms_t now, const flow_packet_t *p,
                     flow_decision_t *d);
 void flowset_probed(flowset_t *f, ms_t now, uint64_t id, flow_probe_t result);
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -92,6 +92,21 @@
     return rc != 0 ? rc : (int)x->addr.port - (int)y->addr.port;
 }
 
+/* Without memory for a service its upstreams aren't used either. */
+static void
+set_services(flowset_t *f, const flow_conf_t *c)
+{
+    LIST_EACH (it, &f->services) {
+        LIST_OWNER(it, service_t, link)->warm_up_per_s = 0;
+    }
+    for (uint32_t i = 0; i < c->n_services; i++) {
+        service_t *s = service_named(f, c->services[i].service);
+        if (s != NULL) {
+            s->warm_up_per_s = c->services[i].warm_up_per_s;
+        }
+    }
+}
+
 int
 flowset_set_conf(flowset_t *f, ms_t now, flow_conf_t *c)
 {
@@ -103,6 +118,7 @@
     qsort(c->routes, c->n_routes, sizeof(*c->routes), route_order);
     flow_conf_free(f->conf);
     f->conf = c;
+    set_services(f, c);
     return 0;
 }
 
@@ -201,7 +217,8 @@
 {
     uint32_t i = 0;
 
-    while (i < f->n_evacuated && strcmp(f->evacuated[i], data_centre) != 0) {
+    while (i < f->n_evacuated &&
+           strcmp(f->evacuated[i].data_centre, data_centre) != 0) {
         i++;
     }
     return i;
@@ -213,45 +230,101 @@
     return find_evacuated(f, data_centre) < f->n_evacuated;
 }
 
+/* Applies the evacuation of DATA_CENTRE, or its end, to the upstreams there;
+ * returns how many. */
 static int
-note_evacuated(flowset_t *f, const char *data_centre, bool evacuated)
+evacuate_upstreams(flowset_t *f, const char *data_centre, bool evacuated)
 {
-    uint32_t at = find_evacuated(f, data_centre);
+    int n = 0, rc = 0;
 
-    if (evacuated == (at < f->n_evacuated)) {
-        return 0;
-    }
-    if (!evacuated) {
-        f->n_evacuated--;
-        memmove(f->evacuated[at], f->evacuated[f->n_evacuated], FLOW_NAME_LEN);
-        return 0;
+    LIST_EACH (it, &f->upstreams) {
+        upstream_t *u = LIST_OWNER(it, upstream_t, all);
+        if (strcmp(u->a.data_centre, data_centre) == 0) {
+            int failed = upstream_evacuate(u, evacuated);
+            rc = failed < 0 ? failed : rc;
+            n++;
+        }
     }
+    return rc < 0 ? rc : n;
+}
+
+static int
+begin_evacuation(flowset_t *f, const char *data_centre)
+{
+    uint32_t at = find_evacuated(f, data_centre);
+
     if (at == EVACUATIONS_MAX) {
         return -ENOSPC;
     }
-    strncpy(f->evacuated[at], data_centre, FLOW_NAME_LEN - 1);
-    f->n_evacuated++;
-    return 0;
+    if (at == f->n_evacuated) {
+        f->evacuated[at] = (evacuation_t){.ends_at = 0};
+        strncpy(f->evacuated[at].data_centre, data_centre, FLOW_NAME_LEN - 1);
+        f->n_evacuated++;
+    }
+    f->evacuated[at].ends_at = 0;
+    return evacuate_upstreams(f, data_centre, true);
+}
+
+static int
+end_evacuation(flowset_t *f, uint32_t at)
+{
+    evacuation_t ended = f->evacuated[at];
+
+    f->evacuated[at] = f->evacuated[--f->n_evacuated];
+    return evacuate_upstreams(f, ended.data_centre, false);
 }
 
 int
-flowset_evacuate(flowset_t *f, const char *data_centre, bool evacuated)
+flowset_evacuate(flowset_t *f, const char *data_centre, bool evacuated,
+                 uint64_t revision)
 {
-    int rc = note_evacuated(f, data_centre, evacuated);
-    int n = 0;
+    uint32_t at;
 
-    if (rc < 0) {
-        return rc;
+    if (evacuated) {
+        return begin_evacuation(f, data_centre);
     }
-    LIST_EACH (it, &f->upstreams) {
-        upstream_t *u = LIST_OWNER(it, upstream_t, all);
-        if (strcmp(u->a.data_centre, data_centre) == 0) {
-            int failed = upstream_evacuate(u, evacuated);
-            rc = failed < 0 ? failed : rc;
-            n++;
+    at = find_evacuated(f, data_centre);
+    if (at == f->n_evacuated) {
+        return evacuate_upstreams(f, data_centre, false);
+    }
+    if (f->known >= revision) {
+        return end_evacuation(f, at);
+    }
+    f->evacuated[at].ends_at = revision;
+    return evacuate_upstreams(f, data_centre, true);
+}
+
+bool
+flowset_evacuation_ends(const flowset_t *f)
+{
+    for (uint32_t i = 0; i < f->n_evacuated; i++) {
+        if (f->evacuated[i].ends_at != 0) {
+            return true;
         }
     }
-    return rc < 0 ? rc : n;
+    return false;
+}
+
+void
+flowset_upstreams_known(flowset_t *f, uint64_t revision)
+{
+    f->known = revision > f->known ? revision : f->known;
+    for (uint32_t i = f->n_evacuated; i-- > 0;) {
+        uint64_t ends_at = f->evacuated[i].ends_at;
+        if (ends_at != 0 && ends_at <= f->known) {
+            end_evacuation(f, i); /* what isn't offered now is with its next
+                                   * announcement */
+        }
+    }
+}
+
+void
+flowset_set_warmers(flowset_t *f, uint64_t self, const uint64_t *warmer,
+                    uint32_t n)
+{
+    f->self = self;
+    f->n_warmers = n < WARMERS_MAX ? n : WARMERS_MAX;
+    memcpy(f->warmer, warmer, f->n_warmers * sizeof(*warmer));
 }
 
 /* ---- Time ---- */
--- a/flow/state.h
+++ b/flow/state.h
@@ -88,6 +88,7 @@
     bool tag_taken; /* an older upstream has its tag: no new flow */
     ms_t unlisted_at;
     ms_t warm_at;        /* warmed up from then on */
+    ms_t warm_next;      /* until then it gets no new flow from here */
     uint32_t open;       /* flows */
     uint32_t busy;       /* requests unanswered and flows being opened */
     uint32_t unanswered; /* opening packets, since the last sign of life */
@@ -111,6 +112,7 @@
 struct service {
     char name[FLOW_NAME_LEN];
     uint32_t n_evacuated; /* upstreams */
+    double warm_up_per_s; /* of an upstream that warms up; 0: not told */
     entry_t by_name;
     link_t link;       /* flowset_t.services */
     group_t near, far; /* in this data centre; in others */
@@ -148,6 +150,11 @@
     ms_t last_at;
 } record_t;
 
+typedef struct {
+    char data_centre[FLOW_NAME_LEN];
+    uint64_t ends_at; /* when upstreams are known up to it; 0: it goes on */
+} evacuation_t;
+
 struct flowset {
     flow_spec_t spec;
     char data_centre[FLOW_NAME_LEN];
@@ -157,8 +164,12 @@
     link_t upstreams, services, recent, suspects;
     link_t opening, asking, late; /* records: see record_t.waiting */
     uint32_t n_upstreams, n_records;
-    uint32_t n_evacuated;                           /* names in EVACUATED */
-    char evacuated[EVACUATIONS_MAX][FLOW_NAME_LEN]; /* data centres */
+    uint64_t self; /* among the warmers */
+    uint32_t n_warmers;
+    uint64_t warmer[WARMERS_MAX];
+    uint32_t n_evacuated; /* in EVACUATED */
+    evacuation_t evacuated[EVACUATIONS_MAX];
+    uint64_t known;     /* revision up to which upstreams are known */
     ms_t answered_from; /* the latest start of a probe that was answered */
     double silence;     /* moving average of the share of probes to upstreams
                          * in no doubt that were not answered */
@@ -219,6 +230,7 @@
     const group_t *full; /* the group whose limit refused it, or NULL */
     const char *service; /* of that group */
     bool evacuated;      /* there is none, but in evacuated data centres */
+    bool warm_up;        /* there is none, but some that warm up */
 } choice_t;
 
 /* The upstream for a new flow of route R.  EXCLUDE (may be NULL) is taken only
@@ -229,6 +241,13 @@
 /* Brings the service's usual answer time up to date. */
 void choice_sweep(service_t *s, ms_t now);
 
+/* ---- warmup.c: new flows at upstreams that warm up ---- */
+
+/* May a new flow of this instance open at U now? */
+bool warm_up_admits(const flowset_t *f, ms_t now, const upstream_t *u);
+/* A new flow of this instance goes to U. */
+void warm_up_opened(const flowset_t *f, ms_t now, upstream_t *u);
+
 /* ---- reach.c ---- */
 
 /* A packet of a caller that came at AT proves that U answered. */
--- /dev/null
+++ b/flow/warmup.c
@@ -0,0 +1,88 @@
+/* New flows at upstreams that warm up.
+ *
+ * Load: an upstream has just started, or its data centre's evacuation ends,
+ * and hundreds of instances find it idle at once.  What it bears is a rate for
+ * all of them together, and none knows what the others send, nor how many
+ * there are.  So only the few instances that all of the data centre know, its
+ * announced ones, open flows there, each an equal share; the others use
+ * upstreams that are warm.  The sum holds also where instances are cut off
+ * from each other: a share is never taken over.
+ */
+#include "flow/state.h"
+
+/* Openings that leave within a second may arrive within less. */
+#define WINDOW_MS 1100
+/* Share of the bound that is used.  Instances hear of an announcement one
+ * after the other: for a moment their lists differ, and the shares don't add
+ * up. */
+#define USED_SHARE 0.8
+/* Shares are taken of so many at least, for the same reason. */
+#define WARMERS_MIN 4
+
+/* New flows a second that U may get from all instances; 0: not bounded. */
+static double
+bound_of(const flowset_t *f, const upstream_t *u)
+{
+    double per_s = u->service->warm_up_per_s;
+
+    return per_s > 0 ? per_s * f->spec.warm_up_over + f->spec.warm_up_slack
+                     : 0;
+}
+
+/* How many of the warmers come before this instance at U, by rendezvous
+ * hashing; their number when it is none of them. */
+static uint32_t
+rank_of_self(const flowset_t *f, const upstream_t *u)
+{
+    uint64_t own = hash_mix(f->self, u->a.id);
+    uint32_t rank = 0;
+    bool listed = false;
+
+    for (uint32_t i = 0; i < f->n_warmers; i++) {
+        listed = listed || f->warmer[i] == f->self;
+        rank += hash_mix(f->warmer[i], u->a.id) < own;
+    }
+    return listed ? rank : f->n_warmers;
+}
+
+/* Between two new flows of this instance at U, while it warms up; 0: not
+ * bounded; MS_NEVER: it opens none there. */
+static ms_t
+spacing_of(const flowset_t *f, const upstream_t *u)
+{
+    double bound = USED_SHARE * bound_of(f, u);
+    uint32_t most = bound < UINT16_MAX ? (uint32_t)bound : UINT16_MAX;
+    uint32_t parts = f->n_warmers > WARMERS_MIN ? f->n_warmers : WARMERS_MIN;
+
+    if (bound == 0) {
+        return 0;
+    }
+    if (!u->local || most == 0 || rank_of_self(f, u) >= f->n_warmers) {
+        return MS_NEVER;
+    }
+    if (parts <= most) {
+        return WINDOW_MS / (most / parts);
+    }
+    return rank_of_self(f, u) < most ? WINDOW_MS : MS_NEVER;
+}
+
+bool
+warm_up_admits(const flowset_t *f, ms_t now, const upstream_t *u)
+{
+    ms_t spacing;
+
+    if (now >= u->warm_at) {
+        return true;
+    }
+    spacing = spacing_of(f, u);
+    return spacing == 0 || (spacing != MS_NEVER && now >= u->warm_next);
+}
+
+void
+warm_up_opened(const flowset_t *f, ms_t now, upstream_t *u)
+{
+    if (now < u->warm_at) {
+        ms_t spacing = spacing_of(f, u);
+        u->warm_next = spacing == MS_NEVER ? now : now + spacing;
+    }
+}
--- a/source/source.c
+++ b/source/source.c
@@ -269,6 +269,23 @@
     return p != NULL && s->relayed ? &s->relay : p;
 }
 
+uint32_t
+sources_local(const sources_t *s, uint64_t *self, uint64_t *id, uint32_t max)
+{
+    uint32_t n = 0;
+
+    *self = rank(&s->self);
+    if (s->announced && n < max) {
+        id[n++] = *self;
+    }
+    for (uint32_t i = 0; i < s->n && n < max; i++) {
+        if (is_local(s, &s->peer[i])) {
+            id[n++] = rank(&s->peer[i].addr);
+        }
+    }
+    return n;
+}
+
 bool
 sources_takes_place(const sources_t *s, ms_t now)
 {
--- a/source/source.h
+++ b/source/source.h
@@ -111,6 +111,11 @@
  * it looks whether it should. */
 ms_t sources_announce_wait_ms(sources_t *s, double link_mbps);
 
+/* Numbers of the announced instances of this data centre, this one's in *SELF
+ * whether it is announced or not; returns how many. */
+uint32_t sources_local(const sources_t *s, uint64_t *self, uint64_t *id,
+                       uint32_t max);
+
 /* ---- Those that follow this instance ---- */
 
 #define FOLLOWERS_MAX 64
--- a/tagged/packets.c
+++ b/tagged/packets.c
@@ -227,7 +227,7 @@
 {
     const char *data_centre = ev->evacuation.data_centre;
     bool evacuated = ev->evacuation.evacuated;
-    int rc = flowset_evacuate(p->flows, data_centre, evacuated);
+    int rc = flowset_evacuate(p->flows, data_centre, evacuated, ev->revision);
 
     if (rc < 0) {
         log_line(LVL_ERROR, "evacuation",
@@ -239,8 +239,10 @@
     }
     log_line(LVL_INFO, "evacuation",
              "%s. data_centre=%s upstreams=%d revision=%llu",
-             evacuated ? "Begun" : "Ended", data_centre, rc,
-             (unsigned long long)ev->revision);
+             evacuated                                     ? "Begun"
+             : flowset_is_evacuated(p->flows, data_centre) ? "Ends"
+                                                           : "Ended",
+             data_centre, rc, (unsigned long long)ev->revision);
 }
 
 static void
@@ -305,6 +307,31 @@
     }
 }
 
+/* What is new, in the order in which it became known.  An evacuation ends when
+ * the upstreams are known as of then; the revision is read before the messages
+ * are, so that it promises none that is yet to come.  Whoever holds the lock
+ * may be decoding a long configuration: packets don't wait for that. */
+static void
+take_news(packets_t *p, duty_t *self)
+{
+    bool ends = flowset_evacuation_ends(p->flows);
+    bool locked = ends && pthread_mutex_trylock(&p->t->follow_lock) == 0;
+    uint64_t known = 0;
+    void *msg;
+
+    if (locked) {
+        known = replica_revision(p->t->replica[TOPIC_UPSTREAMS]);
+        pthread_mutex_unlock(&p->t->follow_lock);
+    }
+    while (duty_take(self, &msg, 1) == 1) {
+        take_changes(p, msg);
+        changes_free(msg);
+    }
+    if (ends) {
+        flowset_upstreams_known(p->flows, known);
+    }
+}
+
 /* ---- The loop ---- */
 
 static void
@@ -359,12 +386,29 @@
     }
 }
 
+/* Who opens flows at upstreams that warm up. */
+static void
+take_warmers(packets_t *p)
+{
+    uint64_t self, warmer[WARMERS_MAX];
+    uint32_t n;
+
+    if (pthread_mutex_trylock(&p->t->follow_lock) != 0) {
+        return; /* the next time */
+    }
+    n = sources_local(&p->t->sources, &self, warmer, WARMERS_MAX);
+    pthread_mutex_unlock(&p->t->follow_lock);
+    flowset_set_warmers(p->flows, self, warmer, n);
+}
+
+/* Facts from and for other duties. */
 static void
 publish(packets_t *p)
 {
     if (p->now < p->publish_at) {
         return;
     }
+    take_warmers(p);
     pthread_mutex_lock(&p->t->stats_lock);
     p->t->stats = *flowset_stats(p->flows);
     pthread_mutex_unlock(&p->t->stats_lock);
@@ -380,6 +424,8 @@
         .seed = hash64(t->settings.name, strlen(t->settings.name),
                        (uint64_t)t->started),
         .records_max = t->settings.records,
+        .warm_up_over = t->settings.warm_up_over,
+        .warm_up_slack = t->settings.warm_up_slack,
         .emit = emit,
         .arg = p,
     };
@@ -426,7 +472,6 @@
 {
     static packets_t p;
     ms_t next = 0, paced;
-    void *msg;
 
     if (!open_flows(&p, tagged)) {
         log_line(LVL_ERROR, "packets", "Out of memory: no flow is served.");
@@ -435,10 +480,7 @@
     p.now = clock_now();
     while (!duty_stopping(self)) {
         sleep_until(&p, self, next);
-        while (duty_take(self, &msg, 1) == 1) {
-            take_changes(&p, msg);
-            changes_free(msg);
-        }
+        take_news(&p, self);
         receive(&p);
         probes_check(&p.probes, probe_done, &p);
         next = flowset_tick(p.flows, p.now);
--- a/tagged/replica.c
+++ b/tagged/replica.c
@@ -17,6 +17,8 @@
     size_t n_removed;
     uint64_t floor; /* changes after it are complete */
     former_t former;
+    /* Read without the lock, which is held while long values are compared. */
+    uint64_t revision; /* that of ITEMS */
     ms_t current_at;
 };
 
@@ -246,33 +248,24 @@
     /* A source that knows less than is known here was not current. */
     if (rc == 0 && items->revision >= r->items.revision &&
         now - items->age > r->current_at) {
-        r->current_at = now - items->age;
+        __atomic_store_n(&r->current_at, now - items->age, __ATOMIC_RELAXED);
     }
+    __atomic_store_n(&r->revision, r->items.revision, __ATOMIC_RELEASE);
     forget_removed(r);
     pthread_mutex_unlock(&r->lock);
     return rc;
 }
 
 uint64_t
-replica_revision(replica_t *r)
+replica_revision(const replica_t *r)
 {
-    uint64_t revision;
-
-    pthread_mutex_lock(&r->lock);
-    revision = r->items.revision;
-    pthread_mutex_unlock(&r->lock);
-    return revision;
+    return __atomic_load_n(&r->revision, __ATOMIC_ACQUIRE);
 }
 
 ms_t
-replica_current_at(replica_t *r)
+replica_current_at(const replica_t *r)
 {
-    ms_t at;
-
-    pthread_mutex_lock(&r->lock);
-    at = r->current_at;
-    pthread_mutex_unlock(&r->lock);
-    return at;
+    return __atomic_load_n(&r->current_at, __ATOMIC_RELAXED);
 }
 
 void
@@ -280,7 +273,7 @@
 {
     pthread_mutex_lock(&r->lock);
     if (r->items.revision > 0 && now > r->current_at) {
-        r->current_at = now;
+        __atomic_store_n(&r->current_at, now, __ATOMIC_RELAXED);
     }
     pthread_mutex_unlock(&r->lock);
 }
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -67,10 +67,10 @@
 int replica_merge(replica_t *r, ms_t now, store_items_t *items,
                   store_items_t *changed);
 /* 0: nothing has been seen yet. */
-uint64_t replica_revision(replica_t *r);
+uint64_t replica_revision(const replica_t *r);
 /* When it was last known to be all that the store holds, or to be on the way.
  */
-ms_t replica_current_at(replica_t *r);
+ms_t replica_current_at(const replica_t *r);
 /* An answer of the store goes on to arrive at NOW. */
 void replica_on_progress(replica_t *r, ms_t now);
 /* True where what was removed after revision AFTER is no longer known: only
--- a/test/flow_bed.h
+++ b/test/flow_bed.h
@@ -18,6 +18,7 @@
 
 struct FlowBed {
     ms_t now = 1000;
+    double warm_up_per_s = 0; /* of the first route's service; 0: not told */
     flowset_t *flows;
     std::vector<flow_out_t> resets, probes, reaches, limits;
 
@@ -29,6 +30,8 @@
         spec.records_max = records;
         spec.emit = take;
         spec.arg = this;
+        spec.warm_up_over = 1.5;
+        spec.warm_up_slack = 5;
         flows = flowset_new(&spec);
     }
     ~FlowBed()
@@ -89,6 +92,13 @@
             strcpy(t->service, r.service.c_str());
             t->weight = 1;
         }
+        if (warm_up_per_s > 0) {
+            c->services = static_cast<flow_service_t *>(
+                calloc(1, sizeof(flow_service_t)));
+            c->n_services = 1;
+            strcpy(c->services->service, list[0].service.c_str());
+            c->services->warm_up_per_s = warm_up_per_s;
+        }
         return flowset_set_conf(flows, now, c);
     }
 
--- a/test/flow_prop_test.cc
+++ b/test/flow_prop_test.cc
@@ -97,7 +97,7 @@
         const char *data_centre = rng_below(&rng, 2) ? "dc-a" : "dc-b";
         bool begin = evacuated.count(data_centre) == 0;
 
-        RC_ASSERT(flowset_evacuate(bed.flows, data_centre, begin) >= 0);
+        RC_ASSERT(flowset_evacuate(bed.flows, data_centre, begin, 0) >= 0);
         if (begin) {
             evacuated.insert(data_centre);
         }
@@ -228,8 +228,8 @@
         m.bed.advance(20000);
         RC_ASSERT(m.bed.stats()->records == 0);
         m.bed.routes(2, {{FEED, "svc", true}});
-        flowset_evacuate(m.bed.flows, "dc-a", false);
-        flowset_evacuate(m.bed.flows, "dc-b", false);
+        flowset_evacuate(m.bed.flows, "dc-a", false, 0);
+        flowset_evacuate(m.bed.flows, "dc-b", false, 0);
         for (uint64_t id = 1; id <= UPSTREAMS; id++) {
             m.bed.announce(FlowBed::upstream(id, "svc", "dc-a"));
         }
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -865,7 +865,7 @@
  * that the operator is about to take away. */
 TEST_F(Flow, AnEvacuatedDataCentreGetsNoNewFlow)
 {
-    EXPECT_EQ(flowset_evacuate(bed.flows, "dc-a", true), 2);
+    EXPECT_EQ(flowset_evacuate(bed.flows, "dc-a", true, 0), 2);
     for (int caller = 1; caller < 100; caller++) {
         EXPECT_EQ(bed.packet(FlowBed::syn(caller, FEED)).upstream, 0x21u);
     }
@@ -878,7 +878,7 @@
 {
     int caller = (int)open_at(0x11, 1);
 
-    flowset_evacuate(bed.flows, "dc-a", true);
+    flowset_evacuate(bed.flows, "dc-a", true, 0);
     bed.advance(1000);
     flow_decision_t d =
         bed.packet(FlowBed::data(caller, FEED, 0x11, 1001, 100));
@@ -895,7 +895,7 @@
 TEST_F(Flow, ARetransmittedOpeningPacketLeavesAnEvacuatedDataCentre)
 {
     ASSERT_NE(bed.packet(FlowBed::syn(1, FEED)).upstream, 0x21u);
-    flowset_evacuate(bed.flows, "dc-a", true);
+    flowset_evacuate(bed.flows, "dc-a", true, 0);
     bed.now += 200;
     flow_decision_t d = bed.packet(FlowBed::syn(1, FEED, 1));
     EXPECT_EQ(d.reason, FLOW_COPY_MOVED);
@@ -905,8 +905,8 @@
 /* Callers would wait for an answer that nobody may give. */
 TEST_F(Flow, WithAllDataCentresEvacuatedCallersAreResetAtOnce)
 {
-    flowset_evacuate(bed.flows, "dc-a", true);
-    flowset_evacuate(bed.flows, "dc-b", true);
+    flowset_evacuate(bed.flows, "dc-a", true, 0);
+    flowset_evacuate(bed.flows, "dc-b", true, 0);
     flow_decision_t d = bed.packet(FlowBed::syn(1, FEED));
     EXPECT_EQ(d.verb, FLOW_RESET);
     EXPECT_EQ(d.reason, FLOW_EVACUATED);
@@ -920,7 +920,7 @@
  * upstreams, and of upstreams that start meanwhile. */
 TEST_F(Flow, UpstreamsAnnouncedDuringAnEvacuationGetNoFlow)
 {
-    flowset_evacuate(bed.flows, "dc-c", true);
+    flowset_evacuate(bed.flows, "dc-c", true, 0);
     bed.announce(FlowBed::upstream(0x31, "svc", "dc-c"));
     bed.announce(FlowBed::upstream(0x31, "svc", "dc-c")); /* anew */
     for (int caller = 1; caller < 100; caller++) {
@@ -936,15 +936,15 @@
 
     bed.announce(FlowBed::upstream(0x13, "svc", "dc-a"));
     bed.announce(FlowBed::upstream(0x14, "svc", "dc-a"));
-    flowset_evacuate(bed.flows, "dc-a", true);
+    flowset_evacuate(bed.flows, "dc-a", true, 0);
     flow_upstream_t leaving = FlowBed::upstream(0x12, "svc", "dc-a");
     leaving.draining = true;
     bed.announce(leaving);
     flowset_remove_upstream(bed.flows, bed.now, 0x13);
-    flowset_evacuate(bed.flows, "dc-a", false);
-    flowset_evacuate(bed.flows, "dc-a", true); /* within a second */
-    flowset_evacuate(bed.flows, "dc-a", false);
-    EXPECT_EQ(flowset_evacuate(bed.flows, "dc-a", false), 4);
+    flowset_evacuate(bed.flows, "dc-a", false, 0);
+    flowset_evacuate(bed.flows, "dc-a", true, 0); /* within a second */
+    flowset_evacuate(bed.flows, "dc-a", false, 0);
+    EXPECT_EQ(flowset_evacuate(bed.flows, "dc-a", false, 0), 4);
     for (int caller = 1; caller < 100; caller++) {
         chosen.insert(bed.packet(FlowBed::syn(caller, FEED)).upstream);
     }
@@ -958,9 +958,36 @@
 {
     for (int i = 0; i < EVACUATIONS_MAX; i++) {
         std::string name = "dc-x" + std::to_string(i);
-        EXPECT_EQ(flowset_evacuate(bed.flows, name.c_str(), true), 0);
+        EXPECT_EQ(flowset_evacuate(bed.flows, name.c_str(), true, 0), 0);
     }
-    EXPECT_EQ(flowset_evacuate(bed.flows, "dc-a", true), -ENOSPC);
-    EXPECT_EQ(flowset_evacuate(bed.flows, "dc-x7", false), 0);
-    EXPECT_EQ(flowset_evacuate(bed.flows, "dc-a", true), 2);
+    EXPECT_EQ(flowset_evacuate(bed.flows, "dc-a", true, 0), -ENOSPC);
+    EXPECT_EQ(flowset_evacuate(bed.flows, "dc-x7", false, 0), 0);
+    EXPECT_EQ(flowset_evacuate(bed.flows, "dc-a", true, 0), 2);
+}
+
+/* Guards against: a flood of flows at upstreams that became cold during the
+ * evacuation, where the end is heard of before their announcements are. */
+TEST_F(Flow, AnEvacuationEndsOnlyWhenTheUpstreamsAreKnownAsOfThen)
+{
+    flowset_evacuate(bed.flows, "dc-a", true, 50);
+    flowset_upstreams_known(bed.flows, 55);
+    flowset_evacuate(bed.flows, "dc-a", false, 60);
+    EXPECT_TRUE(flowset_evacuation_ends(bed.flows));
+    EXPECT_EQ(bed.packet(FlowBed::syn(1, FEED)).upstream, 0x21u);
+    flowset_upstreams_known(bed.flows, 59);
+    EXPECT_EQ(bed.packet(FlowBed::syn(2, FEED)).upstream, 0x21u);
+    flowset_upstreams_known(bed.flows, 60);
+    EXPECT_FALSE(flowset_evacuation_ends(bed.flows));
+    EXPECT_NE(bed.packet(FlowBed::syn(3, FEED)).upstream, 0x21u);
+}
+
+/* Guards against: a late end of an evacuation that has begun again. */
+TEST_F(Flow, AnEvacuationThatBeginsAgainDoesNotEnd)
+{
+    flowset_evacuate(bed.flows, "dc-a", true, 50);
+    flowset_evacuate(bed.flows, "dc-a", false, 60);
+    flowset_evacuate(bed.flows, "dc-a", true, 61);
+    flowset_upstreams_known(bed.flows, 70);
+    EXPECT_EQ(bed.packet(FlowBed::syn(1, FEED)).upstream, 0x21u);
+    EXPECT_EQ(bed.stats()->evacuated, 1u);
 }
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -274,6 +274,24 @@
     }
 }
 
+TEST(Items, WhatUpstreamsBearWhileTheyWarmUpIsRead)
+{
+    store_event_t ev;
+    err_t e = {};
+
+    ASSERT_EQ(event(&ev, "op/config",
+                    R"({"version":1,"routes":[],"services":[)"
+                    R"({"name":"a","warmup_s":2.0,"warmup_per_s":7.5},)"
+                    R"({"name":"b","warmup_per_s":0.0},{"name":"c"},)"
+                    R"({"warmup_per_s":3},{"name":"d","warmup_per_s":"x"}]})",
+                    &e),
+              0);
+    ASSERT_EQ(ev.routes->n_services, 1u);
+    EXPECT_STREQ(ev.routes->services[0].service, "a");
+    EXPECT_EQ(ev.routes->services[0].warm_up_per_s, 7.5);
+    flow_conf_free(ev.routes);
+}
+
 TEST(Items, AnEvacuationIsReadWhateverItsValueSays)
 {
     for (const char *value : {"{}", "", "not JSON"}) {
--- /dev/null
+++ b/test/warmup_test.cc
@@ -0,0 +1,164 @@
+/* New flows at upstreams that warm up, from many instances that don't count
+ * each other's. */
+#include "test/flow_bed.h"
+
+#include <deque>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+
+namespace {
+
+const char *const ROUTE = "198.18.0.1:443";
+const uint64_t COLD = 0x11, WARM = 0x12, FAR = 0x21;
+const ms_t WARM_UP_MS = 4000;
+const double OVER = 1.5, SLACK = 5; /* FlowBed's */
+
+/* Instances of one data centre, of which the first ANNOUNCED open flows at
+ * upstreams that warm up. */
+struct Fleet {
+    std::vector<std::unique_ptr<FlowBed>> bed;
+    std::map<uint64_t, std::deque<ms_t>> taken;
+    uint32_t refused = 0, most = 0;
+
+    Fleet(int instances, int announced, double per_s)
+    {
+        std::vector<uint64_t> warmer;
+        for (int i = 0; i < announced; i++) {
+            warmer.push_back(1000 + (uint64_t)i);
+        }
+        for (int i = 0; i < instances; i++) {
+            bed.emplace_back(new FlowBed());
+            bed[i]->warm_up_per_s = per_s;
+            bed[i]->routes(1, {{ROUTE, "svc", true}});
+            flowset_set_warmers(bed[i]->flows, 1000 + (uint64_t)i,
+                                warmer.data(), (uint32_t)warmer.size());
+        }
+    }
+
+    void
+    announce(uint64_t id, const char *data_centre, ms_t warm_up_ms)
+    {
+        flow_upstream_t u = FlowBed::upstream(id, "svc", data_centre);
+        u.warm_up_ms = warm_up_ms;
+        for (auto &b : bed) {
+            b->announce(u);
+        }
+    }
+
+    /* Each instance opens flows at so many a second. */
+    void
+    open(ms_t ms, double each_per_s)
+    {
+        std::vector<double> due(bed.size());
+        rng_t rng = {3, 0};
+        int caller = 1;
+        for (double &d : due) {
+            d = rng_below(&rng, 1000) / 1000.0 * 1000 / each_per_s;
+        }
+        for (ms_t at = 0; at < ms; at++) {
+            for (size_t i = 0; i < bed.size(); i++) {
+                bed[i]->now = 1000 + at;
+                for (; due[i] <= (double)at; due[i] += 1000 / each_per_s) {
+                    take(bed[i]->packet(FlowBed::syn(caller++ % 60000, ROUTE)),
+                         at);
+                }
+            }
+        }
+    }
+
+    void
+    take(const flow_decision_t &d, ms_t at)
+    {
+        if (d.verb != FLOW_FORWARD) {
+            refused++;
+            return;
+        }
+        auto &t = taken[d.upstream];
+        t.push_back(at);
+        if (d.upstream != COLD) {
+            return;
+        }
+        uint32_t n = 0;
+        for (auto it = t.rbegin(); it != t.rend() && at - *it < 1000; ++it) {
+            n++;
+        }
+        most = n > most ? n : most;
+    }
+};
+
+} // namespace
+
+/* Guards against: hundreds of instances that find an upstream idle after its
+ * start, and open more flows there than it bears while it warms up. */
+TEST(WarmUp, TheSumOfAllInstancesIsWithinTheBound)
+{
+    for (int instances : {1, 8, 88, 300}) {
+        for (double per_s : {0.5, 2.0, 10.0, 40.0}) {
+            Fleet f(instances, instances < 4 ? instances : 4, per_s);
+            f.announce(COLD, "dc-a", WARM_UP_MS);
+            f.announce(WARM, "dc-a", 0);
+            f.open(WARM_UP_MS, 20);
+            EXPECT_LE(f.most, per_s * OVER + SLACK) << instances;
+            EXPECT_GE(f.taken[COLD].size(), 1u) << instances;
+            EXPECT_EQ(f.refused, 0u);
+        }
+    }
+}
+
+/* Guards against: a share that is taken over by others when instances lose
+ * each other, or a list of them that differs for a moment. */
+TEST(WarmUp, TheSumHoldsWhenInstancesKnowOnlyThemselves)
+{
+    Fleet f(88, 4, 6);
+
+    for (uint64_t i = 0; i < 4; i++) {
+        uint64_t self = 1000 + i;
+        flowset_set_warmers(f.bed[i]->flows, self, &self, 1);
+    }
+    f.announce(COLD, "dc-a", WARM_UP_MS);
+    f.announce(WARM, "dc-a", 0);
+    f.open(WARM_UP_MS, 20);
+    EXPECT_LE(f.most, 6 * OVER + SLACK);
+}
+
+/* Guards against: callers that wait where the only upstreams have their share
+ * already. */
+TEST(WarmUp, BeyondTheShareCallersAreResetAtOnceWhenNoOtherIsThere)
+{
+    Fleet f(1, 1, 2);
+
+    f.announce(COLD, "dc-a", WARM_UP_MS);
+    EXPECT_EQ(f.bed[0]->packet(FlowBed::syn(1, ROUTE)).verb, FLOW_FORWARD);
+    flow_decision_t d = f.bed[0]->packet(FlowBed::syn(2, ROUTE));
+    EXPECT_EQ(d.verb, FLOW_RESET);
+    EXPECT_EQ(d.reason, FLOW_WARM_UP);
+    f.bed[0]->now += WARM_UP_MS;
+    EXPECT_EQ(f.bed[0]->packet(FlowBed::syn(3, ROUTE)).verb, FLOW_FORWARD);
+}
+
+/* Guards against: a limit that stays after the warm-up, and an upstream of
+ * another data centre, whose announced instances aren't known here. */
+TEST(WarmUp, OnlyTheOwnDataCentreOpensFlowsThere)
+{
+    Fleet f(4, 4, 10);
+
+    f.announce(COLD, "dc-b", WARM_UP_MS);
+    f.announce(FAR, "dc-b", 0);
+    f.open(WARM_UP_MS, 20);
+    EXPECT_EQ(f.taken[COLD].size(), 0u);
+    f.open(WARM_UP_MS + 1000, 20);
+    EXPECT_GT(f.taken[COLD].size(), 0u);
+}
+
+/* Guards against: a bound of nothing, read from a service that doesn't tell
+ * one. */
+TEST(WarmUp, WhereNothingIsToldNothingIsBounded)
+{
+    Fleet f(8, 4, 0);
+
+    f.announce(COLD, "dc-a", WARM_UP_MS);
+    f.open(1000, 20);
+    EXPECT_EQ(f.refused, 0u);
+    EXPECT_EQ(f.taken[COLD].size(), 160u);
+}
