--- a/conf/tagged.c
+++ b/conf/tagged.c
@@ -24,7 +24,6 @@
 /* A shorter time leaves no room for a peer that fails and another question. */
 #define CHANGE_MIN_MS 2000
 #define CHANGE_MAX_MS 600000
-#define WARM_UP_OVER_MIN 0.1
 #define WARM_UP_OVER_MAX 100
 #define WARM_UP_SLACK_MAX 1000000
 #define CHANGE_DEFAULT_MS 3000
@@ -59,8 +58,8 @@
               CHANGE_MIN_MS, CHANGE_MAX_MS, "milliseconds"),
     U32_FIELD("drain_ms", OPTIONAL, draft_settings_t, s.drain_ms,
               CHANGE_MIN_MS, CHANGE_MAX_MS, "milliseconds"),
-    REAL_FIELD("warm_up_over", OPTIONAL, draft_settings_t, s.warm_up_over,
-               WARM_UP_OVER_MIN, WARM_UP_OVER_MAX, "times"),
+    REAL_FIELD("warm_up_over", OPTIONAL, draft_settings_t, s.warm_up_over, 0,
+               WARM_UP_OVER_MAX, "times"),
     REAL_FIELD("warm_up_slack", OPTIONAL, draft_settings_t, s.warm_up_slack, 0,
                WARM_UP_SLACK_MAX, "flows a second"),
     CHOICE_FIELD("log_level", OPTIONAL, draft_settings_t, s.log_level, levels),
