conf: take bounds of changes below 2 s, and fractions

Cause: the settings refused apply_ms and drain_ms below 2,000 or with a fraction, which the platform's own bounds may be; the instance then did not start at all.

--- a/conf/tagged.c
+++ b/conf/tagged.c
@@ -22,7 +22,7 @@
 #define LINK_MBPS_MAX 400000
 
 /* A shorter time leaves no room for a peer that fails and another question. */
-#define CHANGE_MIN_MS 2000
+#define CHANGE_MIN_MS 1
 #define CHANGE_MAX_MS 600000
 #define WARM_UP_OVER_MAX 100
 #define WARM_UP_SLACK_MAX 1000000
@@ -54,10 +54,10 @@
               FOLLOWERS_MIN, FOLLOWERS_MAX, "instances"),
     REAL_FIELD("link_mbps", OPTIONAL, draft_settings_t, s.link_mbps, 0,
                LINK_MBPS_MAX, "megabits a second"),
-    U32_FIELD("apply_ms", OPTIONAL, draft_settings_t, s.apply_ms,
-              CHANGE_MIN_MS, CHANGE_MAX_MS, "milliseconds"),
-    U32_FIELD("drain_ms", OPTIONAL, draft_settings_t, s.drain_ms,
-              CHANGE_MIN_MS, CHANGE_MAX_MS, "milliseconds"),
+    REAL_FIELD("apply_ms", OPTIONAL, draft_settings_t, s.apply_ms,
+               CHANGE_MIN_MS, CHANGE_MAX_MS, "milliseconds"),
+    REAL_FIELD("drain_ms", OPTIONAL, draft_settings_t, s.drain_ms,
+               CHANGE_MIN_MS, CHANGE_MAX_MS, "milliseconds"),
     REAL_FIELD("warm_up_over", OPTIONAL, draft_settings_t, s.warm_up_over, 0,
                WARM_UP_OVER_MAX, "times"),
     REAL_FIELD("warm_up_slack", OPTIONAL, draft_settings_t, s.warm_up_slack, 0,
--- a/conf/tagged.h
+++ b/conf/tagged.h
@@ -23,8 +23,8 @@
     uint32_t followers; /* instances that may follow this one */
     double link_mbps;   /* of its outgoing link; 0: not told */
     /* After the store has it, so long until */
-    uint32_t apply_ms; /* a version is in force */
-    uint32_t drain_ms; /* an upstream that leaves gets no new flow */
+    double apply_ms; /* a version is in force */
+    double drain_ms; /* an upstream that leaves gets no new flow */
     /* Bound of new flows at an upstream that warms up: see flow_spec_t. */
     double warm_up_over, warm_up_slack;
     log_level_t log_level;
--- a/tagged/watch.c
+++ b/tagged/watch.c
@@ -265,7 +265,7 @@
     tagged_t *t = tagged;
     watch_t w;
 
-    watch_init(&w, t, self, TOPIC_OPERATOR, t->settings.apply_ms);
+    watch_init(&w, t, self, TOPIC_OPERATOR, (ms_t)t->settings.apply_ms);
     while (!duty_stopping(self)) {
         ms_t pause = watch_fresh_ms(&w);
         if (SHARED(t, follows_store) || pause == 0) {
