--- a/tagged/replica.c
+++ b/tagged/replica.c
@@ -268,49 +268,6 @@
     return __atomic_load_n(&r->current_at, __ATOMIC_RELAXED);
 }
 
-static bool
-is_long(const store_item_t *it, size_t bytes)
-{
-    return it->value != NULL && strlen(it->value) >= bytes;
-}
-
-uint64_t
-replica_long_revision(replica_t *r, size_t bytes)
-{
-    uint64_t revision = 0;
-
-    pthread_mutex_lock(&r->lock);
-    for (size_t i = 0; i < r->items.n; i++) {
-        const store_item_t *it = &r->items.item[i];
-        if (it->revision > revision && is_long(it, bytes)) {
-            revision = it->revision;
-        }
-    }
-    pthread_mutex_unlock(&r->lock);
-    return revision;
-}
-
-int
-replica_long_items(replica_t *r, size_t bytes, store_items_t *out)
-{
-    int rc = 0;
-
-    *out = (store_items_t){.whole = true};
-    pthread_mutex_lock(&r->lock);
-    for (size_t i = 0; i < r->items.n && rc == 0; i++) {
-        const store_item_t *it = &r->items.item[i];
-        if (is_long(it, bytes)) {
-            rc = store_items_add(out, it->key, it->value, it->revision);
-        }
-    }
-    out->revision = r->items.revision;
-    pthread_mutex_unlock(&r->lock);
-    if (rc < 0) {
-        store_items_free(out);
-    }
-    return rc;
-}
-
 void
 replica_on_progress(replica_t *r, ms_t now)
 {
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -68,10 +68,6 @@
                   store_items_t *changed);
 /* 0: nothing has been seen yet. */
 uint64_t replica_revision(const replica_t *r);
-/* The newest revision of a value of BYTES at least; 0: there is none. */
-uint64_t replica_long_revision(replica_t *r, size_t bytes);
-/* Copies of the items with such values.  -ENOMEM. */
-int replica_long_items(replica_t *r, size_t bytes, store_items_t *out);
 /* When it was last known to be all that the store holds, or to be on the way.
  */
 ms_t replica_current_at(const replica_t *r);
@@ -182,21 +178,6 @@
 void announce_run(duty_t *self, void *tagged);
 void serve_run(duty_t *self, void *tagged);
 
-/* ---- packed.c: a packed copy of long values, for slow links ---- */
-
-typedef struct {
-    uint64_t revision; /* of the values that were copied last; 0: none */
-    uint64_t seen;     /* of those that are to be copied */
-    ms_t since;        /* when they were seen first */
-} packed_t;
-
-/* Writes the copy of R's long values, once they have not changed for a while.
- * 0, or an error of the store's. */
-int packed_write(packed_t *p, ms_t now, replica_t *r, store_t *s, err_t *e);
-/* Reads all of the operator's topic by means of the copy.  -ENOENT: there is
- * none, or it can't be used. */
-int packed_read(store_t *s, store_items_t *out, err_t *e);
-
 /* ---- watch.c: a topic of the store ---- */
 
 typedef struct {
--- a/tagged/watch.c
+++ b/tagged/watch.c
@@ -35,8 +35,6 @@
 /* Transfer time of an answer above which further versions may have come
  * meanwhile: a watch would bring each of them, a list only the newest. */
 #define SLOW_ANSWER_MS 150
-/* Links that are faster read long values as they are. */
-#define PACKED_LINK_MBPS 100
 /* Between two notes of an answer's progress. */
 #define PROGRESS_MS 300
 /* Backoff between calls that fail: exponential with jitter, so that instances
@@ -194,36 +192,6 @@
     return rc;
 }
 
-/* At the start, over a link on which the list would take long. */
-static bool
-reads_packed(const watch_t *w)
-{
-    double mbps = w->t->settings.link_mbps;
-
-    return w->topic == TOPIC_OPERATOR && revision(w) == 0 && mbps > 0 &&
-           mbps < PACKED_LINK_MBPS;
-}
-
-/* False: there is no copy to be used, and the list is read. */
-static bool
-read_packed(watch_t *w, store_items_t *items)
-{
-    err_t e = {0};
-    int rc = packed_read(w->store, items, &e);
-
-    if (rc == 0) {
-        log_line(LVL_INFO, "follow",
-                 "Packed copy read. revision=%llu transfer_ms=%lld",
-                 (unsigned long long)items->revision, (long long)items->age);
-    }
-    else {
-        log_line(LVL_INFO, "follow",
-                 "Packed copy not used. code=%d step=\"%s\" error=\"%s\"", rc,
-                 e.step, e.text);
-    }
-    return rc == 0;
-}
-
 static int
 list(watch_t *w, err_t *e)
 {
@@ -231,9 +199,6 @@
     ms_t begun = clock_now();
     bool more = true;
 
-    if (reads_packed(w) && read_packed(w, &items)) {
-        return apply_slowly(w, &items);
-    }
     while (more) {
         int rc = store_list_page(w->store, LIST_MS, &items, &more, e);
         if (rc < 0) {
@@ -292,26 +257,12 @@
     return rc > 0 && !w->slow ? w->pace.gather_ms : 0;
 }
 
-static void
-keep_packed(watch_t *w, packed_t *p)
-{
-    err_t e = {0};
-
-    if (packed_write(p, clock_now(), w->t->replica[w->topic], w->store, &e) <
-        0) {
-        log_line(LVL_WARN, "follow",
-                 "Packed copy not written. step=\"%s\" peer=%s error=\"%s\"",
-                 e.step, e.peer, e.text);
-    }
-}
-
 /* The operator duty: follows the operator's topic at the store while this
  * instance reads the store, or when the followed peers leave the topic old. */
 void
 operator_run(duty_t *self, void *tagged)
 {
     tagged_t *t = tagged;
-    packed_t packed = {0};
     watch_t w;
 
     watch_init(&w, t, self, TOPIC_OPERATOR, (ms_t)t->settings.apply_ms);
@@ -320,9 +271,6 @@
         if (SHARED(t, follows_store) || pause == 0) {
             pause = watch_once(&w);
         }
-        if (SHARED(t, follows_store) && !w.failed) {
-            keep_packed(&w, &packed);
-        }
         if (pause > 0) {
             duty_wait(self, NULL, 0, pause);
         }
