--- a/siskinctl/apply.c
+++ b/siskinctl/apply.c
@@ -1,4 +1,4 @@
-/* siskinctl apply, and drain of an upstream, which is a small apply. */
+/* siskinctl apply, and drain of upstreams, which is a small apply. */
 #include "siskinctl/ctl.h"
 
 #include <errno.h>
@@ -230,11 +230,18 @@
     return code;
 }
 
-/* ---- drain --upstream ---- */
+/* ---- drain --upstream, drain --data-centre ---- */
+
+/* What is drained: an upstream, or all of a data centre. */
+typedef struct {
+    addr_t upstream;
+    const char *data_centre; /* NULL: the upstream */
+    bool draining;
+} drain_t;
 
 /* Edits the overlay that has the upstream.  -ENOENT: none has. */
 static int
-edit_bundle(conf_bundle_t *b, const addr_t *a, bool draining, err_t *e)
+edit_upstream(conf_bundle_t *b, const addr_t *a, bool draining, err_t *e)
 {
     char addr[ADDR_STRLEN];
     char *text;
@@ -254,6 +261,33 @@
                    "no upstream in force has this address");
 }
 
+/* Edits the overlays for what D says; BEFORE is what they hold. */
+static int
+edit_bundle(conf_bundle_t *b, const conf_t *before, const drain_t *d, err_t *e)
+{
+    uint32_t n = 0;
+    int rc = 0;
+
+    if (d->data_centre == NULL) {
+        return edit_upstream(b, &d->upstream, d->draining, e);
+    }
+    for (uint32_t i = 0; i < before->n_services; i++) {
+        const conf_service_t *s = &before->services[i];
+        for (uint32_t k = 0; k < s->n_upstreams && rc == 0; k++) {
+            const conf_upstream_t *u = &s->upstreams[k];
+            if (strcmp(u->data_centre, d->data_centre) == 0) {
+                rc = edit_upstream(b, &u->addr, d->draining, e);
+                n++;
+            }
+        }
+    }
+    if (rc == 0 && n == 0) {
+        return err_set(e, -ENOENT, "drain", d->data_centre,
+                       "no upstream in force is in this data centre");
+    }
+    return rc;
+}
+
 /* The bundle of the edited texts, with its own hash. */
 static int
 remake(conf_bundle_t *b, err_t *e)
@@ -275,8 +309,8 @@
 
 /* One try on the version in force.  -EAGAIN: another version came first. */
 static int
-drain_once(plat_t *p, const addr_t *a, bool draining, conf_bundle_t *b,
-           bool *changed, err_t *e)
+drain_once(plat_t *p, const drain_t *d, conf_bundle_t *b, bool *changed,
+           err_t *e)
 {
     conf_t *before, *after;
     uint64_t revision, on;
@@ -287,7 +321,7 @@
     }
     on = b->version;
     before = bundle_conf(b, e);
-    rc = edit_bundle(b, a, draining, e);
+    rc = before != NULL ? edit_bundle(b, before, d, e) : e->code;
     if (rc == 0) {
         rc = remake(b, e);
     }
@@ -304,25 +338,39 @@
     return plat_apply(p, b, on, NULL, e);
 }
 
+/* What the options say is to be drained. */
+static int
+read_drain(const options_t *o, drain_t *d, err_t *e)
+{
+    if (o->upstream != NULL && o->data_centre != NULL) {
+        return err_set(e, -EINVAL, "drain", o->upstream,
+                       "expected --upstream or --data-centre, not both");
+    }
+    d->data_centre = o->data_centre;
+    if (o->upstream != NULL && addr_parse(&d->upstream, o->upstream) < 0) {
+        return err_set(e, -EINVAL, "drain", o->upstream,
+                       "is no address; expected IP:PORT");
+    }
+    return 0;
+}
+
 ctl_exit_t
-ctl_drain_upstream(const options_t *o, bool draining)
+ctl_drain_upstreams(const options_t *o, bool draining)
 {
+    drain_t d = {.draining = draining};
     conf_bundle_t b = {0};
     bool changed = false;
     err_t e = {0};
-    addr_t a;
     plat_t *p;
     int rc = -EAGAIN;
 
-    if (addr_parse(&a, o->upstream) < 0) {
-        err_set(&e, -EINVAL, "drain", o->upstream,
-                "is no address; expected IP:PORT");
+    if (read_drain(o, &d, &e) < 0) {
         return ctl_fail(o, CTL_USAGE, &e);
     }
     p = ctl_platform(o);
     for (int i = 0; i < EDIT_TRIES && rc == -EAGAIN; i++) {
         bundle_free(&b);
-        rc = drain_once(p, &a, draining, &b, &changed, &e);
+        rc = drain_once(p, &d, &b, &changed, &e);
     }
     plat_free(p);
     if (rc < 0) {
--- a/siskinctl/ctl.h
+++ b/siskinctl/ctl.h
@@ -22,10 +22,11 @@
 
 typedef struct {
     bool json, settings;
-    const char *platform; /* URL */
-    const char *admin;    /* IP:PORT */
-    const char *upstream; /* IP:PORT, or NULL */
-    const char *into;     /* a directory, or NULL */
+    const char *platform;    /* URL */
+    const char *admin;       /* IP:PORT */
+    const char *upstream;    /* IP:PORT, or NULL */
+    const char *data_centre; /* a name, or NULL */
+    const char *into;        /* a directory, or NULL */
     const char *change_id;
     const char *id; /* what to explain, or NULL */
     int64_t on;     /* the version edited; -1: not said */
@@ -85,7 +86,8 @@
 /* Those lines of MINE whose subject THEIRS changes too. */
 json_t *ctl_collisions(const json_t *mine, const json_t *theirs);
 
-/* Writes a drain mark for an upstream into its overlay and applies it. */
-ctl_exit_t ctl_drain_upstream(const options_t *o, bool draining);
+/* Writes drain marks for an upstream, or for all of a data centre, into the
+ * overlay and applies it. */
+ctl_exit_t ctl_drain_upstreams(const options_t *o, bool draining);
 
 #endif
--- a/siskinctl/instance.c
+++ b/siskinctl/instance.c
@@ -119,8 +119,9 @@
                            .timeout_ms = CALL_MS,
                            .step = draining ? "drain" : "undrain"};
 
-    return o->upstream != NULL ? ctl_drain_upstream(o, draining)
-                               : call(o, &c, false);
+    return o->upstream != NULL || o->data_centre != NULL
+               ? ctl_drain_upstreams(o, draining)
+               : call(o, &c, false);
 }
 
 ctl_exit_t
--- a/siskinctl/main.c
+++ b/siskinctl/main.c
@@ -25,6 +25,7 @@
     OPT_FILE_OPT = 1 << 9, /* one at most */
     OPT_ID = 1 << 10,
     OPT_LOGS = 1 << 11, /* none: standard input */
+    OPT_DATA_CENTRE = 1 << 12,
 } opt_t;
 
 static const struct {
@@ -47,10 +48,11 @@
     {"status", cmd_status, OPT_JSON | OPT_ADMIN,
      "Shows an instance's version, peers, upstreams, services."},
     {"flows", cmd_flows, OPT_JSON | OPT_ADMIN, "Shows an instance's flows."},
-    {"drain", cmd_drain, OPT_JSON | OPT_PLATFORM | OPT_ADMIN | OPT_UPSTREAM,
-     "Drains an instance, or with --upstream an upstream everywhere."},
+    {"drain", cmd_drain,
+     OPT_JSON | OPT_PLATFORM | OPT_ADMIN | OPT_UPSTREAM | OPT_DATA_CENTRE,
+     "Drains an instance, or an upstream or a data centre's everywhere."},
     {"undrain", cmd_undrain,
-     OPT_JSON | OPT_PLATFORM | OPT_ADMIN | OPT_UPSTREAM,
+     OPT_JSON | OPT_PLATFORM | OPT_ADMIN | OPT_UPSTREAM | OPT_DATA_CENTRE,
      "Takes a drain back."},
     {"explain", cmd_explain, OPT_ID | OPT_LOGS,
      "Tells from logs what became of a request, a flow or an upstream."},
@@ -63,7 +65,8 @@
 /* The options of one command, in argtable's form. */
 typedef struct {
     struct arg_lit *help, *json, *settings;
-    struct arg_str *platform, *admin, *upstream, *into, *change_id, *id;
+    struct arg_str *platform, *admin, *upstream, *data_centre, *into;
+    struct arg_str *change_id, *id;
     struct arg_int *on, *count;
     struct arg_file *files;
     struct arg_end *end;
@@ -113,6 +116,10 @@
     a->upstream = take(a, opts & OPT_UPSTREAM,
                        arg_str0("u", "upstream", "IP:PORT",
                                 "the upstream, in place of an instance"));
+    a->data_centre =
+        take(a, opts & OPT_DATA_CENTRE,
+             arg_str0("d", "data-centre", "NAME",
+                      "all upstreams there, in place of an instance"));
     a->into = take(a, opts & OPT_INTO,
                    arg_str0(NULL, "into", "DIR", "write to new files there"));
     a->on = take(a, opts & OPT_ON,
@@ -165,6 +172,7 @@
             string_or_env(a->platform, "SISKIN_PLATFORM", PLATFORM_DEFAULT),
         .admin = string_or_env(a->admin, "SISKIN_ADMIN", ADMIN_DEFAULT),
         .upstream = string_or_null(a->upstream),
+        .data_centre = string_or_null(a->data_centre),
         .into = string_or_null(a->into),
         .id = string_or_null(a->id),
         .change_id = string_or_null(a->change_id),
--- a/test/ctl_config.sh
+++ b/test/ctl_config.sh
@@ -102,6 +102,15 @@
     ctl show --into fresh
     ctl show --into fresh
     ctl show nave-a
+
+    echo "## A data centre is evacuated, and taken back"
+    ctl drain --data-centre brno-sal-a
+    ctl drain --data-centre brno-sal-a
+    ctl diff $all | grep -c draining
+    ctl undrain --data-centre brno-sal-a
+    ctl diff $all
+    ctl drain --data-centre nowhere
+    ctl drain --data-centre brno-sal-a --upstream 127.2.4.1:5683
 }
 
 run >out
