flow, source, tagged: name what is timed, in the field's terms

Comments and names of reach.c, source.c, follow.c and news.c by STYLE.md: suspect and unreachable in place of doubts and out, hop limit, backoff, long-poll and stall timeouts, needs_resync. Figures of single sites leave the comments. The time for which an upstream that has left is remembered comes from the settings now (flow_ttl_s, the platform's own bound) in place of "the sites served so far"; with the bound of 60 s it is 90 s as before. Two log texts say retransmission.

--- a/conf/tagged.c
+++ b/conf/tagged.c
@@ -24,6 +24,8 @@
 /* A shorter time leaves no room for a peer that fails and another question. */
 #define CHANGE_MIN_MS 1
 #define CHANGE_MAX_MS 600000
+#define FLOW_TTL_DEFAULT_S 60
+#define FLOW_TTL_MAX_S 86400
 #define WARM_UP_OVER_MAX 100
 #define WARM_UP_SLACK_MAX 1000000
 #define CHANGE_DEFAULT_MS 3000
@@ -58,6 +60,8 @@
                CHANGE_MIN_MS, CHANGE_MAX_MS, "milliseconds"),
     REAL_FIELD("drain_ms", OPTIONAL, draft_settings_t, s.drain_ms,
                CHANGE_MIN_MS, CHANGE_MAX_MS, "milliseconds"),
+    REAL_FIELD("flow_ttl_s", OPTIONAL, draft_settings_t, s.flow_ttl_s, 1,
+               FLOW_TTL_MAX_S, "seconds"),
     REAL_FIELD("warm_up_over", OPTIONAL, draft_settings_t, s.warm_up_over, 0,
                WARM_UP_OVER_MAX, "times"),
     REAL_FIELD("warm_up_slack", OPTIONAL, draft_settings_t, s.warm_up_slack, 0,
@@ -121,6 +125,7 @@
                                 .followers = FOLLOWERS_DEFAULT,
                                 .apply_ms = CHANGE_DEFAULT_MS,
                                 .drain_ms = CHANGE_DEFAULT_MS,
+                                .flow_ttl_s = FLOW_TTL_DEFAULT_S,
                                 .warm_up_over = 1}};
     const field_set_t set = {tagged_fields, FIELD_COUNT(tagged_fields), &d};
     toml_doc_t *doc = toml_doc_parse(file, text, e);
--- a/conf/tagged.h
+++ b/conf/tagged.h
@@ -23,8 +23,9 @@
     uint32_t followers; /* instances that may follow this one */
     double link_mbps;   /* of its outgoing link; 0: not told */
     /* After the store has it, so long until */
-    double apply_ms; /* a version is in force */
-    double drain_ms; /* an upstream that leaves gets no new flow */
+    double apply_ms;   /* a version is in force */
+    double drain_ms;   /* an upstream that leaves gets no new flow */
+    double flow_ttl_s; /* upper bound of a flow's lifetime */
     /* Bound of new flows at an upstream that warms up: see flow_spec_t. */
     double warm_up_over, warm_up_slack;
     log_level_t log_level;
--- a/flow/decide.c
+++ b/flow/decide.c
@@ -117,7 +117,7 @@
         }
     }
     else if (p->len > 0 && !fresh && now - r->sent_at >= REPEAT_MIN_MS) {
-        reach_suspect(f, now, u, r->sent_at, "a caller repeats itself");
+        reach_suspect(f, now, u, r->sent_at, "a retransmission");
     }
     if (fresh) {
         r->seq_end = end;
@@ -228,7 +228,7 @@
     upstream_t *u;
     choice_t c;
 
-    reach_suspect(f, now, r->up, r->sent_at, "an opening packet is repeated");
+    reach_suspect(f, now, r->up, r->sent_at, "a retransmitted opening packet");
     c = choose(f, now, route, r->up, ADMIT_ALL);
     u = c.up;
     if (u == NULL) {
--- a/flow/directory.c
+++ b/flow/directory.c
@@ -114,7 +114,7 @@
     u->evacuated = flowset_is_evacuated(f, a->data_centre);
     u->service->n_evacuated += u->evacuated;
     u->probe_at = MS_NEVER;
-    u->alive_at = u->refused_at = u->trusted_to = -MS_NEVER;
+    u->alive_at = u->refused_at = u->grace_until = -MS_NEVER;
     list_init(&u->records);
     list_init(&u->due);
     list_append(&f->upstreams, &u->all);
--- a/flow/flow.h
+++ b/flow/flow.h
@@ -57,7 +57,7 @@
 /* One version of the routes.  The arrays are on the heap. */
 typedef struct {
     uint64_t version;
-    ms_t idle_ms; /* a flow silent for so long may be forgotten */
+    ms_t idle_ms; /* idle timeout of a flow */
     uint32_t n_routes, n_targets, n_services;
     flow_route_t *routes;
     flow_target_t *targets;
@@ -76,7 +76,7 @@
     char data_centre[FLOW_NAME_LEN];
     uint32_t slots;  /* requests it runs at once, at least 1 */
     bool draining;   /* takes no new flow; what it has goes on */
-    ms_t warm_up_ms; /* it is slow for so long yet */
+    ms_t warm_up_ms; /* time left in slow start */
     int64_t born_ms; /* when its process started, by its own time of day; a
                       * change means that it holds no flow of before.  0: not
                       * told */
@@ -210,6 +210,7 @@
     const char *data_centre; /* the instance's own */
     uint64_t seed;           /* of its choices */
     uint32_t records_max;    /* flows remembered; older ones are forgotten */
+    ms_t flow_ttl_ms;        /* upper bound of a flow's lifetime */
     /* Bound of new flows at an upstream that warms up, in a second: what it
      * bears times WARM_UP_OVER, and WARM_UP_SLACK more. */
     double warm_up_over, warm_up_slack;
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -5,10 +5,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* An upstream that has left is remembered so long for flows that it may still
- * hold; flows are no older on the sites served so far. */
-#define FORGET_MS 90000
-/* Between two looks through all records. */
+/* Flows that an upstream may still hold, behind the longest lifetime of one:
+ * its announcement may lapse before it ends. */
+#define FORGET_MARGIN_MS 30000
+/* Period of the look through all records. */
 #define SWEEP_MS 500
 
 flowset_t *
@@ -353,9 +353,11 @@
 static void
 forget_upstreams(flowset_t *f, ms_t now)
 {
+    ms_t forget_ms = f->spec.flow_ttl_ms + FORGET_MARGIN_MS;
+
     LIST_EACH (it, &f->upstreams) {
         upstream_t *u = LIST_OWNER(it, upstream_t, all);
-        if (!u->listed && !u->probing && now - u->unlisted_at > FORGET_MS) {
+        if (!u->listed && !u->probing && now - u->unlisted_at > forget_ms) {
             drop_upstream(f, u);
         }
     }
--- a/flow/limit.c
+++ b/flow/limit.c
@@ -45,7 +45,7 @@
 #define BASELINE_RISE_LIMITED 0.00002
 /* Requests beyond what an answer justifies: lets a low limit grow. */
 #define HEADROOM 1.0
-/* A limit that has refused nothing for so long ends. */
+/* A limit ends after this time without a refusal. */
 #define RELEASE_MS 500
 /* Slow answers are then assumed at this share of the target. */
 #define RELEASED 0.5
--- a/flow/reach.c
+++ b/flow/reach.c
@@ -1,49 +1,47 @@
-/* Which upstream answers.
+/* Health of upstreams: good, suspect, unreachable, dead.
  *
- * An instance never sees upstreams' answers: they go straight to callers.  It
- * sees what callers do.  A caller that goes on proves that its upstream was
- * alive some milliseconds ago; one that repeats itself raises a doubt.  A
- * doubt alone resets nothing: callers repeat themselves after a lost packet
- * too, and when an upstream is merely slow.  So it is settled by a probe, a
- * bare TCP connection to the upstream's address, which its host's kernel
- * answers:
+ * An instance never sees upstreams' answers, which go straight to callers.  A
+ * caller that goes on proves that its upstream was alive some milliseconds
+ * ago; a retransmission makes the upstream suspect.  Suspicion alone resets
+ * nothing: callers retransmit after a lost packet too, and when an upstream is
+ * merely slow.  A probe, a bare TCP connection to the upstream's address,
+ * clears or confirms it; the host's kernel answers:
  *
- *   accepted   it lives, however slow it is
- *   refused    the process has ended, and its flows with it; of one that is
- *              leaving, when it is refused again after it has left
- *   reset      it was accepted first, so a process listened: one that has too
- *              many connections, or that ended just then
- *   silent     three times in a row, while another upstream answers, and
- *              hardly any probe of those in no doubt was lost of late: it
- *              can't be reached from here
+ *   accepted   alive, however slow
+ *   refused    the process has ended, and its flows with it; of an upstream
+ *              that drains, when a probe is refused again after it has left
+ *   reset      accepted first, so a process listened: too many connections, or
+ *              it ended just then
+ *   timeout    three in a row, while another upstream answers and hardly any
+ *              probe of upstreams in good health was lost of late: unreachable
+ *              from here
  */
 #include "flow/state.h"
 
 #include <string.h>
 
-/* One try.  The way there and back between data centres takes some 20 ms at
- * most, and the upstream's kernel answers at once. */
+/* Timeout of a probe: several round trips between data centres. */
 #define PROBE_MS 100
-/* A probe whose end was not told by then was never made. */
+/* Age at which a probe without a result counts as never made. */
 #define PROBE_LOST_MS (8 * PROBE_MS)
-/* Probes without an answer before an upstream is out.  A full link drops
- * packets at random: two of them lost and another's passed is still likely
- * there, three lost and two passed is not. */
-#define PROBES_SILENT 3
+/* Probe timeouts in a row that make an upstream unreachable.  A full link
+ * drops packets at random: two probes lost while another's passes is likely
+ * there, three lost while two pass is not. */
+#define PROBE_TIMEOUTS_MAX 3
 /* Probe loss above which silence proves nothing. */
-#define SILENCE_MAX 0.05
+#define PROBE_LOSS_MAX 0.05
 /* Smoothing factor of the loss estimate (EWMA). */
-#define SILENCE_WEIGHT 0.05
+#define PROBE_LOSS_WEIGHT 0.05
 /* Refused probes in a row that prove the end of an upstream that is leaving,
  * once its announcement is gone: it may close its port many seconds before its
  * last flows end, and of an upload no instance sees an answer until the end.
  * A crash ends both at once, and one refusal proves it. */
-#define REFUSED_LEAVING 2
-/* A probe that was answered settles doubts for so long: the packets that are
- * repeated meanwhile were sent before it. */
-#define TRUST_MS 400
-/* Until the next probe after one that was reset. */
-#define RESET_AGAIN_MS 50
+#define REFUSED_DRAINING 2
+/* Grace period after an answered probe: packets that are retransmitted
+ * meanwhile were sent before it. */
+#define PROBE_GRACE_MS 400
+/* Delay of the next probe after one that was reset. */
+#define RESET_RETRY_MS 50
 /* Backoff between probes of an unreachable upstream. */
 #define RETRY_MIN_MS 400
 #define RETRY_MAX_MS 1600
@@ -146,7 +144,8 @@
 reach_suspect(flowset_t *f, ms_t now, upstream_t *u, ms_t since,
               const char *why)
 {
-    if (u->alive_at > since || now < u->trusted_to || u->reach != REACH_GOOD) {
+    if (u->alive_at > since || now < u->grace_until ||
+        u->reach != REACH_GOOD) {
         return;
     }
     reach_ask(f, now, u, why);
@@ -260,11 +259,11 @@
 probe_silent(flowset_t *f, ms_t now, upstream_t *u)
 {
     bool beside =
-        f->answered_from >= u->probed_at && f->silence <= SILENCE_MAX;
+        f->answered_from >= u->probed_at && f->silence <= PROBE_LOSS_MAX;
 
     u->silent++;
     if (u->reach == REACH_SUSPECT) {
-        if (u->silent == 1 || (beside && u->silent < PROBES_SILENT)) {
+        if (u->silent == 1 || (beside && u->silent < PROBE_TIMEOUTS_MAX)) {
             probe_beside(f, now, u);
             return;
         }
@@ -289,7 +288,7 @@
     u->refused++;
     u->refused_at = now;
     if (u->a.draining) {
-        proved = !u->listed && u->refused >= REFUSED_LEAVING && !served_since;
+        proved = !u->listed && u->refused >= REFUSED_DRAINING && !served_since;
     }
     if (proved) {
         reach_dead(f, now, u, "its host refused a probe");
@@ -301,7 +300,8 @@
 note_silence(flowset_t *f, upstream_t *u, flow_probe_t result)
 {
     if (u->beside && result != PROBE_NONE) {
-        f->silence += SILENCE_WEIGHT * ((result == PROBE_SILENT) - f->silence);
+        f->silence +=
+            PROBE_LOSS_WEIGHT * ((result == PROBE_SILENT) - f->silence);
     }
     u->beside = false;
 }
@@ -322,7 +322,7 @@
         u->retry_ms = 0;
         u->unanswered = 0;
         u->alive_at = now;
-        u->trusted_to = now + TRUST_MS;
+        u->grace_until = now + PROBE_GRACE_MS;
         set_reach(f, u, REACH_GOOD, "it answered a probe");
         break;
     case PROBE_REFUSED:
@@ -332,7 +332,7 @@
         /* An overloaded upstream does so while it serves.  Its flows must not
          * be ended; if its process has, the next probe is refused. */
         u->silent = 0;
-        schedule(f, u, now + RESET_AGAIN_MS);
+        schedule(f, u, now + RESET_RETRY_MS);
         break;
     case PROBE_SILENT:
         probe_silent(f, now, u);
--- a/flow/state.h
+++ b/flow/state.h
@@ -97,15 +97,15 @@
     /* Reach */
     flow_reach_t reach;
     bool probing;
-    bool beside;     /* that probe is only to compare another's with */
-    int silent;      /* probes in a row without an answer */
-    int refused;     /* probes in a row that were refused */
-    ms_t refused_at; /* the last of them */
-    ms_t alive_at;   /* the last sign of life */
-    ms_t retry_ms;   /* the last wait between probes; 0: none yet */
-    ms_t probed_at;  /* the last one started */
-    ms_t probe_at;   /* when the next probe is due; MS_NEVER: none */
-    ms_t trusted_to; /* a probe has just shown that it lives */
+    bool beside;      /* that probe is only to compare another's with */
+    int silent;       /* probes in a row without an answer */
+    int refused;      /* probes in a row that were refused */
+    ms_t refused_at;  /* the last of them */
+    ms_t alive_at;    /* the last sign of life */
+    ms_t retry_ms;    /* the last wait between probes; 0: none yet */
+    ms_t probed_at;   /* the last one started */
+    ms_t probe_at;    /* when the next probe is due; MS_NEVER: none */
+    ms_t grace_until; /* not suspected before */
 } upstream_t;
 
 /* A service and those of its upstreams that may be chosen. */
--- a/flow/waits.c
+++ b/flow/waits.c
@@ -3,12 +3,12 @@
 
 /* Timeout of an opening packet, until the caller's next packet. */
 #define OPENING_MS 80
-/* A request unanswered for so long is no longer counted as in progress: it was
+/* Age at which an unanswered request no longer counts as in progress: it was
  * given up, or its flow goes on through another instance. */
 #define ASKED_MAX_MS 3000
-/* A request of a idempotent route that stays unanswered for so many times the
- * service's average raises a doubt, within these bounds: well before its
- * caller sends again.  Others' answers since then refute it. */
+/* An idempotent request makes its upstream suspect after this multiple of the
+ * service's average latency, within these bounds: well before its caller
+ * retransmits.  Later answers to others refute it. */
 #define ASKING_FACTOR 4
 #define ASKING_MIN_MS 60
 #define ASKING_MAX_MS 200
--- a/source/followers.c
+++ b/source/followers.c
@@ -1,7 +1,7 @@
 /* Those that follow this instance: see source.h. */
 #include "source/source.h"
 
-/* A follower asks at least once a second; one that is silent for so long has
+/* A follower asks at least once a second; one that is silent for this time has
  * gone, or follows another. */
 #define PLACE_MS 2000
 
--- a/source/source.c
+++ b/source/source.c
@@ -4,15 +4,15 @@
 #include <errno.h>
 #include <string.h>
 
-/* A peer that failed is left alone, doubling.  The first wait is short: most
- * failures are restarts, which take a second or two. */
+/* Backoff of a failed peer: exponential.  The first is short: most failures
+ * are restarts, which take a second or two. */
 #define FAILED_MIN_MS 1500
 #define FAILED_MAX_MS 12000
-/* A long list is left to peers for so long, and a random time more, so that
- * those whose peers are all down don't read it all at once.  A seed has it
- * within a second over a link of 10 Mbit/s (3,000 upstreams: 1 MB). */
-#define LEAVE_MIN_MS 800
-#define LEAVE_SPREAD_MS 800
+/* Delay before an instance that starts reads a long list itself, with jitter:
+ * its peers may have it by then, and those whose peers are all down must not
+ * read it all at once. */
+#define RESYNC_DELAY_MIN_MS 800
+#define RESYNC_SPREAD_MS 800
 
 /* Instances that start together wait for times that differ before they
  * announce themselves: by then they see that enough others are announced. */
@@ -25,19 +25,19 @@
 /* Seeds are known to all from the start, and are the first. */
 #define SEED_SPREAD_MS 500
 
-/* Sent on so often, it goes round in circles, which may arise while leaders
- * change.  With places for 32 a tree of three levels holds 32,768. */
-#define SENT_ON_MAX 8
+/* Hop limit: leaders may briefly follow each other during a change.  With
+ * places for 32 followers, a tree of three levels holds 32,768 instances. */
+#define HOPS_MAX 8
 
 /* Leaders that follow the store.  Two: one that is cut off or turned away is
  * found out by those that ask the other. */
 #define WATCHERS 2
-/* A leader that a watcher has failed follows the store for so long. */
+/* How long a leader follows the store after a watcher has failed it. */
 #define WATCH_MS 6000
 
-/* Between two questions to others than the followed one.  A change must be in
- * force within 3 s: this leaves room for one peer that doesn't answer and a
- * second question. */
+/* Period of the questions to peers other than the followed one: short enough
+ * that a peer that doesn't answer and a second question fit a change's time.
+ */
 #define CHECK_MS 700
 /* One that follows a relay leaves it to the relay, mostly: the announced ones
  * would be asked by all of the data centre, each time. */
@@ -293,9 +293,9 @@
 }
 
 int
-sources_sent_on(sources_t *s, const addr_t *to)
+sources_redirected(sources_t *s, const addr_t *to)
 {
-    s->relayed = ++s->sent_on <= SENT_ON_MAX && !addr_eq(to, &s->self);
+    s->relayed = ++s->sent_on <= HOPS_MAX && !addr_eq(to, &s->self);
     if (!s->relayed) {
         s->sent_on = 0;
         return -ELOOP;
@@ -399,11 +399,11 @@
 }
 
 ms_t
-sources_leave_list_ms(sources_t *s)
+sources_resync_delay_ms(sources_t *s)
 {
     return s->seed || s->announced || s->n == 0
                ? 0
-               : LEAVE_MIN_MS + rng_below(&s->rng, LEAVE_SPREAD_MS);
+               : RESYNC_DELAY_MIN_MS + rng_below(&s->rng, RESYNC_SPREAD_MS);
 }
 
 bool
--- a/source/source.h
+++ b/source/source.h
@@ -48,7 +48,7 @@
     addr_t addr;
     char data_centre[SOURCE_NAME_LEN]; /* "": a seed, its place isn't known */
     ms_t failed_until;                 /* not asked before */
-    ms_t wait; /* the last time it was left alone for so long */
+    ms_t wait;                         /* the last backoff */
 } source_peer_t;
 
 typedef struct {
@@ -85,7 +85,7 @@
 
 /* The followed peer has no place and names TO.  -ELOOP: it was sent on too
  * often; the leader is followed again, after a pause. */
-int sources_sent_on(sources_t *s, const addr_t *to);
+int sources_redirected(sources_t *s, const addr_t *to);
 /* The peer to follow, or NULL: follow the store itself. */
 const source_peer_t *sources_lead(const sources_t *s, ms_t now);
 /* Does it take a place with the peer that it follows?  Not as a leader that
@@ -99,11 +99,11 @@
 /* For an instance that knows nothing: the peer to ask for everything, or
  * NULL. */
 const source_peer_t *sources_start(sources_t *s, ms_t now);
-/* How long it leaves a list of several pages to its peers before it goes on
- * reading it itself: when all instances start together, the store's link would
- * carry the list to each of them.  Those that the others ask, seeds and
- * announced ones, leave it to nobody. */
-ms_t sources_leave_list_ms(sources_t *s);
+/* How long an instance that starts leaves a long list to its peers before it
+ * reads it itself: when all start together, the store's link would carry the
+ * list to each of them.  None for seeds and announced instances, which the
+ * others ask. */
+ms_t sources_resync_delay_ms(sources_t *s);
 /* True while too few instances of the data centre are announced and this one
  * isn't. */
 bool sources_should_announce(const sources_t *s);
--- a/tagged/answers.c
+++ b/tagged/answers.c
@@ -17,9 +17,9 @@
 /* Speed goes before size: entries are alike, and even this packs them to about
  * a tenth. */
 #define PACK_LEVEL 1
-/* An answer is given again for so long, and says that it is so old already:
- * the whole to those who know nothing and will ask for what has changed since,
- * changes to those who waited for them. */
+/* Lifetimes of a kept answer, which tells them as its age: of the whole, for
+ * those who know nothing and will ask for what has changed since; of changes,
+ * for those who waited for them. */
 #define WHOLE_MS 1000
 #define CHANGES_MS 100
 
--- a/tagged/daemon.c
+++ b/tagged/daemon.c
@@ -11,8 +11,8 @@
 #include <unistd.h>
 
 #define CHANGES_INBOX 64
-/* Without a packet for so long, nobody sends here any more: routers have
- * noticed that it isn't ready (two looks, half a second apart). */
+/* Quiet period after which nobody sends here any more: routers have noticed
+ * that the instance isn't ready (two looks, half a second apart). */
 #define QUIET_MS 1500
 /* It ends by itself so long before the platform would kill it. */
 #define STOP_MARGIN_MS 800
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -9,7 +9,7 @@
 
 /* Long-poll timeout between peers; an empty answer serves as heartbeat. */
 #define PEER_WAIT_MS 600
-/* The list of announced instances, with the store slow by a factor of 60. */
+/* Timeout of the list of announced instances, also of a slow store. */
 #define LIST_MS 1200
 
 typedef struct {
@@ -26,12 +26,12 @@
  * packed.  When hundreds start together, even a page of it for each takes the
  * store's link for a second.  True: one of them told. */
 static bool
-leave_list(follow_t *f)
+wait_for_peers(follow_t *f)
 {
     ms_t until, now = clock_now();
 
     pthread_mutex_lock(&f->t->follow_lock);
-    until = now + sources_leave_list_ms(&f->t->sources);
+    until = now + sources_resync_delay_ms(&f->t->sources);
     pthread_mutex_unlock(&f->t->follow_lock);
     while (now < until && !tagged_has_replicas(f->t) &&
            !duty_stopping(f->self)) {
@@ -87,7 +87,7 @@
             f->store_failed = true;
             return watch_failed(&f->watch, rc, &e);
         }
-        if (leave_list(f)) {
+        if (wait_for_peers(f)) {
             return 0;
         }
     }
@@ -99,13 +99,13 @@
 
 /* The peer has no place: another is to be asked. */
 static ms_t
-sent_on(follow_t *f, const addr_t *a, const addr_t *instead)
+redirected(follow_t *f, const addr_t *a, const addr_t *instead)
 {
     char from[ADDR_STRLEN], to[ADDR_STRLEN];
     int rc;
 
     pthread_mutex_lock(&f->t->follow_lock);
-    rc = sources_sent_on(&f->t->sources, instead);
+    rc = sources_redirected(&f->t->sources, instead);
     pthread_mutex_unlock(&f->t->follow_lock);
     log_line(rc < 0 ? LVL_WARN : LVL_INFO, "follow", "%s peer=%s instead=%s",
              rc < 0 ? "Redirected too often, waiting." : "Redirected.",
@@ -129,7 +129,7 @@
     f->store_failed = false;
     set_follows_store(f, false);
     if (rc == -EREMOTE) {
-        return sent_on(f, a, &instead);
+        return redirected(f, a, &instead);
     }
     if (rc == -ENOBUFS) { /* not the peer's fault */
         return watch_back_off(&f->watch);
--- a/tagged/news.c
+++ b/tagged/news.c
@@ -6,17 +6,18 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-/* What a peer's answer may take beyond the wait: it is a few milliseconds
- * away; one that takes longer is down, or no better than the store. */
+/* Timeout of a peer's answer beyond the long poll: a peer is a few
+ * milliseconds away, and one that takes longer is down, or no better than the
+ * store. */
 #define PEER_SLACK_MS 400
-/* The same for the connection, while nothing is known: a peer that is down
- * answers nothing at all, and there are others. */
+/* Connect timeout at the start: a peer that is down answers nothing, and there
+ * are others. */
 #define START_CONNECT_MS 120
-/* Without a further byte of an answer that has begun. */
+/* Stall timeout of an answer that has begun. */
 #define PEER_STALL_MS 600
-/* All that is known may take longer: it shares its sender's link with what
- * others ask for, and asking anew only sends it again.  Each time it comes too
- * late it is given twice as long, so often at most. */
+/* The whole replica shares its sender's link with others' answers, and asking
+ * anew only sends it again: each late answer doubles the timeout, up to this
+ * shift. */
 #define LATE_MAX 3
 
 void
--- a/tagged/packets.c
+++ b/tagged/packets.c
@@ -424,6 +424,7 @@
         .seed = hash64(t->settings.name, strlen(t->settings.name),
                        (uint64_t)t->started),
         .records_max = t->settings.records,
+        .flow_ttl_ms = (ms_t)(t->settings.flow_ttl_s * 1000),
         .warm_up_over = t->settings.warm_up_over,
         .warm_up_slack = t->settings.warm_up_slack,
         .emit = emit,
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -199,7 +199,7 @@
     /* The store's history doesn't reach back to the replica's revision, news
      * was lost on the way, or a watch would bring versions that no longer
      * matter: a list tells what there is. */
-    bool must_list;
+    bool needs_resync;
     bool failed; /* the last call did */
     bool slow;   /* the last answer brought a change, and took long */
     ms_t progress_at;
--- a/tagged/watch.c
+++ b/tagged/watch.c
@@ -30,7 +30,7 @@
 _Static_assert(WATCH_SHARE *CHANGE_SOONEST_MS + PEER_MS <=
                    STALE_SHARE * CHANGE_SOONEST_MS,
                "in calm nothing may look old");
-/* A page of the list, with the store slow by a factor of 60. */
+/* Timeout of a page of the list, also of a slow store. */
 #define LIST_MS 1200
 /* Transfer time of an answer above which further versions may have come
  * meanwhile: a watch would bring each of them, a list only the newest. */
@@ -163,7 +163,7 @@
     int rc = news_take(w->t, items);
 
     if (rc != -ENOBUFS) { /* else nothing was taken, and nothing lost */
-        w->must_list = rc < 0;
+        w->needs_resync = rc < 0;
     }
     store_items_free(items);
     return rc;
@@ -187,7 +187,7 @@
 
     w->slow = rc > 0 && transfer_ms > SLOW_ANSWER_MS;
     if (w->slow && lists_when_behind(w)) {
-        w->must_list = true;
+        w->needs_resync = true;
     }
     return rc;
 }
@@ -223,7 +223,7 @@
         log_line(LVL_WARN, "follow",
                  "Store history lost, listing anew. topic=%s revision=%llu",
                  store_topic_name(w->topic), (unsigned long long)after);
-        w->must_list = true;
+        w->needs_resync = true;
         return 1; /* a change: the list can wait as long as any other */
     }
     return rc < 0 ? rc : apply_slowly(w, &items);
@@ -234,7 +234,7 @@
 {
     note_store(w, rc, e);
     w->failed = true;
-    w->must_list = w->must_list || lists_when_behind(w);
+    w->needs_resync = w->needs_resync || lists_when_behind(w);
     return watch_back_off(w);
 }
 
@@ -242,7 +242,7 @@
 watch_once(watch_t *w)
 {
     err_t e = {0};
-    bool lists = w->must_list || revision(w) == 0;
+    bool lists = w->needs_resync || revision(w) == 0;
     int rc = lists ? list(w, &e) : watch(w, &e);
 
     if (rc == -ENOBUFS) { /* not the store's fault */
--- a/test/flow_bed.h
+++ b/test/flow_bed.h
@@ -30,6 +30,7 @@
         spec.records_max = records;
         spec.emit = take;
         spec.arg = this;
+        spec.flow_ttl_ms = 60000;
         spec.warm_up_over = 1.5;
         spec.warm_up_slack = 5;
         flows = flowset_new(&spec);
--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -258,12 +258,12 @@
     sources_t alone, seed;
     addr_t self = at(1, 9);
 
-    EXPECT_GT(sources_leave_list_ms(&s), 0);
+    EXPECT_GT(sources_resync_delay_ms(&s), 0);
     sources_init(&alone, &self, "dc-a", 3);
-    EXPECT_EQ(sources_leave_list_ms(&alone), 0);
+    EXPECT_EQ(sources_resync_delay_ms(&alone), 0);
     seed = s;
     sources_add(&seed, &self, "");
-    EXPECT_EQ(sources_leave_list_ms(&seed), 0);
+    EXPECT_EQ(sources_resync_delay_ms(&seed), 0);
 }
 
 /* All instances are killed and start again.  The announced ones are those that
@@ -274,7 +274,7 @@
     addr_t self = at(1, 9);
 
     sources_add(&s, &self, "dc-a");
-    EXPECT_EQ(sources_leave_list_ms(&s), 0);
+    EXPECT_EQ(sources_resync_delay_ms(&s), 0);
 }
 
 /* Announced neighbours may be starting themselves and know nothing; a seed in
@@ -321,7 +321,7 @@
     ms_t least = 1000000, most = 0;
 
     for (int i = 0; i < 100; i++) {
-        ms_t wait = sources_leave_list_ms(&s);
+        ms_t wait = sources_resync_delay_ms(&s);
         least = std::min(least, wait);
         most = std::max(most, wait);
     }
@@ -476,7 +476,7 @@
     ASSERT_NE(p, nullptr);
     EXPECT_EQ(lead(number(p->addr)), -1);
     EXPECT_TRUE(sources_takes_place(&mine, now));
-    EXPECT_EQ(sources_sent_on(&mine, &relay), 0);
+    EXPECT_EQ(sources_redirected(&mine, &relay), 0);
     EXPECT_TRUE(addr_eq(&sources_lead(&mine, now)->addr, &relay));
     /* One of its own is announced. */
     sources_add(&mine, &first, "dc-new");
@@ -514,7 +514,7 @@
 {
     addr_t leader = lead()->addr, relay = at(1, 77);
 
-    EXPECT_EQ(sources_sent_on(&s, &relay), 0);
+    EXPECT_EQ(sources_redirected(&s, &relay), 0);
     ASSERT_NE(lead(), nullptr);
     EXPECT_TRUE(addr_eq(&lead()->addr, &relay));
     sources_checked(&s, now, &relay, SOURCE_TOLD);
@@ -529,7 +529,7 @@
     addr_t relay = at(1, 77);
     ms_t leaders = sources_check_ms(&s);
 
-    sources_sent_on(&s, &relay);
+    sources_redirected(&s, &relay);
     EXPECT_GE(sources_check_ms(&s), 5 * leaders);
     sources_checked(&s, now, &relay, SOURCE_SILENT);
     EXPECT_EQ(sources_check_ms(&s), leaders);
@@ -543,7 +543,7 @@
 
     for (; rc == 0 && times < 100; times++) {
         addr_t to = at(1, 50 + times % 2);
-        rc = sources_sent_on(&s, &to);
+        rc = sources_redirected(&s, &to);
     }
     EXPECT_EQ(rc, -ELOOP);
     EXPECT_LT(times, 20);
@@ -551,7 +551,7 @@
     /* An answer shows that there was no circle. */
     for (times = 0; times < 100; times++) {
         addr_t to = at(1, 50 + times % 2);
-        EXPECT_EQ(sources_sent_on(&s, &to), 0);
+        EXPECT_EQ(sources_redirected(&s, &to), 0);
         sources_checked(&s, now, &to, SOURCE_TOLD);
     }
 }
@@ -562,7 +562,7 @@
 
     addr_t leader = lead()->addr;
 
-    EXPECT_EQ(sources_sent_on(&s, &self), -ELOOP);
+    EXPECT_EQ(sources_redirected(&s, &self), -ELOOP);
     EXPECT_TRUE(addr_eq(&lead()->addr, &leader));
 }
 
@@ -572,7 +572,7 @@
 {
     addr_t relay = at(1, 77), self = at(1, 9);
 
-    sources_sent_on(&s, &relay);
+    sources_redirected(&s, &relay);
     sources_add(&s, &self, "dc-a");
     for (int n = 1; n <= 3; n++) {
         addr_t a = at(1, n);
