--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -123,6 +123,27 @@
     EXPECT_EQ(-ETIMEDOUT, call(s.url, 300, 10000));
 }
 
+/* Guards against: a caller that can't tell an answer on the way from silence.
+ */
+TEST(Http, TheProgressOfAnAnswerIsTold)
+{
+    Server s(PIECES / 2, 10); /* it never ends */
+    http_t *h = http_new(s.url.c_str());
+    http_call_t c = {};
+    http_reply_t r;
+    int told = 0;
+
+    c.path = "/";
+    c.timeout_ms = 1000;
+    c.stall_ms = 300;
+    c.step = "read";
+    c.on_progress = [](void *arg) { ++*static_cast<int *>(arg); };
+    c.arg = &told;
+    EXPECT_EQ(-ETIMEDOUT, http_call(h, &c, &r, NULL));
+    EXPECT_GE(told, 2);
+    http_free(h);
+}
+
 /* Guards against: a server that sends a byte now and then for ever. */
 TEST(Http, AnAnswerWithoutEndFails)
 {
--- a/test/warmup_test.cc
+++ b/test/warmup_test.cc
@@ -137,6 +137,22 @@
     EXPECT_EQ(f.bed[0]->packet(FlowBed::syn(3, ROUTE)).verb, FLOW_FORWARD);
 }
 
+/* Guards against: callers that are reset although some upstreams are warm,
+ * since a sample of a large service holds none of them. */
+TEST(WarmUp, TheFewThatAreWarmAreFoundAmongMany)
+{
+    Fleet f(2, 1, 2); /* the second opens no flow at upstreams that warm up */
+
+    for (uint64_t id = 0x100; id < 0x100 + 200; id++) {
+        f.announce(id, "dc-a", WARM_UP_MS);
+    }
+    f.announce(WARM, "dc-a", 0);
+    for (int caller = 1; caller < 500; caller++) {
+        EXPECT_EQ(f.bed[1]->packet(FlowBed::syn(caller, ROUTE)).upstream,
+                  WARM);
+    }
+}
+
 /* Guards against: a limit that stays after the warm-up, and an upstream of
  * another data centre, whose announced instances aren't known here. */
 TEST(WarmUp, OnlyTheOwnDataCentreOpensFlowsThere)
--- a/test/watch_test.cc
+++ b/test/watch_test.cc
@@ -3,9 +3,13 @@
  */
 #include "tagged/tagged.h"
 
+#include <arpa/inet.h>
 #include <cstring>
 #include <errno.h>
 #include <gtest/gtest.h>
+#include <string>
+#include <thread>
+#include <unistd.h>
 
 /* Longest time between two answers of a peer, with what one may take. */
 static const ms_t PEER_MS = 900;
@@ -70,6 +74,118 @@
     replica_free(r);
 }
 
+namespace {
+
+/* A store that begins an answer, sends it piece by piece, and never ends it.
+ */
+class SlowStore {
+  public:
+    SlowStore()
+    {
+        struct sockaddr_in a = {};
+        socklen_t len = sizeof(a);
+        fd = socket(AF_INET, SOCK_STREAM, 0);
+        a.sin_family = AF_INET;
+        a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(0, bind(fd, (struct sockaddr *)&a, sizeof(a)));
+        EXPECT_EQ(0, listen(fd, 4));
+        getsockname(fd, (struct sockaddr *)&a, &len);
+        url = "http://127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+        thread = std::thread([this] { serve(); });
+    }
+    ~SlowStore()
+    {
+        thread.join();
+        close(fd);
+    }
+
+    std::string url;
+
+  private:
+    void
+    serve()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n"
+                                 "\r\n{\"events\":[";
+        char buf[1024];
+        int c = accept(fd, NULL, NULL);
+        EXPECT_GT(recv(c, buf, sizeof(buf), 0), 0);
+        (void)!send(c, head.data(), head.size(), MSG_NOSIGNAL);
+        for (int k = 0; k < 20; k++) {
+            usleep(20000);
+            (void)!send(c, " ", 1, MSG_NOSIGNAL);
+        }
+        close(c);
+    }
+
+    int fd;
+    std::thread thread;
+};
+
+/* An instance that knows revision 5 of each topic, as of time 1. */
+class Watch : public ::testing::Test {
+  protected:
+    tagged_t *t = static_cast<tagged_t *>(calloc(1, sizeof(tagged_t)));
+    watch_t w;
+
+    void
+    open(const std::string &url)
+    {
+        duty_spec_t serve = {"serve", NULL, NULL, 4, false, NULL};
+        t->kern = kern_new();
+        ASSERT_EQ(kern_add(t->kern, &serve), 0);
+        pthread_mutex_init(&t->follow_lock, NULL);
+        for (int i = 0; i < TOPICS; i++) {
+            store_items_t items = {}, changed;
+            items.revision = 5;
+            items.whole = true;
+            t->replica[i] = replica_new(1);
+            t->store[i] = store_new(url.c_str());
+            ASSERT_EQ(replica_merge(t->replica[i], 1, &items, &changed), 0);
+            store_items_free(&changed);
+        }
+        watch_init(&w, t, NULL, TOPIC_OPERATOR, 5000);
+    }
+    void
+    TearDown() override
+    {
+        for (int i = 0; i < TOPICS; i++) {
+            replica_free(t->replica[i]);
+            store_free(t->store[i]);
+        }
+        kern_free(t->kern);
+        free(t);
+    }
+};
+
+} // namespace
+
+/* Guards against: followers that take a source for cut off while an answer of
+ * the store arrives there over a slow link. */
+TEST_F(Watch, AnAnswerOnTheWayKeepsItsTopicCurrent)
+{
+    SlowStore store;
+    ms_t before = clock_now();
+
+    open(store.url);
+    watch_once(&w);
+    EXPECT_TRUE(w.failed); /* the answer itself told nothing */
+    EXPECT_GE(replica_current_at(t->replica[TOPIC_OPERATOR]), before);
+    EXPECT_EQ(replica_current_at(t->replica[TOPIC_UPSTREAMS]), 1);
+}
+
+/* Guards against: a watch that brings every version of a series after the
+ * store was away, one after the other. */
+TEST_F(Watch, AfterAFailureTheOperatorsTopicIsListed)
+{
+    SlowStore store;
+
+    open(store.url);
+    EXPECT_FALSE(w.needs_resync);
+    EXPECT_GT(watch_once(&w), 0);
+    EXPECT_TRUE(w.needs_resync);
+}
+
 TEST(Topics, TextAndBack)
 {
     char upstreams[] = "{\"revision\":7,\"whole\":true,\"age_ms\":20,"
