--- a/tagged/watch.c
+++ b/tagged/watch.c
@@ -266,8 +266,7 @@
 watch_once(watch_t *w)
 {
     err_t e = {0};
-    bool lists = w->needs_resync || revision(w) == 0 ||
-                 (lists_when_behind(w) && watch_is_stale(w));
+    bool lists = w->needs_resync || revision(w) == 0;
     int rc = lists ? list(w, &e) : watch(w, &e);
 
     if (rc == -ENOBUFS) { /* not the store's fault */
@@ -288,14 +287,20 @@
 operator_run(duty_t *self, void *tagged)
 {
     tagged_t *t = tagged;
+    bool read = false;
     watch_t w;
 
     watch_init(&w, t, self, TOPIC_OPERATOR, (ms_t)t->settings.apply_ms);
     while (!duty_stopping(self)) {
         ms_t pause = watch_fresh_ms(&w);
-        if (SHARED(t, follows_store) || pause == 0) {
+        bool reads = SHARED(t, follows_store) || pause == 0;
+        if (reads) {
+            /* Peers told of the topic so far: a watch from what they told may
+             * bring several versions. */
+            w.needs_resync = w.needs_resync || !read;
             pause = watch_once(&w);
         }
+        read = reads;
         if (pause > 0) {
             duty_wait(self, NULL, 0, pause);
         }
