platform: a refusal on its way is no confirmation

The bytes of each refusal counted as an answer on its way, so what they knew looked current to themselves and to all who followed them, and nobody asked the store in their place: version 16 was not in force 3.5 s after its acknowledgement.

Only an answer that holds what the store knows (200, 412) counts. The test fails with the distinction off.

--- a/plat/http.c
+++ b/plat/http.c
@@ -180,7 +180,9 @@
     last = p->first + HTTP_TRANSFER_MAX_MS;
     p->until = stalled < last ? stalled : last;
     if (call->on_progress != NULL) {
-        call->on_progress(call->arg);
+        long status = 0;
+        curl_easy_getinfo(h->curl, CURLINFO_RESPONSE_CODE, &status);
+        call->on_progress(call->arg, status);
     }
 }
 
--- a/plat/http.h
+++ b/plat/http.h
@@ -25,8 +25,9 @@
     ms_t connect_ms;  /* of TIMEOUT_MS for the connection; 0: up to 1,000 */
     ms_t stall_ms;    /* an answer that has begun may go on while no pause is
                        * longer, HTTP_TRANSFER_MAX_MS in all */
-    void (*on_progress)(void *arg); /* with STALL_MS: further bytes of the
-                                     * answer have come; may be NULL */
+    /* With STALL_MS: further bytes of an answer with STATUS have come; may be
+     * NULL. */
+    void (*on_progress)(void *arg, long status);
     void *arg;
 } http_call_t;
 
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -137,7 +137,10 @@
     c.timeout_ms = 1000;
     c.stall_ms = 300;
     c.step = "read";
-    c.on_progress = [](void *arg) { ++*static_cast<int *>(arg); };
+    c.on_progress = [](void *arg, long status) {
+        EXPECT_EQ(200, status);
+        ++*static_cast<int *>(arg);
+    };
     c.arg = &told;
     EXPECT_EQ(-ETIMEDOUT, http_call(h, &c, &r, NULL));
     EXPECT_GE(told, 2);
--- a/test/watch_test.cc
+++ b/test/watch_test.cc
@@ -80,7 +80,8 @@
  */
 class SlowStore {
   public:
-    SlowStore()
+    explicit SlowStore(const char *status_line = "200 OK")
+        : status(status_line)
     {
         struct sockaddr_in a = {};
         socklen_t len = sizeof(a);
@@ -105,7 +106,8 @@
     void
     serve()
     {
-        const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n"
+        const std::string head = "HTTP/1.1 " + status +
+                                 "\r\nContent-Length: 9999\r\n"
                                  "\r\n{\"events\":[";
         char buf[1024];
         int c = accept(fd, NULL, NULL);
@@ -118,6 +120,7 @@
         close(c);
     }
 
+    std::string status;
     int fd;
     std::thread thread;
 };
@@ -174,6 +177,18 @@
     EXPECT_EQ(replica_current_at(t->replica[TOPIC_UPSTREAMS]), 1);
 }
 
+/* Guards against: a leader that the store turns away, and that looks current
+ * to its followers because it is told so again and again. */
+TEST_F(Watch, ARefusalOnTheWayKeepsNothingCurrent)
+{
+    SlowStore store("429 Too Many Requests");
+
+    open(store.url);
+    watch_once(&w);
+    EXPECT_TRUE(w.failed);
+    EXPECT_EQ(replica_current_at(t->replica[TOPIC_OPERATOR]), 1);
+}
+
 /* Guards against: a watch that brings every version of a series after the
  * store was away, one after the other. */
 TEST_F(Watch, AfterAFailureTheOperatorsTopicIsListed)
