--- a/flow/choice.c
+++ b/flow/choice.c
@@ -241,15 +241,15 @@
     return t;
 }
 
-/* An upstream of S warms up. */
+/* An upstream of S warms up and has its share of new flows. */
 static bool
-warms_up(const service_t *s, ms_t now)
+has_warm_up(const flowset_t *f, const service_t *s, ms_t now)
 {
     const group_t *groups[] = {&s->near, &s->far};
 
     for (size_t k = 0; k < 2; k++) {
         for (uint32_t i = 0; i < groups[k]->n; i++) {
-            if (now < groups[k]->up[i]->warm_at) {
+            if (!warm_up_admits(f, now, groups[k]->up[i])) {
                 return true;
             }
         }
@@ -267,7 +267,7 @@
 
     if (u == NULL) {
         return (choice_t){.evacuated = s != NULL && s->n_evacuated > 0,
-                          .warm_up = s != NULL && warms_up(s, now)};
+                          .warm_up = s != NULL && has_warm_up(f, s, now)};
     }
     if (admit == ADMIT_ALL || r->goal_ms == 0) {
         return (choice_t){.up = u};
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -227,8 +227,7 @@
     follow_t f = {.t = tagged, .self = self};
     bool leading = true;
 
-    watch_init(&f.watch, f.t, self, TOPIC_UPSTREAMS,
-               (ms_t)f.t->settings.drain_ms);
+    watch_init(&f.watch, f.t, TOPIC_UPSTREAMS, (ms_t)f.t->settings.drain_ms);
     while (!duty_stopping(self)) {
         ms_t pause = follow_once(&f, &leading);
         if (__atomic_exchange_n(&f.t->reload, false, __ATOMIC_RELAXED)) {
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -194,7 +194,6 @@
 
 typedef struct {
     tagged_t *t;
-    duty_t *self;
     store_t *store;
     store_topic_t topic;
     rng_t rng;
@@ -209,8 +208,7 @@
 } watch_t;
 
 /* CHANGE_MS: a change of the topic may take so long. */
-void watch_init(watch_t *w, tagged_t *t, duty_t *self, store_topic_t topic,
-                ms_t change_ms);
+void watch_init(watch_t *w, tagged_t *t, store_topic_t topic, ms_t change_ms);
 /* What is known of the topic may be old: nobody has confirmed it in time. */
 bool watch_is_stale(const watch_t *w);
 /* Until it is, if nobody confirms it meanwhile. */
--- a/tagged/watch.c
+++ b/tagged/watch.c
@@ -35,7 +35,7 @@
 /* Transfer time of an answer above which further versions may have come
  * meanwhile: a watch would bring each of them, a list only the newest. */
 #define SLOW_ANSWER_MS 150
-/* Between two notes of an answer's progress. */
+/* Period of the notes of an answer's progress. */
 #define PROGRESS_MS 300
 /* Backoff between calls that fail: exponential with jitter, so that instances
  * do not return all at once.  The upper bound is short of what a change may
@@ -43,9 +43,9 @@
 #define BACKOFF_MIN_MS 150
 #define BACKOFF_MAX_MS 1200
 
-/* While an answer arrives, its source is not cut off from the store, and
- * whoever turned to the store himself would wait as long for the same.  So
- * nobody leaves a source over a slow link that is at work. */
+/* While an answer arrives, this instance is not cut off from the store, and a
+ * follower that read the store itself would wait as long: followers must not
+ * leave a source that is at work over a slow link. */
 static void
 note_progress(void *watch)
 {
@@ -88,12 +88,10 @@
 }
 
 void
-watch_init(watch_t *w, tagged_t *t, duty_t *self, store_topic_t topic,
-           ms_t change_ms)
+watch_init(watch_t *w, tagged_t *t, store_topic_t topic, ms_t change_ms)
 {
     *w =
         (watch_t){.t = t,
-                  .self = self,
                   .store = t->store[topic],
                   .topic = topic,
                   .pace = watch_pace(topic, change_ms, t->settings.link_mbps)};
@@ -177,10 +175,10 @@
     return w->topic == TOPIC_OPERATOR;
 }
 
-/* The same for an answer that took ITEMS' age to arrive.  As long as slow ones
- * bring changes, further versions follow. */
+/* Applies an answer whose transfer took ITEMS' age.  Further versions may have
+ * come during a slow one that brought a change. */
 static int
-apply_slowly(watch_t *w, store_items_t *items)
+apply_answer(watch_t *w, store_items_t *items)
 {
     ms_t transfer_ms = items->age;
     int rc = apply_items(w, items);
@@ -210,7 +208,7 @@
         return rc;
     }
     items.age = clock_now() - begun;
-    return apply_slowly(w, &items);
+    return apply_answer(w, &items);
 }
 
 static int
@@ -231,7 +229,7 @@
         }
     }
     items.age = clock_now() - begun; /* it is complete as of its first page */
-    return apply_slowly(w, &items);
+    return apply_answer(w, &items);
 }
 
 static int
@@ -250,7 +248,7 @@
         w->needs_resync = true;
         return 1; /* a change: the list can wait as long as any other */
     }
-    return rc < 0 ? rc : apply_slowly(w, &items);
+    return rc < 0 ? rc : apply_answer(w, &items);
 }
 
 ms_t
@@ -290,7 +288,7 @@
     bool read = false;
     watch_t w;
 
-    watch_init(&w, t, self, TOPIC_OPERATOR, (ms_t)t->settings.apply_ms);
+    watch_init(&w, t, TOPIC_OPERATOR, (ms_t)t->settings.apply_ms);
     while (!duty_stopping(self)) {
         ms_t pause = watch_fresh_ms(&w);
         bool reads = SHARED(t, follows_store) || pause == 0;
--- a/test/warmup_test.cc
+++ b/test/warmup_test.cc
@@ -167,6 +167,20 @@
     EXPECT_GT(f.taken[COLD].size(), 0u);
 }
 
+/* Guards against: a reason that sends the operator the wrong way. */
+TEST(WarmUp, AnUpstreamThatHasEndedIsNoReasonToWaitForItsWarmUp)
+{
+    Fleet f(1, 1, 0);
+    FlowBed &bed = *f.bed[0];
+
+    f.announce(COLD, "dc-a", WARM_UP_MS);
+    flow_upstream_t next = FlowBed::upstream(COLD, "other", "dc-a");
+    next.id = COLD + 1;
+    next.revision = 9; /* its address is another's now */
+    bed.announce(next);
+    EXPECT_EQ(bed.packet(FlowBed::syn(1, ROUTE)).reason, FLOW_NO_UPSTREAM);
+}
+
 /* Guards against: a bound of nothing, read from a service that doesn't tell
  * one. */
 TEST(WarmUp, WhereNothingIsToldNothingIsBounded)
--- a/test/watch_test.cc
+++ b/test/watch_test.cc
@@ -147,7 +147,7 @@
             ASSERT_EQ(replica_merge(t->replica[i], 1, &items, &changed), 0);
             store_items_free(&changed);
         }
-        watch_init(&w, t, NULL, TOPIC_OPERATOR, 5000);
+        watch_init(&w, t, TOPIC_OPERATOR, 5000);
     }
     void
     TearDown() override
