--- a/flow/flow.h
+++ b/flow/flow.h
@@ -12,10 +12,11 @@
  *
  * The files call downwards only: flows.c (entry points), decide.c (what
  * becomes of a packet), waits.c (what goes unanswered), reach.c (which
- * upstream answers), choice.c (which takes a new flow), records.c (what is
- * remembered of a flow), limit.c (how many requests may be in progress),
- * directory.c (routes and upstreams), index.c (a hash table).  pacer.c stands
- * by itself: when forwarded packets leave.
+ * upstream answers), choice.c (which takes a new flow), warmup.c (new flows
+ * during slow start), records.c (what is remembered of a flow), limit.c (how
+ * many requests may be in progress), directory.c (routes and upstreams),
+ * index.c (a hash table).  pacer.c stands by itself: when forwarded packets
+ * leave.
  */
 #ifndef SISKIN_FLOW_H
 #define SISKIN_FLOW_H
