--- a/tagged/watch.c
+++ b/tagged/watch.c
@@ -280,7 +280,9 @@
 }
 
 /* The operator duty: follows the operator's topic at the store while this
- * instance reads the store, or when the followed peers leave the topic old. */
+ * instance reads the store, when the followed peers leave the topic old, and
+ * after a failure until the store answers again: whoever follows peers
+ * meanwhile would believe for ever that it is down. */
 void
 operator_run(duty_t *self, void *tagged)
 {
@@ -291,7 +293,8 @@
     watch_init(&w, t, TOPIC_OPERATOR, (ms_t)t->settings.apply_ms);
     while (!duty_stopping(self)) {
         ms_t pause = watch_fresh_ms(&w);
-        bool reads = SHARED(t, follows_store) || pause == 0;
+        bool reads =
+            SHARED(t, follows_store) || !SHARED(t, store_up) || pause == 0;
         if (reads) {
             /* Peers told of the topic so far: a watch from what they told may
              * bring several versions. */
