--- a/test/watch_test.cc
+++ b/test/watch_test.cc
@@ -80,8 +80,9 @@
  */
 class SlowStore {
   public:
-    explicit SlowStore(const char *status_line = "200 OK")
-        : status(status_line)
+    explicit SlowStore(const char *status_line = "200 OK",
+                       const std::string &body = "")
+        : status(status_line), whole(body)
     {
         struct sockaddr_in a = {};
         socklen_t len = sizeof(a);
@@ -96,6 +97,7 @@
     }
     ~SlowStore()
     {
+        shutdown(fd, SHUT_RDWR);
         thread.join();
         close(fd);
     }
@@ -106,21 +108,26 @@
     void
     serve()
     {
+        const std::string length =
+            whole.empty() ? "9999" : std::to_string(whole.size());
         const std::string head = "HTTP/1.1 " + status +
-                                 "\r\nContent-Length: 9999\r\n"
-                                 "\r\n{\"events\":[";
+                                 "\r\nContent-Length: " + length + "\r\n\r\n" +
+                                 (whole.empty() ? "{\"events\":[" : whole);
         char buf[1024];
         int c = accept(fd, NULL, NULL);
+        if (c < 0) {
+            return; /* nobody has asked */
+        }
         EXPECT_GT(recv(c, buf, sizeof(buf), 0), 0);
         (void)!send(c, head.data(), head.size(), MSG_NOSIGNAL);
-        for (int k = 0; k < 20; k++) {
+        for (int k = 0; k < 20 && whole.empty(); k++) {
             usleep(20000);
             (void)!send(c, " ", 1, MSG_NOSIGNAL);
         }
         close(c);
     }
 
-    std::string status;
+    std::string status, whole;
     int fd;
     std::thread thread;
 };
@@ -134,9 +141,11 @@
     void
     open(const std::string &url)
     {
-        duty_spec_t serve = {"serve", NULL, NULL, 4, false, NULL};
         t->kern = kern_new();
-        ASSERT_EQ(kern_add(t->kern, &serve), 0);
+        for (const char *name : {"packets", "serve"}) {
+            duty_spec_t spec = {name, NULL, NULL, 4, false, NULL};
+            ASSERT_EQ(kern_add(t->kern, &spec), 0);
+        }
         pthread_mutex_init(&t->follow_lock, NULL);
         for (int i = 0; i < TOPICS; i++) {
             store_items_t items = {}, changed;
@@ -189,6 +198,27 @@
     EXPECT_EQ(replica_current_at(t->replica[TOPIC_OPERATOR]), 1);
 }
 
+/* Guards against: an instance that follows peers after the store has failed
+ * it, and tells for ever that the store is down. */
+TEST_F(Watch, AStoreThatHasFailedIsTriedUntilItAnswers)
+{
+    SlowStore store("200 OK", "{\"items\":[],\"has_more\":false,"
+                              "\"store_revision\":9}");
+    duty_spec_t spec = {"operator", operator_run, t, 4, false, NULL};
+
+    open(store.url);
+    t->settings.apply_ms = 600000; /* nothing looks old */
+    replica_on_progress(t->replica[TOPIC_OPERATOR], clock_now());
+    ASSERT_EQ(kern_add(t->kern, &spec), 0);
+    ASSERT_EQ(kern_start(t->kern), 0);
+    for (int i = 0; i < 3000 && !SHARED(t, store_up); i++) {
+        usleep(10000);
+    }
+    EXPECT_TRUE(SHARED(t, store_up));
+    EXPECT_EQ(replica_revision(t->replica[TOPIC_OPERATOR]), 9u);
+    EXPECT_EQ(kern_stop(t->kern, 10000), 0);
+}
+
 /* Guards against: a watch that brings every version of a series after the
  * store was away, one after the other. */
 TEST_F(Watch, AfterAFailureTheOperatorsTopicIsListed)
