base/log: replace control characters in log lines

Cause: keys and names from the store reach log lines unchanged, so that an entry of another writer could forge a line of its own. Ruled out: quoting at each call, of which one would be forgotten. Before: Log.ControlCharactersStartNoNewLine fails without the replacement (mutation run); after: passes.

--- a/base/log.c
+++ b/base/log.c
@@ -265,6 +265,18 @@
     return 0;
 }
 
+/* Texts from the store and from peers may contain control characters, which
+ * could forge a line of their own. */
+static void
+replace_control_chars(char *s)
+{
+    for (; *s != '\0'; s++) {
+        if ((unsigned char)*s < ' ' || *s == 0x7f) {
+            *s = '?';
+        }
+    }
+}
+
 void
 log_line(log_level_t level, const char *part, const char *fmt, ...)
 {
@@ -280,6 +292,7 @@
     va_start(ap, fmt);
     vsnprintf(msg + n, sizeof(msg) - (size_t)n, fmt, ap);
     va_end(ap);
+    replace_control_chars(msg);
     log4c_category_log(category, levels[level].priority, "%s", msg);
 }
 
--- a/test/kern_test.cc
+++ b/test/kern_test.cc
@@ -8,6 +8,7 @@
 #include <semaphore.h>
 #include <set>
 #include <string.h>
+#include <string>
 #include <vector>
 
 static int dropped;
@@ -258,3 +259,17 @@
     EXPECT_EQ(0, udp_age(&h, clock_wall()));
     close(fd);
 }
+
+/* Guards against: text from the store that forges a log line of its own. */
+TEST(Log, ControlCharactersStartNoNewLine)
+{
+    std::string out;
+
+    ASSERT_EQ(log_open("try", LVL_INFO), 0);
+    testing::internal::CaptureStderr();
+    log_line(LVL_INFO, "news", "Item refused. key=%s", "a\nERROR x: b\x1b[0m");
+    out = testing::internal::GetCapturedStderr();
+    log_close();
+    EXPECT_NE(out.find("key=a?ERROR x: b?[0m\n"), std::string::npos) << out;
+    EXPECT_EQ(out.find('\n'), out.size() - 1);
+}
