--- a/test/warmup_test.cc
+++ b/test/warmup_test.cc
@@ -124,6 +124,19 @@
     EXPECT_LE(f.max_per_s, 6 * OVER + SLACK);
 }
 
+/* Guards against: shares that add up to more than the bound while instances
+ * know different lists, here before and after one of four was replaced. */
+TEST(WarmUp, TheBoundHoldsWhileListsDiffer)
+{
+    Fleet f(5, 4, 10);
+    const uint64_t after[] = {1000, 1001, 1002, 1004};
+
+    flowset_set_warm_up_instances(f.bed[4]->flows, 1004, after, 4);
+    f.announce(COLD, "dc-a", WARM_UP_MS);
+    f.open(WARM_UP_MS, 200);
+    EXPECT_LE(f.max_per_s, 10 * OVER + SLACK);
+}
+
 /* Guards against: callers that wait although all eligible upstreams have
  * reached their share of new flows. */
 TEST(WarmUp, CallersAreResetAtOnceWhenTheShareIsUsedUp)
