flow: tell entries and processes of an upstream apart

Cause: an upstream is known by the number at the end of its key, so two keys may name the same one: the end of one entry, or an unreadable one, withdrew the upstream of the other, and a valid one took its flows. An entry that the former process wrote, applied after that of the new one, counted as a restart; failed probes of the former process kept counting. Now an announcement carries its entry, the first entry of an id holds it while it is listed, an entry of the former process is ignored (also at another address), and probes start anew with the process. Ruled out: ordering by the start time (clocks jump); resetting the flows of the former process (flows opened at the new one before its announcement arrived would be reset; it resets former flows itself). unlist() withdrew draining upstreams that upstream_offer() had withdrawn already: removed.

--- a/flow/flow.h
+++ b/flow/flow.h
@@ -71,15 +71,16 @@
     uint64_t revision; /* of the announcement: of two upstreams at one address
                         * the one with the later announcement is current */
     uint64_t id;       /* the low 32 bits are the tag */
+    uint64_t entry;    /* identifies the store entry that announces it */
     addr_t addr;
     char service[FLOW_NAME_LEN];
     char data_centre[FLOW_NAME_LEN];
     uint32_t slots;     /* concurrent requests, at least 1 */
     bool draining;      /* takes no new flows; open flows continue */
     ms_t warm_up_ms;    /* remaining slow start */
-    int64_t started_ms; /* start of its process, by its own wall clock; a
-                         * change means that it holds none of its former flows.
-                         * 0: not reported */
+    int64_t started_ms; /* start of its process, by its own wall clock, which
+                         * may jump; a change means that it holds none of its
+                         * former flows.  0: not reported */
 } flow_upstream_t;
 
 /* ---- Packets ---- */
@@ -231,11 +232,14 @@
  * newer. */
 int flowset_set_conf(flowset_t *f, ms_t now, flow_conf_t *c);
 /* Adds or updates an announced upstream.  Returns -ENOMEM if it can't be used
- * for lack of memory. */
+ * for lack of memory; -EEXIST if another entry announces an upstream with its
+ * id, which stays; -ESTALE if the announcement is of the upstream's former
+ * process. */
 int flowset_set_upstream(flowset_t *f, ms_t now, const flow_upstream_t *u);
-/* Handles the end of an upstream's announcement.  Its flows continue until a
- * probe shows that the process has ended. */
-void flowset_remove_upstream(flowset_t *f, ms_t now, uint64_t id);
+/* Handles the end of an upstream's announcement by ENTRY.  Its flows continue
+ * until a probe shows that the process has ended. */
+void flowset_remove_upstream(flowset_t *f, ms_t now, uint64_t id,
+                             uint64_t entry);
 /* Applies the operator's evacuation of a data centre, made at store revision
  * REVISION: its upstreams get no new flows until the evacuation ends, and open
  * flows continue.  An evacuation ends only once all announcements up to that
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -38,17 +38,29 @@
     return f;
 }
 
-/* Discards the records of U, which is dropped, or has restarted under its id.
- * A restarted upstream holds none of these flows, and resets them itself when
- * their callers retransmit. */
 static void
 discard_records(flowset_t *f, upstream_t *u)
 {
     LIST_EACH (it, &u->records) {
         record_free(f, CONTAINER_OF(it, record_t, by_upstream));
     }
+}
+
+/* Discards what is known of the former process of U, which has restarted under
+ * its id: flows, latency and failed probes.  The new process holds none of
+ * these flows, and resets them itself when their callers retransmit; resets
+ * from here could hit flows that were opened before its announcement arrived.
+ */
+static void
+discard_former_process(flowset_t *f, upstream_t *u)
+{
+    discard_records(f, u);
     u->answer_ms = 0;
     u->unanswered = 0;
+    u->timeouts = 0;
+    u->refused = 0;
+    u->retry_ms = 0;
+    u->alive_at = u->refused_at = -MS_NEVER;
 }
 
 static void
@@ -156,28 +168,58 @@
     return superseded;
 }
 
+/* Returns -EEXIST or -ESTALE if announcement A must not replace that of U. */
+static int
+check_announcement(const upstream_t *u, const flow_upstream_t *a)
+{
+    if (u->listed && u->a.entry != a->entry) {
+        return -EEXIST;
+    }
+    return a->started_ms != 0 && a->started_ms == u->former_started_ms
+               ? -ESTALE
+               : 0;
+}
+
+/* Returns U, updated by A, or an upstream that replaces it, as its id has been
+ * reassigned.  NULL without memory. */
+static upstream_t *
+update_upstream(flowset_t *f, upstream_t *u, const flow_upstream_t *a)
+{
+    int64_t former_started_ms = u->a.started_ms != a->started_ms
+                                    ? u->a.started_ms
+                                    : u->former_started_ms;
+
+    if (strcmp(u->a.service, a->service) != 0 ||
+        strcmp(u->a.data_centre, a->data_centre) != 0 ||
+        !addr_eq(&u->a.addr, &a->addr)) {
+        drop_upstream(f, u);
+        u = upstream_new(f, a);
+    }
+    else if (u->a.started_ms != a->started_ms) {
+        discard_former_process(f, u);
+    }
+    if (u != NULL) {
+        u->former_started_ms = former_started_ms;
+        u->a = *a;
+    }
+    return u;
+}
+
 int
 flowset_set_upstream(flowset_t *f, ms_t now, const flow_upstream_t *a)
 {
     upstream_t *u = upstream_by_id(f, a->id);
-    bool superseded = retire_previous(f, now, a);
+    int rc = u != NULL ? check_announcement(u, a) : 0;
+    bool superseded;
 
-    if (u != NULL && (strcmp(u->a.service, a->service) != 0 ||
-                      strcmp(u->a.data_centre, a->data_centre) != 0 ||
-                      !addr_eq(&u->a.addr, &a->addr))) {
-        drop_upstream(f, u); /* the id has been reassigned */
-        u = NULL;
-    }
-    if (u == NULL) {
-        u = upstream_new(f, a);
+    if (rc < 0) {
+        return rc;
     }
+    superseded = retire_previous(f, now, a);
+    u = u != NULL ? update_upstream(f, u, a) : upstream_new(f, a);
     if (u == NULL) {
         return -ENOMEM;
     }
-    if (u->a.started_ms != a->started_ms) {
-        discard_records(f, u);
-    }
-    u->a = *a;
     u->warm_up_until = now + a->warm_up_ms;
     if (superseded) {
         retire_upstream(f, now, u);
@@ -193,20 +235,17 @@
 {
     u->listed = false;
     u->unlisted_at = now;
-    if (u->a.draining) {
-        upstream_withdraw(u);
-    }
     /* The upstream has left or died, or its announcement lapsed: probe it, so
      * that callers with idle flows don't have to find out by a timeout. */
     reach_request_probe(f, now, u, "the announcement was removed");
 }
 
 void
-flowset_remove_upstream(flowset_t *f, ms_t now, uint64_t id)
+flowset_remove_upstream(flowset_t *f, ms_t now, uint64_t id, uint64_t entry)
 {
     upstream_t *u = upstream_by_id(f, id);
 
-    if (u != NULL && u->listed) {
+    if (u != NULL && u->listed && u->a.entry == entry) {
         unlist(f, now, u);
     }
 }
--- a/flow/state.h
+++ b/flow/state.h
@@ -90,6 +90,8 @@
     bool listed;    /* currently announced */
     bool evacuated; /* its data centre is evacuated: no new flows */
     bool tag_taken; /* an older upstream has the same tag: no new flows */
+    int64_t former_started_ms; /* start of its former process under this id;
+                                * 0: none */
     ms_t unlisted_at;
     ms_t warm_up_until;  /* end of slow start */
     ms_t warm_up_next;   /* earliest time of the next new flow from this
--- a/tagged/packets.c
+++ b/tagged/packets.c
@@ -223,7 +223,10 @@
              (unsigned long long)u->id, addr_text(&u->addr, addr), u->service,
              u->data_centre, u->draining ? "draining" : "ready",
              (long long)u->warm_up_ms, (unsigned long long)ev->revision,
-             rc < 0 ? " error=\"out of memory, upstream ignored\"" : "");
+             rc == -EEXIST   ? " error=\"another entry has this id, ignored\""
+             : rc == -ESTALE ? " error=\"a former process, ignored\""
+             : rc < 0        ? " error=\"out of memory, upstream ignored\""
+                             : "");
 }
 
 static void
@@ -264,7 +267,7 @@
         log_line(LVL_INFO, "upstreams",
                  "Withdrawn. upstream=%llx revision=%llu",
                  (unsigned long long)ev->id, (unsigned long long)ev->revision);
-        flowset_remove_upstream(p->flows, p->now, ev->id);
+        flowset_remove_upstream(p->flows, p->now, ev->id, ev->entry);
         return;
     case STORE_EVACUATION:
         apply_evacuation(p, ev);
--- a/test/flow_prop_test.cc
+++ b/test/flow_prop_test.cc
@@ -61,7 +61,7 @@
     {
         uint64_t id = 1 + rng_below(&rng, UPSTREAMS);
         if (listed.count(id)) {
-            flowset_remove_upstream(bed.flows, bed.now, id);
+            flowset_remove_upstream(bed.flows, bed.now, id, 0);
             lapsed_at[id] = bed.now;
             if (listed[id].draining) {
                 lapsed_at[id] = -100000;
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -1,6 +1,7 @@
 /* Tests of decisions about tagged flows, one scenario each. */
 #include "test/flow_bed.h"
 
+#include <errno.h>
 #include <gtest/gtest.h>
 #include <map>
 #include <set>
@@ -175,7 +176,7 @@
 TEST_F(Flow, LapsedAnnouncementsAreUsedDuringTheGracePeriod)
 {
     for (uint64_t id : {0x11, 0x12, 0x21}) {
-        flowset_remove_upstream(bed.flows, bed.now, id);
+        flowset_remove_upstream(bed.flows, bed.now, id, 0);
         bed.probed(id, PROBE_ANSWERED);
     }
     bed.advance(1900);
@@ -193,7 +194,7 @@
  * others are preferred. */
 TEST_F(Flow, AnUnannouncedUpstreamIsSelectedLast)
 {
-    flowset_remove_upstream(bed.flows, bed.now, 0x11);
+    flowset_remove_upstream(bed.flows, bed.now, 0x11, 0);
     bed.probed(0x11, PROBE_ANSWERED);
     for (int caller = 1; caller < 50; caller++) {
         EXPECT_NE(bed.packet(FlowBed::syn(caller, FEED)).upstream, 0x11u);
@@ -209,7 +210,7 @@
 
     ASSERT_NE(caller, 0u);
     bed.resets.clear();
-    flowset_remove_upstream(bed.flows, bed.now, 0x11);
+    flowset_remove_upstream(bed.flows, bed.now, 0x11, 0);
     ASSERT_EQ(bed.probes.size(), 1u);
     EXPECT_EQ(bed.probes[0].upstream, 0x11u);
     bed.probed(0x11, PROBE_REFUSED);
@@ -230,7 +231,7 @@
 
     u.draining = true;
     bed.announce(u);
-    flowset_remove_upstream(bed.flows, bed.now, 0x11);
+    flowset_remove_upstream(bed.flows, bed.now, 0x11, 0);
     bed.probed(0x11, PROBE_REFUSED);
     EXPECT_TRUE(bed.resets.empty());
     EXPECT_EQ(
@@ -263,7 +264,7 @@
         bed.probed(0x11, PROBE_REFUSED);
         EXPECT_TRUE(bed.resets.empty()) << i;
     }
-    flowset_remove_upstream(bed.flows, bed.now, 0x11);
+    flowset_remove_upstream(bed.flows, bed.now, 0x11, 0);
     bed.advance(2000);
     bed.probed(0x11, PROBE_REFUSED);
     EXPECT_FALSE(bed.resets.empty()); /* the upstream has left */
@@ -363,6 +364,140 @@
     EXPECT_EQ(bed.packet(FlowBed::data(900, FEED, 0x11, 1, 1)).open, 0u);
 }
 
+/* Guards against: suspicion and failed probes of the former process that keep
+ * flows from the new one. */
+TEST_F(Flow, ARestartedUpstreamIsJudgedAnew)
+{
+    flow_upstream_t u = FlowBed::upstream(0x11, "svc", "dc-a");
+
+    raise_suspicion((int)open_at(0x11, 1), 0x11);
+    bed.probed(0x11, PROBE_REFUSED);
+    EXPECT_EQ(bed.stats()->usable, 2u);
+    u.started_ms = 1772060000000;
+    u.revision = 9;
+    bed.announce(u);
+    bed.probed(0x11, PROBE_ANSWERED);
+    EXPECT_EQ(bed.stats()->usable, 3u);
+    EXPECT_NE(open_at(0x11, 100), 0u);
+}
+
+/* Guards against: a refused probe of the former process that counts towards
+ * the two which prove the end of a draining upstream. */
+TEST_F(Flow, AProbeOfTheFormerProcessProvesNothing)
+{
+    flow_upstream_t u = FlowBed::upstream(0x11, "svc", "dc-a");
+
+    u.draining = true;
+    raise_suspicion((int)open_at(0x11, 1), 0x11);
+    bed.announce(u);
+    bed.probed(0x11, PROBE_REFUSED);
+    u.started_ms = 1772060000000;
+    bed.announce(u);
+    flowset_remove_upstream(bed.flows, bed.now, 0x11, 0);
+    bed.probed(0x11, PROBE_REFUSED);
+    for (const flow_out_t &r : bed.reaches) {
+        EXPECT_NE(r.reach.to, REACH_DEAD);
+    }
+}
+
+/* Guards against: an entry that the former process wrote, which arrives late
+ * and takes the flows of the new one. */
+TEST_F(Flow, ALateEntryOfTheFormerProcessIsIgnored)
+{
+    flow_upstream_t before = FlowBed::upstream(0x11, "svc", "dc-a");
+    flow_upstream_t after = before;
+
+    before.started_ms = 1772060000000;
+    after.started_ms = 1772060009000;
+    EXPECT_EQ(bed.announce(before), 0);
+    EXPECT_EQ(bed.announce(after), 0);
+    uint32_t caller = open_at(0x11, 1);
+    before.draining = true;
+    EXPECT_EQ(bed.announce(before), -ESTALE);
+    EXPECT_EQ(bed.stats()->usable, 3u);
+    EXPECT_GE(
+        bed.packet(FlowBed::data((int)caller, FEED, 0x11, 1001, 100)).open,
+        1u);
+    /* The same after its announcement has lapsed in an outage. */
+    flowset_remove_upstream(bed.flows, bed.now, 0x11, 0);
+    EXPECT_EQ(bed.announce(before), -ESTALE);
+    EXPECT_EQ(bed.announce(after), 0);
+}
+
+/* Guards against: a restart that is missed since the clock of the upstream's
+ * host was set back, and flows that are lost since an entry repeats the same
+ * start. */
+TEST_F(Flow, ARestartIsRecognisedByAnyChangeOfTheStart)
+{
+    flow_upstream_t u = FlowBed::upstream(0x11, "svc", "dc-a");
+
+    u.started_ms = 1772060000000;
+    bed.announce(u);
+    uint32_t caller = open_at(0x11, 1);
+    u.warm_up_ms = 500;
+    EXPECT_EQ(bed.announce(u), 0);
+    EXPECT_GE(
+        bed.packet(FlowBed::data((int)caller, FEED, 0x11, 1001, 100)).open,
+        1u);
+    u.started_ms -= 3600000;
+    EXPECT_EQ(bed.announce(u), 0);
+    EXPECT_EQ(bed.packet(FlowBed::data(900, FEED, 0x11, 1, 1)).open, 0u);
+}
+
+/* Guards against: flows that go to the address of the former process after the
+ * new one announced itself elsewhere. */
+TEST_F(Flow, ARestartAtAnotherAddressMovesTheId)
+{
+    flow_upstream_t u = FlowBed::upstream(0x11, "svc", "dc-a");
+    flow_upstream_t reuse = FlowBed::upstream(0x61, "other", "dc-a");
+
+    u.started_ms = 1772060000000;
+    bed.announce(u);
+    reuse.addr = u.addr;
+    reuse.revision = 5;
+    u.started_ms += 1000;
+    u.revision = 6;
+    u.addr = address("10.0.9.9:80");
+    bed.announce(u);
+    bed.announce(reuse);
+    flow_decision_t d = bed.packet(FlowBed::data(7, FEED, 0x11, 1, 1));
+    EXPECT_EQ(d.action, FLOW_FORWARD);
+    EXPECT_TRUE(addr_eq(&d.to, &u.addr));
+    u.started_ms -= 1000; /* the former process */
+    u.addr = reuse.addr;
+    EXPECT_EQ(bed.announce(u), -ESTALE);
+}
+
+/* ---- Entries of other writers ---- */
+
+/* Guards against: an unreadable entry under another key that withdraws the
+ * upstream with the same id. */
+TEST_F(Flow, TheEndOfAnotherEntryLeavesAnUpstreamListed)
+{
+    flowset_remove_upstream(bed.flows, bed.now, 0x11, 99);
+    EXPECT_TRUE(bed.probes.empty());
+    EXPECT_EQ(bed.stats()->usable, 3u);
+}
+
+/* Guards against: an entry that takes the flows of an upstream by announcing
+ * its id at another address. */
+TEST_F(Flow, ASecondEntryWithTheSameIdIsIgnored)
+{
+    uint32_t caller = open_at(0x11, 1);
+    flow_upstream_t other = FlowBed::upstream(0x11, "svc", "dc-a");
+
+    other.entry = 99;
+    other.addr = address("10.0.9.9:80");
+    EXPECT_EQ(bed.announce(other), -EEXIST);
+    EXPECT_TRUE(bed.resets.empty());
+    flow_decision_t d =
+        bed.packet(FlowBed::data((int)caller, FEED, 0x11, 1001, 100));
+    EXPECT_FALSE(addr_eq(&d.to, &other.addr));
+    /* It may take the id over once the first announcement has ended. */
+    flowset_remove_upstream(bed.flows, bed.now, 0x11, 0);
+    EXPECT_EQ(bed.announce(other), 0);
+}
+
 /* ---- Reach ---- */
 
 /* A caller also retransmits after packet loss.  If the probe is answered,
@@ -505,7 +640,7 @@
     EXPECT_EQ(bed.packet(FlowBed::syn(2, NO_ROUTE, 1)).action, FLOW_DROP);
     EXPECT_EQ(bed.packet(FlowBed::syn(3, NO_ROUTE)).action, FLOW_RESET);
     for (uint64_t id : {0x11, 0x12, 0x21}) {
-        flowset_remove_upstream(bed.flows, bed.now, id);
+        flowset_remove_upstream(bed.flows, bed.now, id, 0);
         bed.probed(id, PROBE_REFUSED);
     }
     late.service = address(FEED);
@@ -862,7 +997,7 @@
 
     bed.routes(1, {{FEED, "svc", true}});
     bed.announce(FlowBed::upstream(0x11, "svc", "dc-a"));
-    flowset_remove_upstream(bed.flows, bed.now, 0x11);
+    flowset_remove_upstream(bed.flows, bed.now, 0x11, 0);
     bed.probed(0x11, PROBE_REFUSED);
     bed.advance(80000);
     EXPECT_EQ(bed.stats()->upstreams, 1u);
@@ -952,7 +1087,7 @@
     flow_upstream_t leaving = FlowBed::upstream(0x12, "svc", "dc-a");
     leaving.draining = true;
     bed.announce(leaving);
-    flowset_remove_upstream(bed.flows, bed.now, 0x13);
+    flowset_remove_upstream(bed.flows, bed.now, 0x13, 0);
     flowset_evacuate(bed.flows, "dc-a", false, 0);
     flowset_evacuate(bed.flows, "dc-a", true, 0); /* within a second */
     flowset_evacuate(bed.flows, "dc-a", false, 0);
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -4,6 +4,7 @@
 
 #include <errno.h>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 #include <string>
 #include <vector>
 
@@ -181,6 +182,156 @@
     }
 }
 
+/* Guards against: two entries whose keys end in the same id being taken for
+ * one. */
+TEST(Items, KeysWithTheSameIdAreDistinctEntries)
+{
+    store_event_t a, b, gone;
+    err_t e = {};
+    const char *value = R"({"service":"a","address":"10.0.0.1:80",)"
+                        R"("zone":"z","state":"ready"})";
+
+    ASSERT_EQ(event(&a, "servers/i-ff", value, &e), 0);
+    ASSERT_EQ(event(&b, "servers/j-ff", value, &e), 0);
+    ASSERT_EQ(event(&gone, "servers/j-ff", nullptr, &e), 0);
+    EXPECT_EQ(a.upstream.id, b.upstream.id);
+    EXPECT_NE(a.upstream.entry, b.upstream.entry);
+    EXPECT_EQ(gone.entry, b.upstream.entry);
+}
+
+/* ---- Generated entries ---- */
+
+static const char *const VALID =
+    R"({"service":"a","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+    R"("slots":2,"state":"ready","warmup_left_ms":0,"sequence":4,)"
+    R"("born":1772060000000})";
+
+static std::string
+json_value()
+{
+    switch (*rc::gen::inRange(0, 8)) {
+    case 0:
+        return "null";
+    case 1:
+        return std::to_string(*rc::gen::arbitrary<int64_t>());
+    case 2:
+        return "-1e999";
+    case 3:
+        return "\"" + std::string(*rc::gen::inRange(0, 300), 'x') + "\"";
+    case 4:
+        return "\"\\n ERROR forged: line\"";
+    case 5:
+        return std::string(*rc::gen::inRange(1, 30000), '[');
+    case 6:
+        return "{\"a\":[true,{}]}";
+    default:
+        return "\"ready\"";
+    }
+}
+
+/* An entry as another writer may leave it: fields missing or of another type,
+ * a service or state that isn't known, bytes that are no JSON, 64 kB. */
+static std::string
+foreign_value()
+{
+    std::string text = "{";
+
+    switch (*rc::gen::inRange(0, 4)) {
+    case 0:
+        return *rc::gen::string<std::string>();
+    case 1:
+        return std::string(64 * 1024, *rc::gen::element('[', '{', '"', 'x'));
+    default:
+        break;
+    }
+    for (const char *field : {"service", "address", "zone", "state", "slots",
+                              "warmup_left_ms", "sequence", "born"}) {
+        int kind = *rc::gen::inRange(0, 10);
+        const char *good = strstr(VALID, field);
+        size_t len = strcspn(strchr(good, ':') + 1, ",}");
+        if (kind > 0) {
+            text += text.size() > 1 ? "," : "";
+            text += "\"" + std::string(field) + "\":" +
+                    (kind < 4 ? json_value()
+                              : std::string(strchr(good, ':') + 1, len));
+        }
+    }
+    return text + "}";
+}
+
+/* Guards against: a foreign entry that crashes the decoder, names an upstream
+ * without all it needs, or changes what is known of another upstream. */
+RC_GTEST_PROP(ForeignEntries, HarmNoOther, ())
+{
+    FlowBed bed;
+    store_event_t ev;
+    err_t e = {};
+
+    bed.routes(1, {{"198.18.0.1:443", "a", true}});
+    RC_ASSERT(event(&ev, "servers/i-0a", VALID, &e) == 0);
+    bed.announce(ev.upstream);
+    for (int n = *rc::gen::inRange(1, 12); n > 0; n--) {
+        bool same_id = *rc::gen::arbitrary<bool>();
+        bool removed = *rc::gen::inRange(0, 5) == 0;
+        std::string value = foreign_value();
+        int rc = event(&ev, same_id ? "servers/j-0a" : "servers/i-0b",
+                       removed ? nullptr : value.c_str(), &e);
+        RC_ASSERT(rc == 0 || rc == -EINVAL);
+        RC_ASSERT(strlen(e.text) < sizeof(e.text));
+        switch (ev.kind) {
+        case STORE_UPSTREAM:
+            RC_ASSERT(ev.upstream.service[0] != '\0');
+            RC_ASSERT(ev.upstream.slots >= 1u);
+            RC_ASSERT(ev.upstream.warm_up_ms >= 0);
+            ev.upstream.addr = address("10.0.0.2:80");
+            bed.announce(ev.upstream);
+            break;
+        case STORE_UPSTREAM_GONE:
+            flowset_remove_upstream(bed.flows, bed.now, ev.id, ev.entry);
+            break;
+        default:
+            RC_FAIL("unexpected event");
+        }
+        bed.advance(100);
+    }
+    for (const flow_out_t &p : bed.probes) {
+        RC_ASSERT(p.upstream != 0x0au);
+    }
+    flow_decision_t d =
+        bed.packet(FlowBed::data(1, "198.18.0.1:443", 0x0a, 1, 1));
+    addr_t expected = address("10.0.0.1:80");
+    RC_ASSERT(d.action == FLOW_FORWARD);
+    RC_ASSERT(addr_eq(&d.to, &expected));
+    RC_ASSERT(bed.stats()->usable >= 1u);
+}
+
+/* Guards against: an upstream that stays lost, or loses its open flows, after
+ * its entry was unreadable for a moment. */
+TEST(ForeignEntries, AnUnreadableEntryThatTurnsValidAgainIsServed)
+{
+    FlowBed bed;
+    store_event_t ev;
+    err_t e = {};
+
+    bed.routes(1, {{"198.18.0.1:443", "a", true}});
+    ASSERT_EQ(event(&ev, "servers/i-0a", VALID, &e), 0);
+    bed.announce(ev.upstream);
+    ASSERT_EQ(bed.open(1, "198.18.0.1:443"), 0x0au);
+    ASSERT_EQ(event(&ev, "servers/i-0a", "{\"state\":", &e), -EINVAL);
+    flowset_remove_upstream(bed.flows, bed.now, ev.id, ev.entry);
+    bed.probed(0x0a, PROBE_ANSWERED);
+    bed.advance(5000);
+    EXPECT_EQ(bed.packet(FlowBed::syn(2, "198.18.0.1:443")).reason,
+              FLOW_NO_UPSTREAM);
+    EXPECT_EQ(
+        bed.packet(FlowBed::data(1, "198.18.0.1:443", 0x0a, 1001, 9)).action,
+        FLOW_FORWARD);
+    EXPECT_TRUE(bed.resets.empty());
+    ASSERT_EQ(event(&ev, "servers/i-0a", VALID, &e), 0);
+    bed.announce(ev.upstream);
+    EXPECT_EQ(bed.packet(FlowBed::syn(3, "198.18.0.1:443")).upstream, 0x0au);
+}
+
 TEST(Items, KeysWithoutAnUpstreamIdYieldNoUpstream)
 {
     for (const char *key : {"servers/", "servers/i-", "servers/i-xyz",
