flow/directory: withdraw an upstream in constant time

Cause: upstream_withdraw() searched the service's group, and upstream_offer() calls it for each announcement, so that announcing n upstreams of a service cost n squared. The bench has a column for announcements and for what runs twice a second.

--- a/bench/flow_bench.c
+++ b/bench/flow_bench.c
@@ -13,6 +13,7 @@
 #include <time.h>
 
 #define PACKETS 400000
+#define TICKS 100
 
 static void
 ignore_output(void *arg, const flow_out_t *out)
@@ -107,6 +108,20 @@
     return (cpu_us() - start) / PACKETS;
 }
 
+/* Returns the processor time in us of what runs twice a second without
+ * traffic. */
+static double
+time_ticks(flowset_t *f)
+{
+    double start = cpu_us();
+
+    for (ms_t i = 0; i < TICKS; i++) {
+        flowset_tick(f, 500 * i);
+        flowset_stats(f);
+    }
+    return (cpu_us() - start) / TICKS;
+}
+
 static void
 print_row(uint32_t upstreams, uint32_t services, uint32_t n_routes,
           uint32_t flows)
@@ -117,19 +132,24 @@
                               .emit = ignore_output};
     size_t base = heap_used(), after_routes, after_upstreams, after_flows;
     flowset_t *f = flowset_new(&spec);
-    double open_us, later_us;
+    double announce_us, tick_us, open_us, later_us;
 
     flowset_set_conf(f, 0, make_routes(n_routes, services));
     after_routes = heap_used();
+    announce_us = cpu_us();
     announce(f, upstreams, services);
+    announce_us = (cpu_us() - announce_us) / upstreams;
     after_upstreams = heap_used();
+    tick_us = time_ticks(f);
     open_us = time_packets(f, flows, n_routes, true);
     after_flows = heap_used();
     later_us = time_packets(f, flows, n_routes, false);
-    printf("%9u %8u %7u %7u %8.0f %9.0f %8.0f %9.2f %9.2f\n", upstreams,
-           services, n_routes, flows, (double)(after_routes - base) / n_routes,
+    printf("%9u %8u %7u %7u %8.0f %9.0f %8.0f %11.2f %8.1f %9.2f %9.2f\n",
+           upstreams, services, n_routes, flows,
+           (double)(after_routes - base) / n_routes,
            (double)(after_upstreams - after_routes) / upstreams,
-           (double)(after_flows - after_upstreams) / flows, open_us, later_us);
+           (double)(after_flows - after_upstreams) / flows, announce_us,
+           tick_us, open_us, later_us);
     flowset_free(f);
 }
 
@@ -137,11 +157,13 @@
 main(void)
 {
     printf("# bytes each, and processor time in microseconds a packet\n");
-    printf("%9s %8s %7s %7s %8s %9s %8s %9s %9s\n", "upstreams", "services",
-           "routes", "flows", "B/route", "B/upstr.", "B/flow", "us/open",
-           "us/later");
+    printf("%9s %8s %7s %7s %8s %9s %8s %11s %8s %9s %9s\n", "upstreams",
+           "services", "routes", "flows", "B/route", "B/upstr.", "B/flow",
+           "us/announce", "us/tick", "us/open", "us/later");
     print_row(18, 2, 115, 300);
     print_row(150, 2, 250, 2000);
+    print_row(10000, 2, 250, 2000);
+    print_row(120000, 2, 250, 2000);
     print_row(1500, 20, 1000, 10000);
     print_row(15000, 200, 4000, 31000);
     print_row(120000, 1000, 18000, 31000);
--- a/flow/directory.c
+++ b/flow/directory.c
@@ -118,6 +118,7 @@
     u->alive_at = u->refused_at = u->grace_until = -MS_NEVER;
     list_init(&u->records);
     list_init(&u->due);
+    u->position = NOT_OFFERED;
     list_append(&f->upstreams, &u->all);
     index_add(&f->by_id, &u->by_id, hash_mix(a->id, 0));
     index_add(&f->by_addr, &u->by_addr, addr_hash(&a->addr));
@@ -160,7 +161,8 @@
         return -ENOMEM;
     }
     g->up = grown;
-    g->up[g->n++] = u;
+    u->position = g->n++;
+    g->up[u->position] = u;
     return 0;
 }
 
@@ -169,12 +171,12 @@
 {
     group_t *g = u->group;
 
-    for (uint32_t i = 0; i < g->n; i++) {
-        if (g->up[i] == u) {
-            g->up[i] = g->up[--g->n];
-            return;
-        }
+    if (u->position == NOT_OFFERED) {
+        return;
     }
+    g->up[u->position] = g->up[--g->n];
+    g->up[u->position]->position = u->position;
+    u->position = NOT_OFFERED;
 }
 
 int
--- a/flow/state.h
+++ b/flow/state.h
@@ -78,6 +78,8 @@
     limit_t limit;
 } group_t;
 
+#define NOT_OFFERED UINT32_MAX
+
 typedef struct upstream {
     flow_upstream_t a; /* as announced */
     entry_t by_id, by_tag, by_addr;
@@ -85,11 +87,12 @@
     link_t records; /* flows to this upstream seen by this instance */
     link_t due;     /* flowset_t.suspects, if a probe is due or under way */
     service_t *service;
-    group_t *group; /* of SERVICE */
-    bool local;     /* in this instance's data centre */
-    bool listed;    /* currently announced */
-    bool evacuated; /* its data centre is evacuated: no new flows */
-    bool tag_taken; /* an older upstream has the same tag: no new flows */
+    group_t *group;    /* of SERVICE */
+    uint32_t position; /* in group->up; NOT_OFFERED */
+    bool local;        /* in this instance's data centre */
+    bool listed;       /* currently announced */
+    bool evacuated;    /* its data centre is evacuated: no new flows */
+    bool tag_taken;    /* an older upstream has the same tag: no new flows */
     int64_t former_started_ms; /* start of its former process under this id;
                                 * 0: none */
     ms_t unlisted_at;
