flow: count usable upstreams as they change

Now the number of usable upstreams follows each change, and unlisted ones are kept in the order of their expiry. Ruled out: walking them less often, which makes the metrics older. The property of usable upstreams is new; the model's assertion on draining ones evaluated both sides of a condition and listed an upstream that was not: the same check, with the condition computed before.

--- a/flow/directory.c
+++ b/flow/directory.c
@@ -118,6 +118,7 @@
     u->alive_at = u->refused_at = u->grace_until = -MS_NEVER;
     list_init(&u->records);
     list_init(&u->due);
+    list_init(&u->lapsed);
     u->position = NOT_OFFERED;
     list_append(&f->upstreams, &u->all);
     index_add(&f->by_id, &u->by_id, hash_mix(a->id, 0));
@@ -137,6 +138,8 @@
     u->service->n_evacuated -= u->evacuated;
     list_remove(&u->all);
     list_remove(&u->due);
+    list_remove(&u->lapsed);
+    f->n_usable -= u->usable;
     index_remove(&f->by_id, &u->by_id);
     index_remove(&f->by_addr, &u->by_addr);
     if (!u->tag_taken) {
@@ -146,6 +149,29 @@
     free(u);
 }
 
+void
+upstream_count_usable(flowset_t *f, upstream_t *u)
+{
+    bool usable =
+        u->listed && !u->a.draining && !u->evacuated && u->reach == REACH_GOOD;
+
+    f->n_usable += usable;
+    f->n_usable -= u->usable;
+    u->usable = usable;
+}
+
+void
+upstream_set_listed(flowset_t *f, upstream_t *u, bool listed, ms_t now)
+{
+    u->listed = listed;
+    list_remove(&u->lapsed);
+    if (!listed) {
+        u->unlisted_at = now;
+        list_append(&f->unlisted, &u->lapsed);
+    }
+    upstream_count_usable(f, u);
+}
+
 int
 upstream_offer(upstream_t *u)
 {
@@ -180,12 +206,13 @@
 }
 
 int
-upstream_evacuate(upstream_t *u, bool evacuated)
+upstream_evacuate(flowset_t *f, upstream_t *u, bool evacuated)
 {
     if (u->evacuated == evacuated) {
         return 0;
     }
     u->evacuated = evacuated;
+    upstream_count_usable(f, u);
     if (evacuated) {
         u->service->n_evacuated++;
         upstream_withdraw(u);
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -29,6 +29,7 @@
     list_init(&f->pending);
     list_init(&f->slow);
     list_init(&f->suspects);
+    list_init(&f->unlisted);
     if (index_init(&f->by_id) < 0 || index_init(&f->by_tag) < 0 ||
         index_init(&f->by_addr) < 0 || index_init(&f->by_key) < 0 ||
         index_init(&f->by_name) < 0) {
@@ -138,8 +139,7 @@
 static void
 retire_upstream(flowset_t *f, ms_t now, upstream_t *u)
 {
-    u->listed = false;
-    u->unlisted_at = now;
+    upstream_set_listed(f, u, false, now);
     upstream_withdraw(u);
     reach_dead(f, now, u, "its address is another upstream's now");
 }
@@ -225,7 +225,7 @@
         retire_upstream(f, now, u);
         return 0;
     }
-    u->listed = true;
+    upstream_set_listed(f, u, true, now);
     reach_announced(f, now, u);
     return upstream_offer(u);
 }
@@ -233,8 +233,7 @@
 static void
 unlist(flowset_t *f, ms_t now, upstream_t *u)
 {
-    u->listed = false;
-    u->unlisted_at = now;
+    upstream_set_listed(f, u, false, now);
     /* The upstream has left or died, or its announcement lapsed: probe it, so
      * that callers with idle flows don't have to find out by a timeout. */
     reach_request_probe(f, now, u, "the announcement was removed");
@@ -281,7 +280,7 @@
     LIST_EACH (it, &f->upstreams) {
         upstream_t *u = CONTAINER_OF(it, upstream_t, all);
         if (strcmp(u->a.data_centre, data_centre) == 0) {
-            int failed = upstream_evacuate(u, evacuated);
+            int failed = upstream_evacuate(f, u, evacuated);
             rc = failed < 0 ? failed : rc;
             n++;
         }
@@ -399,9 +398,12 @@
 {
     ms_t expiry_ms = f->spec.flow_ttl_ms + EXPIRY_MARGIN_MS;
 
-    LIST_EACH (it, &f->upstreams) {
-        upstream_t *u = CONTAINER_OF(it, upstream_t, all);
-        if (!u->listed && !u->probing && now - u->unlisted_at > expiry_ms) {
+    LIST_EACH (it, &f->unlisted) {
+        upstream_t *u = CONTAINER_OF(it, upstream_t, lapsed);
+        if (now - u->unlisted_at <= expiry_ms) {
+            return;
+        }
+        if (!u->probing) {
             drop_upstream(f, u);
         }
     }
@@ -438,17 +440,13 @@
     s->upstreams = f->n_upstreams;
     s->records = f->n_records;
     s->evacuated = f->n_evacuated;
-    s->usable = s->limits = 0;
+    s->usable = f->n_usable;
+    s->limits = 0;
     LIST_EACH (it, &f->services) {
         const service_t *v = CONTAINER_OF(it, service_t, link);
         s->limits += (v->local.limit.max_in_flight > 0) +
                      (v->remote.limit.max_in_flight > 0);
     }
-    LIST_EACH (it, &f->upstreams) {
-        const upstream_t *u = CONTAINER_OF(it, upstream_t, all);
-        s->usable += u->listed && !u->a.draining && !u->evacuated &&
-                     u->reach == REACH_GOOD;
-    }
     return s;
 }
 
--- a/flow/state.h
+++ b/flow/state.h
@@ -86,11 +86,13 @@
     link_t all;     /* flowset_t.upstreams */
     link_t records; /* flows to this upstream seen by this instance */
     link_t due;     /* flowset_t.suspects, if a probe is due or under way */
+    link_t lapsed;  /* flowset_t.unlisted, if not listed */
     service_t *service;
     group_t *group;    /* of SERVICE */
     uint32_t position; /* in group->up; NOT_OFFERED */
     bool local;        /* in this instance's data centre */
     bool listed;       /* currently announced */
+    bool usable;       /* counted in flowset_t.n_usable */
     bool evacuated;    /* its data centre is evacuated: no new flows */
     bool tag_taken;    /* an older upstream has the same tag: no new flows */
     int64_t former_started_ms; /* start of its former process under this id;
@@ -178,7 +180,8 @@
     index_t by_id, by_tag, by_addr, by_key, by_name;
     link_t upstreams, services, recent, suspects;
     link_t opening, pending, slow; /* records, by record_t.waiting */
-    uint32_t n_upstreams, n_records;
+    link_t unlisted; /* upstreams, least recently unlisted first */
+    uint32_t n_upstreams, n_usable, n_records;
     uint64_t self; /* this instance, among the warm-up instances */
     uint32_t n_warm_up_instances;
     uint64_t warm_up_instance[WARM_UP_INSTANCES_MAX];
@@ -206,11 +209,14 @@
 upstream_t *upstream_new(flowset_t *f, const flow_upstream_t *a);
 /* Frees U, which must have no records left. */
 void upstream_free(flowset_t *f, upstream_t *u);
+void upstream_set_listed(flowset_t *f, upstream_t *u, bool listed, ms_t now);
+/* Updates the number of usable upstreams after a change of U. */
+void upstream_count_usable(flowset_t *f, upstream_t *u);
 /* Adds U to its service's group if it is eligible. */
 int upstream_offer(upstream_t *u);
 void upstream_withdraw(upstream_t *u);
 /* Withdraws U for an evacuation, or offers it again. */
-int upstream_evacuate(upstream_t *u, bool evacuated);
+int upstream_evacuate(flowset_t *f, upstream_t *u, bool evacuated);
 
 /* ---- records.c ---- */
 
--- a/test/flow_prop_test.cc
+++ b/test/flow_prop_test.cc
@@ -10,7 +10,8 @@
  *     repeat its request;
  *   - a later packet goes to the upstream identified by its tag, or is not
  *     forwarded;
- *   - the counts of flows and requests at upstreams match the flows opened. */
+ *   - the counts of flows and requests at upstreams match the flows opened,
+ * and that of usable upstreams matches their states. */
 #include "test/flow_bed.h"
 
 #include <gtest/gtest.h>
@@ -34,6 +35,7 @@
     std::map<int, uint32_t> tag; /* tags of the callers' open flows */
     std::set<uint64_t> known;
     std::set<std::string> evacuated;
+    std::map<uint64_t, flow_reach_t> reach; /* as last emitted */
 
     explicit Model(uint64_t seed) : rng{seed, 0}
     {
@@ -136,7 +138,9 @@
                       bed.now - lapsed_at[d.upstream] < 2000;
         RC_ASSERT(is_listed || lapsed);
         if (d.reason == FLOW_CHOSEN) {
-            RC_ASSERT(!is_listed || !listed[d.upstream].draining);
+            /* RC_ASSERT evaluates both sides of a condition. */
+            bool draining = is_listed && listed[d.upstream].draining;
+            RC_ASSERT(!draining);
             RC_ASSERT(refused.count(d.upstream) == 0);
         }
         RC_ASSERT(d.tag == (uint32_t)d.upstream);
@@ -172,6 +176,24 @@
         }
     }
 
+    void
+    check_usable()
+    {
+        uint32_t usable = 0;
+
+        for (const flow_out_t &r : bed.reaches) {
+            reach[r.upstream] = r.reach.to;
+        }
+        bed.reaches.clear();
+        for (const auto &it : listed) {
+            usable +=
+                !it.second.draining &&
+                evacuated.count(it.second.data_centre) == 0 &&
+                (reach.count(it.first) == 0 || reach[it.first] == REACH_GOOD);
+        }
+        RC_ASSERT(bed.stats()->usable == usable);
+    }
+
     void
     step()
     {
@@ -201,6 +223,7 @@
             follow();
         }
         check_resets();
+        check_usable();
     }
 };
 
