flow/choice: take the median over the upstreams that answered last

Cause: the median of a service looked through all its upstreams for 64 with recent responses. An instance of a large fleet has responses from few, so that it walked all of them twice a second; and where more than 64 had answered, the first in the group's order counted, however old.

--- a/flow/choice.c
+++ b/flow/choice.c
@@ -35,7 +35,8 @@
  * lapse while the store is unavailable, and are back within two seconds. */
 #define UNLISTED_GRACE_MS 2000
 
-/* Upper bound of upstreams in the median response time of a service. */
+/* Upper bound of upstreams in the median response time of a service: those
+ * that responded last. */
 #define MEDIAN_MAX 64
 
 /* Preference of an upstream; lower is better. */
@@ -205,27 +206,22 @@
     return (x > y) - (x < y);
 }
 
-/* Appends the current latency averages of GROUP to MS at index N; returns the
- * new count. */
-static size_t
-collect_latencies(const group_t *group, ms_t now, double *ms, size_t n)
-{
-    for (uint32_t i = 0; i < group->n && n < MEDIAN_MAX; i++) {
-        const upstream_t *u = group->up[i];
-        if (u->answer_ms > 0 && now - u->answered_at <= LATENCY_MAX_AGE_MS) {
-            ms[n++] = u->answer_ms;
-        }
-    }
-    return n;
-}
-
 void
 choice_update_median(service_t *s, ms_t now)
 {
     double ms[MEDIAN_MAX];
-    size_t n = collect_latencies(&s->local, now, ms, 0);
+    size_t n = 0;
 
-    n = collect_latencies(&s->remote, now, ms, n);
+    for (link_t *it = s->answered.prev; it != &s->answered && n < MEDIAN_MAX;
+         it = it->prev) {
+        const upstream_t *u = CONTAINER_OF(it, upstream_t, answered);
+        if (now - u->answered_at > LATENCY_MAX_AGE_MS) {
+            break;
+        }
+        if (u->answer_ms > 0 && u->position != NOT_OFFERED) {
+            ms[n++] = u->answer_ms;
+        }
+    }
     qsort(ms, n, sizeof(*ms), cmp_double);
     s->answer_ms = n > 0 ? ms[n / 2] : 0;
 }
--- a/flow/decide.c
+++ b/flow/decide.c
@@ -81,6 +81,8 @@
          * 1 ms is added since 0 stands for no sample. */
         update_average(&r->up->answer_ms, LATENCY_WEIGHT, ms + 1);
         r->up->answered_at = now;
+        list_remove(&r->up->answered);
+        list_append(&r->up->service->answered, &r->up->answered);
         if (r->goal_ms > 0 && limit_on_response(&r->up->group->limit, now,
                                                 &r->up->service->baseline,
                                                 ms / (double)r->goal_ms,
--- a/flow/directory.c
+++ b/flow/directory.c
@@ -55,6 +55,7 @@
     s = calloc(1, sizeof(*s));
     if (s != NULL) {
         strncpy(s->name, name, sizeof(s->name) - 1);
+        list_init(&s->answered);
         list_append(&f->services, &s->link);
         index_add(&f->by_name, &s->by_name, hash);
     }
@@ -119,6 +120,7 @@
     list_init(&u->records);
     list_init(&u->due);
     list_init(&u->lapsed);
+    list_init(&u->answered);
     u->position = NOT_OFFERED;
     list_append(&f->upstreams, &u->all);
     index_add(&f->by_id, &u->by_id, hash_mix(a->id, 0));
@@ -139,6 +141,7 @@
     list_remove(&u->all);
     list_remove(&u->due);
     list_remove(&u->lapsed);
+    list_remove(&u->answered);
     f->n_usable -= u->usable;
     index_remove(&f->by_id, &u->by_id);
     index_remove(&f->by_addr, &u->by_addr);
--- a/flow/state.h
+++ b/flow/state.h
@@ -83,10 +83,11 @@
 typedef struct upstream {
     flow_upstream_t a; /* as announced */
     entry_t by_id, by_tag, by_addr;
-    link_t all;     /* flowset_t.upstreams */
-    link_t records; /* flows to this upstream seen by this instance */
-    link_t due;     /* flowset_t.suspects, if a probe is due or under way */
-    link_t lapsed;  /* flowset_t.unlisted, if not listed */
+    link_t all;      /* flowset_t.upstreams */
+    link_t records;  /* flows to this upstream seen by this instance */
+    link_t due;      /* flowset_t.suspects, if a probe is due or under way */
+    link_t lapsed;   /* flowset_t.unlisted, if not listed */
+    link_t answered; /* service_t.answered, if a response was seen */
     service_t *service;
     group_t *group;    /* of SERVICE */
     uint32_t position; /* in group->up; NOT_OFFERED */
@@ -130,6 +131,7 @@
                            * start; 0: not set */
     entry_t by_name;
     link_t link;           /* flowset_t.services */
+    link_t answered;       /* upstreams, least recent response first */
     group_t local, remote; /* in this data centre; in others */
     baseline_t baseline;
     double answer_ms; /* median of the upstreams' averages; 0: none.  A mean
