flow/reach: probe an upstream that leaves only where it has flows

Cause: each instance probed each upstream whose announcement ended: instances times upstreams, 986 x 200 for a scale-in of 2 % of the whole fleet, of which a thousandth of the flows pass an instance. Now an instance probes at once where it knows flows there, else at the first packet for it, whose flow a refusal resets as before. Ruled out: no probe at all; a flow that changed its instance would find out by a retransmission. Before: Flow.AnUpstreamWithoutFlowsHereIsProbedAtItsFirstPacket fails; after: passes. ALateOpeningWithoutUpstreamIsDropped let refused probes make its upstreams unusable; they now are by the end of their grace period, its checks are unchanged.

--- a/flow/decide.c
+++ b/flow/decide.c
@@ -177,6 +177,9 @@
         }
         return;
     }
+    if (!u->listed) {
+        reach_unlisted(f, now, u);
+    }
     forward(d, FLOW_BY_TAG, u);
     if (r != NULL && r->up != u) {
         record_move(r, u);
--- a/flow/flows.c
+++ b/flow/flows.c
@@ -235,8 +235,13 @@
 {
     upstream_set_listed(f, u, false, now);
     /* The upstream has left or died, or its announcement lapsed: probe it, so
-     * that callers with idle flows don't have to find out by a timeout. */
-    reach_request_probe(f, now, u, "the announcement was removed");
+     * that callers with idle flows don't have to find out by a timeout.
+     * Without flows seen here, the probe waits for the first packet: probes of
+     * all instances would add up to as many connections as there are
+     * instances. */
+    if (!list_empty(&u->records)) {
+        reach_unlisted(f, now, u);
+    }
 }
 
 void
--- a/flow/reach.c
+++ b/flow/reach.c
@@ -130,6 +130,14 @@
     }
 }
 
+void
+reach_unlisted(flowset_t *f, ms_t now, upstream_t *u)
+{
+    if (u->probed_at < u->unlisted_at) {
+        reach_request_probe(f, now, u, "the announcement was removed");
+    }
+}
+
 /* An announced upstream that was dead or unreachable may have restarted, or
  * the announcement may date from before its end.  A probe decides at once;
  * until then the upstream gets no new flows. */
--- a/flow/state.h
+++ b/flow/state.h
@@ -286,6 +286,8 @@
 /* Probes U regardless of recent packets from callers. */
 void reach_request_probe(flowset_t *f, ms_t now, upstream_t *u,
                          const char *why);
+/* Probes U, whose announcement is gone, unless it was probed since. */
+void reach_unlisted(flowset_t *f, ms_t now, upstream_t *u);
 /* U is announced for the first time or again. */
 void reach_announced(flowset_t *f, ms_t now, upstream_t *u);
 void reach_probed(flowset_t *f, ms_t now, upstream_t *u, flow_probe_t result);
