flow/reach: spread control probes over upstreams

Cause: the control of a probe was the upstream with the latest sign of life, of all in the order of the list. An instance of a large fleet has seen few, so that the first of the list won at every instance of a data centre, and each search walked all upstreams. Now recent flows' upstreams and a random sample are compared.

--- a/flow/reach.c
+++ b/flow/reach.c
@@ -22,6 +22,8 @@
 
 /* Probe timeout: several round trips between data centres. */
 #define PROBE_TIMEOUT_MS 100
+/* Upstreams compared for a control probe, of each kind. */
+#define CONTROL_SAMPLE 16
 /* Age at which a probe without a result is discarded. */
 #define PROBE_EXPIRY_MS (8 * PROBE_TIMEOUT_MS)
 /* Probe timeouts in a row that make an upstream unreachable.  A saturated link
@@ -219,21 +221,55 @@
     reset_all(f, now, u);
 }
 
-/* Selects an upstream for a control probe: healthy, local if possible, with
- * the most recent sign of life. */
+/* Returns the better control of BEST and C, which may be unsuitable: local if
+ * possible, with the most recent sign of life. */
 static upstream_t *
-control_for(const flowset_t *f, const upstream_t *u)
+better_control(upstream_t *best, upstream_t *c, const upstream_t *u)
+{
+    if (c == u || !c->listed || c->reach != REACH_GOOD || c->probing) {
+        return best;
+    }
+    return best == NULL || c->local > best->local ||
+                   (c->local == best->local && c->alive_at > best->alive_at)
+               ? c
+               : best;
+}
+
+/* Returns the best control of BEST and CONTROL_SAMPLE upstreams of GROUP from
+ * a random one on. */
+static upstream_t *
+sample_controls(flowset_t *f, const group_t *group, upstream_t *best,
+                const upstream_t *u)
+{
+    uint32_t n = group->n < CONTROL_SAMPLE ? group->n : CONTROL_SAMPLE;
+    uint32_t at = n > 0 ? rng_below(&f->rng, group->n) : 0;
+
+    for (uint32_t i = 0; i < n; i++) {
+        best = better_control(best, group->up[(at + i) % group->n], u);
+    }
+    return best;
+}
+
+/* Selects a healthy upstream for a control probe, from those of the most
+ * recent flows and from random ones: a fixed order would make all instances
+ * probe the same upstream. */
+static upstream_t *
+control_for(flowset_t *f, const upstream_t *u)
 {
     upstream_t *best = NULL;
+    int n = 0;
 
-    LIST_EACH (it, &f->upstreams) {
-        upstream_t *c = CONTAINER_OF(it, upstream_t, all);
-        if (c == u || !c->listed || c->reach != REACH_GOOD || c->probing) {
-            continue;
+    for (link_t *it = f->recent.prev; it != &f->recent && n < CONTROL_SAMPLE;
+         it = it->prev, n++) {
+        best = better_control(best, CONTAINER_OF(it, record_t, recent)->up, u);
+    }
+    LIST_EACH (it, &f->services) {
+        service_t *s = CONTAINER_OF(it, service_t, link);
+        if (best == NULL || !best->local) {
+            best = sample_controls(f, &s->local, best, u);
         }
-        if (best == NULL || c->local > best->local ||
-            (c->local == best->local && c->alive_at > best->alive_at)) {
-            best = c;
+        if (best == NULL) {
+            best = sample_controls(f, &s->remote, best, u);
         }
     }
     return best;
--- a/test/flow_bed.h
+++ b/test/flow_bed.h
@@ -22,11 +22,12 @@
     flowset_t *flows;
     std::vector<flow_out_t> resets, probes, reaches, limits;
 
-    explicit FlowBed(const char *data_centre = "dc-a", uint32_t records = 4096)
+    explicit FlowBed(const char *data_centre = "dc-a", uint32_t records = 4096,
+                     uint64_t seed = 7)
     {
         flow_spec_t spec = {};
         spec.data_centre = data_centre;
-        spec.seed = 7;
+        spec.seed = seed;
         spec.records_max = records;
         spec.emit = on_emit;
         spec.arg = this;
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -819,6 +819,32 @@
     probe_with_controls(PROBE_TIMED_OUT, PROBE_ANSWERED);
 }
 
+/* Guards against: an upstream that gets the control probes of all instances of
+ * a data centre, since it is the first of their lists. */
+TEST(FlowControls, InstancesProbeDifferentUpstreams)
+{
+    std::map<uint64_t, int> controls;
+
+    for (uint64_t seed = 1; seed <= 60; seed++) {
+        FlowBed bed("dc-a", 4096, seed);
+        bed.routes(1, {{FEED, "svc", true}});
+        for (uint64_t id = 0x11; id < 0x11 + 100; id++) {
+            bed.announce(FlowBed::upstream(id, "svc", "dc-a"));
+        }
+        uint64_t suspect = bed.open(1, FEED);
+        bed.now += 500;
+        bed.packet(FlowBed::data(1, FEED, (uint32_t)suspect, 1001, 100));
+        bed.now += 200;
+        bed.packet(FlowBed::data(1, FEED, (uint32_t)suspect, 1001, 100));
+        bed.probed(suspect, PROBE_TIMED_OUT);
+        ASSERT_EQ(bed.probes.size(), 3u);
+        controls[bed.probes[2].upstream]++;
+    }
+    for (const auto &c : controls) {
+        EXPECT_LE(c.second, 6) << c.first;
+    }
+}
+
 /* A burst of uploads saturates a small instance's link for a minute: a third
  * of its probes time out, whatever the upstream.  Among thousands, three in a
  * row time out by chance repeatedly, each with an answered control probe.  No
