tagged/replica: keep removals in proportion to the replica

Cause: 256 removed items were kept whatever the size, half of them after a pruning: 1.4 s of a release that replaces 89 upstreams a second. A follower further behind received the whole list, 10,000 items, which it has. Now an eighth of the items is kept where that is more; memory grows by an eighth of the keys at most. Ruled out: a longer fixed list (a constant that the next size meets); bounds by time (a revision has no time). Before: Replica.LargerReplicasKeepMoreRemovals fails; after: passes.

--- a/tagged/replica.c
+++ b/tagged/replica.c
@@ -8,9 +8,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Limit of the removed items kept; beyond it the older half is dropped.  A
- * peer that misses a dropped one receives the whole replica. */
-#define REMOVED_MAX 256
+/* Limit of the removed items kept, whatever the replica's size, and as a share
+ * of its items; beyond both the older half is dropped.  A peer that misses a
+ * dropped one receives the whole replica, which costs more the larger it is,
+ * and large fleets replace more upstreams a second. */
+#define REMOVED_MIN 256
+#define REMOVED_SHARE 0.125
 
 struct replica {
     pthread_mutex_t lock;
@@ -134,29 +137,59 @@
     return (x > y) - (x < y);
 }
 
-/* Drops the older half of the removed items. */
-static void
-prune_removed(replica_t *r)
+static size_t
+removed_max(const replica_t *r)
 {
-    uint64_t revision[REMOVED_MAX + 1], limit;
+    size_t share = (size_t)(REMOVED_SHARE * (double)r->items.n);
+
+    return share > REMOVED_MIN ? share : REMOVED_MIN;
+}
+
+/* Returns the median revision of the removed items; 0 without memory. */
+static uint64_t
+median_removal(const replica_t *r)
+{
+    uint64_t *revision = malloc(r->n_removed * sizeof(*revision));
+    uint64_t median = 0;
     size_t n = 0;
 
-    if (r->n_removed <= REMOVED_MAX) {
-        return;
+    if (revision == NULL) {
+        return 0;
     }
-    for (size_t i = 0; i < r->items.n && n <= REMOVED_MAX; i++) {
+    for (size_t i = 0; i < r->items.n; i++) {
         if (r->items.item[i].value == NULL) {
             revision[n++] = r->items.item[i].revision;
         }
     }
     qsort(revision, n, sizeof(*revision), cmp_revision);
-    limit = revision[n / 2];
-    for (size_t i = r->items.n; i-- > 0;) {
-        if (r->items.item[i].value == NULL &&
-            r->items.item[i].revision <= limit) {
-            remove_item_at(r, i);
+    median = revision[n / 2];
+    free(revision);
+    return median;
+}
+
+/* Drops the older half of the removed items, if there are too many.  Without
+ * memory they are kept until the next call. */
+static void
+prune_removed(replica_t *r)
+{
+    uint64_t limit;
+    size_t kept = 0;
+
+    if (r->n_removed <= removed_max(r)) {
+        return;
+    }
+    limit = median_removal(r);
+    for (size_t i = 0; i < r->items.n; i++) {
+        store_item_t *it = &r->items.item[i];
+        if (it->value == NULL && it->revision <= limit) {
+            r->n_removed--;
+            free(it->key);
+        }
+        else {
+            r->items.item[kept++] = *it;
         }
     }
+    r->items.n = kept;
     r->complete_after = limit > r->complete_after ? limit : r->complete_after;
 }
 
--- a/test/replica_test.cc
+++ b/test/replica_test.cc
@@ -152,6 +152,27 @@
     store_items_free(&out);
 }
 
+/* Guards against: a peer that is a few seconds behind and receives a whole
+ * large replica, since a fleet that replaces its upstreams one after the other
+ * removes hundreds a second. */
+TEST_F(Replica, LargerReplicasKeepMoreRemovals)
+{
+    Items all(20000, true);
+
+    for (uint64_t i = 1; i <= 10000; i++) {
+        all.add(("k" + std::to_string(i)).c_str(), "1", i);
+    }
+    merge(all);
+    for (uint64_t i = 1; i <= 500; i++) {
+        merge(Items(20000 + i).add(("k" + std::to_string(i)).c_str(), nullptr,
+                                   20000 + i));
+    }
+    store_items_t out = text(20000);
+    EXPECT_FALSE(out.is_snapshot);
+    EXPECT_EQ(out.n, 500u);
+    store_items_free(&out);
+}
+
 TEST_F(Replica, AgeIncludesSourceAge)
 {
     Items items(10, true);
