--- a/test/tagged_herd.sh
+++ b/test/tagged_herd.sh
@@ -83,6 +83,16 @@
     start_all
     check_list_reads 10
 
+    echo "## The same with a slow store: the others wait for their peers"
+    for n in $(seq $instances); do
+        signal "i$n" KILL
+        ended "i$n" 2>/dev/null
+    done
+    switch slow_ms=600
+    start_all
+    check_list_reads 10
+    switch slow_ms=0
+
     echo "## A long answer is packed, and whole for one that takes no packed ones"
     curl -s -m 3 -H 'Accept-Encoding: zstd' -o packed \
         "http://$net.1:7002/replica?after=0"
