plat/http: read the replica of 240,000 upstreams

Cause: a body was limited to 8 MB. As JSON, the replica of 32,000 upstreams is longer, as msgpack that of 90,000; the answer of a peer then fails, each time, and every instance reads the list from the store. Now 32 MB; 120,000 upstreams are 11 MB and twice as many 22 (docs/CAPACITY.md has the slope). The buffer of a long body is freed before the next call, of which each client kept one for ever. Before: Http.TheReplicaOfALargeFleetIsRead fails; after: passes.

--- a/plat/http.c
+++ b/plat/http.c
@@ -9,7 +9,11 @@
 #include <string.h>
 
 #define CONNECT_TIMEOUT_MS 1000
-#define REPLY_MAX (8 * 1024 * 1024)
+/* Limit of a body; above the replica of 240,000 upstreams as a peer sends it.
+ */
+#define REPLY_MAX (32 * 1024 * 1024)
+/* A longer buffer is freed before the next call: long answers are rare. */
+#define KEPT_BODY_MAX (64 * 1024)
 
 struct http {
     CURLM *multi; /* runs CURL and keeps its connection open */
@@ -240,6 +244,11 @@
 
     *r = (http_reply_t){0};
     h->len = 0;
+    if (h->cap > KEPT_BODY_MAX) {
+        free(h->body);
+        h->body = NULL;
+        h->cap = 0;
+    }
     if (append_body("", 0, 0, h) != 0 || h->body == NULL) {
         return err_set(e, -ENOMEM, call->step, h->url, "Out of memory.");
     }
