tagged/check: try the next peer sooner at the start

Cause: an instance without data gave a peer that is not up yet 120 ms to accept the connection, and paused for 30 ms more. Now 30 ms, doubling with each failure in a row, and the pause counts from the start of the attempt. Ruled out: several attempts at once (more load at the seeds). No test: what it shortens is time.

--- a/tagged/check.c
+++ b/tagged/check.c
@@ -68,15 +68,18 @@
     }
 }
 
+/* Returns the pause after a check that began at BEGUN.  A start without data
+ * waits for nothing but the poll period, which a failed connection may have
+ * used up. */
 static ms_t
-pause_ms(tagged_t *t)
+pause_ms(tagged_t *t, ms_t begun)
 {
-    ms_t ms;
+    ms_t ms, left = begun + START_POLL_MS - clock_now();
 
     pthread_mutex_lock(&t->follow_lock);
     ms = sources_check_period_ms(&t->sources);
     pthread_mutex_unlock(&t->follow_lock);
-    return tagged_has_replicas(t) ? ms : START_POLL_MS;
+    return tagged_has_replicas(t) ? ms : left > 0 ? left : 0;
 }
 
 void
@@ -86,8 +89,9 @@
     peer_client_t c = {.http = NULL};
 
     while (!duty_stopping(self)) {
+        ms_t begun = clock_now();
         check_once(t, &c);
-        duty_wait(self, NULL, 0, pause_ms(t));
+        duty_wait(self, NULL, 0, pause_ms(t, begun));
     }
     peer_client_close(&c);
 }
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -249,8 +249,9 @@
 typedef struct {
     addr_t addr;
     void *http;
-    unsigned late_answers; /* consecutive timeouts */
-    bool needs_values;     /* a delta had another base: request full values */
+    unsigned late_answers;   /* consecutive timeouts */
+    unsigned start_failures; /* the same while this instance has no data */
+    bool needs_values; /* a delta had another base: request full values */
 } peer_client_t;
 
 /* Requests updates from the peer at A through the client C, which is reopened
--- a/tagged/updates.c
+++ b/tagged/updates.c
@@ -10,8 +10,10 @@
  * milliseconds away; a slower one is down, or no better than the store. */
 #define PEER_SLACK_MS 400
 /* Connect timeout at the start: a peer that is down does not answer, and other
- * peers are available. */
-#define START_CONNECT_MS 120
+ * peers are available.  It doubles with each failure in a row, up to the
+ * shift, for networks of longer round trips. */
+#define START_CONNECT_MS 30
+#define START_FAILURES_MAX 3
 /* Stall timeout of an answer that has begun. */
 #define PEER_STALL_MS 600
 /* Limit of the timeout's doublings.  The whole replica shares the sender's
@@ -211,6 +213,12 @@
     }
 }
 
+static ms_t
+connect_timeout(const peer_client_t *c, bool has_data)
+{
+    return has_data ? PEER_SLACK_MS : START_CONNECT_MS << c->start_failures;
+}
+
 /* Requests updates.  FROM is this instance's address as a follower, or "".
  * The caller parses the answer. */
 static int
@@ -222,8 +230,7 @@
     ms_t slack = has_data ? PEER_SLACK_MS : PEER_SLACK_MS << c->late_answers;
     http_call_t call = {.path = path,
                         .timeout_ms = wait_ms + slack,
-                        .connect_timeout_ms =
-                            has_data ? PEER_SLACK_MS : START_CONNECT_MS,
+                        .connect_timeout_ms = connect_timeout(c, has_data),
                         .stall_timeout_ms = PEER_STALL_MS,
                         .on_progress = has_data ? NULL : on_first_progress,
                         .arg = t,
@@ -245,9 +252,12 @@
     rc = http_call(c->http, &call, r, e);
     if (rc == -ETIMEDOUT) {
         c->late_answers += c->late_answers < LATE_MAX;
+        c->start_failures +=
+            !has_data && c->start_failures < START_FAILURES_MAX;
     }
     else if (rc == 0) {
         c->late_answers = 0;
+        c->start_failures = 0;
     }
     return rc;
 }
