tagged/watch: count only new parts of the list as progress

Cause: peers waited at most 10 s for an instance that reads the list; a store at 240 ms a page needs 12 s for 10,000 upstreams, after which all would read it together. The bound was there for an instance that starts to read it again and again. Ruled out: no bound (an answer of a peer that is cut off each time). Before: Watch.OnlyNewPartsOfTheListAreProgress fails; after: passes.

--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -220,6 +220,8 @@
     bool needs_resync;
     bool failed; /* the last call failed */
     ms_t progress_at;
+    size_t n_reading;  /* items before the page that is being read */
+    size_t n_read_max; /* items that failed attempts have read */
     watch_timing_t timing;
     ms_t backoff;
 } watch_t;
--- a/tagged/watch.c
+++ b/tagged/watch.c
@@ -49,15 +49,17 @@
 /* Keeps the replica current while an answer arrives: this instance is not cut
  * off from the store, and a follower that read the store itself would wait as
  * long.  Followers must not leave a source that is reading over a slow link.
- */
+ * A part of the list that was read before is no progress: peers would wait for
+ * an instance that starts again and again. */
 static void
 on_progress(void *watch)
 {
     watch_t *w = watch;
     replica_t *r = w->t->replica[w->topic];
     ms_t now = clock_now();
+    bool repeats = w->n_reading < w->n_read_max;
 
-    if (now - w->progress_at >= PROGRESS_MS) {
+    if (!repeats && now - w->progress_at >= PROGRESS_MS) {
         w->progress_at = now;
         replica_on_progress(r, now);
         duty_wake(kern_find(w->t->kern, "serve"));
@@ -229,12 +231,16 @@
         return list_operator_topic(w, e);
     }
     while (more) {
-        int rc = store_list_page(w->store, LIST_MS, &items, &more, e);
+        int rc;
+        w->n_reading = items.n;
+        rc = store_list_page(w->store, LIST_MS, &items, &more, e);
         if (rc < 0) {
             store_items_free(&items);
             return rc;
         }
+        w->n_read_max = items.n > w->n_read_max ? items.n : w->n_read_max;
     }
+    w->n_reading = w->n_read_max = 0;
     items.age = clock_now() - begun; /* complete as of its first page */
     return apply_answer(w, &items);
 }
--- a/test/watch_test.cc
+++ b/test/watch_test.cc
@@ -200,6 +200,27 @@
     EXPECT_EQ(replica_current_at(t->replica[TOPIC_OPERATOR]), 1);
 }
 
+/* Guards against: peers that wait for an instance which reads the first part
+ * of the list again and again. */
+TEST_F(Watch, OnlyNewPartsOfTheListAreProgress)
+{
+    for (size_t read_before : {0, 500}) {
+        SlowStore store;
+        open(store.url);
+        watch_init(&w, t, TOPIC_UPSTREAMS, 5000);
+        w.needs_resync = true;
+        w.n_read_max = read_before;
+        watch_once(&w);
+        EXPECT_TRUE(w.failed);
+        EXPECT_EQ(replica_progress_at(t->replica[TOPIC_UPSTREAMS]) > 1,
+                  read_before == 0);
+        if (read_before == 0) {
+            TearDown();
+            t = static_cast<tagged_t *>(calloc(1, sizeof(tagged_t)));
+        }
+    }
+}
+
 /* Guards against: an instance that follows peers after the store has failed,
  * and reports the store as down for ever. */
 TEST_F(Watch, RetriesFailedStoreUntilItAnswers)
