tagged/serve: bound what peers' connections cost, not their number

Cause: an announced instance is checked by a quarter of its data centre; at 875 instances a data centre that is 219 connections, 32 followers and the other leaders, over the 256 that it accepted, and each took 32 kB of buffers. While all start, requests beyond the 128 that may wait were answered at once, and repeated every 30 ms. Now a connection takes 4 kB (requests are short), 512 are accepted, 256 may wait, and an instance that is told that there is no data yet asks again after 300 ms, whether it waited there or not.

--- a/tagged/check.c
+++ b/tagged/check.c
@@ -12,7 +12,8 @@
 /* Poll period and long-poll timeout while this instance has no data.  An
  * instance that starts while the store is unavailable, or together with many
  * others, gets the data from a peer.  A peer that is itself starting answers
- * once it has data, or after START_ANSWER_MS. */
+ * once it has data, or after START_ANSWER_MS; if too many wait there, at once,
+ * and the poll is not repeated sooner. */
 #define START_POLL_MS 30
 #define START_ANSWER_MS 300
 
@@ -42,7 +43,8 @@
     return starting || rc == -ENODATA ? SOURCE_STARTING : SOURCE_FAILED;
 }
 
-static void
+/* Polls a peer; returns how long after its begin the next poll may begin. */
+static ms_t
 check_once(tagged_t *t, peer_client_t *c)
 {
     bool has_data = tagged_has_replicas(t);
@@ -52,7 +54,7 @@
     int rc;
 
     if (pick_peer(t, !has_data, &a) == NULL) {
-        return;
+        return START_POLL_MS;
     }
     rc = updates_poll(t, c, &a, !has_data ? START_ANSWER_MS : 0, &e);
     updates_record_answer(t, &a, classify_answer(rc, !has_data));
@@ -66,15 +68,16 @@
             (unsigned long long)replica_revision(t->replica[TOPIC_UPSTREAMS]),
             (unsigned long long)replica_revision(t->replica[TOPIC_OPERATOR]));
     }
+    return rc == -ENODATA ? START_ANSWER_MS : START_POLL_MS;
 }
 
-/* Returns the pause after a check that began at BEGUN.  A start without data
- * waits for nothing but the poll period, which a failed connection may have
- * used up. */
+/* Returns the pause after a check that began at BEGUN.  Without data it is
+ * what is left of START_PERIOD, which a failed connection or a long poll may
+ * have used up. */
 static ms_t
-pause_ms(tagged_t *t, ms_t begun)
+pause_ms(tagged_t *t, ms_t begun, ms_t start_period)
 {
-    ms_t ms, left = begun + START_POLL_MS - clock_now();
+    ms_t ms, left = begun + start_period - clock_now();
 
     pthread_mutex_lock(&t->follow_lock);
     ms = sources_check_period_ms(&t->sources);
@@ -90,8 +93,8 @@
 
     while (!duty_stopping(self)) {
         ms_t begun = clock_now();
-        check_once(t, &c);
-        duty_wait(self, NULL, 0, pause_ms(t, begun));
+        ms_t start_period = check_once(t, &c);
+        duty_wait(self, NULL, 0, pause_ms(t, begun, start_period));
     }
     peer_client_close(&c);
 }
--- a/tagged/serve.c
+++ b/tagged/serve.c
@@ -9,10 +9,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define CONNECTIONS_MAX 256
+/* An announced instance has those of its followers, of a quarter of its data
+ * centre, which checks with it, and of other leaders. */
+#define CONNECTIONS_MAX 512
+/* Memory of a connection: requests of peers and their headers are short. */
+#define CONNECTION_BYTES 4096
 #define IDLE_S 10
 /* Limit of suspended requests; further ones are answered at once. */
-#define WAITING_MAX 128
+#define WAITING_MAX 256
 #define WAIT_MAX_MS 10000
 /* A suspended request is answered without a change once the replica has been
  * confirmed this much later than at its suspension.  The peer's own followers
@@ -280,6 +284,7 @@
     http = MHD_start_daemon(
         flags, 0, NULL, NULL, on_request, t, MHD_OPTION_SOCK_ADDR,
         (struct sockaddr *)&ss, MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_BYTES,
         MHD_OPTION_CONNECTION_TIMEOUT, IDLE_S, MHD_OPTION_THREAD_STACK_SIZE,
         (size_t)STACK_BYTES, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1,
         MHD_OPTION_END);
