--- a/flow/choice.c
+++ b/flow/choice.c
@@ -222,8 +222,12 @@
             ms[n++] = u->answer_ms;
         }
     }
+    if (n == 0) {
+        s->answer_ms = 0;
+        return;
+    }
     qsort(ms, n, sizeof(*ms), cmp_double);
-    s->answer_ms = n > 0 ? ms[n / 2] : 0;
+    s->answer_ms = ms[n / 2];
 }
 
 /* Selects one of the route's targets at random, by weight. */
--- a/source/source.c
+++ b/source/source.c
@@ -13,8 +13,9 @@
  * peers are all down from reading it at the same time. */
 #define RESYNC_DELAY_MIN_MS 800
 #define RESYNC_JITTER_MS 800
-/* Longest wait for peers that make progress but deliver nothing: above the time
- * of a long list from a slow store, which a stampede would make slower still.
+/* Longest wait for peers that make progress but deliver nothing: above the
+ * time of a long list from a slow store, which a stampede would make slower
+ * still.
  */
 #define RESYNC_WAIT_MAX_MS 60000
 /* One of this many requests goes to a seed, of an instance without data that
--- a/source/source.h
+++ b/source/source.h
@@ -40,7 +40,7 @@
 extern "C" {
 #endif
 
-#define SOURCE_PEERS_MAX 128
+#define SOURCE_PEERS_MAX 256
 #define SOURCE_NAME_LEN 64
 
 /* Announced instances per data centre: the leader, and enough to replace it
