tagged: serve by a part of the first list until it is complete

Cause: after the loss of all, an instance opened no flow before it had the whole list, whose reading and parsing grow with the fleet: half a second of a fast instance for the 50 pages of 10,000 upstreams, then the transfer and decoding at all others, while a few hundred upstreams can run what the callers ask for. Now an instance that reads the list passes on a page of it each time that its position has doubled; instances without data get it from peers as they wait, open flows there, and keep packets of other flows (512, a second) until the list is complete. Upstreams of a part that the list lacks are withdrawn; without a complete list 1.5 s after the latest part, below the shortest time in which a change must apply, the instance stops serving. Ruled out: every page to all (50 answers to each of 1,000 instances); the same first page for all (a few hundred upstreams would get all callers of the fleet); dropping packets of unknown flows (their callers repeat them only after 200 ms and more).

--- a/tagged/answers.c
+++ b/tagged/answers.c
@@ -94,7 +94,8 @@
 {
     if (cached->packed != query->packed ||
         cached->differences != query->differences ||
-        cached->codec != query->codec || cached->whole != query->whole) {
+        cached->codec != query->codec || cached->part != query->part ||
+        cached->whole != query->whole) {
         return false;
     }
     return query->whole
@@ -112,8 +113,10 @@
     bool all = true;
 
     for (int i = 0; i < TOPICS; i++) {
-        text[i] = replica_text(r[i], now, query[i].after, lifetime_ms,
-                               query[i].differences, query[i].codec);
+        text[i] = query[i].part > 0
+                      ? replica_part_text(r[i], now, query[i].codec)
+                      : replica_text(r[i], now, query[i].after, lifetime_ms,
+                                     query[i].differences, query[i].codec);
         all = all && text[i].data != NULL;
     }
     if (all) {
@@ -175,11 +178,12 @@
 enum MHD_Result
 answers_reply(answers_t *a, replica_t *const r[TOPICS],
               struct MHD_Connection *c, const uint64_t after[TOPICS],
-              bool deltas, store_codec_t codec)
+              size_t part, bool deltas, store_codec_t codec)
 {
     answer_query_t query[TOPICS];
     struct MHD_Response *response;
     enum MHD_Result rc = MHD_NO;
+    size_t part_at = replica_part_at(r[TOPIC_UPSTREAMS]);
 
     for (int i = 0; i < TOPICS; i++) {
         query[i] = (answer_query_t){.packed = accepts_zstd(c),
@@ -189,6 +193,7 @@
                                     .after = after[i],
                                     .revision = replica_revision(r[i])};
     }
+    query[TOPIC_UPSTREAMS].part = part_at > part ? part_at : 0;
     pthread_mutex_lock(&a->lock);
     response = cached_response(a, r, clock_now(), query);
     if (response != NULL) {
--- a/tagged/packets.c
+++ b/tagged/packets.c
@@ -26,7 +26,11 @@
 typedef struct {
     tagged_t *t;
     flowset_t *flows;
-    bool serving; /* routes and upstreams are available: packets are read */
+    bool serving;  /* routes and upstreams are available: packets are read */
+    bool complete; /* the complete list of upstreams is known */
+    provisional_t provisional;
+    parked_t
+        parked; /* packets whose upstream may be in the rest of the list */
     probes_t probes;
     ms_t now;
     ms_t current_at; /* of the replica, when last read */
@@ -190,6 +194,55 @@
     flowset_probed(p->flows, p->now, upstream, result);
 }
 
+/* ---- Packets ---- */
+
+static void
+handle_packet(packets_t *p, uint8_t *data, size_t len, ms_t age)
+{
+    flow_packet_t in;
+    flow_decision_t d;
+
+    if (len > PACKET_MAX_LEN || packet_read(&in, data, len) < 0) {
+        counter_add(&p->t->count.unreadable, 1);
+        return;
+    }
+    in.age_ms = age;
+    flowset_packet(p->flows, p->now, &in, &d);
+    if (d.reason == FLOW_TAG_UNKNOWN && !p->complete) {
+        parked_add(&p->parked, p->now - age, data, len);
+        return;
+    }
+    log_decision(p, &in, &d);
+    switch (d.action) {
+    case FLOW_FORWARD:
+        if (in.opens) {
+            packet_set_tag(data, d.tag);
+        }
+        log_request(p, &in, &d, data, len);
+        sender_forward(p->sender, p->now, &in, data, len, &d);
+        return;
+    case FLOW_RESET:
+        sender_reset(p->sender, &in.caller, &in.service, in.ack);
+        return;
+    case FLOW_DROP:
+        return;
+    }
+}
+
+/* Handles the parked packets, once the list is complete. */
+static void
+replay_parked(packets_t *p)
+{
+    for (size_t i = 0; i < p->parked.n; i++) {
+        parked_packet_t *w = &p->parked.packet[i];
+        if (p->now - w->arrived <= START_BACKLOG_MS) {
+            handle_packet(p, w->data, w->len, p->now - w->arrived);
+        }
+    }
+    sender_flush(p->sender);
+    parked_free(&p->parked);
+}
+
 /* ---- Changes of the replica ---- */
 
 static void
@@ -303,11 +356,63 @@
              (long long)since, (unsigned long long)dropped);
 }
 
+/* ---- The first list of upstreams ---- */
+
+static void
+remove_provisional(void *packets, uint64_t id, uint64_t entry)
+{
+    packets_t *p = packets;
+
+    flowset_remove_upstream(p->flows, p->now, id, entry);
+}
+
+/* LIST is the complete list, which has been applied. */
+static void
+complete_list(packets_t *p, const changes_t *list)
+{
+    size_t n = p->provisional.n;
+    size_t removed =
+        provisional_end(&p->provisional, list, remove_provisional, p);
+
+    p->complete = true;
+    if (n > 0) {
+        log_line(LVL_INFO, "upstreams",
+                 "List complete. provisional=%zu removed=%zu parked=%zu", n,
+                 removed, p->parked.n);
+    }
+    replay_parked(p);
+}
+
+/* Stops serving if the list was not completed in time: what is known of it
+ * gets old. */
+static void
+expire_provisional(packets_t *p)
+{
+    if (!provisional_expired(&p->provisional, p->now)) {
+        return;
+    }
+    log_line(LVL_WARN, "upstreams",
+             "The list was not completed in time, not serving. upstreams=%zu",
+             p->provisional.n);
+    provisional_end(&p->provisional, NULL, remove_provisional, p);
+    p->serving = false;
+    ATOMIC_SET(p->t, ready, false);
+}
+
 static void
 apply_changes(packets_t *p, changes_t *c)
 {
+    if (c->provisional && p->complete) {
+        return;
+    }
+    if (c->provisional) {
+        provisional_add(&p->provisional, p->now, c);
+    }
     for (size_t i = 0; i < c->n; i++) {
-        apply_event(p, &c->event[i], c->first);
+        apply_event(p, &c->event[i], c->first || c->provisional);
+    }
+    if (c->topic == TOPIC_UPSTREAMS && !c->provisional && !p->complete) {
+        complete_list(p, c);
     }
     if (c->first) {
         const flow_stats_t *s = flowset_stats(p->flows);
@@ -315,7 +420,8 @@
                  "Initial list. upstreams=%u usable=%u routes=%u",
                  s->upstreams, s->usable, s->routes);
     }
-    if (!p->serving && flowset_ready(p->flows)) {
+    if (!p->serving && flowset_ready(p->flows) &&
+        (p->complete || p->provisional.n > 0)) {
         start_serving(p);
     }
 }
@@ -350,35 +456,6 @@
 
 /* ---- The loop ---- */
 
-static void
-handle_packet(packets_t *p, uint8_t *data, size_t len, ms_t age)
-{
-    flow_packet_t in;
-    flow_decision_t d;
-
-    if (len > PACKET_MAX_LEN || packet_read(&in, data, len) < 0) {
-        counter_add(&p->t->count.unreadable, 1);
-        return;
-    }
-    in.age_ms = age;
-    flowset_packet(p->flows, p->now, &in, &d);
-    log_decision(p, &in, &d);
-    switch (d.action) {
-    case FLOW_FORWARD:
-        if (in.opens) {
-            packet_set_tag(data, d.tag);
-        }
-        log_request(p, &in, &d, data, len);
-        sender_forward(p->sender, p->now, &in, data, len, &d);
-        return;
-    case FLOW_RESET:
-        sender_reset(p->sender, &in.caller, &in.service, in.ack);
-        return;
-    case FLOW_DROP:
-        return;
-    }
-}
-
 static void
 receive(packets_t *p)
 {
@@ -502,6 +579,7 @@
     while (!duty_stopping(self)) {
         sleep_until(&p, self, next);
         apply_updates(&p, self);
+        expire_provisional(&p);
         receive(&p);
         probes_check(&p.probes, probe_done, &p);
         next = flowset_tick(p.flows, p.now);
--- a/tagged/replica.c
+++ b/tagged/replica.c
@@ -21,10 +21,12 @@
     size_t n_removed;
     uint64_t complete_after; /* changes after this revision are complete */
     prev_values_t prev_values;
+    store_items_t part; /* of the first list, until it is complete */
     /* Read without the lock, which is held while long values are compared. */
     uint64_t revision; /* same as items.revision */
     ms_t current_at;
     ms_t progress_at; /* last arrival of a part of an answer */
+    size_t part_at;   /* same as part.part */
 };
 
 replica_t *
@@ -44,6 +46,7 @@
 {
     if (r != NULL) {
         store_items_free(&r->items);
+        store_items_free(&r->part);
         prev_values_free(&r->prev_values);
         pthread_mutex_destroy(&r->lock);
         free(r);
@@ -283,7 +286,8 @@
     uint64_t known;
     int rc = 0;
 
-    *changed = (store_items_t){.revision = items->revision};
+    *changed =
+        (store_items_t){.topic = items->topic, .revision = items->revision};
     pthread_mutex_lock(&r->lock);
     known = r->items.revision;
     for (size_t i = 0; i < items->n && rc == 0; i++) {
@@ -312,6 +316,9 @@
         __atomic_store_n(&r->current_at, now - items->age, __ATOMIC_RELAXED);
     }
     __atomic_store_n(&r->revision, r->items.revision, __ATOMIC_RELEASE);
+    if (r->items.revision > 0) {
+        store_items_free(&r->part);
+    }
     prune_removed(r);
     pthread_mutex_unlock(&r->lock);
     return rc;
@@ -367,6 +374,49 @@
     pthread_mutex_unlock(&r->lock);
 }
 
+int
+replica_set_part(replica_t *r, const store_items_t *items)
+{
+    int rc = 0;
+
+    pthread_mutex_lock(&r->lock);
+    if (r->items.revision > 0 || items->part <= r->part_at) {
+        pthread_mutex_unlock(&r->lock);
+        return -ESTALE;
+    }
+    store_items_free(&r->part);
+    for (size_t i = 0; i < items->n && rc == 0; i++) {
+        const store_item_t *it = &items->item[i];
+        rc = store_items_add(&r->part, it->key, it->value, it->revision);
+    }
+    r->part.part = items->part;
+    __atomic_store_n(&r->part_at, items->part, __ATOMIC_RELAXED);
+    pthread_mutex_unlock(&r->lock);
+    return rc;
+}
+
+size_t
+replica_part_at(const replica_t *r)
+{
+    return replica_revision(r) > 0
+               ? 0
+               : __atomic_load_n(&r->part_at, __ATOMIC_RELAXED);
+}
+
+store_text_t
+replica_part_text(replica_t *r, ms_t now, store_codec_t codec)
+{
+    store_items_t out;
+    store_text_t text;
+
+    pthread_mutex_lock(&r->lock);
+    out = r->part; /* borrows the items */
+    out.age = now - r->progress_at;
+    text = store_items_serialise(&out, codec);
+    pthread_mutex_unlock(&r->lock);
+    return text;
+}
+
 /* Selects the items of R that are newer than AFTER, or all; copies pointers
  * only. */
 static void
--- a/tagged/serve.c
+++ b/tagged/serve.c
@@ -45,6 +45,7 @@
 typedef struct {
     struct MHD_Connection *c; /* NULL: free slot */
     uint64_t after[TOPICS];
+    size_t part;             /* of the first list, that the peer has */
     ms_t current_at[TOPICS]; /* of the replicas, when the request was suspended
                               */
     ms_t deadline;
@@ -60,9 +61,9 @@
 
 static bool
 suspend_request(struct MHD_Connection *c, tagged_t *t,
-                const uint64_t after[TOPICS], ms_t deadline)
+                const uint64_t after[TOPICS], size_t part, ms_t deadline)
 {
-    waiting_request_t w = {.c = c, .deadline = deadline};
+    waiting_request_t w = {.c = c, .part = part, .deadline = deadline};
     bool suspended = false;
 
     for (int i = 0; i < TOPICS; i++) {
@@ -82,11 +83,15 @@
     return suspended;
 }
 
-/* True if a topic has an update, or a confirmation that there is none. */
+/* True if a topic has an update, or a confirmation that there is none, or if
+ * the first list has a later part. */
 static bool
 has_update(const waiting_request_t *w, const uint64_t revision[TOPICS],
-           const ms_t current_at[TOPICS])
+           const ms_t current_at[TOPICS], size_t part)
 {
+    if (part > w->part) {
+        return true;
+    }
     for (int i = 0; i < TOPICS; i++) {
         if (revision[i] > w->after[i] ||
             current_at[i] - w->current_at[i] >= CONFIRM_MS) {
@@ -104,6 +109,7 @@
     uint64_t revision[TOPICS];
     ms_t current_at[TOPICS];
     ms_t now = clock_now(), next = -1;
+    size_t part = replica_part_at(t->replica[TOPIC_UPSTREAMS]);
 
     for (int i = 0; i < TOPICS; i++) {
         revision[i] = replica_revision(t->replica[i]);
@@ -115,7 +121,8 @@
         if (w->c == NULL) {
             continue;
         }
-        if (all || now >= w->deadline || has_update(w, revision, current_at)) {
+        if (all || now >= w->deadline ||
+            has_update(w, revision, current_at, part)) {
             MHD_resume_connection(w->c);
             w->c = NULL;
             ATOMIC_SET(t, waiting, ATOMIC_GET(t, waiting) - 1);
@@ -200,7 +207,9 @@
 reply_replica(struct MHD_Connection *c, tagged_t *t, bool waited)
 {
     uint64_t after[TOPICS], wait = uint_argument(c, "wait_ms");
-    bool has_updates = read_after(c, t, after);
+    size_t part = uint_argument(c, "part");
+    bool has_updates = read_after(c, t, after) ||
+                       replica_part_at(t->replica[TOPIC_UPSTREAMS]) > part;
     ms_t now = clock_now();
     addr_t from, redirect;
     char text[ADDR_STRLEN];
@@ -212,17 +221,18 @@
                           strdup(addr_text(&redirect, text)));
     }
     if (!waited && wait > 0 && !has_updates &&
-        suspend_request(c, t, after,
+        suspend_request(c, t, after, part,
                         now +
                             (ms_t)(wait < WAIT_MAX_MS ? wait : WAIT_MAX_MS))) {
         duty_wake(kern_find(t->kern, "serve"));
         return MHD_YES;
     }
     codec = argument(c, "codec");
-    return answers_reply(
-        t->answers, t->replica, c, after, uint_argument(c, "differences") > 0,
-        codec != NULL && strcmp(codec, MSGPACK) == 0 ? CODEC_MSGPACK
-                                                     : CODEC_JSON);
+    return answers_reply(t->answers, t->replica, c, after, part,
+                         uint_argument(c, "differences") > 0,
+                         codec != NULL && strcmp(codec, MSGPACK) == 0
+                             ? CODEC_MSGPACK
+                             : CODEC_JSON);
 }
 
 static enum MHD_Result
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -78,6 +78,13 @@
 /* The last time at which an answer made progress, here or, without data, at a
  * peer.  An answer to peers without data of the topic states its age. */
 ms_t replica_progress_at(const replica_t *r);
+/* Keeps ITEMS, the latest part of the first list, for peers that start too: a
+ * few hundred upstreams are enough to open flows while thousands are read.
+ * -ESTALE: there is data, or a later part. */
+int replica_set_part(replica_t *r, const store_items_t *items);
+/* Position of that part in the list; 0: none. */
+size_t replica_part_at(const replica_t *r);
+store_text_t replica_part_text(replica_t *r, ms_t now, store_codec_t codec);
 /* Reports that data of an answer arrived at NOW. */
 void replica_on_progress(replica_t *r, ms_t now);
 /* True if removals after revision AFTER have been pruned, so that a peer at
@@ -102,6 +109,7 @@
     bool whole; /* the peer needs the whole replica */
     uint64_t after;
     uint64_t revision; /* of the replica at the time of the request */
+    size_t part; /* part of the first list that the peer lacks; 0: none */
 } answer_query_t;
 
 /* True if the answer that was written for CACHED, AGE ago, also answers QUERY.
@@ -111,24 +119,71 @@
 
 /* NULL without memory. */
 answers_t *answers_new(void);
-/* Answers C with the items newer than revision AFTER of each topic.  MHD_NO,
- * which closes the connection, without memory. */
+/* Answers C with the items newer than revision AFTER of each topic, or without
+ * data with the part of the first list, if it is later than the peer's, PART.
+ * MHD_NO, which closes the connection, without memory. */
 enum MHD_Result answers_reply(answers_t *a, replica_t *const r[TOPICS],
                               struct MHD_Connection *c,
-                              const uint64_t after[TOPICS], bool deltas,
-                              store_codec_t codec);
+                              const uint64_t after[TOPICS], size_t part,
+                              bool deltas, store_codec_t codec);
 
 /* ---- Messages to packets ---- */
 
 /* Changes of the store's items. */
 typedef struct {
-    bool first; /* the replica was empty before */
+    store_topic_t topic;
+    bool first;       /* the replica was empty before */
+    bool provisional; /* a part of the first list */
     size_t n;
     store_event_t event[];
 } changes_t;
 
 void changes_free(void *msg);
 
+/* ---- provisional.c: while the first list of upstreams is read ---- */
+
+typedef struct {
+    uint64_t id, entry;
+    bool confirmed; /* the complete list contains it */
+} provisional_upstream_t;
+
+/* Upstreams known from parts of the list. */
+typedef struct {
+    provisional_upstream_t *up;
+    size_t n, cap;
+    ms_t expires_at;
+} provisional_t;
+
+typedef void provisional_remove_t(void *arg, uint64_t id, uint64_t entry);
+
+/* Adds the upstreams of a part.  Those that don't fit in memory are left to
+ * the complete list. */
+void provisional_add(provisional_t *v, ms_t now, const changes_t *c);
+/* True if there are some and the list was not completed in time. */
+bool provisional_expired(const provisional_t *v, ms_t now);
+/* Calls REMOVE for each upstream that the complete LIST doesn't contain, or
+ * for all if LIST is NULL, and forgets all.  Returns the number removed. */
+size_t provisional_end(provisional_t *v, const changes_t *list,
+                       provisional_remove_t *remove, void *arg);
+
+typedef struct {
+    ms_t arrived;
+    uint16_t len;
+    uint8_t data[PACKET_MAX_LEN];
+} parked_packet_t;
+
+/* Packets of flows whose upstream may be in the rest of the list, in order of
+ * arrival.  A caller would repeat them only after 200 ms and more. */
+typedef struct {
+    parked_packet_t *packet; /* NULL: none yet */
+    size_t n;
+} parked_t;
+
+/* Copies a packet of at most PACKET_MAX_LEN bytes; beyond a limit it is lost.
+ */
+void parked_add(parked_t *k, ms_t arrived, const uint8_t *data, size_t len);
+void parked_free(parked_t *k);
+
 /* ---- State that every duty may read ---- */
 
 /* Each counter has one writer, or is guarded by follow_lock, except those
@@ -222,6 +277,7 @@
     ms_t progress_at;
     size_t n_reading;  /* items before the page that is being read */
     size_t n_read_max; /* items that failed attempts have read */
+    size_t next_part;  /* position at which the next part is passed on */
     watch_timing_t timing;
     ms_t backoff;
 } watch_t;
@@ -246,6 +302,9 @@
  * -ENOBUFS: the inbox of packets is full, and nothing was merged.  -ESTALE: as
  * in replica_merge(). */
 int updates_apply(tagged_t *t, store_items_t *items);
+/* Applies ITEMS, a part of the first list of upstreams, until the list is
+ * complete. */
+int updates_apply_part(tagged_t *t, const store_items_t *items);
 /* Applies only the peers' announcements in ITEMS. */
 void updates_apply_peers(tagged_t *t, const store_items_t *items);
 typedef struct {
--- a/tagged/updates.c
+++ b/tagged/updates.c
@@ -74,7 +74,8 @@
 }
 
 static int
-post_changes(tagged_t *t, const store_items_t *items, bool first)
+post_changes(tagged_t *t, const store_items_t *items, bool first,
+             bool provisional)
 {
     changes_t *c = calloc(1, sizeof(*c) + (items->n + 1) * sizeof(*c->event));
     int rc;
@@ -82,7 +83,9 @@
     if (c == NULL) {
         return -ENOMEM;
     }
+    c->topic = items->topic;
     c->first = first;
+    c->provisional = provisional;
     for (size_t i = 0; i < items->n; i++) {
         decode(t, &items->item[i], c);
     }
@@ -138,7 +141,7 @@
     rc = replica_merge(r, clock_now(), items, &changed);
     n = (int)changed.n;
     if (rc == 0 && n > 0) {
-        rc = post_changes(t, &changed, first);
+        rc = post_changes(t, &changed, first, false);
     }
     pthread_mutex_unlock(&t->follow_lock);
     store_items_free(&changed);
@@ -154,6 +157,23 @@
     return rc < 0 ? rc : n;
 }
 
+int
+updates_apply_part(tagged_t *t, const store_items_t *items)
+{
+    int rc;
+
+    pthread_mutex_lock(&t->follow_lock);
+    rc = replica_set_part(t->replica[TOPIC_UPSTREAMS], items);
+    if (rc == 0) {
+        rc = post_changes(t, items, false, true);
+    }
+    pthread_mutex_unlock(&t->follow_lock);
+    if (rc == 0 && ATOMIC_GET(t, waiting) > 0) {
+        duty_wake(kern_find(t->kern, "serve"));
+    }
+    return rc;
+}
+
 void
 updates_apply_peers(tagged_t *t, const store_items_t *items)
 {
@@ -243,11 +263,11 @@
     }
     snprintf(path, sizeof(path),
              "/replica?upstreams=%llu&operator=%llu&wait_ms=%lld"
-             "&differences=%d&codec=msgpack%s%s",
+             "&part=%zu&differences=%d&codec=msgpack%s%s",
              (unsigned long long)replica_revision(t->replica[TOPIC_UPSTREAMS]),
              (unsigned long long)replica_revision(t->replica[TOPIC_OPERATOR]),
-             (long long)wait_ms, !c->needs_values,
-             from[0] != '\0' ? "&from=" : "", from);
+             (long long)wait_ms, replica_part_at(t->replica[TOPIC_UPSTREAMS]),
+             !c->needs_values, from[0] != '\0' ? "&from=" : "", from);
     __atomic_add_fetch(&t->count.peer_calls, 1, __ATOMIC_RELAXED);
     rc = http_call(c->http, &call, r, e);
     if (rc == -ETIMEDOUT) {
@@ -289,6 +309,9 @@
         }
         else {
             note_progress_of_peer(t, &items[i]);
+            if (items[i].part > 0) {
+                updates_apply_part(t, &items[i]); /* else the list follows */
+            }
         }
         n += changed > 0 ? changed : 0;
         rc = rc < 0 ? rc : changed;
--- a/tagged/watch.c
+++ b/tagged/watch.c
@@ -220,6 +220,20 @@
     return apply_answer(w, &items);
 }
 
+/* Passes on the page that was just read.  Each part is at twice the position
+ * of the one before, so that peers get a few, from all over the list. */
+static void
+pass_on_part(watch_t *w, const store_items_t *items)
+{
+    const store_items_t page = {.topic = w->topic,
+                                .item = items->item + w->n_reading,
+                                .n = items->n - w->n_reading,
+                                .part = items->n};
+
+    updates_apply_part(w->t, &page); /* on failure the list follows */
+    w->next_part = 2 * items->n;
+}
+
 static int
 list(watch_t *w, err_t *e)
 {
@@ -239,6 +253,9 @@
             return rc;
         }
         w->n_read_max = items.n > w->n_read_max ? items.n : w->n_read_max;
+        if (more && revision(w) == 0 && items.n >= w->next_part) {
+            pass_on_part(w, &items);
+        }
     }
     w->n_reading = w->n_read_max = 0;
     items.age = clock_now() - begun; /* complete as of its first page */
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -597,10 +597,11 @@
     static const std::string items =
         R"({"revision":4,"whole":true,"age_ms":5,"items":[{"key":"a",)"
         R"("value":"1","revision":3}]})";
-    static const std::string packed("\x94\x04\xc3\x05\x91\x93\xa1"
+    static const std::string packed("\x95\x04\xc3\x05\x91\x93\xa1"
                                     "a\xa1"
-                                    "1\x03",
-                                    11);
+                                    "1\x03"
+                                    "\x00",
+                                    12);
     static const std::string line =
         "u1\tready\t3\t1\t5\t10.128.0.9:8080\tz\ta";
     rng_t rng = {5, 0};
--- a/test/replica_test.cc
+++ b/test/replica_test.cc
@@ -152,6 +152,39 @@
     store_items_free(&out);
 }
 
+/* Guards against: instances that wait for the complete list although a peer
+ * has enough of it, ones that get the same part again and again, and a part
+ * that replaces data. */
+TEST_F(Replica, PartsOfTheFirstListArePassedOn)
+{
+    Items page(0), later(0);
+
+    page.add("a", "1", 5).add("b", "1", 6);
+    page.s.part = 200;
+    later.add("c", "1", 7);
+    later.s.part = 400;
+    EXPECT_EQ(replica_part_at(r), 0u);
+    EXPECT_EQ(replica_set_part(r, &page.s), 0);
+    EXPECT_EQ(replica_set_part(r, &page.s), -ESTALE);
+    EXPECT_EQ(replica_set_part(r, &later.s), 0);
+    EXPECT_EQ(replica_set_part(r, &page.s), -ESTALE);
+    for (store_codec_t codec : {CODEC_JSON, CODEC_MSGPACK}) {
+        store_text_t t = replica_part_text(r, now, codec);
+        store_items_t out;
+        ASSERT_EQ(store_items_parse(&out, t.data, t.len), 0);
+        EXPECT_EQ(out.revision, 0u);
+        EXPECT_EQ(out.part, 400u);
+        ASSERT_EQ(out.n, 1u);
+        EXPECT_STREQ(out.item[0].key, "c");
+        free(t.data);
+        store_items_free(&out);
+    }
+    merge(Items(10, true).add("a", "1", 5));
+    EXPECT_EQ(replica_part_at(r), 0u);
+    later.s.part = 800;
+    EXPECT_EQ(replica_set_part(r, &later.s), -ESTALE);
+}
+
 /* Guards against: instances that read the list from the store while a peer
  * receives it, since the peer's answer doesn't tell. */
 TEST_F(Replica, AnswerWithoutDataStatesItsProgress)
--- a/test/tagged_herd.sh
+++ b/test/tagged_herd.sh
@@ -62,6 +62,7 @@
     sleep 1
     [ "$(pages)" -lt 50 ] &&
         echo "a bounded number of pages"
+    sleep 2 # past the time for which it serves by a part of the list
     ready 1 || echo "it is not ready on half a list"
     switch endless=0
     until_true "it is ready on a whole one" ready 1
@@ -92,6 +93,15 @@
     start_all
     check_list_reads 10
     switch slow_ms=0
+    early=0
+    for n in $(seq $instances); do
+        # "List complete" is logged only after a start by a part of it.
+        tac "i$n.log" | sed '/main: Started/q' | tac |
+            awk '/packets: Serving/ {s = NR} /List complete/ {c = NR}
+                END {exit !(s > 0 && s < c)}' && early=$((early + 1))
+    done
+    [ $early -ge 16 ] && echo "most serve before they have the whole list" ||
+        echo "$early serve before they have the whole list"
 
     echo "## A long answer is packed, and whole for one that takes no packed ones"
     curl -s -m 3 -H 'Accept-Encoding: zstd' -o packed \
--- a/test/watch_test.cc
+++ b/test/watch_test.cc
@@ -306,8 +306,8 @@
         EXPECT_EQ(store_topics_parse(s, text, strlen(text)), -EPROTO) << text;
     }
     for (std::string text :
-         {std::string("\x92\x94\x07\xc3\x00\x90", 6), std::string("\xc0"),
-          std::string("\x91\x94\x07\xc3\x00\x90", 6),
+         {std::string("\x92\x95\x07\xc3\x00\x90\x00", 7), std::string("\xc0"),
+          std::string("\x91\x95\x07\xc3\x00\x90\x00", 7),
           std::string("\x92\xdd\xff\xff\xff\xff\x90", 7)}) {
         EXPECT_EQ(store_topics_parse(s, text.data(), text.size()), -EPROTO);
     }
