tagged, plat/http: count only answers with data as the list's progress

Cause (found by reading): each answer of a peer without data counted as progress of the list at the instance that waits, so that instances whose seeds the store refuses would have waited for each other for 60 s. Now a transfer counts from 4 kB on; the progress callback has the bytes so far. A part of the list is passed on 500 ms after the last one at the latest: with more pages between doublings than a part's lifetime, instances would stop serving between them.

--- a/plat/http.c
+++ b/plat/http.c
@@ -188,7 +188,7 @@
     if (call->on_progress != NULL) {
         long status = 0;
         curl_easy_getinfo(h->curl, CURLINFO_RESPONSE_CODE, &status);
-        call->on_progress(call->arg, status);
+        call->on_progress(call->arg, status, (uint64_t)bytes);
     }
 }
 
--- a/plat/http.h
+++ b/plat/http.h
@@ -27,9 +27,11 @@
     ms_t stall_timeout_ms;   /* longest pause within an answer, whose transfer
                               * may take HTTP_TRANSFER_TIMEOUT_MS in total;
                               * 0: no stall timeout, TIMEOUT_MS applies */
-    /* Called when further bytes of an answer with STATUS have arrived, if
-     * STALL_TIMEOUT_MS is set; may be NULL. */
-    void (*on_progress)(void *arg, long status);
+    /* Called when further bytes of an answer with STATUS have arrived, BYTES
+     * of its body so far as transmitted, if STALL_TIMEOUT_MS is set; may be
+     * NULL.
+     */
+    void (*on_progress)(void *arg, long status, uint64_t bytes);
     void *arg;
 } http_call_t;
 
--- a/source/source.c
+++ b/source/source.c
@@ -18,10 +18,9 @@
  * still.
  */
 #define RESYNC_WAIT_MAX_MS 60000
-/* One of this many requests goes to a seed, of an instance without data that
- * knows announced neighbours: all instances of the fleet know the same seeds.
- */
-#define SEED_REQUEST_SHARE 6
+/* One request for first data in so many goes to a seed where announced
+ * neighbours are known: all instances of the fleet have the same seeds. */
+#define REQUESTS_PER_SEED_REQUEST 6
 
 /* Jitter of the announcement delay: of instances that start together, the
  * later ones see that enough others are announced. */
@@ -409,7 +408,8 @@
     const source_peer_t *seed = random_peer(s, now, SEED, NULL);
 
     if (local != NULL && seed != NULL) {
-        return rng_below(&s->rng, SEED_REQUEST_SHARE) > 0 ? local : seed;
+        return rng_below(&s->rng, REQUESTS_PER_SEED_REQUEST) > 0 ? local
+                                                                 : seed;
     }
     return local != NULL  ? local
            : seed != NULL ? seed
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -277,7 +277,8 @@
     ms_t progress_at;
     size_t n_reading;  /* items before the page that is being read */
     size_t n_read_max; /* items that failed attempts have read */
-    size_t next_part;  /* position at which the next part is passed on */
+    size_t part;       /* position of the last part passed on */
+    ms_t part_at;      /* when it was */
     watch_timing_t timing;
     ms_t backoff;
 } watch_t;
--- a/tagged/updates.c
+++ b/tagged/updates.c
@@ -14,6 +14,9 @@
  * shift, for networks of longer round trips. */
 #define START_CONNECT_MS 30
 #define START_FAILURES_MAX 3
+/* An answer without data of upstreams is shorter, but for one with a long
+ * configuration, which a peer sends once. */
+#define NO_DATA_BYTES_MAX 4096
 /* Stall timeout of an answer that has begun. */
 #define PEER_STALL_MS 600
 /* Limit of the timeout's doublings.  The whole replica shares the sender's
@@ -220,15 +223,16 @@
     return c->http != NULL ? 0 : -ENOMEM;
 }
 
-/* The first answer of a peer makes progress: its transfer may take longer than
+/* The first answer with data makes progress: its transfer may take longer than
  * this instance would wait for a peer that doesn't answer. */
 static void
-on_first_progress(void *tagged, long status)
+on_first_progress(void *tagged, long status, uint64_t bytes)
 {
     tagged_t *t = tagged;
     replica_t *r = t->replica[TOPIC_UPSTREAMS];
 
-    if (status == MHD_HTTP_OK && replica_revision(r) == 0) {
+    if (status == MHD_HTTP_OK && bytes > NO_DATA_BYTES_MAX &&
+        replica_revision(r) == 0) {
         replica_on_progress(r, clock_now());
     }
 }
--- a/tagged/watch.c
+++ b/tagged/watch.c
@@ -38,6 +38,8 @@
 /* Transfer time of an answer above which further versions may have appeared
  * meanwhile: a watch would transfer each of them, a list only the newest. */
 #define SLOW_ANSWER_MS 150
+/* Longest time between parts of the first list that are passed on. */
+#define PART_PERIOD_MS 500
 /* Period of the progress reports of an answer. */
 #define PROGRESS_MS 300
 /* Backoff between failed calls: exponential with jitter, so that instances do
@@ -220,18 +222,23 @@
     return apply_answer(w, &items);
 }
 
-/* Passes on the page that was just read.  Each part is at twice the position
- * of the one before, so that peers get a few, from all over the list. */
+/* Passes on the page that was just read, if it is at twice the position of the
+ * last one passed on, or PART_PERIOD_MS later: peers get a few, from all over
+ * the list, and in time for those that they have not to expire. */
 static void
 pass_on_part(watch_t *w, const store_items_t *items)
 {
+    ms_t now = clock_now();
     const store_items_t page = {.topic = w->topic,
                                 .item = items->item + w->n_reading,
                                 .n = items->n - w->n_reading,
                                 .part = items->n};
 
-    updates_apply_part(w->t, &page); /* on failure the list follows */
-    w->next_part = 2 * items->n;
+    if (items->n >= 2 * w->part || now - w->part_at >= PART_PERIOD_MS) {
+        updates_apply_part(w->t, &page); /* on failure the list follows */
+        w->part = items->n;
+        w->part_at = now;
+    }
 }
 
 static int
@@ -253,7 +260,7 @@
             return rc;
         }
         w->n_read_max = items.n > w->n_read_max ? items.n : w->n_read_max;
-        if (more && revision(w) == 0 && items.n >= w->next_part) {
+        if (more && revision(w) == 0) {
             pass_on_part(w, &items);
         }
     }
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 namespace {
 
@@ -132,19 +133,21 @@
     http_t *h = http_new(s.url.c_str());
     http_call_t c = {};
     http_reply_t r;
-    int progress_calls = 0;
+    std::vector<uint64_t> progress; /* bytes at each call */
 
     c.path = "/";
     c.timeout_ms = 1000;
     c.stall_timeout_ms = 300;
     c.step = "read";
-    c.on_progress = [](void *arg, long status) {
+    c.on_progress = [](void *arg, long status, uint64_t bytes) {
         EXPECT_EQ(200, status);
-        ++*static_cast<int *>(arg);
+        static_cast<std::vector<uint64_t> *>(arg)->push_back(bytes);
     };
-    c.arg = &progress_calls;
+    c.arg = &progress;
     EXPECT_EQ(-ETIMEDOUT, http_call(h, &c, &r, NULL));
-    EXPECT_GE(progress_calls, 2);
+    ASSERT_GE(progress.size(), 2u);
+    EXPECT_LT(progress.front(), progress.back());
+    EXPECT_LE(progress.back(), CHUNKS / 2 * CHUNK.size());
     http_free(h);
 }
 
--- a/test/tagged_herd.sh
+++ b/test/tagged_herd.sh
@@ -103,6 +103,18 @@
     [ $early -ge 16 ] && echo "most serve before they have the whole list" ||
         echo "$early serve before they have the whole list"
 
+    echo "## The seeds reach no store: the others read the list themselves"
+    for n in $(seq $instances); do
+        signal "i$n" KILL
+        ended "i$n" 2>/dev/null
+    done
+    switch lapse=1            # nobody is announced
+    settings 1 dc-1 http://127.0.0.1:1
+    settings 2 dc-0 http://127.0.0.1:1
+    start_all
+    settings 1 dc-1
+    settings 2 dc-0
+
     echo "## A long answer is packed, and whole for one that takes no packed ones"
     curl -s -m 3 -H 'Accept-Encoding: zstd' -o packed \
         "http://$net.1:7002/replica?after=0"
