source: leave a long list to the seeds

Now an announced instance reads the first page; if there are more, it asks the seeds and reads on after 0.4 to 0.6 s without a sign of progress. A peer that is a seed stays one while it is announced, and after its announcement ends. Ruled out: the same for lists of one page (the small deployments wait for nothing).

--- a/source/source.c
+++ b/source/source.c
@@ -13,6 +13,10 @@
  * peers are all down from reading it at the same time. */
 #define RESYNC_DELAY_MIN_MS 800
 #define RESYNC_JITTER_MS 800
+/* The same for an announced instance and a list of several pages: shorter, as
+ * the others wait for it. */
+#define LONG_LIST_DELAY_MIN_MS 400
+#define LONG_LIST_JITTER_MS 200
 /* Longest wait for peers that make progress but deliver nothing: above the
  * time of a long list from a slow store, which a stampede would make slower
  * still.
@@ -109,6 +113,7 @@
                 : &s->peer[rng_below(&s->rng, SOURCE_PEERS_MAX)];
         *p = (source_peer_t){.addr = *a};
     }
+    p->seed = p->seed || data_centre[0] == '\0';
     if (data_centre[0] != '\0') {
         strncpy(p->data_centre, data_centre, sizeof(p->data_centre) - 1);
     }
@@ -122,7 +127,10 @@
     if (addr_eq(a, &s->self)) {
         s->announced = false;
     }
-    if (p != NULL) {
+    if (p != NULL && p->seed) {
+        p->data_centre[0] = '\0';
+    }
+    else if (p != NULL) {
         *p = s->peer[--s->n];
     }
 }
@@ -337,7 +345,7 @@
     case NEIGHBOUR:
         return is_local(s, p);
     case SEED:
-        return p->data_centre[0] == '\0';
+        return p->seed;
     case REMOTE_LEADER:
         return is_remote_leader(s, now, p);
     }
@@ -407,6 +415,9 @@
     const source_peer_t *local = random_peer(s, now, NEIGHBOUR, NULL);
     const source_peer_t *seed = random_peer(s, now, SEED, NULL);
 
+    if (s->announced && seed != NULL) {
+        return seed;
+    }
     if (local != NULL && seed != NULL) {
         return rng_below(&s->rng, REQUESTS_PER_SEED_REQUEST) > 0 ? local
                                                                  : seed;
@@ -424,6 +435,14 @@
                : RESYNC_DELAY_MIN_MS + rng_below(&s->rng, RESYNC_JITTER_MS);
 }
 
+ms_t
+sources_long_list_delay_ms(sources_t *s)
+{
+    return s->seed || s->n == 0 ? 0
+                                : LONG_LIST_DELAY_MIN_MS +
+                                      rng_below(&s->rng, LONG_LIST_JITTER_MS);
+}
+
 ms_t
 sources_wait_ms(ms_t begun, ms_t progress_at, ms_t delay_ms, ms_t now)
 {
--- a/source/source.h
+++ b/source/source.h
@@ -49,7 +49,9 @@
 
 typedef struct {
     addr_t addr;
-    char data_centre[SOURCE_NAME_LEN]; /* "": a seed, data centre unknown */
+    char data_centre[SOURCE_NAME_LEN]; /* "": unknown, a seed that isn't
+                                        * announced */
+    bool seed;                         /* in the settings of all instances */
     ms_t backoff_until;                /* end of the backoff */
     ms_t backoff_ms;                   /* length of the last backoff */
 } source_peer_t;
@@ -102,7 +104,8 @@
 /* The period of these checks. */
 ms_t sources_check_period_ms(const sources_t *s);
 /* Returns the peer from which an instance without data requests everything, or
- * NULL. */
+ * NULL.  Announced instances request it from seeds, the others from announced
+ * neighbours mostly. */
 const source_peer_t *sources_bootstrap_peer(sources_t *s, ms_t now);
 /* How long a starting instance waits without any sign that the list is on its
  * way to a peer, before it reads the list from the store itself: when all
@@ -110,6 +113,10 @@
  * 0 for seeds and announced instances, from which the others request the list,
  * and without peers. */
 ms_t sources_resync_delay_ms(sources_t *s);
+/* The same for an announced instance that has read the first page of a list of
+ * several: the store's link carries the list to the seeds only, from which the
+ * announced ones request it.  0 for seeds and without peers. */
+ms_t sources_long_list_delay_ms(sources_t *s);
 /* How much longer an instance waits for peers that began to at BEGUN with the
  * DELAY_MS above, when the list last made progress at a peer at PROGRESS_AT.
  * 0: it reads the list itself. */
--- a/tagged/follow.c
+++ b/tagged/follow.c
@@ -35,12 +35,12 @@
  * each occupies the store's link for a second.  True: a peer has delivered it.
  */
 static bool
-wait_for_peers(follow_t *f)
+wait_for_peers(follow_t *f, ms_t (*delay_ms)(sources_t *s))
 {
     ms_t left, delay, begun = clock_now();
 
     pthread_mutex_lock(&f->t->follow_lock);
-    delay = sources_resync_delay_ms(&f->t->sources);
+    delay = delay_ms(&f->t->sources);
     pthread_mutex_unlock(&f->t->follow_lock);
     while (!tagged_has_replicas(f->t) && !duty_stopping(f->self) &&
            (left = wait_left(f, begun, delay)) > 0) {
@@ -49,6 +49,13 @@
     return tagged_has_replicas(f->t);
 }
 
+/* See watch_t. */
+static bool
+peers_deliver_long_list(void *follow)
+{
+    return wait_for_peers(follow, sources_long_list_delay_ms);
+}
+
 /* Reads the announced instances, to choose a peer from.  A seed reads the
  * whole list anyway. */
 static int
@@ -95,7 +102,7 @@
             f->store_failed = true;
             return watch_failed(&f->watch, rc, &e);
         }
-        if (wait_for_peers(f)) {
+        if (wait_for_peers(f, sources_resync_delay_ms)) {
             return 0;
         }
     }
@@ -238,6 +245,8 @@
     bool from_store = true;
 
     watch_init(&f.watch, f.t, TOPIC_UPSTREAMS, (ms_t)f.t->settings.drain_ms);
+    f.watch.peers_deliver = peers_deliver_long_list;
+    f.watch.arg = &f;
     while (!duty_stopping(self)) {
         ms_t pause = follow_once(&f, &from_store);
         if (__atomic_exchange_n(&f.t->reload, false, __ATOMIC_RELAXED)) {
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -279,6 +279,10 @@
     size_t n_read_max; /* items that failed attempts have read */
     size_t part;       /* position of the last part passed on */
     ms_t part_at;      /* when it was */
+    /* Called with ARG after the first page of a first list of several pages;
+     * returns true once a peer has delivered the list.  May be NULL. */
+    bool (*peers_deliver)(void *arg);
+    void *arg;
     watch_timing_t timing;
     ms_t backoff;
 } watch_t;
--- a/tagged/watch.c
+++ b/tagged/watch.c
@@ -261,7 +261,13 @@
         }
         w->n_read_max = items.n > w->n_read_max ? items.n : w->n_read_max;
         if (more && revision(w) == 0) {
+            bool first_page = w->n_reading == 0;
             pass_on_part(w, &items);
+            if (first_page && w->peers_deliver != NULL &&
+                w->peers_deliver(w->arg)) {
+                store_items_free(&items);
+                return 0;
+            }
         }
     }
     w->n_reading = w->n_read_max = 0;
--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -350,6 +350,25 @@
     EXPECT_GT(most - least, 500);
 }
 
+/* Guards against: announced instances that wait for each other while the seeds
+ * have the list, and a seed that is forgotten once its announcement ends. */
+TEST_F(Sources, AnnouncedInstancesRequestTheListFromSeeds)
+{
+    addr_t self = at(1, 9), seed = at(2, 1);
+
+    sources_add(&s, &seed, ""); /* also announced */
+    sources_add(&s, &self, "dc-a");
+    for (int i = 0; i < 50; i++) {
+        EXPECT_TRUE(addr_eq(&sources_bootstrap_peer(&s, now)->addr, &seed));
+    }
+    sources_remove(&s, &seed);
+    EXPECT_TRUE(addr_eq(&sources_bootstrap_peer(&s, now)->addr, &seed));
+    EXPECT_GT(sources_long_list_delay_ms(&s), 0);
+    EXPECT_LT(sources_long_list_delay_ms(&s), 800);
+    sources_failed(&s, now, &seed);
+    EXPECT_STREQ(sources_bootstrap_peer(&s, now)->data_centre, "dc-a");
+}
+
 /* Traffic between data centres is paid for. */
 TEST_F(Sources, StartPrefersOwnDataCentre)
 {
