source: a leader follows no relay

Cause: an instance that was redirected to a relay before it was announced kept following that relay after it had become its data centre's leader. The relay follows the new leader, so that neither gets an update but by its checks, each 5.6 s for those below a relay, and the whole data centre with them. Whether a data centre is hit depends on who is announced when; it stood before. Ruled out: slower relays (the announced instances were late too). Before: Sources.ALeaderFollowsNoRelay fails; after: passes.

--- a/source/source.c
+++ b/source/source.c
@@ -286,7 +286,10 @@
     if (p == NULL && now >= s->direct_until) {
         p = followed_watcher(s, now);
     }
-    return p != NULL && s->follows_relay ? &s->relay : p;
+    /* A relay of before this instance led its data centre may follow it. */
+    return p != NULL && s->follows_relay && sources_needs_place(s, now)
+               ? &s->relay
+               : p;
 }
 
 uint32_t
--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -79,6 +79,30 @@
     }
 }
 
+/* Guards against: a data centre whose leader follows one of its own followers,
+ * so that all learn of changes by their checks only: the leader was redirected
+ * to that follower before it was announced. */
+TEST_F(Sources, ALeaderFollowsNoRelay)
+{
+    for (int n = 4; n <= 200; n++) { /* some have the lowest rank */
+        sources_t other;
+        addr_t self = at(1, n), relay = at(1, 250);
+        sources_init(&other, &self, "dc-a", (uint64_t)n);
+        for (int m = 1; m <= 40; m++) {
+            addr_t a = m <= 3 ? at(1, m) : at(m, 1);
+            sources_add(&other, &a,
+                        m <= 3 ? "dc-a" : ("dc-" + std::to_string(m)).c_str());
+        }
+        ASSERT_EQ(sources_redirected(&other, &relay), 0);
+        EXPECT_TRUE(addr_eq(&sources_followed(&other, now)->addr, &relay));
+        sources_add(&other, &self, "dc-a");
+        const source_peer_t *p = sources_followed(&other, now);
+        if (!sources_needs_place(&other, now)) { /* it leads */
+            EXPECT_FALSE(p != nullptr && addr_eq(&p->addr, &relay)) << n;
+        }
+    }
+}
+
 /* When the leader fails, the next in rank is followed at once.  The failed one
  * is tried again after the backoff, and leads again when it answers. */
 TEST_F(Sources, FailedLeaderIsSkipped)
