platform/items: reject msgpack that claims more than it holds

Cause: the library allocates what an array claims before it reads it, so that a malformed answer of a few bytes asks for 137 GB. Ruled out: a limit in the library (it has none for arrays).

--- a/test/watch_test.cc
+++ b/test/watch_test.cc
@@ -308,7 +308,10 @@
     for (std::string text :
          {std::string("\x92\x95\x07\xc3\x00\x90\x00", 7), std::string("\xc0"),
           std::string("\x91\x95\x07\xc3\x00\x90\x00", 7),
-          std::string("\x92\xdd\xff\xff\xff\xff\x90", 7)}) {
+          std::string("\x92\xdd\xff\xff\xff\xff\x90", 7),
+          std::string("\x92\xdf\x7f\xff\xff\xff\x90", 7),
+          std::string("\x92\xdb\x7f\xff\xff\xff\x90", 7),
+          std::string("\x92\xdd\xff\xff", 4), std::string("\x92\xcb", 2)}) {
         EXPECT_EQ(store_topics_parse(s, text.data(), text.size()), -EPROTO);
     }
 }
