--- a/source/source.c
+++ b/source/source.c
@@ -18,9 +18,8 @@
 #define LONG_LIST_DELAY_MIN_MS 400
 #define LONG_LIST_JITTER_MS 200
 /* Longest wait for peers that make progress but deliver nothing: above the
- * time of a long list from a slow store, which a stampede would make slower
- * still.
- */
+ * time of a long list from a slow store, which would be slower still if all
+ * instances read it. */
 #define RESYNC_WAIT_MAX_MS 60000
 /* One request for first data in so many goes to a seed where announced
  * neighbours are known: all instances of the fleet have the same seeds. */
--- a/tagged/watch.c
+++ b/tagged/watch.c
@@ -241,6 +241,18 @@
     }
 }
 
+/* Handles a page of a list that continues, while there is no data yet: passes
+ * it on, and after the first one lets peers deliver the rest.  Returns true
+ * once they have. */
+static bool
+handle_first_list(watch_t *w, const store_items_t *items)
+{
+    bool first_page = w->n_reading == 0;
+
+    pass_on_part(w, items);
+    return first_page && w->peers_deliver != NULL && w->peers_deliver(w->arg);
+}
+
 static int
 list(watch_t *w, err_t *e)
 {
@@ -260,14 +272,9 @@
             return rc;
         }
         w->n_read_max = items.n > w->n_read_max ? items.n : w->n_read_max;
-        if (more && revision(w) == 0) {
-            bool first_page = w->n_reading == 0;
-            pass_on_part(w, &items);
-            if (first_page && w->peers_deliver != NULL &&
-                w->peers_deliver(w->arg)) {
-                store_items_free(&items);
-                return 0;
-            }
+        if (more && revision(w) == 0 && handle_first_list(w, &items)) {
+            store_items_free(&items);
+            return 0;
         }
     }
     w->n_reading = w->n_read_max = 0;
--- a/test/replica_test.cc
+++ b/test/replica_test.cc
@@ -186,7 +186,7 @@
 }
 
 /* Guards against: instances that read the list from the store while a peer
- * receives it, since the peer's answer doesn't tell. */
+ * receives it, since the peer's answer doesn't state it. */
 TEST_F(Replica, AnswerWithoutDataStatesItsProgress)
 {
     replica_on_progress(r, 4900);
--- a/test/warmup_test.cc
+++ b/test/warmup_test.cc
@@ -125,7 +125,7 @@
 }
 
 /* Guards against: shares that add up to more than the bound while instances
- * know different lists, here before and after one of four was replaced. */
+ * have different lists, here before and after one of four was replaced. */
 TEST(WarmUp, TheBoundHoldsWhileListsDiffer)
 {
     Fleet f(5, 4, 10);
