--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -79,5 +79,6 @@
 } >>"$record"
 note "before the fault: $served_before of $before requests served"
 note "later than $recovery_s s after the instances were back: $served_after of $after served"
+record_traffic >>"$record"
 [ "$after" -gt 0 ] || cannot_run "no requests were sent"
 [ $((4 * served_after)) -ge "$after" ]
--- a/review/bed-2.bash
+++ b/review/bed-2.bash
@@ -229,3 +229,14 @@
         alive "front-$i" || cannot_run "front-$i has ended"
     done
 }
+
+# Adds to the record what callers asked and were told, and what servers ran:
+# each line begins with the time at which it came.
+record_traffic() {
+    echo "---- callers: done ID KIND OUTCOME TRIES MS; reset ID TAG MS"
+    cat callers.log
+    echo "---- servers: run ID SERVICE"
+    for log in server-*.log; do
+        sed "s/^/${log%.log} /" "$log"
+    done
+}
