--- a/tagged/report.c
+++ b/tagged/report.c
@@ -149,6 +149,8 @@
                      store_calls(t->store[TOPIC_OPERATOR]) +
                      store_calls(t->writer));
     store_call_metrics(f, t);
+    metric_print(f, "counter", "siskin_store_lists_total",
+                 counter_read(&c->store_lists));
     metric_print(f, "counter", "siskin_store_failures_total",
                  counter_read(&c->store_failures));
     metric_print(f, "counter", "siskin_store_items_refused_total",
--- a/tagged/tagged.h
+++ b/tagged/tagged.h
@@ -207,7 +207,9 @@
     uint64_t evicted;     /* packets dropped from the full queue */
     uint64_t probes_skipped;
     uint64_t pauses;
-    uint64_t store_failures; /* of follow and operator: may lose counts */
+    /* Of follow and operator: may lose counts */
+    uint64_t store_failures;
+    uint64_t store_lists; /* lists read to their end */
     uint64_t refused_items;
     uint64_t peer_calls, peer_failures; /* of follow and check: atomic */
     uint64_t check_updates; /* updates that the followed source had not sent */
--- a/tagged/watch.c
+++ b/tagged/watch.c
@@ -218,6 +218,7 @@
     if (rc < 0) {
         return rc;
     }
+    counter_add(&w->t->count.store_lists, 1);
     items.age = clock_now() - begun;
     return apply_answer(w, &items);
 }
@@ -277,6 +278,7 @@
             return 0;
         }
     }
+    counter_add(&w->t->count.store_lists, 1);
     w->n_reading = w->n_read_max = 0;
     items.age = clock_now() - begun; /* complete as of its first page */
     return apply_answer(w, &items);
