--- a/plat/http.c
+++ b/plat/http.c
@@ -18,7 +18,7 @@
 struct http {
     CURLM *multi; /* runs CURL and keeps its connection open */
     CURL *curl;
-    char url[128];
+    char url[HTTP_SERVER_MAX];
     char *body;
     size_t len, cap;
 };
@@ -239,7 +239,7 @@
 int
 http_call(http_t *h, const http_call_t *call, http_reply_t *r, err_t *e)
 {
-    char url[1024];
+    char url[HTTP_URL_MAX];
     CURLcode rc;
 
     *r = (http_reply_t){0};
--- a/plat/http.h
+++ b/plat/http.h
@@ -10,6 +10,10 @@
 extern "C" {
 #endif
 
+/* Longest server URL, and longest complete URL of a call, with the NUL. */
+#define HTTP_SERVER_MAX 128
+#define HTTP_URL_MAX 1024
+
 typedef struct http http_t;
 
 typedef enum { HTTP_GET, HTTP_PUT, HTTP_POST, HTTP_DELETE } http_method_t;
@@ -45,8 +49,8 @@
                        * STALL_TIMEOUT_MS */
 } http_reply_t;
 
-/* URL as "http://127.0.0.1:8500", shorter than 128 bytes.  A handle may be
- * used by one thread only.  NULL: URL too long, or out of memory. */
+/* URL as "http://127.0.0.1:8500", shorter than HTTP_SERVER_MAX.  A handle may
+ * be used by one thread only.  NULL: URL too long, or out of memory. */
 http_t *http_new(const char *url);
 void http_free(http_t *h);
 /* 0 for any status below 500.  -ECONNREFUSED: the server was not reached;
--- /dev/null
+++ b/test/store_list_test.cc
@@ -0,0 +1,200 @@
+/* Lists of the store's keys, read page by page, against a store in the test's
+ * own process.  Anyone may write keys, of up to 200 bytes of any characters.
+ */
+#include "platform/platform.h"
+#include "standin/rest.h"
+
+#include <algorithm>
+#include <errno.h>
+#include <gtest/gtest.h>
+#include <jansson.h>
+#include <mutex>
+#include <rapidcheck/gtest.h>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace {
+
+const size_t KEY_MAX = 200; /* bytes of a key */
+const ms_t TIMEOUT_MS = 5000;
+
+class ListedStore {
+  public:
+    std::vector<std::string> keys; /* in the store's order */
+    size_t page_items = 1;
+    store_t *store;
+
+    ListedStore()
+    {
+        rest = si_rest_open(0, serve, this, NULL);
+        store = store_new(
+            ("http://127.0.0.1:" + std::to_string(si_rest_port(rest)))
+                .c_str());
+    }
+    ~ListedStore()
+    {
+        store_free(store);
+        si_rest_close(rest);
+    }
+    size_t
+    calls()
+    {
+        std::lock_guard<std::mutex> hold(lock);
+        return n_calls;
+    }
+
+  private:
+    si_rest_t *rest;
+    std::mutex lock;
+    size_t n_calls = 0;
+
+    /* A list that never ends fails instead. */
+    bool
+    exceeds_calls()
+    {
+        return ++n_calls > 8 * (keys.size() + 2);
+    }
+    size_t
+    first_after(const char *after) const
+    {
+        return std::upper_bound(keys.begin(), keys.end(), after) -
+               keys.begin();
+    }
+    json_t *
+    page(const char *prefix, const char *after) const
+    {
+        json_t *items = json_array();
+        bool more = false;
+        for (size_t i = after != NULL ? first_after(after) : 0;
+             i < keys.size() && !more; i++) {
+            if (keys[i].compare(0, strlen(prefix), prefix) != 0) {
+                continue;
+            }
+            more = json_array_size(items) == page_items;
+            if (!more) {
+                json_array_append_new(
+                    items, json_pack("{ss ss sI}", "key", keys[i].c_str(),
+                                     "value", "e30=", "rev", (json_int_t)3));
+            }
+        }
+        return json_pack("{so sb sI}", "items", items, "has_more", (int)more,
+                         "store_revision", (json_int_t)7);
+    }
+    static si_reply_t
+    serve(void *arg, const si_request_t *r)
+    {
+        ListedStore *s = static_cast<ListedStore *>(arg);
+        std::lock_guard<std::mutex> hold(s->lock);
+        if (s->exceeds_calls()) {
+            return si_reply_error(404, "too many calls");
+        }
+        return {200, s->page(si_query(r, "prefix"), si_query(r, "after"))};
+    }
+};
+
+/* Reads the topic of upstreams to its end, or to an error. */
+int
+list_upstreams(ListedStore *s, std::vector<std::string> *keys, err_t *e)
+{
+    store_items_t items = {};
+    bool more = true;
+    int rc = 0;
+
+    items.topic = TOPIC_UPSTREAMS;
+    while (more && rc == 0) {
+        rc = store_list_page(s->store, TIMEOUT_MS, &items, &more, e);
+    }
+    keys->clear();
+    for (size_t i = 0; i < items.n; i++) {
+        keys->push_back(items.item[i].key);
+    }
+    store_items_free(&items);
+    return rc;
+}
+
+std::string
+repeat(const std::string &text, size_t n)
+{
+    std::string out;
+
+    while (n-- > 0) {
+        out += text;
+    }
+    return out;
+}
+
+/* A key of at most KEY_MAX bytes, with characters of one to four bytes. */
+rc::Gen<std::string>
+any_key()
+{
+    const auto character = rc::gen::element<std::string>(
+        "a", "-", "/", "%", "&", "+", "#", " ", "\"", "\x01", "\xc3\xa9",
+        "\xe8\xa9\xa6", "\xf0\x9f\x92\xa1");
+    return rc::gen::map(
+        rc::gen::pair(
+            rc::gen::container<std::vector<std::string>>(character),
+            rc::gen::pair(character, rc::gen::inRange<size_t>(0, KEY_MAX))),
+        [](const std::pair<std::vector<std::string>,
+                           std::pair<std::string, size_t>> &p) {
+            std::string key = "servers/";
+            for (const std::string &c : p.first) {
+                key += key.size() + c.size() <= KEY_MAX ? c : "";
+            }
+            for (size_t i = 0; i < p.second.second; i++) {
+                const std::string &c = p.second.first;
+                key += key.size() + c.size() <= KEY_MAX ? c : "";
+            }
+            return key;
+        });
+}
+
+} // namespace
+
+/* Guards against: a list that never ends, and a process that never starts,
+ * since a long key at the end of a page is cut off in the next page's path. */
+TEST(StoreList, ALongKeyAtTheEndOfAPage)
+{
+    ListedStore s;
+    const std::string foreign = "servers/dc1-" + repeat("\xe8\xa9\xa6", 60);
+    std::vector<std::string> listed;
+    err_t e = {};
+
+    s.keys = {"s-instances/10.0.0.1:7002", foreign, "servers/i-1"};
+    EXPECT_EQ(list_upstreams(&s, &listed, &e), 0) << e.text;
+    EXPECT_EQ(listed, s.keys);
+}
+
+/* Guards against: the same in the lists of operators' requests and of the
+ * operator's topic. */
+TEST(StoreList, LongKeysInOtherLists)
+{
+    ListedStore s;
+    const std::string foreign = repeat("\xe8\xa9\xa6", 60);
+    store_items_t items, known = {};
+    err_t e = {};
+
+    s.keys = {"s-requests/" + foreign, "s-requests/" + foreign + "z"};
+    EXPECT_EQ(store_list_requests(s.store, TIMEOUT_MS, &items, &e), 0);
+    EXPECT_EQ(items.n, 2u);
+    store_items_free(&items);
+    s.keys = {"op/config", "op/evacuate/" + foreign,
+              "op/evacuate/" + foreign + "z"};
+    EXPECT_EQ(store_list_operator(s.store, TIMEOUT_MS, &known, &items, &e), 0);
+    EXPECT_EQ(items.n, 3u);
+    store_items_free(&items);
+}
+
+/* Guards against: any key that makes a list skip or repeat others. */
+RC_GTEST_PROP(StoreList, EachKeyIsListedOnce, ())
+{
+    const auto keys = *rc::gen::container<std::set<std::string>>(any_key());
+    ListedStore s;
+    std::vector<std::string> listed;
+    err_t e = {};
+
+    s.keys.assign(keys.begin(), keys.end());
+    s.page_items = *rc::gen::inRange<size_t>(1, 4);
+    RC_ASSERT(list_upstreams(&s, &listed, &e) == 0);
+    RC_ASSERT(listed == s.keys);
+}
