platform/store: end a list whose pages come again

A store that sends pages again that were read before made a list endless: calls without a pause, memory without a bound, and each page counted as progress, so that an instance with data stayed "current" and turned to no peer. Only an empty page ended the list. A cursor cut off in a path was one way there; this closes the others, a store that ignores 'after' among them.

A list now has a cursor of its own in place of the last item read. The cursor after each page is compared with one kept at pages 1, 2, 4, 8 and so on, so that a cycle of any length is found within three times its pages, whatever the store's order of keys; the call then fails with -EPROTO and names the key, and the caller backs off and turns to its peers as for any failed call.

Weighed: requiring that keys ascend bytewise. It needs no state, but would refuse every list of a store that sorts in another order.

--- a/tagged/watch.c
+++ b/tagged/watch.c
@@ -254,29 +254,42 @@
     return first_page && w->peers_deliver != NULL && w->peers_deliver(w->arg);
 }
 
+/* Reads a list of upstreams page by page into ITEMS.  Returns 1 if peers have
+ * delivered the list instead. */
+static int
+read_list(watch_t *w, store_cursor_t *at, store_items_t *items, err_t *e)
+{
+    while (!at->complete) {
+        int rc;
+        w->n_reading = items->n;
+        rc = store_list_page(w->store, LIST_MS, at, items, e);
+        if (rc < 0) {
+            return rc;
+        }
+        w->n_read_max = items->n > w->n_read_max ? items->n : w->n_read_max;
+        if (!at->complete && revision(w) == 0 && handle_first_list(w, items)) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
 static int
 list(watch_t *w, err_t *e)
 {
     store_items_t items = {.topic = w->topic, .is_snapshot = true};
+    store_cursor_t at = {0};
     ms_t begun = clock_now();
-    bool more = true;
+    int rc;
 
     if (w->topic == TOPIC_OPERATOR) {
         return list_operator_topic(w, e);
     }
-    while (more) {
-        int rc;
-        w->n_reading = items.n;
-        rc = store_list_page(w->store, LIST_MS, &items, &more, e);
-        if (rc < 0) {
-            store_items_free(&items);
-            return rc;
-        }
-        w->n_read_max = items.n > w->n_read_max ? items.n : w->n_read_max;
-        if (more && revision(w) == 0 && handle_first_list(w, &items)) {
-            store_items_free(&items);
-            return 0;
-        }
+    rc = read_list(w, &at, &items, e);
+    store_cursor_free(&at);
+    if (rc != 0) {
+        store_items_free(&items);
+        return rc < 0 ? rc : 0;
     }
     counter_add(&w->t->count.store_lists, 1);
     w->n_reading = w->n_read_max = 0;
--- a/test/store_list_test.cc
+++ b/test/store_list_test.cc
@@ -23,6 +23,8 @@
   public:
     std::vector<std::string> keys; /* in the store's order */
     size_t page_items = 1;
+    /* Pages after the first begin this many keys too early. */
+    size_t steps_back = 0;
     store_t *store;
 
     ListedStore()
@@ -58,8 +60,9 @@
     size_t
     first_after(const char *after) const
     {
-        return std::upper_bound(keys.begin(), keys.end(), after) -
-               keys.begin();
+        size_t at =
+            std::upper_bound(keys.begin(), keys.end(), after) - keys.begin();
+        return at > steps_back ? at - steps_back : 0;
     }
     json_t *
     page(const char *prefix, const char *after) const
@@ -98,13 +101,14 @@
 list_upstreams(ListedStore *s, std::vector<std::string> *keys, err_t *e)
 {
     store_items_t items = {};
-    bool more = true;
+    store_cursor_t at = {};
     int rc = 0;
 
     items.topic = TOPIC_UPSTREAMS;
-    while (more && rc == 0) {
-        rc = store_list_page(s->store, TIMEOUT_MS, &items, &more, e);
+    while (!at.complete && rc == 0) {
+        rc = store_list_page(s->store, TIMEOUT_MS, &at, &items, e);
     }
+    store_cursor_free(&at);
     keys->clear();
     for (size_t i = 0; i < items.n; i++) {
         keys->push_back(items.item[i].key);
@@ -198,3 +202,20 @@
     RC_ASSERT(list_upstreams(&s, &listed, &e) == 0);
     RC_ASSERT(listed == s.keys);
 }
+
+/* Guards against: a list that is read for ever, and counts as progress, while
+ * the store sends pages again that were read before. */
+TEST(StoreList, RepeatedPagesFail)
+{
+    for (size_t steps_back : {1, 2, 3, 4}) {
+        ListedStore s;
+        std::vector<std::string> listed;
+        err_t e = {};
+        s.keys = {"sa", "sb", "sc", "sd", "se", "sf", "sg", "sh", "si"};
+        s.steps_back = steps_back;
+        EXPECT_EQ(list_upstreams(&s, &listed, &e), -EPROTO);
+        EXPECT_EQ(std::string(e.text).find("a list page comes again"), 0u)
+            << e.text;
+        EXPECT_LT(s.calls(), 3 * s.keys.size());
+    }
+}
