platform/store: read pages and changes that hold a key with a NUL

A key of another writer with a NUL character made jansson refuse the whole page or answer to a watch ("expected JSON"), at each try: instances that start never read the list, and those that run learn nothing until the store has forgotten the change, and then can't list. The same effect as a key that is cut off, by another character.

The cursor is the encoded key in full, since a shortened one names an earlier key.

Not covered: keys with lone surrogates, which the JSON parser refuses; a store that keeps keys as UTF-8 can't hold them.

--- a/plat/client.c
+++ b/plat/client.c
@@ -179,7 +179,8 @@
            ms_t ms, err_t *e)
 {
     char path[PATH_LEN];
-    char *n = http_escape(p->http, name), *o = http_escape(p->http, owner);
+    char *n = http_escape(p->http, name, strlen(name));
+    char *o = http_escape(p->http, owner, strlen(owner));
     http_reply_t r;
     int rc = -ENOMEM;
 
--- a/plat/http.c
+++ b/plat/http.c
@@ -274,9 +274,10 @@
 }
 
 char *
-http_escape(http_t *h, const char *s)
+http_escape(http_t *h, const char *s, size_t len)
 {
-    return curl_easy_escape(h->curl, s, 0);
+    /* libcurl takes a length of 0 for that of the string. */
+    return curl_easy_escape(h->curl, len > 0 ? s : "", (int)len);
 }
 
 void
--- a/plat/http.h
+++ b/plat/http.h
@@ -57,9 +57,9 @@
  * -ETIMEDOUT, -EIO (also for a status from 500): the call may have taken
  * effect. */
 int http_call(http_t *h, const http_call_t *call, http_reply_t *r, err_t *e);
-/* S with reserved characters percent-encoded, freed by http_escape_free(), or
- * NULL. */
-char *http_escape(http_t *h, const char *s);
+/* The LEN bytes at S with reserved characters percent-encoded, freed by
+ * http_escape_free(), or NULL. */
+char *http_escape(http_t *h, const char *s, size_t len);
 void http_escape_free(char *s);
 /* The server's URL, for error messages. */
 const char *http_url(const http_t *h);
--- a/test/store_list_test.cc
+++ b/test/store_list_test.cc
@@ -8,6 +8,7 @@
 #include <errno.h>
 #include <gtest/gtest.h>
 #include <jansson.h>
+#include <microhttpd.h>
 #include <mutex>
 #include <rapidcheck/gtest.h>
 #include <set>
@@ -58,32 +59,47 @@
         return ++n_calls > 8 * (keys.size() + 2);
     }
     size_t
-    first_after(const char *after) const
+    first_after(const std::string &after) const
     {
         size_t at =
             std::upper_bound(keys.begin(), keys.end(), after) - keys.begin();
         return at > steps_back ? at - steps_back : 0;
     }
     json_t *
-    page(const char *prefix, const char *after) const
+    page(const std::string &prefix, const std::string *after) const
     {
         json_t *items = json_array();
         bool more = false;
-        for (size_t i = after != NULL ? first_after(after) : 0;
+        for (size_t i = after != NULL ? first_after(*after) : 0;
              i < keys.size() && !more; i++) {
-            if (keys[i].compare(0, strlen(prefix), prefix) != 0) {
+            if (keys[i].compare(0, prefix.size(), prefix) != 0) {
                 continue;
             }
             more = json_array_size(items) == page_items;
             if (!more) {
                 json_array_append_new(
-                    items, json_pack("{ss ss sI}", "key", keys[i].c_str(),
-                                     "value", "e30=", "rev", (json_int_t)3));
+                    items, json_pack("{ss# ss sI}", "key", keys[i].data(),
+                                     (int)keys[i].size(), "value",
+                                     "e30=", "rev", (json_int_t)3));
             }
         }
         return json_pack("{so sb sI}", "items", items, "has_more", (int)more,
                          "store_revision", (json_int_t)7);
     }
+    /* A removal of each key. */
+    json_t *
+    events() const
+    {
+        json_t *list = json_array();
+        for (const std::string &key : keys) {
+            json_array_append_new(list,
+                                  json_pack("{ss# sI sb}", "key", key.data(),
+                                            (int)key.size(), "rev",
+                                            (json_int_t)3, "tombstone", 1));
+        }
+        return json_pack("{so sI}", "events", list, "store_revision",
+                         (json_int_t)7);
+    }
     static si_reply_t
     serve(void *arg, const si_request_t *r)
     {
@@ -92,7 +108,17 @@
         if (s->exceeds_calls()) {
             return si_reply_error(404, "too many calls");
         }
-        return {200, s->page(si_query(r, "prefix"), si_query(r, "after"))};
+        if (strcmp(r->path, "/api/kv-watch") == 0) {
+            return {200, s->events()};
+        }
+        const char *text = NULL;
+        size_t len = 0;
+        MHD_lookup_connection_value_n((struct MHD_Connection *)r->connection,
+                                      MHD_GET_ARGUMENT_KIND, "after", 5, &text,
+                                      &len);
+        const std::string after(text != NULL ? text : "", len);
+        return {200,
+                s->page(si_query(r, "prefix"), text != NULL ? &after : NULL)};
     }
 };
 
@@ -189,6 +215,40 @@
     store_items_free(&items);
 }
 
+/* Guards against: a page that can't be read, and a process that never starts,
+ * since a key of another writer contains a NUL character. */
+TEST(StoreList, KeysWithNul)
+{
+    const std::string nul(1, '\0');
+
+    for (size_t page_items : {1, 2, 5}) {
+        ListedStore s;
+        std::vector<std::string> listed;
+        err_t e = {};
+        s.page_items = page_items;
+        s.keys = {"servers/a" + nul, "servers/a" + nul + "z", "servers/b",
+                  "servers/c" + nul, "servers/d"};
+        EXPECT_EQ(list_upstreams(&s, &listed, &e), 0) << e.text;
+        EXPECT_EQ(listed,
+                  (std::vector<std::string>{"servers/b", "servers/d"}));
+    }
+}
+
+/* Guards against: changes that never arrive, for the same reason. */
+TEST(StoreList, EventsWithNul)
+{
+    ListedStore s;
+    store_items_t items;
+    err_t e = {};
+
+    s.keys = {"servers/a" + std::string(1, '\0'), "servers/b"};
+    ASSERT_EQ(store_watch(s.store, TOPIC_UPSTREAMS, 1, 0, &items, &e), 0)
+        << e.text;
+    ASSERT_EQ(items.n, 1u);
+    EXPECT_STREQ(items.item[0].key, "servers/b");
+    store_items_free(&items);
+}
+
 /* Guards against: any key that makes a list skip or repeat others. */
 RC_GTEST_PROP(StoreList, EachKeyIsListedOnce, ())
 {
