plat/client: keep paths of lease calls whole

A lease call's path was formatted into 512 bytes without a check, as the list's was. With an owner of 484 bytes the path ended within "ms=60000", so that the lease was granted for 6 ms, and another caller held it as well. Nothing in the product has such names today.

The buffer is as long as the longest URL now, so that http_call() refuses a path that was cut off as too long.

Test, failed before: Plat.ALeasePathIsNotCutOff (the second holder got 0 in place of -EBUSY; an owner of 1000 bytes got 0 in place of -EINVAL). plat_test: 40 of 40.

--- a/plat/client.c
+++ b/plat/client.c
@@ -9,7 +9,9 @@
 #include <string.h>
 
 #define CALL_TIMEOUT_MS 3000
-#define PATH_LEN 512
+/* A path that is cut off exceeds a URL's length, and http_call() refuses it.
+ */
+#define PATH_LEN HTTP_URL_MAX
 
 struct plat {
     http_t *http;
--- a/test/plat_test.cc
+++ b/test/plat_test.cc
@@ -225,6 +225,20 @@
     EXPECT_EQ(0, plat_lease(p, "watch", "c", 60000, NULL));
 }
 
+/* Guards against: a lease that ends early, and has two holders, since the path
+ * of its call is cut off within its time. */
+TEST_P(Plat, ALeasePathIsNotCutOff)
+{
+    const std::string head = "/v1/lease/watch?owner=";
+    const std::string owner(511 - head.size() - strlen("&ms=6"), 'o');
+
+    EXPECT_EQ(0, plat_lease(p, "watch", owner.c_str(), 60000, NULL));
+    usleep(50 * 1000);
+    EXPECT_EQ(-EBUSY, plat_lease(p, "watch", "b", 60000, NULL));
+    EXPECT_EQ(-EINVAL, plat_lease(p, "other", std::string(1000, 'o').c_str(),
+                                  60000, NULL));
+}
+
 TEST_P(Plat, InstancesAreListed)
 {
     plat_instance_t i = {"moravia-1", "brno-sal-a", true, "127.0.1.1",
