--- a/siskinctl/output.c
+++ b/siskinctl/output.c
@@ -69,20 +69,26 @@
 ctl_write_file(const options_t *o, const char *step, const char *name,
                const char *text, err_t *e)
 {
-    char path[512];
+    char *path;
     FILE *f;
     int failed;
 
-    snprintf(path, sizeof(path), "%s/%s", o->output_dir, name);
+    if (asprintf(&path, "%s/%s", o->output_dir, name) < 0) {
+        return err_set(e, -ENOMEM, step, name, "out of memory");
+    }
     f = fopen(path, "wx");
     if (f == NULL) {
-        return err_set(e, -EIO, step, path, "%s", strerror(errno));
+        err_set(e, -EIO, step, path, "%s", strerror(errno));
+        free(path);
+        return -EIO;
     }
     failed = fputs(text, f) < 0;
     failed |= fclose(f) != 0;
-    return failed
-               ? err_set(e, -EIO, step, path, "write failed or was incomplete")
-               : 0;
+    if (failed) {
+        err_set(e, -EIO, step, path, "write failed or was incomplete");
+    }
+    free(path);
+    return failed ? -EIO : 0;
 }
 
 /* ---- Tables ---- */
--- a/test/ctl_logs.sh
+++ b/test/ctl_logs.sh
@@ -74,6 +74,11 @@
     cat plots/seconds.dat plots/versions.dat plots/instances.dat
     (cd plots && gnuplot report.gp 2>/dev/null && grep -c '<svg' report.svg)
     ctl report --into plots a.log
+    echo "## Plots, into a directory with a long name"
+    deep=$(printf 'd%.0s' {1..250})/$(printf 'd%.0s' {1..250})
+    mkdir -p "$deep"
+    ctl report --into "$deep" a.log >/dev/null
+    ls "$deep"
 }
 
 run >"$dir/out" 2>&1
