base/log: replace characters that are cut off

Incomplete UTF-8 sequences become '?' now, as control characters do.

Test, failed before ("not UTF-8"): Log.CharactersThatAreCutOffAreReplaced.

--- a/base/log.c
+++ b/base/log.c
@@ -265,15 +265,38 @@
     return 0;
 }
 
+/* Returns the length of the UTF-8 sequence at S; 0 if it is incomplete. */
+static size_t
+sequence_len(const char *s)
+{
+    unsigned char c = (unsigned char)*s;
+    size_t n = c < 0x80             ? 1
+               : (c & 0xe0) == 0xc0 ? 2
+               : (c & 0xf0) == 0xe0 ? 3
+               : (c & 0xf8) == 0xf0 ? 4
+                                    : 0;
+
+    for (size_t i = 1; i < n; i++) {
+        if (((unsigned char)s[i] & 0xc0) != 0x80) {
+            return 0;
+        }
+    }
+    return n;
+}
+
 /* Texts from the store and from peers may contain control characters, which
- * could forge a line of their own. */
+ * could forge a line of their own.  Long texts may be cut off within a
+ * character, which makes tools take the log for a binary file. */
 static void
-replace_control_chars(char *s)
+replace_unprintable(char *s)
 {
-    for (; *s != '\0'; s++) {
-        if ((unsigned char)*s < ' ' || *s == 0x7f) {
+    while (*s != '\0') {
+        size_t n = sequence_len(s);
+        if (n == 0 || (unsigned char)*s < ' ' || *s == 0x7f) {
             *s = '?';
+            n = 1;
         }
+        s += n;
     }
 }
 
@@ -292,7 +315,7 @@
     va_start(ap, fmt);
     vsnprintf(msg + n, sizeof(msg) - (size_t)n, fmt, ap);
     va_end(ap);
-    replace_control_chars(msg);
+    replace_unprintable(msg);
     log4c_category_log(category, levels[level].priority, "%s", msg);
 }
 
--- a/test/kern_test.cc
+++ b/test/kern_test.cc
@@ -3,6 +3,7 @@
 #include "kern/kern.h"
 
 #include <gtest/gtest.h>
+#include <jansson.h>
 #include <errno.h>
 #include <sched.h>
 #include <semaphore.h>
@@ -260,6 +261,30 @@
     close(fd);
 }
 
+/* Guards against: a log that grep takes for a binary file, since a long key of
+ * another writer was cut off within a character. */
+TEST(Log, CharactersThatAreCutOffAreReplaced)
+{
+    const std::string wide = "\xe8\xa9\xa6\xf0\x9f\x92\xa1\xc3\xa9";
+    std::string out, key;
+    err_t e;
+
+    while (key.size() < 2000) {
+        key += "\xe8\xa9\xa6";
+    }
+    ASSERT_EQ(log_open("try", LVL_INFO), 0);
+    err_set(&e, -EINVAL, "store item", key.c_str(), "%s", wide.c_str());
+    testing::internal::CaptureStderr();
+    log_line(LVL_INFO, "news", "peer=%s error=%s", e.peer, e.text);
+    log_line(LVL_INFO, "news", "%s", key.c_str());
+    out = testing::internal::GetCapturedStderr();
+    log_close();
+    EXPECT_NE(out.find("error=" + wide + "\n"), std::string::npos) << out;
+    json_t *text = json_stringn(out.data(), out.size());
+    EXPECT_NE(text, nullptr) << "not UTF-8: " << out;
+    json_decref(text);
+}
+
 /* Guards against: text from the store that forges a log line of its own. */
 TEST(Log, ControlCharactersStartNoNewLine)
 {
