--- a/test/kern_test.cc
+++ b/test/kern_test.cc
@@ -261,9 +261,24 @@
     close(fd);
 }
 
+/* The log opens once in a process. */
+class Log : public testing::Test {
+  protected:
+    static void
+    SetUpTestSuite()
+    {
+        ASSERT_EQ(log_open("try", LVL_INFO), 0);
+    }
+    static void
+    TearDownTestSuite()
+    {
+        log_close();
+    }
+};
+
 /* Guards against: a log that grep takes for a binary file, since a long key of
  * another writer was cut off within a character. */
-TEST(Log, CharactersThatAreCutOffAreReplaced)
+TEST_F(Log, CharactersThatAreCutOffAreReplaced)
 {
     const std::string wide = "\xe8\xa9\xa6\xf0\x9f\x92\xa1\xc3\xa9";
     std::string out, key;
@@ -272,13 +287,11 @@
     while (key.size() < 2000) {
         key += "\xe8\xa9\xa6";
     }
-    ASSERT_EQ(log_open("try", LVL_INFO), 0);
     err_set(&e, -EINVAL, "store item", key.c_str(), "%s", wide.c_str());
     testing::internal::CaptureStderr();
     log_line(LVL_INFO, "news", "peer=%s error=%s", e.peer, e.text);
     log_line(LVL_INFO, "news", "%s", key.c_str());
     out = testing::internal::GetCapturedStderr();
-    log_close();
     EXPECT_NE(out.find("error=" + wide + "\n"), std::string::npos) << out;
     json_t *text = json_stringn(out.data(), out.size());
     EXPECT_NE(text, nullptr) << "not UTF-8: " << out;
@@ -286,15 +299,13 @@
 }
 
 /* Guards against: text from the store that forges a log line of its own. */
-TEST(Log, ControlCharactersStartNoNewLine)
+TEST_F(Log, ControlCharactersStartNoNewLine)
 {
     std::string out;
 
-    ASSERT_EQ(log_open("try", LVL_INFO), 0);
     testing::internal::CaptureStderr();
     log_line(LVL_INFO, "news", "Item refused. key=%s", "a\nERROR x: b\x1b[0m");
     out = testing::internal::GetCapturedStderr();
-    log_close();
     EXPECT_NE(out.find("key=a?ERROR x: b?[0m\n"), std::string::npos) << out;
     EXPECT_EQ(out.find('\n'), out.size() - 1);
 }
