platform/entry: refuse entries from the store that lack a field

Another writer's entry over a server's own named another service and had five of the nine fields; the others had defaults, so that it named a usable upstream.

An entry from the store now names an upstream only if version, slots, warm-up and sequence are there with their types, as service, address, data centre and state were required before. Entries that peers pass on as JSON are read as before: the first reader has checked them, and an older release leaves the sequence out.

--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -5,6 +5,7 @@
 
 #include <errno.h>
 #include <gtest/gtest.h>
+#include <jansson.h>
 #include <rapidcheck/gtest.h>
 #include <string>
 #include <vector>
@@ -314,6 +315,41 @@
     RC_ASSERT(bed.stats()->usable >= 1u);
 }
 
+/* Guards against: an entry of another writer that lacks what each upstream
+ * announces, over an upstream's own, and gives that upstream another service.
+ */
+TEST(ForeignEntries, IncompleteOnesAreRefused)
+{
+    json_t *valid = json_loads(VALID, 0, NULL);
+    const char *field;
+    json_t *value;
+
+    json_object_foreach(valid, field, value)
+    {
+        for (json_t *wrong : {(json_t *)NULL, json_null(), json_true(),
+                              json_array(), json_real(-1)}) {
+            json_t *entry = json_copy(valid);
+            bool reported = strcmp(field, "born") != 0 || wrong != NULL;
+            if (wrong != NULL) {
+                json_object_set_new(entry, field, wrong);
+            }
+            else {
+                json_object_del(entry, field);
+            }
+            char *text = json_dumps(entry, 0);
+            char *line = entry_import(text);
+            EXPECT_EQ(std::string(line).empty(), reported) << text;
+            free(line);
+            free(text);
+            json_decref(entry);
+        }
+    }
+    json_decref(valid);
+    char *line = entry_import(VALID);
+    EXPECT_STRNE(line, "");
+    free(line);
+}
+
 /* Guards against: an entry that means something else, or passes its text on,
  * once it is a line; and one that a peer without lines can't read. */
 RC_GTEST_PROP(Entries, LinesKeepTheMeaning, ())
--- a/test/tagged_entries.sh
+++ b/test/tagged_entries.sh
@@ -81,6 +81,15 @@
     until_true "it is used again" metric_is 1 upstreams_usable -eq 6
     until_quietly metric_is 2 upstreams_usable -eq 6
 
+    echo "## A known server's entry lacks fields, and names another service"
+    entry_of 4 >entry
+    echo "{\"service\":\"archive\",\"address\":\"$net.104:7100\",\
+\"zone\":\"dc-0\",\"slots\":3,\"state\":\"ready\"}" | put_entry "$(known_id 4)"
+    until_true "it gets no new flow" metric_is 1 upstreams_usable -eq 5
+    sleep 1
+    put_entry "$(known_id 4)" <entry
+    until_true "it is used again" metric_is 1 upstreams_usable -eq 6
+
     ended callers
     echo "## What callers and servers saw"
     echo "failed: $(total safe failed) $(total unsafe failed) $(total upload failed)"
