flow: an announcement without a start is no restart

A missing start counted as another one, and the real start became that of the "former process". The known start stays now until an announcement has another.

--- a/flow/flows.c
+++ b/flow/flows.c
@@ -194,13 +194,16 @@
 }
 
 /* Returns U, updated by A, or an upstream that replaces it, as its id has been
- * reassigned.  NULL without memory. */
+ * reassigned.  NULL without memory.  An announcement without a start is no
+ * sign of a restart: the next one, with the start that U had, would be taken
+ * for one of a former process and refused. */
 static upstream_t *
 update_upstream(flowset_t *f, upstream_t *u, const flow_upstream_t *a)
 {
-    int64_t former_started_ms = u->a.started_ms != a->started_ms
-                                    ? u->a.started_ms
-                                    : u->former_started_ms;
+    int64_t started_ms = a->started_ms != 0 ? a->started_ms : u->a.started_ms;
+    bool restarted = started_ms != u->a.started_ms;
+    int64_t former_started_ms =
+        restarted ? u->a.started_ms : u->former_started_ms;
 
     if (strcmp(u->a.service, a->service) != 0 ||
         strcmp(u->a.data_centre, a->data_centre) != 0 ||
@@ -208,12 +211,13 @@
         drop_upstream(f, u);
         u = upstream_new(f, a);
     }
-    else if (u->a.started_ms != a->started_ms) {
+    else if (restarted) {
         discard_former_process(f, u);
     }
     if (u != NULL) {
         u->former_started_ms = former_started_ms;
         u->a = *a;
+        u->a.started_ms = started_ms;
     }
     return u;
 }
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -439,6 +439,32 @@
     EXPECT_EQ(bed.announce(after), 0);
 }
 
+/* Guards against: an entry of another writer that lacks the start, is taken
+ * for a restart, and has the upstream's own entries refused from then on as
+ * those of a former process, its drain among them. */
+TEST_F(Flow, AnEntryWithoutAStartIsNoRestart)
+{
+    flow_upstream_t u = FlowBed::upstream(0x11, "svc", "dc-a"), foreign = u;
+
+    u.started_ms = 1772060000000;
+    EXPECT_EQ(bed.announce(u), 0);
+    uint32_t caller = open_at(0x11, 1);
+    EXPECT_EQ(bed.announce(foreign), 0);
+    EXPECT_GE(
+        bed.packet(FlowBed::data((int)caller, FEED, 0x11, 1001, 100)).open,
+        1u);
+    u.draining = true;
+    EXPECT_EQ(bed.announce(u), 0);
+    EXPECT_EQ(bed.stats()->usable, 2u);
+    /* The same with another service, which replaces the upstream. */
+    u.draining = false;
+    EXPECT_EQ(bed.announce(u), 0);
+    strcpy(foreign.service, "other");
+    EXPECT_EQ(bed.announce(foreign), 0);
+    EXPECT_EQ(bed.announce(u), 0);
+    EXPECT_EQ(bed.stats()->usable, 3u);
+}
+
 /* Guards against: a restart that is missed since the clock of the upstream's
  * host was set back, and flows that are lost since an entry repeats the same
  * start. */
