flow: only upstreams of named services take an address

Another writer's entry, of a service that no configuration names, had the server's address; a later announcement at an address counted as proof that the earlier upstream had ended, whatever its service.

Upstreams of services that no route names neither take an address nor keep one now. The address is settled when a version names the service, so that an announcement before the first version, or before the one that names it, takes it then. Cost: one pass over the upstreams a version (not measured).

Failed before: Flow.AServiceWithoutARouteTakesNoAddress (5 checks). ALaterVersionGivesAnAddressToItsUpstream passed before and guards the new rule.

--- a/flow/flows.c
+++ b/flow/flows.c
@@ -123,7 +123,9 @@
 set_services(flowset_t *f, const flow_conf_t *c)
 {
     LIST_EACH (it, &f->services) {
-        CONTAINER_OF(it, service_t, link)->warm_up_per_s = 0;
+        service_t *s = CONTAINER_OF(it, service_t, link);
+        s->warm_up_per_s = 0;
+        s->named = false;
     }
     for (uint32_t i = 0; i < c->n_services; i++) {
         service_t *s = service_named(f, c->services[i].service);
@@ -131,22 +133,12 @@
             s->warm_up_per_s = c->services[i].warm_up_per_s;
         }
     }
-}
-
-int
-flowset_set_conf(flowset_t *f, ms_t now, flow_conf_t *c)
-{
-    (void)now;
-    if (f->conf != NULL && c->version <= f->conf->version) {
-        flow_conf_free(c);
-        return -ESTALE;
+    for (uint32_t i = 0; i < c->n_targets; i++) {
+        service_t *s = service_named(f, c->targets[i].service);
+        if (s != NULL) {
+            s->named = true;
+        }
     }
-    qsort(c->routes, c->n_routes, sizeof(*c->routes), route_order);
-    flow_conf_free(f->conf);
-    f->conf = c;
-    set_services(f, c);
-    sharing_configure(f);
-    return 0;
 }
 
 static void
@@ -157,28 +149,63 @@
     reach_dead(f, now, u, "its address is another upstream's now");
 }
 
-/* An address is assigned to another upstream only after its previous upstream
- * has ended, though the previous announcement may outlast it.  Retires the
- * upstreams at the address that were announced before A; returns true if A
- * itself is superseded. */
-static bool
-retire_previous(flowset_t *f, ms_t now, const flow_upstream_t *a)
+/* Retires U if an upstream at its address was announced after it, and
+ * otherwise those that were announced before: an address is assigned to
+ * another upstream only after its previous one has ended, though the previous
+ * announcement may outlast it.  Upstreams of services that no route names
+ * don't count, since anyone can write an entry with the address of a live
+ * upstream. */
+static void
+settle_address(flowset_t *f, ms_t now, upstream_t *u)
 {
     bool superseded = false;
 
-    INDEX_EACH (it, &f->by_addr, addr_hash(&a->addr)) {
-        upstream_t *u = CONTAINER_OF(it, upstream_t, by_addr.link);
-        if (u->a.id == a->id || !addr_eq(&u->a.addr, &a->addr)) {
+    INDEX_EACH (it, &f->by_addr, addr_hash(&u->a.addr)) {
+        upstream_t *other = CONTAINER_OF(it, upstream_t, by_addr.link);
+        if (other == u || !addr_eq(&other->a.addr, &u->a.addr)) {
             continue;
         }
-        if (u->a.revision > a->revision) {
-            superseded = true;
+        if (other->a.revision > u->a.revision) {
+            superseded = superseded || other->claims_addr;
         }
-        else if (u->reach != REACH_DEAD) {
-            retire_upstream(f, now, u);
+        else if (u->claims_addr && other->reach != REACH_DEAD) {
+            retire_upstream(f, now, other);
+        }
+    }
+    if (superseded) {
+        retire_upstream(f, now, u);
+    }
+}
+
+/* Settles the addresses of upstreams that were announced before a version that
+ * names their service. */
+static void
+settle_addresses(flowset_t *f, ms_t now)
+{
+    LIST_EACH (it, &f->upstreams) {
+        upstream_t *u = CONTAINER_OF(it, upstream_t, all);
+        bool begins = u->service->named && !u->claims_addr;
+        u->claims_addr = u->service->named;
+        if (begins && u->listed) {
+            settle_address(f, now, u);
         }
     }
-    return superseded;
+}
+
+int
+flowset_set_conf(flowset_t *f, ms_t now, flow_conf_t *c)
+{
+    if (f->conf != NULL && c->version <= f->conf->version) {
+        flow_conf_free(c);
+        return -ESTALE;
+    }
+    qsort(c->routes, c->n_routes, sizeof(*c->routes), route_order);
+    flow_conf_free(f->conf);
+    f->conf = c;
+    set_services(f, c);
+    settle_addresses(f, now);
+    sharing_configure(f);
+    return 0;
 }
 
 /* Returns -EEXIST or -ESTALE if announcement A must not replace that of U. */
@@ -227,23 +254,22 @@
 {
     upstream_t *u = upstream_by_id(f, a->id);
     int rc = u != NULL ? check_announcement(u, a) : 0;
-    bool superseded;
 
     if (rc < 0) {
         return rc;
     }
-    superseded = retire_previous(f, now, a);
     u = u != NULL ? update_upstream(f, u, a) : upstream_new(f, a);
     if (u == NULL) {
         return -ENOMEM;
     }
     u->warm_up_until = now + a->warm_up_ms;
     upstream_weigh(f, u);
-    if (superseded) {
-        retire_upstream(f, now, u);
+    u->claims_addr = u->service->named;
+    upstream_set_listed(f, u, true, now);
+    settle_address(f, now, u);
+    if (!u->listed) {
         return 0;
     }
-    upstream_set_listed(f, u, true, now);
     reach_announced(f, now, u);
     return upstream_offer(u);
 }
--- a/flow/state.h
+++ b/flow/state.h
@@ -129,7 +129,9 @@
     bool listed;            /* currently announced */
     bool usable;            /* counted in flowset_t.n_usable */
     bool evacuated;         /* its data centre is evacuated: no new flows */
-    bool tag_taken; /* an older upstream has the same tag: no new flows */
+    bool claims_addr; /* its service is named: of the upstreams at its address
+                       * the one announced last holds it */
+    bool tag_taken;   /* an older upstream has the same tag: no new flows */
     int64_t former_started_ms; /* start of its former process under this id;
                                 * 0: none */
     ms_t unlisted_at;
@@ -171,6 +173,7 @@
     char name[FLOW_NAME_LEN];
     uint64_t load_id;     /* load_name_id(), if shared */
     bool wants_sharing;   /* by the configuration in force */
+    bool named;           /* a target of a route in force */
     shared_t *shared;     /* NULL: its load is not shared */
     uint32_t n_evacuated; /* upstreams in evacuated data centres */
     double warm_up_per_s; /* rate of new flows an upstream takes during slow
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -334,6 +334,9 @@
     flow_decision_t d;
 
     ASSERT_NE(caller, 0u);
+    bed.routes(2, {{FEED, "svc", true},
+                   {COMMAND, "svc", false},
+                   {"198.18.0.2:443", "archive", false}});
     next.addr = FlowBed::upstream(0x11, "svc", "dc-a").addr;
     bed.announce(next);
     EXPECT_FALSE(bed.resets.empty());
@@ -342,6 +345,49 @@
     EXPECT_EQ(d.reason, FLOW_UPSTREAM_DEAD);
 }
 
+/* Guards against: open flows that are reset, since an entry of a service that
+ * no configuration names has the address of a live upstream. */
+TEST_F(Flow, AServiceWithoutARouteTakesNoAddress)
+{
+    uint32_t caller = open_at(0x11, 1);
+    flow_upstream_t foreign = FlowBed::upstream(0x31, "audit", "dc-a");
+    flow_upstream_t own = FlowBed::upstream(0x11, "svc", "dc-a");
+
+    foreign.addr = own.addr;
+    foreign.revision = 9;
+    bed.resets.clear();
+    bed.announce(foreign);
+    EXPECT_TRUE(bed.resets.empty());
+    EXPECT_EQ(
+        bed.packet(FlowBed::data((int)caller, FEED, 0x11, 1001, 10)).action,
+        FLOW_FORWARD);
+    EXPECT_NE(open_at(0x11, 100), 0u);
+    bed.announce(own); /* of an earlier revision than the foreign entry */
+    EXPECT_NE(open_at(0x11, 200), 0u);
+    EXPECT_TRUE(bed.resets.empty());
+}
+
+/* Guards against: an address that stays with its previous upstream, since the
+ * next one was announced before the version that names its service. */
+TEST_F(Flow, ALaterVersionGivesAnAddressToItsUpstream)
+{
+    uint32_t caller = open_at(0x11, 1);
+    flow_upstream_t next = FlowBed::upstream(0x31, "archive", "dc-a");
+
+    next.addr = FlowBed::upstream(0x11, "svc", "dc-a").addr;
+    next.revision = 9;
+    bed.announce(next);
+    for (uint64_t version : {2, 3}) { /* it is named, and stays so */
+        bed.routes(version,
+                   {{FEED, "svc", true}, {COMMAND, "archive", false}});
+        flow_decision_t d =
+            bed.packet(FlowBed::data((int)caller, FEED, 0x11, 1001, 10));
+        EXPECT_EQ(d.action, FLOW_RESET);
+        EXPECT_EQ(d.reason, FLOW_UPSTREAM_DEAD);
+        EXPECT_EQ(bed.packet(FlowBed::syn(50, COMMAND)).upstream, 0x31u);
+    }
+}
+
 /* The previous upstream's announcement outlasts it, and a list contains both
  * in order of id.  The one announced later is current: its flows must not be
  * reset, in either order. */
