plat/http: keep one idle connection a handle

Each write opens a connection of its own, and libcurl kept it. After a failure the operator's topic is confirmed by such a call, so that its handle held several idle connections. When all went silent together, each later call tried the next one and waited for its timeout.

A handle keeps one idle connection now: the call that finds it silent closes it, and the next one opens a new one.

Test, failed before (the second and third call -ETIMEDOUT): Http.SilentConnectionsCostOneTimeout. http_test 8 of 8.

--- a/plat/http.c
+++ b/plat/http.c
@@ -12,6 +12,10 @@
 /* Limit of a body; above the replica of 240,000 upstreams as a peer sends it.
  */
 #define REPLY_MAX (32 * 1024 * 1024)
+/* Idle connections kept for the next call.  A write opens one of its own; all
+ * of them may go silent together, and each would cost a later call its
+ * timeout. */
+#define IDLE_CONNECTIONS 1L
 /* A longer buffer is freed before the next call: long answers are rare. */
 #define KEPT_BODY_MAX (64 * 1024)
 
@@ -44,7 +48,9 @@
     snprintf(h->url, sizeof(h->url), "%s", url);
     h->curl = curl_easy_init();
     h->multi = curl_multi_init();
-    if (h->curl == NULL || h->multi == NULL) {
+    if (h->curl == NULL || h->multi == NULL ||
+        curl_multi_setopt(h->multi, CURLMOPT_MAXCONNECTS, IDLE_CONNECTIONS) !=
+            CURLM_OK) {
         http_free(h);
         return NULL;
     }
--- a/test/http_test.cc
+++ b/test/http_test.cc
@@ -3,9 +3,11 @@
 #include "plat/http.h"
 
 #include <arpa/inet.h>
+#include <atomic>
 #include <errno.h>
 #include <gtest/gtest.h>
 #include <poll.h>
+#include <string.h>
 #include <string>
 #include <thread>
 #include <unistd.h>
@@ -171,3 +173,101 @@
 }
 
 } // namespace
+
+namespace {
+
+/* Answers requests on any number of connections, until those that are open go
+ * silent; new ones are answered. */
+class KeepAliveServer {
+  public:
+    KeepAliveServer()
+    {
+        struct sockaddr_in a = {};
+        socklen_t len = sizeof(a);
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        a.sin_family = AF_INET;
+        a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(0, bind(fd, (struct sockaddr *)&a, sizeof(a)));
+        EXPECT_EQ(0, listen(fd, 16));
+        getsockname(fd, (struct sockaddr *)&a, &len);
+        url = "http://127.0.0.1:" + std::to_string(ntohs(a.sin_port));
+        fds.push_back({fd, POLLIN, 0});
+        thread = std::thread([this] { serve(); });
+    }
+    ~KeepAliveServer()
+    {
+        stopping = true;
+        thread.join();
+        for (const struct pollfd &p : fds) {
+            close(p.fd);
+        }
+    }
+    void
+    silence()
+    {
+        n_silent = n_connections.load();
+    }
+
+    std::string url;
+
+  private:
+    void
+    answer(int fd, bool silent)
+    {
+        static const char OK[] =
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+        char buf[4096];
+
+        if (recv(fd, buf, sizeof(buf), MSG_DONTWAIT) > 0 && !silent) {
+            (void)!send(fd, OK, strlen(OK), MSG_NOSIGNAL);
+        }
+    }
+    void
+    serve()
+    {
+        while (!stopping) {
+            poll(fds.data(), fds.size(), 5);
+            for (size_t i = fds.size(); i-- > 1;) {
+                if (fds[i].revents != 0) {
+                    answer(fds[i].fd, i <= n_silent);
+                }
+            }
+            if (fds[0].revents != 0) {
+                fds.push_back({accept(fds[0].fd, NULL, NULL), POLLIN, 0});
+                n_connections = fds.size() - 1;
+            }
+        }
+    }
+
+    std::vector<struct pollfd> fds; /* first: the listener */
+    std::atomic<size_t> n_connections{0}, n_silent{0};
+    std::atomic<bool> stopping{false};
+    std::thread thread;
+};
+
+} // namespace
+
+/* Guards against: a change that arrives late, since several idle connections
+ * have gone silent together, and each of them costs a timeout of its own. */
+TEST(Http, SilentConnectionsCostOneTimeout)
+{
+    KeepAliveServer server;
+    http_t *h = http_new(server.url.c_str());
+    http_call_t get = {}, post = {};
+    http_reply_t r;
+
+    get.path = post.path = "/";
+    get.step = post.step = "read";
+    get.timeout_ms = post.timeout_ms = 1000;
+    post.method = HTTP_POST;
+    for (int i = 0; i < 4; i++) {
+        EXPECT_EQ(http_call(h, &get, &r, NULL), 0);
+        EXPECT_EQ(http_call(h, &post, &r, NULL), 0);
+    }
+    server.silence();
+    get.timeout_ms = 100;
+    EXPECT_EQ(http_call(h, &get, &r, NULL), -ETIMEDOUT);
+    EXPECT_EQ(http_call(h, &get, &r, NULL), 0);
+    EXPECT_EQ(http_call(h, &get, &r, NULL), 0);
+    http_free(h);
+}
