flow: order the processes at an address by their starts

A crashed server's last write was done by the store after another server had its address.

Of two announcements at an address the one with the later revision counted as that of the later process.

The starts of the processes decide now where both announce one, and revisions otherwise. Only announced upstreams keep others from an address, and when such an announcement ends the others are listed again and probed: a host whose clock is behind costs a successor its flows only while the old entry lasts.

Weighed: no reset at a takeover without a refused probe. Not covered: upstreams without a start, and false entries with a later start (docs/INCIDENTS.md, open).

--- a/flow/flows.c
+++ b/flow/flows.c
@@ -149,12 +149,24 @@
     reach_dead(f, now, u, "its address is another upstream's now");
 }
 
-/* Retires U if an upstream at its address was announced after it, and
- * otherwise those that were announced before: an address is assigned to
- * another upstream only after its previous one has ended, though the previous
- * announcement may outlast it.  Upstreams of services that no route names
- * don't count, since anyone can write an entry with the address of a live
- * upstream. */
+/* True if A is of a later process than B at the same address.  The starts of
+ * the processes go first: the store may do the last write of a process that
+ * has ended after the next one has announced itself. */
+static bool
+is_later(const flow_upstream_t *a, const flow_upstream_t *b)
+{
+    if (a->started_ms != 0 && b->started_ms != 0 &&
+        a->started_ms != b->started_ms) {
+        return a->started_ms > b->started_ms;
+    }
+    return a->revision > b->revision;
+}
+
+/* Retires U if a later upstream holds its address, and the earlier ones there
+ * otherwise: an address is assigned to another upstream only after its
+ * previous one has ended, though the previous announcement may outlast it.
+ * Upstreams of services that no route names don't count, since anyone can
+ * write an entry with the address of a live upstream. */
 static void
 settle_address(flowset_t *f, ms_t now, upstream_t *u)
 {
@@ -165,8 +177,9 @@
         if (other == u || !addr_eq(&other->a.addr, &u->a.addr)) {
             continue;
         }
-        if (other->a.revision > u->a.revision) {
-            superseded = superseded || other->claims_addr;
+        if (is_later(&other->a, &u->a)) {
+            superseded =
+                superseded || (other->announced && other->claims_addr);
         }
         else if (u->claims_addr && other->reach != REACH_DEAD) {
             retire_upstream(f, now, other);
@@ -249,6 +262,19 @@
     return u;
 }
 
+/* U is announced: lists it unless another upstream holds its address. */
+static int
+list_upstream(flowset_t *f, ms_t now, upstream_t *u)
+{
+    upstream_set_listed(f, u, true, now);
+    settle_address(f, now, u);
+    if (!u->listed) {
+        return 0;
+    }
+    reach_announced(f, now, u);
+    return upstream_offer(u);
+}
+
 int
 flowset_set_upstream(flowset_t *f, ms_t now, const flow_upstream_t *a)
 {
@@ -265,13 +291,24 @@
     u->warm_up_until = now + a->warm_up_ms;
     upstream_weigh(f, u);
     u->claims_addr = u->service->named;
-    upstream_set_listed(f, u, true, now);
-    settle_address(f, now, u);
-    if (!u->listed) {
-        return 0;
+    u->announced = true;
+    return list_upstream(f, now, u);
+}
+
+/* The announcement of U has ended: lists the upstreams that it kept from its
+ * address, the clock of whose host may have been behind.  A probe shows
+ * whether they live.  Without memory they are offered with their next
+ * announcement. */
+static void
+return_address(flowset_t *f, ms_t now, upstream_t *u)
+{
+    INDEX_EACH (it, &f->by_addr, addr_hash(&u->a.addr)) {
+        upstream_t *other = CONTAINER_OF(it, upstream_t, by_addr.link);
+        if (other != u && addr_eq(&other->a.addr, &u->a.addr) &&
+            other->announced && !other->listed) {
+            list_upstream(f, now, other);
+        }
     }
-    reach_announced(f, now, u);
-    return upstream_offer(u);
 }
 
 static void
@@ -293,9 +330,14 @@
 {
     upstream_t *u = upstream_by_id(f, id);
 
-    if (u != NULL && u->listed && u->a.entry == entry) {
+    if (u == NULL || !u->announced || u->a.entry != entry) {
+        return;
+    }
+    u->announced = false;
+    if (u->listed) {
         unlist(f, now, u);
     }
+    return_address(f, now, u);
 }
 
 /* ---- Evacuations ---- */
--- a/flow/state.h
+++ b/flow/state.h
@@ -126,11 +126,11 @@
                              * NO_DATA_CENTRE */
     uint32_t pool_position; /* in the pool of its data centre */
     bool local;             /* in this instance's data centre */
-    bool listed;            /* currently announced */
-    bool usable;            /* counted in flowset_t.n_usable */
-    bool evacuated;         /* its data centre is evacuated: no new flows */
-    bool claims_addr; /* its service is named: of the upstreams at its address
-                       * the one announced last holds it */
+    bool announced;         /* an entry announces it */
+    bool listed;      /* the same, and no other upstream holds its address */
+    bool usable;      /* counted in flowset_t.n_usable */
+    bool evacuated;   /* its data centre is evacuated: no new flows */
+    bool claims_addr; /* its service is named: it may hold its address */
     bool tag_taken;   /* an older upstream has the same tag: no new flows */
     int64_t former_started_ms; /* start of its former process under this id;
                                 * 0: none */
--- a/test/flow_test.cc
+++ b/test/flow_test.cc
@@ -367,6 +367,65 @@
     EXPECT_TRUE(bed.resets.empty());
 }
 
+/* Guards against: open flows that are reset, since the store does the last
+ * write of a process that has ended after another one has announced itself at
+ * the same address; at instances that knew the former one, and at others. */
+TEST_F(Flow, ALateWriteOfAnEndedProcessTakesNoAddress)
+{
+    for (bool known : {true, false}) {
+        const uint64_t ended_id = known ? 0x31 : 0x41, next_id = ended_id + 1;
+        flow_upstream_t ended = FlowBed::upstream(ended_id, "svc", "dc-a");
+        flow_upstream_t next = FlowBed::upstream(next_id, "svc", "dc-a");
+        next.addr = ended.addr;
+        ended.started_ms = 1772060000000;
+        next.started_ms = 1772060005000;
+        ended.revision = 10;
+        next.revision = 20;
+        if (known) {
+            bed.announce(ended);
+            flowset_remove_upstream(bed.flows, bed.now, ended_id, 0);
+        }
+        bed.announce(next);
+        uint32_t caller = open_at(next_id, known ? 1 : 1000);
+        bed.resets.clear();
+        ended.revision = 30;
+        bed.announce(ended);
+        EXPECT_TRUE(bed.resets.empty());
+        EXPECT_EQ(bed.packet(FlowBed::data((int)caller, FEED,
+                                           (uint32_t)next_id, 1001, 10))
+                      .action,
+                  FLOW_FORWARD);
+        EXPECT_NE(open_at(next_id, known ? 200 : 1200), 0u);
+        flowset_remove_upstream(bed.flows, bed.now, ended_id, 0);
+        EXPECT_NE(open_at(next_id, known ? 400 : 1400), 0u);
+        flowset_remove_upstream(bed.flows, bed.now, next_id, 0);
+    }
+}
+
+/* Guards against: an upstream that gets no flows for good, since the clock of
+ * its host was behind when it took over an address whose previous announcement
+ * was still there. */
+TEST_F(Flow, AnAddressReturnsWhenTheOtherEntryEnds)
+{
+    flow_upstream_t ended = FlowBed::upstream(0x31, "svc", "dc-a");
+    flow_upstream_t next = FlowBed::upstream(0x32, "svc", "dc-a");
+
+    next.addr = ended.addr;
+    ended.started_ms = 1772060005000;
+    next.started_ms = 1772060000000;
+    next.revision = 9;
+    bed.announce(ended);
+    bed.announce(next);
+    EXPECT_EQ(open_at(0x32, 1), 0u);
+    flowset_remove_upstream(bed.flows, bed.now, 0x31, 0);
+    bed.probed(0x32, PROBE_ANSWERED);
+    EXPECT_NE(open_at(0x32, 100), 0u);
+    /* Its own entry ends: no other returns. */
+    flowset_remove_upstream(bed.flows, bed.now, 0x32, 0);
+    EXPECT_EQ(open_at(0x31, 200), 0u);
+    EXPECT_EQ(open_at(0x32, 300), 0u);
+}
+
 /* Guards against: an address that stays with its previous upstream, since the
  * next one was announced before the version that names its service. */
 TEST_F(Flow, ALaterVersionGivesAnAddressToItsUpstream)
