--- a/test/warmup_test.cc
+++ b/test/warmup_test.cc
@@ -189,6 +189,7 @@
     Fleet f(1, 1, 0);
     FlowBed &bed = *f.bed[0];
 
+    bed.routes(2, {{ROUTE, "svc", true}, {"198.18.0.2:443", "other", true}});
     f.announce(COLD, "dc-a", WARM_UP_MS);
     flow_upstream_t next = FlowBed::upstream(COLD, "other", "dc-a");
     next.id = COLD + 1;
